--- a/sillpoint/__init__.py
+++ b/pepperrun/__init__.py
@@ -1,6 +1,6 @@
 """Decisions of an admission gateway for a service sold by plan."""
 
-from sillpoint.gateway import Gateway
-from sillpoint.interface import Settings
+from pepperrun.gateway import Gateway
+from pepperrun.interface import Settings
 
 __all__ = ["Gateway", "Settings"]
--- a/sillpoint/state.py
+++ b/pepperrun/state.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from sillpoint.clock import Agenda
-from sillpoint.interface import (
+from pepperrun.clock import Agenda
+from pepperrun.interface import (
     Action,
     Backend,
     BackendList,
--- a/sillpoint/wirehost.py
+++ b/pepperrun/wirehost.py
@@ -11,8 +11,8 @@
 from collections.abc import Mapping
 from typing import Any, BinaryIO
 
-from sillpoint import interface as io
-from sillpoint.gateway import Gateway
+from pepperrun import interface as io
+from pepperrun.gateway import Gateway
 
 EVENT_SIZE = 48
 ACTION_SIZE = 32
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from sillpoint.gateway import Gateway
-from sillpoint.interface import (
+from pepperrun.gateway import Gateway
+from pepperrun.interface import (
     Action,
     AttemptEnded,
     Backend,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -19,9 +19,9 @@
     only,
 )
 
-from sillpoint import gossip
-from sillpoint.gateway import Account, Gateway, Held, Quotas, Turns
-from sillpoint.interface import (
+from pepperrun import gossip
+from pepperrun.gateway import Account, Gateway, Held, Quotas, Turns
+from pepperrun.interface import (
     AttemptEnded,
     Backend,
     BackendList,
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -8,8 +8,8 @@
 import pytest
 from helpers import CEILED, FREE, MS, PLANS, RATE, SECOND, START, Driver, only
 
-from sillpoint import gossip
-from sillpoint.interface import (
+from pepperrun import gossip
+from pepperrun.interface import (
     AttemptEnded,
     Backend,
     BackendList,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,8 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sillpoint.gateway import Gateway
-from sillpoint.interface import (
+from pepperrun.gateway import Gateway
+from pepperrun.interface import (
     AttemptEnded,
     Backend,
     BackendList,
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from sillpoint import interface as api
-from sillpoint.wirehost import FrameError, Host, _Reply, read_settings, serve
+from pepperrun import interface as api
+from pepperrun.wirehost import FrameError, Host, _Reply, read_settings, serve
 
 PARAMS = {
     "Me": 1,
@@ -208,7 +208,7 @@
 
 def test_the_process_answers_a_frame_and_ends_with_its_input() -> None:
     done = subprocess.run(
-        [sys.executable, "-m", "sillpoint.wirehost"], input=batch(1, 5, []), capture_output=True, check=True
+        [sys.executable, "-m", "pepperrun.wirehost"], input=batch(1, 5, []), capture_output=True, check=True
     )
     assert done.stdout.hex() == "010000000c00000000000000"
     assert done.stderr == b""
