--- /dev/null
+++ b/pepperrun/config.py
@@ -0,0 +1,257 @@
+"""Reads the configuration, once, into the few values that the program uses. A bad one names its key."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from pepperrun import interface as io
+
+Address = tuple[str, int]
+
+_REPEATS = {
+    "read_like": io.Repeat.SAFE,
+    "idempotency_key": io.Repeat.KEYED,
+    "non_idempotent": io.Repeat.UNSAFE,
+}
+
+
+def get(table: Mapping[str, Any], key: str, kind: type, default: Any = None, required: bool = False) -> Any:
+    value = table.get(key)
+    if value is None:
+        if required:
+            raise ValueError(f"{key}: missing")
+        return default
+    if kind is bool:
+        good = isinstance(value, bool)
+    elif kind in (int, float):
+        good = isinstance(value, int | float) and not isinstance(value, bool) and value == value
+        good = good and abs(value) != float("inf")
+    else:
+        good = isinstance(value, kind)
+    if not good:
+        raise ValueError(f"{key}: not a {kind.__name__}")
+    return kind(value) if kind in (int, float) else value
+
+
+def _choice(table: Mapping[str, Any], key: str, choices: Mapping[str, Any], default: Any = None) -> Any:
+    value = get(table, key, str, default=default, required=default is None)
+    if value in choices:
+        return choices[value]
+    raise ValueError(f"{key}: {value!r} is not one of {', '.join(choices)}")
+
+
+def read_settings(text: str) -> io.Settings:
+    """The settings in the wire's JSON. Unknown keys are skipped; ValueError names a bad one."""
+    try:
+        params = json.loads(text)
+    except ValueError as error:
+        raise ValueError(f"Params: not JSON: {error}") from None
+    if not isinstance(params, dict):
+        raise ValueError("Params: not an object")
+    return settings_of(params)
+
+
+def settings_of(params: Mapping[str, Any]) -> io.Settings:
+    """The settings in the object that the platform gives."""
+    limits = get(params, "Limits", dict, {})
+    rules = get(params, "Rules", dict, {})
+    domain = get(params, "Domain", dict, {})
+    report = get(params, "Report", dict, {})
+    fees = get(params, "Fees", dict, {})
+    groups = {group.value: group for group in io.Group}
+    classes = tuple(
+        io.RequestClass(
+            name=get(item, "Name", str, ""),
+            aim_ns=get(item, "OnTimeNs", int, required=True),
+            deadline_ns=get(item, "DeadlineNs", int, required=True),
+            repeat=_choice(item, "Semantics", _REPEATS),
+            group=_choice(item, "Group", groups, "all"),
+            window_ns=get(item, "WindowNs", int, 0),
+            worth=get(item, "Worth", float, 1.0),
+            late_worth=get(item, "LateWorth", float, 0.0),
+        )
+        for item in get(params, "Classes", list, required=True)
+    )
+    plans = tuple(
+        io.Plan(
+            name=get(item, "Name", str, ""),
+            rate=get(item, "Refill", float, 0.0),
+            burst=get(item, "StoreSize", float, 0.0),
+            open_limit=get(item, "Open", int, 0),
+            ceiling_rate=get(item, "CapRate", float, 0.0),
+            ceiling_depth=get(item, "NeverOverDepth", float, 0.0),
+            ceiling_slack=get(item, "CeilingSlack", float, 0.0),
+            price=get(item, "WorthFactor", float, 1.0),
+            over_worth=get(item, "ExtraWorth", float, 0.0),
+            over_cost=get(item, "BeyondCosts", float, 0.0),
+        )
+        for item in get(params, "Tariffs", list, required=True)
+    )
+    return io.Settings(
+        me=get(params, "Me", int, required=True),
+        gateways=get(params, "ReplicasOfMe", int, required=True),
+        zone=get(params, "Az", int, 0),
+        classes=classes,
+        plans=plans,
+        tick_ns=get(params, "PeriodNs", int, 1_000_000),
+        max_attempts=get(limits, "MostTries", int, 1),
+        second_copies=get(limits, "MayDuplicate", bool, False),
+        may_cancel=get(limits, "MayCancel", bool, False),
+        may_probe=get(limits, "MayProbe", bool, False),
+        peer_messages=get(limits, "PeerMessages", bool, False),
+        peer_intake=get(domain, "PeerIntake", float, 0.0),
+        retry_after=get(limits, "RetryAfter", bool, False),
+        max_retry_after_ns=get(limits, "MaxRetryAfterNs", int, 0),
+        must_ask_for_list=get(params, "MembershipMode", str, "pushed") == "on_request",
+        answer_grace_ns=get(rules, "GraceToAnswerNs", int, 0),
+        drain_grace_ns=get(rules, "StopSendingWithinNs", int, 0),
+        cold_from=get(rules, "ColdFrom", float, 1.0),
+        cold_ns=get(rules, "ColdNs", int, 0),
+        tip_multiple=get(rules, "TipMultiple", float, 1.0),
+        tip_for_ns=get(rules, "OverloadForNs", int, 1_000_000_000),
+        settles=get(domain, "PostPaid", bool, False),
+        max_units=get(domain, "MostUnits", float, 1.0),
+        report_columns=tuple(str(name) for name in get(report, "Columns", list, [])),
+        cross_zone_price=get(fees, "CrossZone", float, 0.0),
+    )
+
+
+@dataclass(slots=True, frozen=True)
+class Line:
+    """A line of the list of workers, with its names."""
+
+    name: str
+    addr: Address | None
+    zone: str
+    cell: int
+    state: io.BackendState
+    started_ms: int
+
+
+@dataclass(slots=True, frozen=True)
+class Listing:
+    """What discovery tells: the whole list or what has changed."""
+
+    version: int
+    full: bool
+    lines: tuple[Line, ...]
+
+
+_STATES = {
+    "Ready": io.BackendState.READY,
+    "Terminating": io.BackendState.DRAINING,
+    "Gone": io.BackendState.GONE,
+}
+
+
+def read_listing(table: Mapping[str, Any]) -> Listing:
+    """A list in discovery's form; ValueError names what is wrong with it."""
+    lines = []
+    for item in get(table, "servers", list, required=True):
+        if not isinstance(item, dict):
+            raise ValueError("servers: not a list of objects")
+        state = _choice(item, "state", _STATES)
+        gone = state is io.BackendState.GONE
+        lines.append(
+            Line(
+                name=get(item, "id", str, required=True),
+                addr=None if gone and not item.get("addr") else address(item, "addr"),
+                zone=get(item, "zone", str, ""),
+                cell=max(0, get(item, "cell", int, 0)),
+                state=state,
+                started_ms=max(0, get(item, "started_ms", int, 0)),
+            )
+        )
+    return Listing(get(table, "version", int, required=True), get(table, "full", bool, True), tuple(lines))
+
+
+def address(table: Mapping[str, Any], key: str, default: str | None = None) -> Address:
+    """`host:port`, the host an IP address; an IPv6 one in brackets."""
+    return parse_address(get(table, key, str, default=default, required=default is None), key)
+
+
+def parse_address(text: str, key: str) -> Address:
+    """`host:port`; ValueError names the key."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"{key}: {text!r} is not host:port")
+    return host.strip("[]"), int(port)
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    """All that a gatekeeper is told at its start."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    peer_listen: Address | None
+    peers: tuple[Address, ...]
+    known: Listing
+    settings: io.Settings
+    zones: tuple[str, ...]
+    keepalive_ns: int
+    connect_timeout_ns: int
+
+
+def read_config(text: str, env: Mapping[str, str]) -> Config:
+    """The file named by `NODE_CONFIG`; `NODE_NAME`, `NODE_LISTEN` and `NODE_DISCOVERY` stand in for keys."""
+    try:
+        table = json.loads(text)
+    except (ValueError, RecursionError) as error:
+        raise ValueError(f"NODE_CONFIG: not JSON: {error}") from None
+    if not isinstance(table, dict):
+        raise ValueError("NODE_CONFIG: not an object")
+    params = get(table, "settings", dict, required=True)
+    limits = get(params, "Limits", dict, {})
+    known = get(table, "known", dict, {"version": 0, "servers": []})
+    peers = get(table, "peers", list, [])
+    if not all(isinstance(peer, str) for peer in peers):
+        raise ValueError("peers: not a list of host:port")
+    sockets = get(get(table, "limits", dict, {}), "sockets", int, 1024)
+    if sockets < 64:
+        raise ValueError("limits.sockets: must be 64 or more")
+    try:
+        settings, listing = _within("settings", settings_of, params), _within("known", read_listing, known)
+    except RecursionError:
+        raise ValueError("NODE_CONFIG: nested too deeply") from None
+    return Config(
+        name=get(table, "name", str, env.get("NODE_NAME", "pepperrun")),
+        listen=address(table, "listen", env.get("NODE_LISTEN")),
+        discovery=address(table, "discovery", env.get("NODE_DISCOVERY")),
+        seed=_seed(get(table, "seed", str, "0")),
+        sockets=sockets,
+        peer_listen=address(table, "peer_listen") if table.get("peer_listen") else None,
+        peers=tuple(parse_address(peer, "peers") for peer in peers),
+        known=listing,
+        settings=settings,
+        zones=tuple(str(zone) for zone in get(params, "Dcs", list, [])),
+        keepalive_ns=_above_0(limits, "KeepaliveNs", 15_000_000_000),
+        connect_timeout_ns=_above_0(limits, "ConnectTimeoutNs", 250_000_000),
+    )
+
+
+def _within(key: str, read: Any, table: Mapping[str, Any]) -> Any:
+    try:
+        return read(table)
+    except ValueError as error:
+        raise ValueError(f"{key}.{error}") from None
+
+
+def _seed(text: str) -> int:
+    try:
+        return int(text, 16) % 2**64
+    except ValueError:
+        raise ValueError(f"seed: {text!r} is not a number in hex digits") from None
+
+
+def _above_0(table: Mapping[str, Any], key: str, default: int) -> int:
+    value: int = get(table, key, int, default)
+    if value <= 0:
+        raise ValueError(f"settings.Limits.{key}: must be above 0")
+    return value
--- /dev/null
+++ b/pepperrun/exchange.py
@@ -0,0 +1,90 @@
+"""One request, its attempts and its one final answer. Client side and server side meet here only.
+
+What a client asked and what a backend gave pass through unread: the core knows no wire. An exchange enforces
+that its client is told exactly one final answer, and that each attempt ends exactly once.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+Asked = TypeVar("Asked")
+Given = TypeVar("Given")
+
+
+class End(enum.Enum):
+    """How an exchange ended for its client."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+    OUT_OF_TIME = "out of time"
+    LEFT = "client left"
+
+
+@dataclass(slots=True)
+class Final(Generic[Given]):
+    """The final answer: `given` if served, `wait_ns` the advice that comes with a refusal (0: none)."""
+
+    end: End
+    given: Given | None = None
+    wait_ns: int = 0
+
+
+class Exchange(Generic[Asked, Given]):
+    """A request from its arrival until it has its answer and no attempt is out."""
+
+    __slots__ = (
+        *("asked", "attempts", "cls", "cost", "customer", "deadline", "end", "first", "id", "on_final"),
+        *("open", "plan", "spread", "started", "units"),
+    )
+
+    def __init__(
+        self,
+        asked: Asked,
+        on_final: Callable[[Final[Given]], None],
+        *,
+        cls: int,
+        plan: int,
+        customer: int,
+        started: int,
+        deadline: int,
+        units: float = 1.0,
+        spread: int = 1,
+        first: int = 0,
+    ) -> None:
+        self.asked, self.on_final = asked, on_final
+        self.cls, self.plan, self.customer = cls, plan, customer
+        self.started, self.deadline = started, deadline
+        self.units, self.spread, self.first = units, spread, first
+        self.id = 0
+        self.end: End | None = None
+        self.attempts: list[int] = []  # when each was sent
+        self.open: set[int] = set()  # the numbers of those not ended
+        self.cost = 0.0  # true units, as told with the first good answer
+
+    def begin(self, now: int) -> int:
+        """A further attempt; its number."""
+        self.attempts.append(now)
+        number = len(self.attempts) - 1
+        self.open.add(number)
+        return number
+
+    def ended(self, attempt: int) -> bool:
+        """Notes that an attempt has ended; False when that was known already."""
+        if attempt not in self.open:
+            return False
+        self.open.remove(attempt)
+        return True
+
+    def finish(self, final: Final[Given]) -> bool:
+        """The final answer, told to the client at once; False, and nothing told, where there was one."""
+        if self.end is not None:
+            return False
+        self.end = final.end
+        if final.end is not End.LEFT:
+            self.on_final(final)
+        return True
--- /dev/null
+++ b/pepperrun/fronts/http_client.py
@@ -0,0 +1,166 @@
+"""The client side of HTTP/1.1: one request at a time on a connection, each with one answer.
+
+What the fronts share. A front says what a request means (`begin`) and how a final answer reads (`reply`).
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from pepperrun.exchange import Exchange, Final
+from pepperrun.gatekeeper import Gatekeeper
+from pepperrun.net.buffer import Buffer
+from pepperrun.net.http1 import ROOM, HttpError, Request, RequestParser, write_response
+from pepperrun.net.listener import Listener
+
+Fields = list[tuple[bytes, bytes]]
+Answer = tuple[int, Fields, bytes]
+TEXT = (b"Content-Type", b"text/plain; charset=utf-8")
+
+
+class HttpClient(asyncio.BufferedProtocol):
+    """A client's connection. Fronts derive from it."""
+
+    gatekeeper: Gatekeeper
+
+    def __init__(self, listener: Listener, clock: Callable[[], int]) -> None:
+        self.listener, self.clock = listener, clock
+        self.transport: asyncio.Transport | None = None
+        self.buffer = Buffer(ROOM)
+        self.parser = RequestParser(self.buffer)
+        self.exchange: Exchange[Any, Any] | None = None
+        self.request: Request | None = None
+        self.since = 0
+        self.stuck: int | None = None  # since when the client has not taken what was written
+        self.answers = 0
+        self.paused = self.closing = False
+
+    # For fronts.
+
+    def begin(self, request: Request) -> Exchange[Any, Any] | Answer:
+        """What to do with a request: an exchange, or an answer at once."""
+        raise NotImplementedError
+
+    def reply(self, final: Final[Any]) -> Answer:
+        """How a final answer reads."""
+        raise NotImplementedError
+
+    # For the listener.
+
+    def busy(self) -> bool:
+        """Is a request on it, whole or in part, or an answer not yet written?"""
+        if self.exchange is not None or len(self.buffer) or self.parser.request is not None:
+            return True
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
+    def fresh(self) -> bool:
+        """Has it had no answer yet?"""
+        return self.answers == 0
+
+    def idle_since(self) -> int:
+        """When it was last used."""
+        return self.since
+
+    def stalled_since(self) -> int | None:
+        """Since when the client has kept this side waiting for the rest of a request or to take an answer."""
+        if self.stuck is not None or self.exchange is not None:
+            return self.stuck
+        return self.buffer.first_at or self.since if self.busy() else None
+
+    def close(self) -> None:
+        """Closes; what is written still goes out, unless the client does not take it."""
+        self.closing = True
+        if self.transport is not None:
+            if self.stalled_since() is not None:
+                self.transport.abort()
+            else:
+                self.transport.close()
+
+    # For asyncio.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport, self.since = transport, self.clock()
+        self.listener.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.listener.remove(self)
+        self._left()
+
+    def pause_writing(self) -> None:
+        self.stuck = self.clock()
+
+    def resume_writing(self) -> None:
+        self.stuck = None
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.buffer.room()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.buffer.filled(nbytes, self.clock())
+        self._read()
+
+    def eof_received(self) -> bool:
+        self._left()
+        return False
+
+    def _left(self) -> None:
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None:
+            self.gatekeeper.left(exchange)
+
+    def _read(self) -> None:
+        """Begins the next request, unless one has not been answered."""
+        while self.exchange is None and not self.closing and self.transport is not None:
+            try:
+                request = self.parser.next()
+            except HttpError as error:
+                self.closing = True  # where the next request begins is not known
+                self._write((error.status, [TEXT], f"{error}\n".encode()))
+                return
+            if request is None:
+                if self.parser.waits_for_continue() and self.parser.request is not None:
+                    self.parser.request.names.pop(b"expect")
+                    self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                return
+            self.request = request
+            started = self.begin(request)
+            if isinstance(started, Exchange):
+                self.exchange = started
+                self.gatekeeper.take(started)
+            else:
+                self._write(started)
+        if (
+            self.exchange is not None
+            and self.buffer.full()
+            and self.transport is not None
+            and not self.paused
+        ):
+            self.paused = True  # more was sent ahead than is held for a client
+            self.transport.pause_reading()
+
+    def final(self, final: Final[Any]) -> None:
+        """The exchange's final answer."""
+        self.exchange = None
+        self._write(self.reply(final))
+        if len(self.buffer):
+            if self.paused and self.transport is not None and not self.closing:
+                self.paused = False
+                self.transport.resume_reading()
+            self._read()
+
+    def _write(self, answer: Answer) -> None:
+        if self.transport is None:
+            return
+        request, self.request = self.request, None
+        close = self.closing or self.listener.draining or request is not None and request.close()
+        self.closing = close
+        self.answers += 1
+        self.since = self.clock()
+        bodiless = request is not None and request.method == b"HEAD"
+        self.transport.write(write_response(*answer, close, bodiless))
+        if close:
+            self.transport.close()
--- /dev/null
+++ b/pepperrun/fronts/platform.py
@@ -0,0 +1,127 @@
+"""The platform's protocol: what its requests mean and how its answers read."""
+
+from __future__ import annotations
+
+import re
+from typing import Any
+
+from pepperrun.exchange import End, Exchange, Final
+from pepperrun.fronts.http_client import TEXT, Answer, Fields, HttpClient
+from pepperrun.gatekeeper import Clock, Gatekeeper
+from pepperrun.interface import Repeat, Settings
+from pepperrun.net.http1 import Request, Response
+from pepperrun.net.listener import Listener
+
+_BUDGET = re.compile(rb"([0-9]{1,15})([mu])\Z")
+_QUOTA = re.compile(rb"[ \t]*(units|spread|first)=([0-9]{1,9}(?:\.[0-9]{1,9})?)[ \t]*\Z")
+_CUSTOMER = re.compile(rb"(?:\A|&)customer=([0-9a-fA-F]{1,16})(?:&|\Z)")
+MOST_CUSTOMER = 2**33
+
+# Between one connection and the next, or between client and gatekeeper: not the worker's.
+NOT_PASSED_ON = frozenset(
+    b"connection keep-alive proxy-connection proxy-authenticate proxy-authorization te trailer"
+    b" transfer-encoding upgrade content-length expect x-budget x-plan x-quota x-again".split()
+)
+
+
+def passed_on(request: Request) -> Fields:
+    """The fields that go on to the next hop."""
+    dropped = NOT_PASSED_ON
+    if b"connection" in request.names:
+        named = request.names[b"connection"].lower().split(b",")
+        dropped = dropped | {name.strip() for name in named}
+    return [pair for pair in request.fields if pair[0].lower() not in dropped]
+
+
+def retry_after(wait_ns: int) -> Fields:
+    """Seconds, to the millisecond, rounded up; nothing where no advice is given."""
+    if wait_ns <= 0:
+        return []
+    return [(b"Retry-After", b"%.3f" % (-(-wait_ns // 1_000_000) / 1000))]
+
+
+class Platform:
+    """What all connections of this front share."""
+
+    def __init__(self, settings: Settings, gatekeeper: Gatekeeper, clock: Clock) -> None:
+        self.settings, self.gatekeeper, self.clock = settings, gatekeeper, clock
+        self.classes = {kind.name.encode(): number for number, kind in enumerate(settings.classes)}
+        self.plans = {plan.name.encode(): number for number, plan in enumerate(settings.plans)}
+        self.methods = [b"GET" if kind.repeat is Repeat.SAFE else b"POST" for kind in settings.classes]
+        self.ready = True
+
+    def make(self, listener: Listener) -> PlatformClient:
+        """A new connection."""
+        return PlatformClient(self, listener)
+
+    def read(self, request: Request) -> dict[str, Any] | str:
+        """What the exchange is made of, or what is wrong with the request."""
+        names = request.names
+        path, _, query = request.target.partition(b"?")
+        cls = self.classes.get(path.lstrip(b"/").partition(b"/")[0])
+        if cls is None:
+            return "no such class"
+        customer = _CUSTOMER.search(query)
+        if customer is None or int(customer[1], 16) >= MOST_CUSTOMER:
+            return "customer: 16 hex digits below 2^33 are needed"
+        plan = self.plans.get(names.get(b"x-plan", b""))
+        if plan is None:
+            return "X-Plan: no such plan"
+        if b"x-call-id" not in names:
+            return "X-Call-Id: missing"
+        if self.methods[cls] == b"POST" and b"idempotency-key" not in names:
+            return "Idempotency-Key: missing"
+        budget = _BUDGET.match(names.get(b"x-budget", b""))
+        if budget is None:
+            return "X-Budget: a number and m or u are needed"
+        quota = {"units": 1.0, "spread": 1.0, "first": float(self.settings.me)}
+        for part in filter(None, names.get(b"x-quota", b"").split(b",")):
+            match = _QUOTA.match(part)
+            if match is None:
+                return "X-Quota: can't be read"
+            quota[match[1].decode()] = float(match[2])
+        gateways = self.settings.gateways
+        # A time longer than the class ever waits would only hold the request longer.
+        left_ns = int(budget[1]) * (1_000_000 if budget[2] == b"m" else 1_000)
+        left_ns = min(left_ns, self.settings.classes[cls].deadline_ns)
+        return {
+            "cls": cls,
+            "plan": plan,
+            "customer": int(customer[1], 16),
+            "started": request.arrived,
+            "deadline": request.arrived + left_ns,
+            "units": quota["units"],
+            "spread": min(max(1, int(quota["spread"])), gateways),
+            "first": int(quota["first"]) % gateways,
+        }
+
+
+class PlatformClient(HttpClient):
+    """A client's connection."""
+
+    def __init__(self, front: Platform, listener: Listener) -> None:
+        super().__init__(listener, front.clock)
+        self.front, self.gatekeeper = front, front.gatekeeper
+
+    def begin(self, request: Request) -> Exchange[Request, Response] | Answer:
+        if request.target in (b"/ready", b"/health"):
+            ready = self.front.ready and not self.listener.draining or request.target == b"/health"
+            return (200, [TEXT], b"ready\n") if ready else (503, [TEXT], b"draining\n")
+        parts = self.front.read(request)
+        if isinstance(parts, str):
+            return 404 if parts == "no such class" else 400, [TEXT], f"{parts}\n".encode()
+        if request.method != self.front.methods[parts["cls"]]:
+            return 405, [(b"Allow", self.front.methods[parts["cls"]]), TEXT], b"not this method\n"
+        request.fields = passed_on(request)
+        return Exchange(request, self.final, **parts)
+
+    def reply(self, final: Final[Response]) -> Answer:
+        match final.end:
+            case End.SERVED if final.given is not None:
+                kind = final.given.names.get(b"content-type")
+                return 200, [(b"Content-Type", kind)] if kind else [], final.given.body
+            case End.REFUSED:
+                return 429, [TEXT, *retry_after(final.wait_ns)], b"refused: trying again is harmless\n"
+            case End.OUT_OF_TIME:
+                return 504, [TEXT], b"out of time\n"
+        return 502, [TEXT], b"failed\n"
--- /dev/null
+++ b/pepperrun/gatekeeper.py
@@ -0,0 +1,262 @@
+"""Drives a `Gateway` in real time: batches events, owns its timer and carries out its actions.
+
+Decides nothing and knows no wire. Events are handed over at most once per tick, the first after a pause at
+once, as the simulator does it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from pepperrun.clock import SECOND
+from pepperrun.exchange import End, Exchange, Final
+from pepperrun.gateway import Gateway
+from pepperrun.interface import (
+    Action,
+    AttemptEnded,
+    BackendList,
+    Cancel,
+    ClientLeft,
+    CloseIdle,
+    Event,
+    Fail,
+    FetchList,
+    Log,
+    Outcome,
+    PeerMessage,
+    Refuse,
+    Request,
+    Send,
+    SetTimer,
+    Settings,
+    TellPeer,
+    TimerFired,
+    Watch,
+)
+from pepperrun.log import say
+
+AnyExchange = Exchange[Any, Any]
+
+
+class Clock:
+    """One monotonic clock whose readings continue the Unix time at the program's start.
+
+    A worker's start, told in Unix time, needs no conversion beside its unit, and the readings grow from one
+    start of the program to the next, which the gateways' messages to each other rely on.
+    """
+
+    def __init__(self) -> None:
+        self.offset = time.time_ns() - time.monotonic_ns()
+
+    def __call__(self) -> int:
+        return time.monotonic_ns() + self.offset
+
+    def of_unix_ms(self, unix_ms: int) -> int:
+        """The reading at a moment given in Unix milliseconds; 0 stays 0 (long ago)."""
+        return unix_ms * 1_000_000
+
+
+class Backends(Protocol):
+    """What carries out attempts: `Gatekeeper.ended` is called once for each, never from within `send`."""
+
+    def send(self, exchange: AnyExchange, attempt: int, backend: int, timeout_ns: int) -> None: ...
+
+    def cancel(self, exchange: AnyExchange, attempt: int) -> None: ...
+
+    def close_idle(self, backend: int) -> None: ...
+
+
+class Gatekeeper:
+    """The one owner of a `Gateway`."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        seed: int,
+        clock: Callable[[], int],
+        loop: asyncio.AbstractEventLoop,
+        tell: Callable[[int, bytes], None] = lambda peer, data: None,
+        watch: Callable[[bool], None] = lambda on: None,
+    ) -> None:
+        self.settings, self.clock, self.loop = settings, clock, loop
+        self.gateway = Gateway(settings, seed)
+        self.backends: Backends | None = None
+        self.tell, self.watch = tell, watch
+        self.exchanges: dict[int, AnyExchange] = {}
+        self._next = seed % 2**32
+        self._events: list[Event | AnyExchange] = []
+        self._last = -settings.tick_ns
+        self._flush: asyncio.TimerHandle | asyncio.Handle | None = None
+        self._due: int | None = None  # the gateway's timer
+        self._timer: asyncio.TimerHandle | None = None
+        self._margin = 4 * settings.tick_ns
+        self.counts = {end: 0 for end in End}
+        self.outcomes = {outcome: 0 for outcome in Outcome}
+
+    # Events.
+
+    def take(self, exchange: AnyExchange) -> None:
+        """A request has arrived."""
+        while self._next in self.exchanges:
+            self._next = (self._next + 1) % 2**32
+        exchange.id = self._next
+        self._next = (self._next + 1) % 2**32
+        self.exchanges[exchange.id] = exchange
+        self._event(exchange)
+
+    def left(self, exchange: AnyExchange) -> None:
+        """The client has gone away."""
+        if self._finish(exchange, Final(End.LEFT)):
+            self._event(ClientLeft(exchange.id))
+            self._drop(exchange)
+
+    def ended(
+        self,
+        exchange: AnyExchange,
+        attempt: int,
+        backend: int,
+        outcome: Outcome,
+        given: object = None,
+        units: float = 0.0,
+    ) -> None:
+        """An attempt has ended. The first good answer goes to the client at once."""
+        if not exchange.ended(attempt):
+            return
+        self.outcomes[outcome] += 1
+        if outcome is Outcome.OK:
+            exchange.cost = exchange.cost or units
+            self._finish(exchange, Final(End.SERVED, given))
+        elapsed = self.clock() - exchange.attempts[attempt]
+        done = exchange.end is not None
+        self._event(AttemptEnded(exchange.id, attempt, backend, outcome, elapsed, done, units))
+        self._drop(exchange)
+
+    def listed(self, backends: BackendList) -> None:
+        """Discovery has told something."""
+        self._event(backends)
+
+    def heard(self, peer: int, data: bytes) -> None:
+        """A peer has sent a message."""
+        self._event(PeerMessage(peer, data))
+
+    # Time.
+
+    def _event(self, event: Event | AnyExchange) -> None:
+        self._events.append(event)
+        if self._flush is not None:
+            return
+        wait = self._last + self.settings.tick_ns - self.clock()
+        if wait <= 0:
+            self._flush = self.loop.call_soon(self._turn)
+        else:
+            self._flush = self.loop.call_later(wait / SECOND, self._turn)
+
+    def _turn(self) -> None:
+        self._flush = None
+        now = self.clock()
+        if now - self._last < self.settings.tick_ns:  # a timer of the loop may fire a little early
+            self._flush = self.loop.call_later(
+                (self._last + self.settings.tick_ns - now) / SECOND, self._turn
+            )
+            return
+        self._last = now
+        events = [
+            self._request(event, now) if isinstance(event, Exchange) else event for event in self._events
+        ]
+        self._events.clear()
+        for action in self.gateway.handle(now, events):
+            self._carry_out(action, now)
+
+    @staticmethod
+    def _request(exchange: AnyExchange, now: int) -> Request:
+        """The time left counts from the client's sending, not from this turn."""
+        return Request(
+            exchange.id,
+            exchange.customer,
+            exchange.plan,
+            exchange.cls,
+            max(1, exchange.deadline - now),
+            exchange.units,
+            exchange.spread,
+            exchange.first,
+        )
+
+    def _arm(self, due: int) -> None:
+        """One timer, the earliest asked for: when it fires, the gateway asks for the next one."""
+        if self._due is not None and self._due <= due:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._due = due
+        self._timer = self.loop.call_later((due - self.clock()) / SECOND, self._fire)
+
+    def _fire(self) -> None:
+        due, self._due, self._timer = self._due, None, None
+        if due is None:
+            return
+        if self.clock() < due:  # never early
+            self._arm(due)
+            return
+        self._event(TimerFired(0))
+
+    # Actions.
+
+    def _carry_out(self, action: Action, now: int) -> None:
+        match action:
+            case Send():
+                self._send(action, now)
+            case Refuse():
+                self._give_up(action.request, Final(End.REFUSED, wait_ns=action.wait_ns))
+            case Fail():
+                exchange = self.exchanges.get(action.request)
+                late = exchange is not None and now >= exchange.deadline - self._margin
+                self._give_up(action.request, Final(End.OUT_OF_TIME if late else End.FAILED))
+            case SetTimer():
+                self._arm(now + action.delay_ns)
+            case TellPeer():
+                self.tell(action.peer, action.data)
+            case Cancel():
+                exchange = self.exchanges.get(action.request)
+                if exchange is not None and action.attempt in exchange.open and self.backends:
+                    self.backends.cancel(exchange, action.attempt)
+            case CloseIdle():
+                if self.backends:
+                    self.backends.close_idle(action.backend)
+            case Log():
+                say("gateway", action.text)
+            case Watch():
+                self.watch(action.on)
+            case FetchList():
+                self.watch(True)
+            case _:
+                say("action", f"an action that the settings forbid: {action}")
+
+    def _send(self, action: Send, now: int) -> None:
+        exchange = self.exchanges.get(action.request)
+        if exchange is None:  # the gateway has been told of its end before: nobody waits for this
+            say("action", "an attempt of a request that is over was not sent")
+            return
+        attempt = exchange.begin(now)
+        moot = exchange.end is not None or attempt >= self.settings.max_attempts or self.backends is None
+        if moot or self.backends is None:
+            self.loop.call_soon(self.ended, exchange, attempt, action.backend, Outcome.MOOT)
+        else:
+            self.backends.send(exchange, attempt, action.backend, action.timeout_ns)
+
+    def _give_up(self, request: int, final: Final[Any]) -> None:
+        exchange = self.exchanges.get(request)
+        if exchange is not None:
+            self._finish(exchange, final)
+            self._drop(exchange)
+
+    def _finish(self, exchange: AnyExchange, final: Final[Any]) -> bool:
+        first = exchange.finish(final)
+        self.counts[final.end] += first
+        return first
+
+    def _drop(self, exchange: AnyExchange) -> None:
+        if exchange.end is not None and not exchange.open:
+            self.exchanges.pop(exchange.id, None)
--- /dev/null
+++ b/pepperrun/net/buffer.py
@@ -0,0 +1,78 @@
+"""One growing buffer for each connection, compacted in place."""
+
+from __future__ import annotations
+
+FIRST = 4096
+LEAST_FREE = 1024
+
+
+class Buffer:
+    """Bytes come in at the end and are taken off the front. Never holds more than `most`."""
+
+    __slots__ = ("data", "end", "first_at", "last_at", "most", "start")
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.data = bytearray(min(FIRST, most))
+        self.start = self.end = 0
+        self.first_at = self.last_at = 0  # when the first byte held and the last ones came
+
+    def __len__(self) -> int:
+        return self.end - self.start
+
+    def full(self) -> bool:
+        """Is there no room for another byte?"""
+        return len(self) >= self.most
+
+    def room(self) -> memoryview:
+        """Where the next bytes go. What is held moves to the front before the buffer grows."""
+        if self.start and len(self.data) - self.end < LEAST_FREE:
+            held = self.end - self.start
+            self.data[:held] = self.data[self.start : self.end]
+            self.start, self.end = 0, held
+        if len(self.data) - self.end < LEAST_FREE and len(self.data) < self.most:
+            # A new array: the old one can't be resized while a view of it is in use.
+            self.data = self.data + bytes(min(len(self.data), self.most - len(self.data)))
+        return memoryview(self.data)[self.end :]
+
+    def filled(self, count: int, now: int) -> None:
+        """So many bytes were put in at `room`."""
+        if self.start == self.end:
+            self.first_at = now
+        self.last_at = now
+        self.end += count
+
+    def add(self, data: bytes, now: int = 0) -> None:
+        """Puts bytes in; ValueError where they are more than fit."""
+        view = memoryview(data)
+        while len(view):
+            room = self.room()
+            if not len(room):
+                raise ValueError("the buffer is full")
+            count = min(len(room), len(view))
+            room[:count] = view[:count]
+            self.filled(count, now)
+            view = view[count:]
+
+    def find(self, what: bytes, skip: int = 0) -> int:
+        """Where `what` begins, counted from the front and after `skip` bytes; -1 where it is not held."""
+        at = self.data.find(what, self.start + skip, self.end)
+        return at - self.start if at >= 0 else -1
+
+    def peek(self, count: int) -> bytes:
+        """The first bytes, left in."""
+        return bytes(self.data[self.start : min(self.end, self.start + count)])
+
+    def take(self, count: int) -> bytes:
+        """The first bytes, taken off."""
+        taken = self.peek(count)
+        self.drop(len(taken))
+        return taken
+
+    def drop(self, count: int) -> None:
+        """Takes bytes off the front."""
+        self.start += min(count, len(self))
+        if self.start == self.end:
+            self.start = self.end = 0
+        else:
+            self.first_at = self.last_at  # what is left came with the last ones
--- /dev/null
+++ b/pepperrun/net/directory.py
@@ -0,0 +1,62 @@
+"""The workers as the last list has them: their names' integers, addresses and states."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable
+
+from pepperrun.config import Address, Line, Listing
+from pepperrun.interface import Backend, BackendList, BackendState, ListKind
+
+
+class Directory:
+    """Turns lists with names into lists with integers, and remembers where each worker is."""
+
+    def __init__(self, zones: tuple[str, ...], of_unix_ms: Callable[[int], int]) -> None:
+        self.zones = {zone: number for number, zone in enumerate(zones)}
+        self.of_unix_ms = of_unix_ms
+        self.ids: dict[str, int] = {}
+        self.names: dict[int, str] = {}
+        self.lines: dict[int, Line] = {}
+
+    def id_of(self, name: str) -> int:
+        """The same at all gatekeepers and after each start: they tell each other of workers by it."""
+        if name not in self.ids:
+            salt = 0
+            while True:
+                digest = hashlib.blake2s(name.encode(), digest_size=4, salt=salt.to_bytes(8, "little"))
+                number = int.from_bytes(digest.digest(), "little")
+                if number not in self.names:
+                    break
+                salt += 1
+            self.ids[name], self.names[number] = number, name
+        return self.ids[name]
+
+    def take(self, listing: Listing, kind: ListKind) -> BackendList:
+        """Takes in a list."""
+        backends = []
+        if kind is not ListKind.DELTA:
+            for number in list(self.lines):
+                self._gone(number)
+        for line in listing.lines:
+            number = self.id_of(line.name)
+            if line.state is BackendState.GONE:
+                self._gone(number)
+            else:
+                self.lines[number] = line
+            born = self.of_unix_ms(line.started_ms) if line.started_ms > 0 else 0
+            zone = self.zones.get(line.zone, len(self.zones))
+            backends.append(Backend(number, zone, line.cell, line.state, born))
+        return BackendList(kind, tuple(backends))
+
+    def _gone(self, number: int) -> None:
+        self.lines.pop(number, None)
+
+    def address(self, backend: int) -> Address | None:
+        """Where a worker that is ready listens; None for one that is draining, gone or unknown."""
+        line = self.lines.get(backend)
+        return line.addr if line is not None and line.state is BackendState.READY else None
+
+    def listed(self, backend: int) -> bool:
+        """Is it in the list, whatever its state?"""
+        return backend in self.lines
--- /dev/null
+++ b/pepperrun/net/discovery.py
@@ -0,0 +1,129 @@
+"""Watches discovery and hands on each list. When that fails the last list stands, and it starts anew."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Callable
+
+from pepperrun.config import Address, Listing, read_listing
+from pepperrun.log import say
+from pepperrun.net.buffer import Buffer
+from pepperrun.net.http1 import MAX_HEAD, HttpError, Response, ResponseParser
+
+WAIT_MS = 2000  # a watch that waits no longer shows a silent agent soon
+GRACE_S = 1.0  # an answer that comes later than this after its wait does not come
+PAUSES_S = (0.1, 0.2, 0.5, 1.0)  # before the next call after failures in a row
+LEAST_S = 0.05  # between calls, should an agent answer watches at once with nothing
+MAX_LIST = 8 * 1024 * 1024
+
+
+class _Link(asyncio.BufferedProtocol):
+    """A connection to the agent with one call at a time."""
+
+    def __init__(self) -> None:
+        self.buffer = Buffer(MAX_LIST + MAX_HEAD)
+        self.parser = ResponseParser(self.buffer, MAX_LIST)
+        self.transport: asyncio.Transport | None = None
+        self.answer: asyncio.Future[Response] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.buffer.room()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.buffer.filled(nbytes, 0)
+        try:
+            response = self.parser.next() if self.answer is not None else None
+        except HttpError as error:
+            self._fail(ConnectionError(str(error)))
+            return
+        if response is not None:
+            self._give(response)
+        elif self.answer is None or self.buffer.full():
+            self._fail(ConnectionError("more than was asked for"))
+
+    def eof_received(self) -> bool:
+        if (response := self.parser.end()) is not None:
+            self._give(response)
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._fail(exc or ConnectionError("the agent closed the connection"))
+
+    def _give(self, response: Response) -> None:
+        if self.answer is not None and not self.answer.done():
+            self.answer.set_result(response)
+        if response.close() and self.transport is not None:
+            self.transport.close()
+
+    def _fail(self, error: Exception) -> None:
+        if self.answer is not None and not self.answer.done():
+            self.answer.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
+    async def get(self, target: str, host: str) -> Response:
+        if self.transport is None or self.transport.is_closing():
+            raise ConnectionError("the agent closed the connection")
+        self.answer = asyncio.get_running_loop().create_future()
+        self.transport.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+        try:
+            return await self.answer
+        finally:
+            self.answer = None
+
+
+class Discovery:
+    """Calls `told` with each list; `full` ones replace all."""
+
+    def __init__(
+        self, address: Address, told: Callable[[Listing], None], pauses_s: tuple[float, ...] = PAUSES_S
+    ):
+        self.address, self.told, self.pauses_s = address, told, pauses_s
+        self.version = 0
+
+    async def run(self) -> None:
+        """Watches until cancelled."""
+        failures = 0
+        while True:
+            try:
+                async for _ in self._watch():
+                    failures = 0
+            except (OSError, HttpError, ValueError, RecursionError) as error:
+                say("discovery", f"discovery: {error or type(error).__name__}; going on with the last list")
+            await asyncio.sleep(self.pauses_s[min(failures, len(self.pauses_s) - 1)])
+            failures += 1
+
+    async def _watch(self) -> AsyncIterator[Listing]:
+        """One connection's calls, the whole list first; yields after each answer."""
+        loop = asyncio.get_running_loop()
+        host = f"{self.address[0]}:{self.address[1]}"
+        async with asyncio.timeout(GRACE_S):
+            _, link = await loop.create_connection(_Link, *self.address)
+        try:
+            query, wait_s = "", 0.0
+            while True:
+                async with asyncio.timeout(wait_s + GRACE_S):
+                    response = await link.get(f"/v1/endpoints{query}", host)
+                if response.status != 200:
+                    raise ValueError(f"status {response.status}")
+                table = json.loads(response.body)
+                if not isinstance(table, dict):
+                    raise ValueError("not an object")
+                listing = read_listing(table)
+                if not listing.full and (not query or listing.version < self.version):
+                    raise ValueError("changes to a list that is not held")
+                self.version = listing.version
+                if listing.full or listing.lines:
+                    self.told(listing)
+                else:
+                    await asyncio.sleep(LEAST_S)
+                yield listing
+                query, wait_s = f"?index={self.version}&wait={WAIT_MS}", WAIT_MS / 1000
+        finally:
+            if link.transport is not None:
+                link.transport.abort()
--- /dev/null
+++ b/pepperrun/net/listener.py
@@ -0,0 +1,183 @@
+"""Accepts client connections within a limit, looks after slow and idle ones, and drains them."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Protocol
+
+from pepperrun.clock import SECOND
+from pepperrun.config import Address
+from pepperrun.log import say
+
+SWEEP_S = 1.0
+SLOW_NS = 10 * SECOND  # a request that is not whole after this, or an answer not taken, ends the connection
+IDLE_NS = 75 * SECOND
+BACKLOG = 512
+ACCEPT_S = 0.5  # after SIGTERM new connections keep coming for up to 0.4 s
+LINGER_S = 0.15  # and the last of them may still send their request this much later
+
+
+class Client(Protocol):
+    """A client's connection, as the listener sees it."""
+
+    def busy(self) -> bool: ...
+
+    def fresh(self) -> bool: ...
+
+    def idle_since(self) -> int: ...
+
+    def stalled_since(self) -> int | None: ...
+
+    def close(self) -> None: ...
+
+
+class Listener:
+    """Owns the listening socket and the connections that came through it."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        clock: Callable[[], int],
+        most: int,
+        make: Callable[[Listener], asyncio.BufferedProtocol],
+    ) -> None:
+        self.loop, self.clock, self.most, self.make = loop, clock, most, make
+        self.clients: set[Client] = set()
+        self.accepting = 0
+        self.draining = False
+        self.socket: socket.socket | None = None
+        self.on = False  # connections are being accepted
+        self.address: Address = ("", 0)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._sweeper: asyncio.TimerHandle | None = None
+        self._changed: asyncio.Future[None] | None = None
+
+    def open(self, address: Address) -> None:
+        """Listens at an address."""
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self.socket = sock = socket.socket(family, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        try:
+            sock.bind(address)
+            sock.listen(BACKLOG)
+        except OSError:
+            sock.close()
+            raise
+        self.address = sock.getsockname()[:2]
+        self._resume()
+        self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
+
+    def _resume(self) -> None:
+        if self.socket is not None and not self.on:
+            self.on = True
+            self.loop.add_reader(self.socket, self._accept)
+
+    def _pause(self) -> None:
+        if self.socket is not None and self.on:
+            self.on = False
+            self.loop.remove_reader(self.socket)
+
+    def _accept(self) -> None:
+        assert self.socket is not None
+        for _ in range(BACKLOG):
+            if len(self.clients) + self.accepting >= self.most and not self._evict():
+                say("limit", f"all {self.most} client connections are in use; accepting later")
+                self._pause()
+                return
+            try:
+                sock, _ = self.socket.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:  # no descriptor or memory for it now
+                say("accept", f"accept: {error}")
+                self._pause()
+                self.loop.call_later(SWEEP_S, self._resume)
+                return
+            sock.setblocking(False)
+            self.accepting += 1
+            task = self.loop.create_task(self._take(sock))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _take(self, sock: socket.socket) -> None:
+        try:
+            await self.loop.connect_accepted_socket(lambda: self.make(self), sock)
+        except OSError:
+            sock.close()
+        finally:
+            self.accepting -= 1
+
+    def _evict(self) -> bool:
+        """The connection that has been idle longest gives way."""
+        idle = [client for client in self.clients if not client.busy() and not client.fresh()]
+        if not idle:
+            return False
+        oldest = min(idle, key=lambda client: client.idle_since())
+        self.clients.discard(oldest)
+        oldest.close()
+        return True
+
+    def add(self, client: Client) -> None:
+        """A connection is up."""
+        self.clients.add(client)
+
+    def remove(self, client: Client) -> None:
+        """A connection has ended."""
+        self.clients.discard(client)
+        if self._changed is not None and not self._changed.done():
+            self._changed.set_result(None)
+        if len(self.clients) + self.accepting < self.most:
+            self._resume()
+
+    async def changed(self) -> None:
+        """Until a connection ends."""
+        self._changed = self.loop.create_future()
+        await self._changed
+
+    def _sweep(self) -> None:
+        now = self.clock()
+        for client in list(self.clients):
+            stalled = client.stalled_since()
+            idle = not client.busy() and now - client.idle_since() > IDLE_NS
+            if idle or stalled is not None and now - stalled > SLOW_NS:
+                client.close()
+        self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
+
+    async def drain(self, accept_s: float = ACCEPT_S, linger_s: float = LINGER_S) -> None:
+        """Goes on accepting for a while; from now on each connection closes after its next answer.
+
+        Connections that have served and wait for nothing close at once: a request that crosses the closing
+        comes again on a new connection, and new ones are still taken.
+        """
+        self.draining = True
+        for client in list(self.clients):
+            if not client.busy() and not client.fresh():
+                client.close()
+        await asyncio.sleep(accept_s)
+        self.shut()
+        await asyncio.sleep(linger_s)
+        for client in list(self.clients):
+            if not client.busy():
+                client.close()
+
+    def shut(self) -> None:
+        """Takes what has connected so far, and listens no more."""
+        if self.socket is not None:
+            self._accept()
+            self._pause()
+            self.socket.close()
+            self.socket = None
+
+    def close(self) -> None:
+        """Ends it all."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        if self.socket is not None:
+            self._pause()
+            self.socket.close()
+            self.socket = None
+        for client in list(self.clients):
+            client.close()
--- /dev/null
+++ b/pepperrun/net/peers.py
@@ -0,0 +1,54 @@
+"""Messages between gatekeepers: UDP datagrams, the sender known by its address."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import cast
+
+from pepperrun.config import Address
+from pepperrun.log import say
+
+MOST = 256
+
+
+class Peers(asyncio.DatagramProtocol):
+    """Sends from `peer_listen` and takes what comes there from an address of the list."""
+
+    def __init__(self, peers: tuple[Address, ...], me: int, hear: Callable[[int, bytes], None]) -> None:
+        self.peers, self.me, self.hear = peers, me, hear
+        self.numbers = {address: number for number, address in enumerate(peers) if number != me}
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # Not asserted: the transport that CPython 3.11 makes is none by its class, only by what it does.
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        number = self.numbers.get(addr[:2])
+        if number is None or len(data) > MOST:
+            say("peers", f"dropped a datagram of {len(data)} bytes from {addr[0]}:{addr[1]}")
+            return
+        self.hear(number, data)
+
+    def error_received(self, exc: Exception) -> None:
+        pass  # a peer that is down refuses; the gossip takes losses as they come
+
+    def tell(self, peer: int, data: bytes) -> None:
+        """Sends a message; one that is too long, or to nobody, is dropped with a line in the log."""
+        if self.transport is None or peer == self.me or not 0 <= peer < len(self.peers) or len(data) > MOST:
+            say("peers", f"can't send {len(data)} bytes to gatekeeper {peer}")
+            return
+        self.transport.sendto(data, self.peers[peer])
+
+
+async def open_peers(
+    listen: Address, peers: tuple[Address, ...], me: int, hear: Callable[[int, bytes], None]
+) -> Peers:
+    """Listens at `listen`."""
+    loop = asyncio.get_running_loop()
+    _, protocol = await loop.create_datagram_endpoint(lambda: Peers(peers, me, hear), local_addr=listen)
+    return protocol
--- /dev/null
+++ b/pepperrun/net/server_side.py
@@ -0,0 +1,355 @@
+"""Connections to backends: pools, attempts and their outcomes.
+
+An attempt goes out once on one connection and is never sent again from here, not even when a kept connection
+turns out stale. One request at a time travels on a connection.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from pepperrun.clock import SECOND
+from pepperrun.config import Address
+from pepperrun.exchange import Exchange
+from pepperrun.interface import Outcome
+from pepperrun.log import say
+from pepperrun.net.buffer import Buffer
+from pepperrun.net.directory import Directory
+from pepperrun.net.http1 import ROOM, HttpError, Request, Response, ResponseParser, write_fields
+
+IDLE_PART = 0.8  # of the time after which the other side closes an idle connection: closed here before
+SWEEP_S = 1.0
+
+Ended = Callable[[Exchange[Any, Any], int, int, Outcome, object, float], None]
+Judge = Callable[[Response], tuple[Outcome, float]]
+
+
+def platform_judge(response: Response) -> tuple[Outcome, float]:
+    """The platform's table of outcomes, and the true units of a good answer."""
+    if response.status == 200:
+        try:
+            units = float(response.names.get(b"x-units-charged", b"0"))
+        except ValueError:
+            units = 0.0
+        return Outcome.OK, units if 0 <= units < 1e9 else 0.0
+    # Only with this mark does a 503 or 504 prove that the request was turned away unseen.
+    if response.status in (503, 504) and response.names.get(b"x-rejected") == b"1":
+        return Outcome.FULL, 0.0
+    return Outcome.ERROR, 0.0
+
+
+def write_request(request: Request, timeout_ns: int) -> bytes:
+    """The request as a backend reads it, with the time that this attempt will be waited for."""
+    length = b"Content-Length: %d\r\n" % len(request.body) if request.body else b""
+    if not length and request.method not in (b"GET", b"HEAD"):
+        length = b"Content-Length: 0\r\n"
+    return b"%b %b HTTP/1.1\r\n%bX-Budget: %du\r\n%b\r\n%b" % (
+        request.method,
+        request.target,
+        write_fields(request.fields),
+        max(1, timeout_ns // 1000),
+        length,
+        request.body,
+    )
+
+
+class Attempt:
+    """One attempt that has not ended."""
+
+    __slots__ = ("backend", "connection", "deadline", "exchange", "number", "timer")
+
+    def __init__(self, exchange: Exchange[Request, Response], number: int, backend: int, deadline: int):
+        self.exchange, self.number, self.backend, self.deadline = exchange, number, backend, deadline
+        self.connection: Connection | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class Pool:
+    """The connections to one backend at one address, and the attempts that wait for one."""
+
+    __slots__ = ("address", "idle", "opening", "waiting")
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.idle: list[Connection] = []
+        self.waiting: deque[Attempt] = deque()
+        self.opening = 0
+
+
+class Connection(asyncio.BufferedProtocol):
+    """A connection to a backend."""
+
+    def __init__(self, side: ServerSide, pool: Pool) -> None:
+        self.side, self.pool = side, pool
+        self.transport: asyncio.Transport | None = None
+        self.buffer = Buffer(ROOM)
+        self.parser = ResponseParser(self.buffer)
+        self.attempt: Attempt | None = None
+        self.unsent = False  # the last byte of the request is not yet written
+        self.idle_since = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        transport.set_write_buffer_limits(high=0)  # told at once whether all is written
+        self.side.connections.add(self)
+        self.side.free(self)
+
+    def start(self, attempt: Attempt, now: int) -> None:
+        """Writes the attempt's request."""
+        assert self.transport is not None
+        self.attempt, attempt.connection = attempt, self
+        self.transport.write(write_request(attempt.exchange.asked, attempt.deadline - now))
+        if self.transport.is_closing():
+            self.unsent = True  # the write itself failed: nothing has gone out
+
+    def pause_writing(self) -> None:
+        self.unsent = True
+
+    def resume_writing(self) -> None:
+        self.unsent = False
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.buffer.room()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.buffer.filled(nbytes, 0)
+        attempt = self.attempt
+        if attempt is None:  # nothing was asked
+            self.close()
+            return
+        try:
+            response = self.parser.next()
+        except HttpError as error:
+            say("backend", f"an answer that can't be read: {error}")
+            self.attempt = None
+            self.close()
+            self.side.end(attempt, Outcome.ERROR)
+            return
+        if response is not None:
+            self._answered(attempt, response)
+
+    def _answered(self, attempt: Attempt, response: Response) -> None:
+        self.attempt = None
+        if response.close() or len(self.buffer) or self.unsent:
+            self.close()
+        outcome, units = self.side.judge(response)
+        self.side.end(attempt, outcome, response, units)
+        if self.transport is not None and not self.transport.is_closing():
+            self.side.free(self)
+
+    def eof_received(self) -> bool:
+        if self.attempt is not None and (response := self.parser.end()) is not None:
+            self.close()
+            self._answered(self.attempt, response)
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        attempt, self.attempt = self.attempt, None
+        self.side.lost(self)
+        if attempt is not None:
+            self.side.end(attempt, Outcome.CONNECT_FAILED if self.unsent else Outcome.RESET)
+
+    def close(self) -> None:
+        """Closes at once: what is out on it is given up."""
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class ServerSide:
+    """Carries out attempts at the backends of a directory."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        clock: Callable[[], int],
+        directory: Directory,
+        ended: Ended,
+        judge: Judge,
+        most: int,
+        keepalive_ns: int,
+        connect_timeout_ns: int,
+    ) -> None:
+        self.loop, self.clock, self.directory = loop, clock, directory
+        self.ended, self.judge, self.most = ended, judge, most
+        self.idle_ns, self.connect_s = int(keepalive_ns * IDLE_PART), connect_timeout_ns / SECOND
+        self.pools: dict[int, Pool] = {}
+        self.attempts: dict[tuple[int, int], Attempt] = {}
+        self.connections: set[Connection] = set()
+        self.opening: set[asyncio.Task[None]] = set()
+        self.opened = 0
+        self.sweeper = loop.call_later(SWEEP_S, self._sweep)
+
+    # What the gatekeeper asks for.
+
+    def send(self, exchange: Exchange[Any, Any], number: int, backend: int, timeout_ns: int) -> None:
+        """Starts an attempt. Its end is told later, never from within this call."""
+        now = self.clock()
+        attempt = Attempt(exchange, number, backend, now + timeout_ns)
+        self.attempts[exchange.id, number] = attempt
+        pool = self._pool(backend)
+        if pool is None:
+            self.loop.call_soon(self.end, attempt, Outcome.CONNECT_FAILED)
+            return
+        attempt.timer = self.loop.call_later(timeout_ns / SECOND, self._late, attempt)
+        while pool.idle:
+            connection = pool.idle.pop()
+            if self._fit(connection, now):
+                connection.start(attempt, now)
+                return
+            connection.close()
+        pool.waiting.append(attempt)
+        self._open(backend, pool)
+
+    def cancel(self, exchange: Exchange[Any, Any], number: int) -> None:
+        """Gives an attempt up: its connection closes."""
+        if (attempt := self.attempts.get((exchange.id, number))) is not None:
+            self._give_up(attempt, Outcome.CANCELLED)
+
+    def close_idle(self, backend: int) -> None:
+        """Closes the idle connections to a backend."""
+        if (pool := self.pools.get(backend)) is not None:
+            for connection in pool.idle:
+                connection.close()
+            pool.idle.clear()
+
+    def listed(self) -> None:
+        """The list has changed: what waits for a backend no longer wanted ends."""
+        for backend, pool in list(self.pools.items()):
+            if self.directory.address(backend) is not None:
+                continue
+            self.close_idle(backend)
+            while pool.waiting:
+                self.end(pool.waiting[0], Outcome.CONNECT_FAILED)
+            if not self.directory.listed(backend):
+                del self.pools[backend]
+
+    # Attempts.
+
+    def end(self, attempt: Attempt, outcome: Outcome, given: object = None, units: float = 0.0) -> None:
+        """An attempt has ended; only the first end counts."""
+        if self.attempts.get((attempt.exchange.id, attempt.number)) is not attempt:
+            return
+        del self.attempts[attempt.exchange.id, attempt.number]
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        pool = self.pools.get(attempt.backend) if attempt.connection is None else None
+        if pool is not None and attempt in pool.waiting:
+            pool.waiting.remove(attempt)
+        self.ended(attempt.exchange, attempt.number, attempt.backend, outcome, given, units)
+
+    def _late(self, attempt: Attempt) -> None:
+        early = attempt.deadline - self.clock()
+        if early > 0:
+            attempt.timer = self.loop.call_later(early / SECOND, self._late, attempt)
+            return
+        # One that never got a connection has proved that it did not run.
+        self._give_up(attempt, Outcome.TIMEOUT if attempt.connection is not None else Outcome.CONNECT_FAILED)
+
+    def _give_up(self, attempt: Attempt, outcome: Outcome) -> None:
+        if (connection := attempt.connection) is not None:
+            connection.attempt = None
+            connection.close()
+        self.end(attempt, outcome)
+
+    # Connections.
+
+    def _pool(self, backend: int) -> Pool | None:
+        address = self.directory.address(backend)
+        if address is None:
+            return None
+        pool = self.pools.get(backend)
+        if pool is None or pool.address != address:
+            if pool is not None:
+                self.close_idle(backend)
+                while pool.waiting:
+                    self.end(pool.waiting[0], Outcome.CONNECT_FAILED)
+            pool = self.pools[backend] = Pool(address)
+        return pool
+
+    def _fit(self, connection: Connection, now: int) -> bool:
+        transport = connection.transport
+        up = transport is not None and not transport.is_closing()
+        return up and now - connection.idle_since < self.idle_ns
+
+    def free(self, connection: Connection) -> None:
+        """A connection can take the next attempt that waits, or is idle."""
+        pool, now = connection.pool, self.clock()
+        while pool.waiting:
+            attempt = pool.waiting.popleft()
+            # It may have waited for this connection while the list came to call the backend draining or gone.
+            if self.directory.address(attempt.backend) == pool.address:
+                connection.start(attempt, now)
+                return
+            self.end(attempt, Outcome.CONNECT_FAILED)
+        connection.idle_since = now
+        pool.idle.append(connection)
+
+    def lost(self, connection: Connection) -> None:
+        """A connection has ended."""
+        self.connections.discard(connection)
+        if connection in connection.pool.idle:
+            connection.pool.idle.remove(connection)
+        self._open_more()
+
+    def _open(self, backend: int, pool: Pool) -> None:
+        """Opens connections for what waits, within the limit; an idle one elsewhere gives way."""
+        while pool.opening < len(pool.waiting):
+            if len(self.connections) + len(self.opening) >= self.most and not self._evict():
+                say("limit", f"all {self.most} connections to backends are in use")
+                self.loop.call_later(self.connect_s, self._starved, pool, pool.waiting[-1])
+                return
+            pool.opening += 1
+            task = self.loop.create_task(self._connect(pool))
+            self.opening.add(task)
+            task.add_done_callback(self.opening.discard)
+
+    def _open_more(self) -> None:
+        for backend, pool in self.pools.items():
+            if pool.waiting and pool.opening < len(pool.waiting):
+                self._open(backend, pool)
+
+    def _evict(self) -> bool:
+        idle = [connection for pool in self.pools.values() for connection in pool.idle]
+        if not idle:
+            return False
+        oldest = min(idle, key=lambda connection: connection.idle_since)
+        oldest.pool.idle.remove(oldest)
+        self.connections.discard(oldest)
+        oldest.close()
+        return True
+
+    def _starved(self, pool: Pool, attempt: Attempt) -> None:
+        if attempt in pool.waiting:
+            self.end(attempt, Outcome.CONNECT_FAILED)
+
+    async def _connect(self, pool: Pool) -> None:
+        self.opened += 1
+        try:
+            async with asyncio.timeout(self.connect_s):
+                await self.loop.create_connection(lambda: Connection(self, pool), *pool.address)
+        except OSError:  # refused, unreachable, or not up in time
+            if pool.waiting:
+                self.end(pool.waiting[0], Outcome.CONNECT_FAILED)
+        finally:
+            pool.opening -= 1
+
+    def _sweep(self) -> None:
+        now = self.clock()
+        for pool in self.pools.values():
+            for connection in [c for c in pool.idle if not self._fit(c, now)]:
+                pool.idle.remove(connection)
+                connection.close()
+        self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
+
+    def close(self) -> None:
+        """Closes everything."""
+        self.sweeper.cancel()
+        for task in self.opening:
+            task.cancel()
+        for connection in list(self.connections):
+            connection.close()
--- a/pepperrun/wirehost.py
+++ b/pepperrun/wirehost.py
@@ -5,13 +5,12 @@
 
 from __future__ import annotations
 
-import json
 import struct
 import sys
-from collections.abc import Mapping
-from typing import Any, BinaryIO
+from typing import BinaryIO
 
 from pepperrun import interface as io
+from pepperrun.config import read_settings
 from pepperrun.gateway import Gateway
 
 EVENT_SIZE = 48
@@ -53,113 +52,12 @@
 }
 _STATES = {0: io.BackendState.DRAINING, 1: io.BackendState.GONE, 2: io.BackendState.READY}
 _LISTS = {0: io.ListKind.DELTA, 1: io.ListKind.FULL, 2: io.ListKind.CACHED, 3: io.ListKind.FAILED}
-_REPEATS = {
-    "read_like": io.Repeat.SAFE,
-    "idempotency_key": io.Repeat.KEYED,
-    "non_idempotent": io.Repeat.UNSAFE,
-}
 
 
 class FrameError(Exception):
     """A frame that can't be read."""
 
 
-def _get(table: Mapping[str, Any], key: str, kind: type, default: Any = None, required: bool = False) -> Any:
-    value = table.get(key)
-    if value is None:
-        if required:
-            raise ValueError(f"{key}: missing")
-        return default
-    if kind is bool:
-        good = isinstance(value, bool)
-    elif kind in (int, float):
-        good = isinstance(value, int | float) and not isinstance(value, bool) and value == value
-        good = good and abs(value) != float("inf")
-    else:
-        good = isinstance(value, kind)
-    if not good:
-        raise ValueError(f"{key}: not a {kind.__name__}")
-    return kind(value) if kind in (int, float) else value
-
-
-def _choice(table: Mapping[str, Any], key: str, choices: Mapping[str, Any], default: Any = None) -> Any:
-    value = _get(table, key, str, default=default, required=default is None)
-    if value in choices:
-        return choices[value]
-    raise ValueError(f"{key}: {value!r} is not one of {', '.join(choices)}")
-
-
-def read_settings(text: str) -> io.Settings:
-    """The settings in the wire's JSON. Unknown keys are skipped; ValueError names a bad one."""
-    try:
-        params = json.loads(text)
-    except ValueError as error:
-        raise ValueError(f"Params: not JSON: {error}") from None
-    if not isinstance(params, dict):
-        raise ValueError("Params: not an object")
-    limits = _get(params, "Limits", dict, {})
-    rules = _get(params, "Rules", dict, {})
-    domain = _get(params, "Domain", dict, {})
-    report = _get(params, "Report", dict, {})
-    fees = _get(params, "Fees", dict, {})
-    groups = {group.value: group for group in io.Group}
-    classes = tuple(
-        io.RequestClass(
-            name=_get(item, "Name", str, ""),
-            aim_ns=_get(item, "OnTimeNs", int, required=True),
-            deadline_ns=_get(item, "DeadlineNs", int, required=True),
-            repeat=_choice(item, "Semantics", _REPEATS),
-            group=_choice(item, "Group", groups, "all"),
-            window_ns=_get(item, "WindowNs", int, 0),
-            worth=_get(item, "Worth", float, 1.0),
-            late_worth=_get(item, "LateWorth", float, 0.0),
-        )
-        for item in _get(params, "Classes", list, required=True)
-    )
-    plans = tuple(
-        io.Plan(
-            name=_get(item, "Name", str, ""),
-            rate=_get(item, "Refill", float, 0.0),
-            burst=_get(item, "StoreSize", float, 0.0),
-            open_limit=_get(item, "Open", int, 0),
-            ceiling_rate=_get(item, "CapRate", float, 0.0),
-            ceiling_depth=_get(item, "NeverOverDepth", float, 0.0),
-            ceiling_slack=_get(item, "CeilingSlack", float, 0.0),
-            price=_get(item, "WorthFactor", float, 1.0),
-            over_worth=_get(item, "ExtraWorth", float, 0.0),
-            over_cost=_get(item, "BeyondCosts", float, 0.0),
-        )
-        for item in _get(params, "Tariffs", list, required=True)
-    )
-    return io.Settings(
-        me=_get(params, "Me", int, required=True),
-        gateways=_get(params, "ReplicasOfMe", int, required=True),
-        zone=_get(params, "Az", int, 0),
-        classes=classes,
-        plans=plans,
-        tick_ns=_get(params, "PeriodNs", int, 1_000_000),
-        max_attempts=_get(limits, "MostTries", int, 1),
-        second_copies=_get(limits, "MayDuplicate", bool, False),
-        may_cancel=_get(limits, "MayCancel", bool, False),
-        may_probe=_get(limits, "MayProbe", bool, False),
-        peer_messages=_get(limits, "PeerMessages", bool, False),
-        peer_intake=_get(domain, "PeerIntake", float, 0.0),
-        retry_after=_get(limits, "RetryAfter", bool, False),
-        max_retry_after_ns=_get(limits, "MaxRetryAfterNs", int, 0),
-        must_ask_for_list=_get(params, "MembershipMode", str, "pushed") == "on_request",
-        answer_grace_ns=_get(rules, "GraceToAnswerNs", int, 0),
-        drain_grace_ns=_get(rules, "StopSendingWithinNs", int, 0),
-        cold_from=_get(rules, "ColdFrom", float, 1.0),
-        cold_ns=_get(rules, "ColdNs", int, 0),
-        tip_multiple=_get(rules, "TipMultiple", float, 1.0),
-        tip_for_ns=_get(rules, "OverloadForNs", int, 1_000_000_000),
-        settles=_get(domain, "PostPaid", bool, False),
-        max_units=_get(domain, "MostUnits", float, 1.0),
-        report_columns=tuple(str(name) for name in _get(report, "Columns", list, [])),
-        cross_zone_price=_get(fees, "CrossZone", float, 0.0),
-    )
-
-
 class Host:
     """The instances of this process."""
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,7 +11,8 @@
 import pytest
 
 from pepperrun import interface as api
-from pepperrun.wirehost import FrameError, Host, _Reply, read_settings, serve
+from pepperrun.config import read_settings
+from pepperrun.wirehost import FrameError, Host, _Reply, serve
 
 PARAMS = {
     "Me": 1,
