--- a/pepperrun/__main__.py
+++ b/pepperrun/__main__.py
@@ -21,7 +21,7 @@
 from pepperrun.net.server_side import ServerSide, platform_judge
 
 RESERVED = 48  # descriptors that are not connections of clients or to backends: files, listeners, the loop's
-OVERTIME_S = 0.1  # after the longest deadline, for the answers of the last requests taken
+OVERTIME_S = 1.0  # after the longest deadline: the last requests come a while after SIGTERM
 
 
 def split_sockets(limit: int) -> tuple[int, int]:
--- a/pepperrun/fronts/http_client.py
+++ b/pepperrun/fronts/http_client.py
@@ -17,6 +17,7 @@
 
 Fields = list[tuple[bytes, bytes]]
 Answer = tuple[int, Fields, bytes]
+LINGER_S = 1.0
 TEXT = (b"Content-Type", b"text/plain; charset=utf-8")
 
 
@@ -35,7 +36,7 @@
         self.since = 0
         self.stuck: int | None = None  # since when the client has not taken what was written
         self.answers = 0
-        self.paused = self.closing = False
+        self.paused = self.closing = self.lingering = False
 
     # For fronts.
 
@@ -51,6 +52,8 @@
 
     def busy(self) -> bool:
         """Is a request on it, whole or in part, or an answer not yet written?"""
+        if self.lingering:
+            return False
         if self.exchange is not None or len(self.buffer) or self.parser.request is not None:
             return True
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
@@ -100,8 +103,9 @@
         return self.buffer.room()
 
     def buffer_updated(self, nbytes: int) -> None:
-        self.buffer.filled(nbytes, self.clock())
-        self._read()
+        if not self.lingering:
+            self.buffer.filled(nbytes, self.clock())
+            self._read()
 
     def eof_received(self) -> bool:
         self._left()
@@ -118,8 +122,7 @@
             try:
                 request = self.parser.next()
             except HttpError as error:
-                self.closing = True  # where the next request begins is not known
-                self._write((error.status, [TEXT], f"{error}\n".encode()))
+                self._reject(error)
                 return
             if request is None:
                 if self.parser.waits_for_continue() and self.parser.request is not None:
@@ -142,6 +145,21 @@
             self.paused = True  # more was sent ahead than is held for a client
             self.transport.pause_reading()
 
+    def _reject(self, error: HttpError) -> None:
+        """Answers and closes: where the next request begins is not known.
+
+        What still comes is dropped for a while: closing on unread bytes would reset the connection, and the
+        client might never read why.
+        """
+        transport = self.transport
+        assert transport is not None
+        self.closing = self.lingering = True
+        self.buffer.drop(len(self.buffer))
+        self.answers, self.since = self.answers + 1, self.clock()
+        transport.write(write_response(error.status, [TEXT], f"{error}\n".encode(), close=True))
+        transport.write_eof()
+        self.listener.loop.call_later(LINGER_S, transport.close)
+
     def final(self, final: Final[Any]) -> None:
         """The exchange's final answer."""
         self.exchange = None
@@ -164,3 +182,5 @@
         self.transport.write(write_response(*answer, close, bodiless))
         if close:
             self.transport.close()
+        else:
+            self.listener.free()
--- a/pepperrun/gatekeeper.py
+++ b/pepperrun/gatekeeper.py
@@ -167,7 +167,16 @@
             self._request(event, now) if isinstance(event, Exchange) else event for event in self._events
         ]
         self._events.clear()
-        for action in self.gateway.handle(now, events):
+        try:
+            actions = self.gateway.handle(now, events)
+        except Exception as error:  # one bad turn must not leave everybody without an answer
+            say("turn", f"the gateway failed: {type(error).__name__}: {error}")
+            for event in events:
+                if isinstance(event, Request):
+                    self._give_up(event.id, Final(End.FAILED))
+            self._arm(now + self.settings.tick_ns)  # its own timer may have been lost with the turn
+            return
+        for action in actions:
             self._carry_out(action, now)
 
     @staticmethod
--- a/pepperrun/net/listener.py
+++ b/pepperrun/net/listener.py
@@ -83,7 +83,7 @@
     def _accept(self) -> None:
         assert self.socket is not None
         for _ in range(BACKLOG):
-            if len(self.clients) + self.accepting >= self.most and not self._evict():
+            if not self._room():
                 say("limit", f"all {self.most} client connections are in use; accepting later")
                 self._pause()
                 return
@@ -110,8 +110,10 @@
         finally:
             self.accepting -= 1
 
-    def _evict(self) -> bool:
-        """The connection that has been idle longest gives way."""
+    def _room(self) -> bool:
+        """Is there room for one more? At the limit the connection that has been idle longest gives way."""
+        if len(self.clients) + self.accepting < self.most:
+            return True
         idle = [client for client in self.clients if not client.busy() and not client.fresh()]
         if not idle:
             return False
@@ -129,7 +131,11 @@
         self.clients.discard(client)
         if self._changed is not None and not self._changed.done():
             self._changed.set_result(None)
-        if len(self.clients) + self.accepting < self.most:
+        self.free()
+
+    def free(self) -> None:
+        """A connection has ended or become idle: accepting may go on."""
+        if not self.on and self.socket is not None and self._room():
             self._resume()
 
     async def changed(self) -> None:
--- a/pepperrun/net/server_side.py
+++ b/pepperrun/net/server_side.py
@@ -70,10 +70,10 @@
 class Pool:
     """The connections to one backend at one address, and the attempts that wait for one."""
 
-    __slots__ = ("address", "idle", "opening", "waiting")
+    __slots__ = ("address", "backend", "idle", "opening", "waiting")
 
-    def __init__(self, address: Address) -> None:
-        self.address = address
+    def __init__(self, backend: int, address: Address) -> None:
+        self.backend, self.address = backend, address
         self.idle: list[Connection] = []
         self.waiting: deque[Attempt] = deque()
         self.opening = 0
@@ -268,7 +268,7 @@
                 self.close_idle(backend)
                 while pool.waiting:
                     self.end(pool.waiting[0], Outcome.CONNECT_FAILED)
-            pool = self.pools[backend] = Pool(address)
+            pool = self.pools[backend] = Pool(backend, address)
         return pool
 
     def _fit(self, connection: Connection, now: int) -> bool:
@@ -282,10 +282,13 @@
         while pool.waiting:
             attempt = pool.waiting.popleft()
             # It may have waited for this connection while the list came to call the backend draining or gone.
-            if self.directory.address(attempt.backend) == pool.address:
+            if self.directory.address(pool.backend) == pool.address:
                 connection.start(attempt, now)
                 return
             self.end(attempt, Outcome.CONNECT_FAILED)
+        if self.directory.address(pool.backend) != pool.address:
+            connection.close()
+            return
         connection.idle_since = now
         pool.idle.append(connection)
 
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,180 @@
+"""Discovery and the directory: watches, gaps, whole lists, a dead agent, and answers that can't be read."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from standins import HOST, Backends, StandIn, answer, cut_short, going, line, listing, ok, reset, stall
+
+from pepperrun.config import parse_address, read_listing
+from pepperrun.interface import BackendState, ListKind
+from pepperrun.net import discovery
+from pepperrun.net.directory import Directory
+from pepperrun.net.discovery import Discovery
+
+
+def told(version: int, *lines: dict, full: bool = False) -> bytes:
+    return ok(json.dumps({"version": version, "full": full, "servers": list(lines)}).encode())
+
+
+class Watching:
+    """A `Discovery` at work against a stand-in agent."""
+
+    def __init__(self, agent: StandIn) -> None:
+        self.agent = agent
+        self.lists: asyncio.Queue = asyncio.Queue()
+        watch = Discovery((HOST, agent.port), self.lists.put_nowait, pauses_s=(0.001,))
+        self.task = asyncio.get_running_loop().create_task(watch.run())
+
+    async def target(self) -> str:
+        return (await self.agent.arrived.get()).split()[1].decode()
+
+
+def test_the_whole_list_comes_first_and_then_its_changes_on_one_connection():
+    async def test():
+        agent = await StandIn(
+            told(41, line("a", 1), full=True), told(43, line("a", 1, "Terminating")), stall
+        ).start()
+        watching = Watching(agent)
+        first, second = await watching.lists.get(), await watching.lists.get()
+        assert (first.full, second.full) == (True, False)
+        assert second.lines[0].state is BackendState.DRAINING
+        targets = [await watching.target() for _ in range(3)]
+        wait = discovery.WAIT_MS
+        assert targets == [
+            "/v1/endpoints",
+            f"/v1/endpoints?index=41&wait={wait}",
+            f"/v1/endpoints?index=43&wait={wait}",
+        ]
+        assert agent.connections == 1
+
+    going(test)
+
+
+def test_the_next_watch_goes_out_well_within_200_ms():
+    async def test():
+        agent = await StandIn(told(1, full=True), told(1), told(1), stall).start()
+        watching, loop = Watching(agent), asyncio.get_running_loop()
+        await watching.target()
+        last = loop.time()
+        for _ in range(3):
+            await watching.target()
+            assert loop.time() - last < 0.2
+            last = loop.time()
+
+    going(test)
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        ok(b"{not json"),
+        ok(b"[]"),
+        ok(b"[" * 60_000),
+        ok(b'{"version": 2}'),
+        ok(b'{"version": 2, "full": false, "servers": [{"id": 7}]}'),
+        ok(b'{"version": 2, "full": false, "servers": [{"id": "a", "addr": "nowhere", "state": "Ready"}]}'),
+        told(0, line("a", 1)),  # changes to an older list than the one held
+        answer(500),
+        reset,
+        cut_short(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{"),
+        b"nonsense\r\n\r\n",
+    ],
+)
+def test_after_an_answer_that_is_no_good_the_last_list_stands_and_the_watch_starts_anew(bad):
+    async def test():
+        agent = await StandIn(
+            told(5, line("a", 1), full=True), bad, told(9, line("b", 2), full=True), stall
+        ).start()
+        watching = Watching(agent)
+        assert [(await watching.lists.get()).version for _ in range(2)] == [5, 9]
+        targets = [await watching.target() for _ in range(3)]
+        assert targets[0] == targets[2] == "/v1/endpoints" and "index=5" in targets[1]
+
+    going(test)
+
+
+def test_a_silent_agent_is_left_and_a_dead_one_tried_again(monkeypatch):
+    monkeypatch.setattr(discovery, "GRACE_S", 0.02)
+    monkeypatch.setattr(discovery, "WAIT_MS", 10)
+
+    async def test():
+        agent = await StandIn(told(5, full=True), stall, told(6, full=True), stall).start()
+        watching = Watching(agent)
+        assert [(await watching.lists.get()).version for _ in range(2)] == [5, 6]
+        await agent.stop()
+        agent.plan = [told(7, full=True), stall]
+        await agent.start(agent.port)
+        assert (await watching.lists.get()).version == 7
+
+    going(test)
+
+
+def test_a_workers_integer_is_the_same_everywhere_and_always():
+    # Gatekeepers tell each other of workers by these integers, in messages of four bytes.
+    one, other = Directory(("a",), int), Directory(("a",), int)
+    one.take(listing(line("s-1", 1), line("s-2", 2)), ListKind.FULL)
+    other.take(listing(line("s-2", 2), line("s-1", 9)), ListKind.FULL)
+    assert [one.id_of("s-1"), one.id_of("s-2")] == [other.id_of("s-1"), other.id_of("s-2")]
+    assert one.id_of("s-1") == 2365212299 and 0 <= one.id_of("s-2") < 2**32
+
+
+def test_a_list_becomes_integers_times_and_addresses():
+    directory = Directory(("a", "b"), lambda ms: ms * 1_000_000)
+    full = listing(line("x", 1, zone="b", cell=3, started_ms=5), line("y", 2, "Terminating", started_ms=0))
+    event = directory.take(full, ListKind.FULL)
+    x, y = directory.id_of("x"), directory.id_of("y")
+    assert [(b.id, b.zone, b.cell, b.state, b.born_ns) for b in event.backends] == [
+        (x, 1, 3, BackendState.READY, 5_000_000),
+        (y, 0, 0, BackendState.DRAINING, 0),
+    ]
+    assert (directory.address(x), directory.address(y)) == ((HOST, 1), None)
+    directory.take(listing(line("x", 1, "Gone"), full=False), ListKind.DELTA)
+    assert directory.address(x) is None and not directory.listed(x) and directory.listed(y)
+    directory.take(listing(), ListKind.FULL)
+    assert not directory.listed(y)
+
+
+def test_a_workers_start_is_read_on_the_programs_one_clock():
+    async def test():
+        backends = Backends()
+        started_ms = (backends.clock() - 3_000_000_000) // 1_000_000
+        (backend,) = backends.directory.take(
+            listing(line("w", 1, started_ms=started_ms)), ListKind.FULL
+        ).backends
+        assert 2_990_000_000 < backends.clock() - backend.born_ns < 3_500_000_000
+
+    going(test)
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8) | st.just("127.0.0.1:80"),
+    lambda inner: st.lists(inner, max_size=4)
+    | st.dictionaries(
+        st.sampled_from(["version", "full", "servers", "id", "addr", "state", "cell", "started_ms", "zone"]),
+        inner,
+        max_size=6,
+    ),
+    max_leaves=20,
+)
+
+
+@given(st.dictionaries(st.sampled_from(["version", "full", "servers"]), JSON))
+def test_a_list_that_is_garbage_raises_value_errors_only(table):
+    try:
+        Directory(("a",), int).take(read_listing(table), ListKind.FULL)
+    except ValueError as error:
+        assert str(error)
+
+
+@given(st.text(max_size=20))
+def test_an_address_is_host_and_port_or_a_value_error(text):
+    try:
+        host, port = parse_address(text, "key")
+        assert host and 0 <= port <= 65535
+    except ValueError as error:
+        assert str(error).startswith("key: ")
--- /dev/null
+++ b/tests/test_main.py
@@ -0,0 +1,137 @@
+"""The real program as the platform starts it: its command, its configuration, its end."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+from standins import HOST, Client, StandIn, going, line, ok, wait_then
+
+from pepperrun.config import read_config
+
+ROOT = Path(__file__).parent.parent
+SETTINGS = {
+    "Me": 0,
+    "ReplicasOfMe": 1,
+    "PeriodNs": 4_000_000,
+    "Classes": [
+        {
+            "Name": "search",
+            "OnTimeNs": 2 * 10**9,
+            "DeadlineNs": 3 * 10**9,
+            "Semantics": "read_like",
+            "Group": "all",
+        }
+    ],
+    "Tariffs": [{"Name": "wide", "Refill": 100.0, "StoreSize": 100.0}],
+    "Limits": {"MostTries": 3, "KeepaliveNs": 15 * 10**9},
+    "Dcs": ["a"],
+}
+
+
+def config(**changes: object) -> dict[str, object]:
+    return {
+        "name": "n0",
+        "listen": f"{HOST}:0",
+        "discovery": f"{HOST}:1",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "peer_listen": f"{HOST}:0",
+        "peers": [f"{HOST}:1"],
+        "known": {"version": 1, "full": True, "servers": []},
+        "settings": SETTINGS,
+    } | changes
+
+
+async def start(path: Path, **changes: object) -> tuple[asyncio.subprocess.Process, int]:
+    """The program by the deploy file's `run`, and the port on which it is ready."""
+    run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"].replace("python3", sys.executable)
+    path.write_text(json.dumps(config(**changes)))
+    process = await asyncio.create_subprocess_exec(
+        *("/bin/sh", "-c", run), cwd=ROOT, env=os.environ | {"NODE_CONFIG": str(path)}, stderr=subprocess.PIPE
+    )
+    first = (await process.stderr.readline()).decode()
+    assert "listens at" in first, first
+    return process, int(first.rsplit(":", 1)[1])
+
+
+def test_it_serves_from_the_known_list_and_drains_at_sigterm(tmp_path):
+    # Discovery is dead all along: the last list stands and readiness does not wait.
+    async def test():
+        worker = await StandIn(wait_then(ok(b"answer"))).start()
+        known = {"version": 3, "full": True, "servers": [line("w", worker.port)]}
+        process, port = await start(tmp_path / "config.json", known=known)
+        client = await Client.to(port)
+        client.writer.write(b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert (await client.answer())[0] == 200
+        client.ask()
+        await worker.arrived.get()
+        process.send_signal(signal.SIGTERM)
+        while "drains" not in (await process.stderr.readline()).decode():
+            pass
+        late = await Client.to(port)  # new connections keep coming for a while
+        late.ask()
+        await worker.arrived.get()
+        worker.go.set()
+        for one in (client, late):
+            status, fields, body = await one.answer()
+            assert (status, fields["connection"], body) == (200, "close", b"answer")
+        assert await process.wait() == 0
+
+    going(test)
+
+
+@pytest.mark.parametrize(
+    ("changes", "key"),
+    [
+        ({"listen": "nowhere"}, "listen"),
+        ({"peers": ["x"]}, "peers"),
+        ({"seed": "not hex"}, "seed"),
+        ({"limits": {"sockets": 3}}, "limits.sockets"),
+        ({"known": {"servers": 3}}, "known.servers"),
+        ({"settings": SETTINGS | {"Me": 4}}, "settings.me"),
+        ({"settings": SETTINGS | {"Classes": [{"Name": "x"}]}}, "settings.OnTimeNs"),
+        ({"settings": SETTINGS | {"Limits": {"KeepaliveNs": 0}}}, "settings.Limits.KeepaliveNs"),
+        ({"settings": None}, "settings"),
+    ],
+)
+def test_a_bad_configuration_names_its_key(changes, key):
+    with pytest.raises(ValueError, match=f"^{key}: ") as caught:
+        read_config(json.dumps(config(**changes)), {})
+    assert "\n" not in str(caught.value)
+
+
+def test_a_bad_configuration_ends_the_program_with_one_line_and_2(tmp_path):
+    for text, key in (
+        ("{", "NODE_CONFIG"),
+        (json.dumps(config(listen="x")), "listen"),
+        (None, "No such file"),
+    ):
+        path = tmp_path / "config.json"
+        path.unlink(missing_ok=True)
+        if text is not None:
+            path.write_text(text)
+        done = subprocess.run(
+            [sys.executable, "-m", "pepperrun"],
+            cwd=ROOT,
+            env=os.environ | {"NODE_CONFIG": str(path)},
+            capture_output=True,
+            text=True,
+        )
+        assert done.returncode == 2 and done.stderr.count("\n") == 1 and key in done.stderr
+
+
+def test_the_environment_stands_in_for_missing_keys():
+    table = config()
+    for key in ("name", "listen", "discovery"):
+        del table[key]
+    env = {"NODE_NAME": "n9", "NODE_LISTEN": "[::1]:80", "NODE_DISCOVERY": f"{HOST}:3"}
+    got = read_config(json.dumps(table), env)
+    assert (got.name, got.listen, got.discovery) == ("n9", ("::1", 80), (HOST, 3))
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,314 @@
+"""The platform's front and the whole gatekeeper, on real sockets with stand-in workers."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+import pytest
+from standins import (
+    MS,
+    SECOND,
+    SETTINGS,
+    Client,
+    Front,
+    StandIn,
+    answer,
+    going,
+    line,
+    ok,
+    reset,
+    stall,
+    wait_then,
+)
+
+from pepperrun.exchange import End
+from pepperrun.net import listener as listener_module
+from pepperrun.net.http1 import ROOM
+
+
+def test_a_request_is_passed_on_unchanged_and_answered_with_the_workers_body():
+    async def test():
+        front, worker = Front(), await StandIn(ok(b"\0body\r\n", b"Content-Type: a/b")).start()
+        front.list(line("w", worker.port))
+        client = await front.client()
+        client.ask("confirm", Connection="keep-alive, x-hop", X_Hop="1", X_Kept="2")
+        status, fields, body = await client.answer()
+        assert (status, fields["content-type"], body) == (200, "a/b", b"\0body\r\n")
+        head, _, sent = (await worker.arrived.get()).partition(b"\r\n\r\n")
+        assert head.startswith(b"POST /confirm?customer=0000000000000007 HTTP/1.1\r\n") and sent == b"hello"
+        assert b"X-Call-Id: 1" in head and b"Idempotency-Key: k" in head and b"X-Kept: 2" in head
+        assert b"X-Plan" not in head and b"X-Hop" not in head and head.count(b"X-Budget") == 1
+        client.ask()  # the same connection
+        assert (await client.answer())[0] == 200
+
+    going(test)
+
+
+def test_a_refusal_comes_at_once_with_retry_after():
+    async def test():
+        front, worker = (
+            Front(dataclasses.replace(SETTINGS, max_retry_after_ns=SECOND)),
+            await StandIn(ok()).start(),
+        )
+        front.list(line("w", worker.port))
+        client = await front.client()
+        client.ask(plan="tight")
+        assert (await client.answer())[0] == 200
+        client.ask(plan="tight")
+        status, fields, _ = await client.answer()
+        assert status == 429 and 0 < float(fields["retry-after"]) <= 1.0
+        assert len(worker.heads) == 1
+
+    going(test)
+
+
+@pytest.mark.parametrize(("step", "status"), [(answer(500), 502), (reset, 502)])
+def test_what_may_have_run_fails_and_is_not_refused(step, status):
+    async def test():
+        front, worker = Front(dataclasses.replace(SETTINGS, max_attempts=1)), await StandIn(step).start()
+        front.list(line("w", worker.port))
+        client = await front.client()
+        client.ask("confirm")
+        assert (await client.answer())[0] == status
+        assert len(worker.heads) == 1
+
+    going(test)
+
+
+def test_the_budget_counts_from_the_first_byte_and_its_end_is_answered_in_time():
+    async def test():
+        front, worker = Front(), await StandIn(stall).start()
+        front.list(line("w", worker.port))
+        client = await front.client()
+        start = front.clock()
+        client.writer.write(b"POST /confirm?customer=7 HT")
+        while not any(len(c.buffer) for c in front.listener.clients):
+            await asyncio.sleep(0)
+        first = front.clock()
+        client.writer.write(b"TP/1.1\r\nHost: h\r\nX-Plan: wide\r\nX-Call-Id: 1\r\n")
+        client.writer.write(b"X-Budget: 60m\r\nIdempotency-Key: k\r\n\r\n")
+        await worker.arrived.get()
+        (exchange,) = front.gatekeeper.exchanges.values()
+        assert start + 60 * MS <= exchange.deadline <= first + 60 * MS
+        assert (await client.answer())[0] == 504
+        assert exchange.end is End.OUT_OF_TIME
+
+    going(test)
+
+
+def test_a_client_that_closes_while_waiting_has_left_and_nothing_leaks():
+    async def test():
+        front, worker = Front(), await StandIn(wait_then(ok())).start()
+        front.list(line("w", worker.port))
+        client = await front.client()
+        client.ask(budget="300m")
+        await worker.arrived.get()
+        (exchange,) = front.gatekeeper.exchanges.values()
+        client.writer.close()
+        while exchange.end is None:
+            await asyncio.sleep(0)
+        assert exchange.end is End.LEFT
+        worker.go.set()  # the late answer finds nobody
+        while front.gatekeeper.exchanges:
+            await asyncio.sleep(0)
+        assert not front.side.attempts and front.gatekeeper.counts[End.SERVED] == 0
+        while front.gatekeeper.gateway.held:
+            await asyncio.sleep(0)
+
+    going(test)
+
+
+def test_two_copies_that_both_answer_give_one_answer():
+    async def test():
+        settings = dataclasses.replace(SETTINGS, second_copies=True, max_attempts=2)
+        front = Front(settings)
+        workers = [await StandIn(wait_then(ok(b"slow")), wait_then(ok(b"slow"))).start() for _ in range(2)]
+        front.gatekeeper.gateway.fleet.typical = [MS * 5.0, MS * 5.0]  # overdue soon: a second copy goes out
+        front.list(*(line(f"w{n}", worker.port) for n, worker in enumerate(workers)))
+        client = await front.client()
+        client.ask()
+        for worker in workers:
+            await worker.arrived.get()
+        for worker in workers:
+            worker.go.set()
+        assert (await client.answer())[2] == b"slow"
+        while front.gatekeeper.exchanges or front.side.attempts:
+            await asyncio.sleep(0)
+        client.ask()
+        assert (await client.answer())[0] == 200
+        assert front.gatekeeper.counts[End.SERVED] == 2
+
+    going(test)
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"garbage\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\n\r\n", 400),
+        (b"POST /confirm HTTP/1.1\r\nHost: h\r\nContent-Length: 70000\r\n\r\n", 413),
+        (b"GET / HTTP/1.1\r\nHost: h\r\nA: " + b"x" * 20_000 + b"\r\n\r\n", 431),
+        (b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: br\r\n\r\n", 501),
+        (b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n", 400),
+    ],
+)
+def test_bad_http_is_answered_and_the_connection_ends(data, status):
+    async def test():
+        front = Front()
+        client = await front.client()
+        client.writer.write(data)
+        got, fields, _ = await client.answer()
+        assert (got, fields["connection"]) == (status, "close")
+        assert await client.ended()
+
+    going(test)
+
+
+@pytest.mark.parametrize(
+    ("change", "status"),
+    [
+        ({"budget": "3s"}, 400),
+        ({"plan": "nobody"}, 400),
+        ({"X_Quota": "units=-1"}, 400),
+        ({"cls": "nothing"}, 404),
+    ],
+)
+def test_a_request_that_means_nothing_is_answered_and_not_taken(change, status):
+    async def test():
+        front = Front()
+        client = await front.client()
+        client.ask(**change)
+        assert (await client.answer())[0] == status
+        assert not front.gatekeeper.exchanges
+
+    going(test)
+
+
+def test_ready_does_not_wait_for_discovery_and_ends_with_the_drain():
+    async def test():
+        front = Front()
+        client = await front.client()
+        client.writer.write(b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert (await client.answer())[0] == 200
+        front.listener.draining = True
+        client.writer.write(b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert (await client.answer())[0] == 503
+
+    going(test)
+
+
+def test_pipelined_requests_are_answered_in_order_and_bounded():
+    async def test():
+        front, worker = Front(), await StandIn(wait_then(ok(b"1")), ok(b"2")).start()
+        front.list(line("w", worker.port))
+        client = await front.client()
+        client.ask()
+        client.ask()
+        await worker.arrived.get()
+        client.writer.write(b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n" * 10_000)
+        (connection,) = front.listener.clients
+        while not connection.paused:
+            await asyncio.sleep(0)
+        assert len(connection.buffer) <= ROOM  # what a client sends ahead does not fill memory
+        worker.go.set()
+        assert [(await client.answer())[2] for _ in range(2)] == [b"1", b"2"]
+        for _ in range(10_000):
+            assert (await client.answer())[0] == 200
+
+    going(test)
+
+
+def test_connections_stay_within_the_limit_and_a_served_idle_one_gives_way():
+    async def test():
+        front, worker = Front(most=2), await StandIn(stall).start()
+        front.list(line("w", worker.port))
+        idle, busy = await front.client(), await front.client()
+        idle.writer.write(b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
+        await idle.answer()
+        busy.ask()
+        await worker.arrived.get()
+        third = await front.client()
+        third.ask()
+        await worker.arrived.get()
+        assert await idle.ended()
+        fourth = await front.client()  # connects, and waits to be accepted
+        fourth.writer.write(b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
+        busy.writer.close()
+        assert (await fourth.answer())[0] == 200
+        assert len(front.listener.clients) <= 2
+
+    going(test)
+
+
+def test_slow_requests_and_answers_that_are_not_taken_end(monkeypatch):
+    monkeypatch.setattr(listener_module, "SLOW_NS", 10 * MS)
+    monkeypatch.setattr(listener_module, "SWEEP_S", 0.01)
+
+    async def test():
+        front = Front()
+        client = await front.client()
+        client.writer.write(b"GET /search HTTP/1.1\r\nHost: h\r\nX-")
+        assert await client.ended()
+        deaf = await front.client()
+        deaf.writer.transport.pause_reading()
+        deaf.writer.write(b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n" * 200_000)
+        while not front.listener.clients:
+            await asyncio.sleep(0)
+        while front.listener.clients:
+            await asyncio.sleep(0.01)
+        assert not front.gatekeeper.exchanges
+
+    going(test)
+
+
+def test_a_drain_answers_what_was_taken_and_closes_each_connection():
+    async def test():
+        front, worker = Front(), await StandIn(wait_then(ok(b"done"))).start()
+        front.list(line("w", worker.port))
+        waiting, idle = await front.client(), await front.client()
+        idle.writer.write(b"GET /health HTTP/1.1\r\nHost: h\r\n\r\n")
+        await idle.answer()
+        waiting.ask()
+        await worker.arrived.get()
+        drain = asyncio.get_running_loop().create_task(front.listener.drain(0.05, 0.01))
+        assert await idle.ended()  # between requests a connection may close
+        late = await front.client()  # still accepted
+        late.ask()
+        await worker.arrived.get()
+        await drain
+        with pytest.raises(OSError):
+            await Client.to(front.listener.address[1])
+        worker.go.set()
+        for client in (waiting, late):
+            status, fields, body = await client.answer()
+            assert (status, fields["connection"], body) == (200, "close", b"done")
+            assert await client.ended()
+        assert not front.listener.clients
+
+    going(test)
+
+
+def test_a_turn_that_fails_leaves_nobody_without_an_answer(capsys):
+    # Should a decision ever raise, its requests fail at once and the gateway's timer is armed again.
+    async def test():
+        front, worker = Front(), await StandIn(ok()).start()
+        front.list(line("w", worker.port))
+        client = await front.client()
+        gateway, handle = front.gatekeeper.gateway, front.gatekeeper.gateway.handle
+
+        def broken(now, events):
+            gateway.handle = handle
+            raise KeyError("a bug")
+
+        client.ask()
+        while not front.listener.clients or not any(c.exchange for c in front.listener.clients):
+            await asyncio.sleep(0)
+        gateway.handle = broken
+        assert (await client.answer())[0] == 502
+        front.list(line("w", worker.port))
+        client.ask()
+        assert (await client.answer())[0] == 200
+
+    going(test)
+    assert "a bug" in capsys.readouterr().err
--- /dev/null
+++ b/tests/test_server_side.py
@@ -0,0 +1,224 @@
+"""Attempts on real sockets against stand-in workers: the table of outcomes, pools, limits."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from standins import (
+    MS,
+    SECOND,
+    Backends,
+    StandIn,
+    answer,
+    cut_short,
+    going,
+    line,
+    ok,
+    reset,
+    stall,
+    wait_then,
+)
+
+from pepperrun.interface import Outcome
+
+
+@pytest.mark.parametrize(
+    ("step", "outcome"),
+    [
+        (ok(b"x"), Outcome.OK),
+        (answer(500), Outcome.ERROR),
+        (answer(503, b"", b"X-Rejected: 1"), Outcome.FULL),
+        (answer(504, b"", b"X-Rejected: 1"), Outcome.FULL),
+        # Without the mark nothing proves that the request did not run.
+        (answer(503), Outcome.ERROR),
+        (answer(504, b"", b"X-Rejected: 0"), Outcome.ERROR),
+        (answer(302), Outcome.ERROR),
+        (reset, Outcome.RESET),
+        (cut_short(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"), Outcome.RESET),
+        (cut_short(b""), Outcome.RESET),
+        (b"no HTTP at all\r\n\r\n", Outcome.ERROR),
+        (cut_short(b"HTTP/1.0 200 OK\r\n\r\nuntil the end"), Outcome.OK),
+    ],
+)
+def test_what_comes_back_is_the_outcome_of_the_table(step, outcome):
+    async def test():
+        backends, worker = Backends(), await StandIn(step).start()
+        backends.list(line("w", worker.port))
+        backends.send()
+        assert await backends.outcome() is outcome
+        assert len(worker.heads) == 1 and not backends.side.attempts  # never sent again from here
+
+    going(test)
+
+
+def test_true_units_and_body_come_with_a_good_answer():
+    async def test():
+        backends, worker = Backends(), await StandIn(ok(b"body", b"X-Units-Charged: 3.5")).start()
+        backends.list(line("w", worker.port))
+        backends.send(body=b"asked", method=b"POST")
+        _, outcome, given, units = await backends.outcomes.get()
+        assert (outcome, given.body, units) == (Outcome.OK, b"body", 3.5)
+        arrived = await worker.arrived.get()
+        assert arrived.startswith(b"POST /search?c HTTP/1.1\r\nHost: h\r\nX-Call-Id: 1\r\n")
+        assert b"X-Budget: " in arrived and arrived.endswith(b"\r\n\r\nasked")
+
+    going(test)
+
+
+def test_a_refused_connection_and_a_worker_that_is_not_listed_never_ran():
+    async def test():
+        backends, worker = Backends(), await StandIn(stall).start()
+        await worker.stop()
+        backends.list(line("w", worker.port))
+        backends.send()
+        backends.send("unknown")
+        assert [await backends.outcome(), await backends.outcome()] == [Outcome.CONNECT_FAILED] * 2
+
+    going(test)
+
+
+def test_a_timeout_is_never_early_and_closes_the_connection():
+    async def test():
+        backends, worker = Backends(), await StandIn(stall).start()
+        backends.list(line("w", worker.port))
+        for _ in range(3):
+            start = backends.clock()
+            backends.send(timeout_ns=20 * MS)
+            assert await backends.outcome() is Outcome.TIMEOUT
+            assert backends.clock() - start >= 20 * MS
+            await worker.closed.get()
+
+    going(test)
+
+
+def test_a_cancel_closes_the_connection():
+    async def test():
+        backends, worker = Backends(), await StandIn(stall).start()
+        backends.list(line("w", worker.port))
+        exchange = backends.send()
+        await worker.arrived.get()
+        backends.side.cancel(exchange, 0)
+        assert await backends.outcome() is Outcome.CANCELLED
+        await worker.closed.get()
+        assert not backends.side.attempts
+
+    going(test)
+
+
+def test_connections_are_kept_and_used_one_request_at_a_time():
+    async def test():
+        backends, worker = Backends(), await StandIn(wait_then(ok()), ok()).start()
+        backends.list(line("w", worker.port))
+        backends.send()
+        await worker.arrived.get()
+        backends.send()  # the first one is in use: a second connection
+        assert await backends.outcome() is Outcome.OK
+        worker.go.set()
+        assert await backends.outcome() is Outcome.OK
+        for _ in range(4):
+            backends.send()
+            assert await backends.outcome() is Outcome.OK
+        assert worker.connections == 2
+
+    going(test)
+
+
+def test_a_stale_kept_connection_ends_as_it_must_and_nothing_is_sent_again():
+    async def test():
+        backends, worker = Backends(), await StandIn(ok(), reset).start()
+        backends.list(line("w", worker.port))
+        backends.send()
+        assert await backends.outcome() is Outcome.OK
+        backends.send()  # the worker resets the kept connection: it may have run
+        assert await backends.outcome() is Outcome.RESET
+        assert len(worker.heads) == 2
+
+    going(test)
+
+
+def test_an_idle_connection_is_retired_before_the_other_side_closes_it():
+    # The worker's machine closes at the settings' time; a request written after that would end as a reset.
+    async def test():
+        backends, worker = Backends(keepalive_ns=15 * SECOND), await StandIn(ok()).start()
+        backends.list(line("w", worker.port))
+        backends.send()
+        assert await backends.outcome() is Outcome.OK
+        real, backends.side.clock = backends.clock, lambda: backends.clock() + int(12.5 * SECOND)
+        backends.send()
+        assert await backends.outcome() is Outcome.OK
+        assert worker.connections == 2
+        await worker.closed.get()
+        assert real is backends.clock
+
+    going(test)
+
+
+@pytest.mark.parametrize("told", ["Terminating", "Gone", "absent"])
+def test_an_attempt_waiting_for_a_connection_rechecks_the_list(told):
+    # Between the decision to send and the connection being up the list may come to call the worker draining.
+    async def test():
+        backends, worker = Backends(), await StandIn(ok()).start()
+        backends.list(line("w", worker.port))
+        backends.send()
+        backends.list(*([] if told == "absent" else [line("w", worker.port, told)]), full=told == "absent")
+        assert await backends.outcome() is Outcome.CONNECT_FAILED
+        while backends.side.opening:
+            await asyncio.gather(*backends.side.opening)
+        backends.list(line("w", worker.port))
+        backends.send()
+        assert await backends.outcome() is Outcome.OK
+        assert len(worker.heads) == 1  # the first one's bytes never went out
+
+    going(test)
+
+
+def test_a_kept_connection_to_a_draining_worker_closes_after_its_answer():
+    async def test():
+        backends, worker = Backends(), await StandIn(wait_then(ok())).start()
+        backends.list(line("w", worker.port))
+        backends.send()
+        await worker.arrived.get()
+        backends.list(line("w", worker.port, "Terminating"), full=False)
+        worker.go.set()
+        assert await backends.outcome() is Outcome.OK  # what it has, it completes
+        await worker.closed.get()
+
+    going(test)
+
+
+def test_connections_stay_within_the_limit_and_an_idle_one_gives_way():
+    async def test():
+        backends = Backends(most=2, connect_ns=100 * MS)
+        busy, other = await StandIn(stall).start(), await StandIn(ok()).start()
+        backends.list(line("w", busy.port), line("o", other.port))
+        backends.send("o")
+        assert await backends.outcome() is Outcome.OK
+        backends.send("w")
+        await busy.arrived.get()
+        backends.send("w")  # the idle one to the other worker gives way
+        await busy.arrived.get()
+        backends.send("o")  # none is left: it never ran
+        assert await backends.outcome() is Outcome.CONNECT_FAILED
+        assert len(backends.side.connections) == 2
+
+    going(test)
+
+
+def test_a_request_that_is_not_written_whole_never_ran():
+    async def test():
+        backends = Backends()
+        taken = asyncio.Queue()
+
+        async def deaf(reader, writer):
+            writer.transport.pause_reading()
+            taken.put_nowait(writer)
+
+        server = await asyncio.start_server(deaf, "127.0.0.1", 0)
+        backends.list(line("w", server.sockets[0].getsockname()[1]))
+        backends.send(body=bytes(16 << 20), method=b"POST")  # more than the kernel's buffers hold
+        (await taken.get()).transport.abort()
+        assert await backends.outcome() is Outcome.CONNECT_FAILED
+        server.close()
+
+    going(test)
