Forward authentication over HTTP: answering other proxies and asking before a booking

Questions are exchanges of a safe class before a core of their own; a class named in asking_classes enters the booking core only when granted, on the same budget. Grants pass the configured identity headers only, a definite no (401, 403, redirects) passes whole, all else is no grant: 429/503 with Retry-After, 502, 504.

--- a/pepperrun/config.py
+++ b/pepperrun/config.py
@@ -255,3 +255,142 @@
     if value <= 0:
         raise ValueError(f"settings.Limits.{key}: must be above 0")
     return value
+
+
+@dataclass(slots=True, frozen=True)
+class AuthConfig:
+    """Forward authentication: where it listens, whom it asks and on what terms."""
+
+    listen: Address | None
+    servers: Listing
+    path: str
+    host: str
+    identity: tuple[str, ...]
+    customer: str
+    prefixes: tuple[tuple[str, int], ...]  # longest first: path prefix and class
+    plans: Mapping[str, int]  # customer's name: its plan
+    default_plan: int
+    asking: frozenset[str]
+    settings: io.Settings
+    keepalive_ns: int
+    connect_timeout_ns: int
+    sockets: int
+    peer_listen: Address | None
+    peers: tuple[Address, ...]
+
+
+_MS = 1_000_000
+
+
+def read_auth(text: str) -> AuthConfig:
+    """The forward authentication file; ValueError names a bad key."""
+    try:
+        table = json.loads(text)
+    except (ValueError, RecursionError) as error:
+        raise ValueError(f"forward-auth: not JSON: {error}") from None
+    if not isinstance(table, dict):
+        raise ValueError("forward-auth: not an object")
+    servers = _objects(table, "servers")
+    plans, classes = _objects(table, "plans"), _objects(table, "classes")
+    peers = tuple(parse_address(str(peer), "peers") for peer in get(table, "peers", list, []))
+    prefixes = [(get(item, "prefix", str, "/"), number) for number, item in enumerate(classes)]
+    named = {
+        str(name): number for number, item in enumerate(plans) for name in get(item, "customers", list, [])
+    }
+    defaults = [number for number, item in enumerate(plans) if "customers" not in item]
+    if len(defaults) != 1:
+        raise ValueError("plans: exactly one, the default, must be without customers")
+    hosts = [get(item, "address", str, required=True) for item in servers]
+    lines = tuple(
+        Line(
+            get(item, "name", str, host),
+            parse_address(host, "servers.address"),
+            "",
+            0,
+            io.BackendState.READY,
+            0,
+        )
+        for item, host in zip(servers, hosts, strict=True)
+    )
+    path = get(table, "path", str, "/")
+    if not path.startswith("/") or not path.isascii() or not path.isprintable() or " " in path:
+        raise ValueError(f"path: {path!r} is not a path")
+    return AuthConfig(
+        listen=address(table, "listen") if table.get("listen") else None,
+        servers=Listing(0, True, lines),
+        path=path,
+        host=get(table, "host", str, hosts[0]),
+        identity=tuple(
+            _field_name(name, "identity_headers") for name in get(table, "identity_headers", list, [])
+        ),
+        customer=_field_name(get(table, "customer_header", str, "X-Forwarded-Host"), "customer_header"),
+        prefixes=tuple(sorted(prefixes, key=lambda pair: -len(pair[0]))),
+        plans=named,
+        default_plan=defaults[0],
+        asking=frozenset(str(name) for name in get(table, "asking_classes", list, [])),
+        settings=_auth_settings(table, classes, plans, len(peers)),
+        keepalive_ns=_positive(table, "keepalive_ms", 5000) * _MS,
+        connect_timeout_ns=_positive(table, "connect_timeout_ms", 250) * _MS,
+        sockets=_positive(table, "sockets", 200),
+        peer_listen=address(table, "peer_listen") if table.get("peer_listen") else None,
+        peers=peers,
+    )
+
+
+def _auth_settings(
+    table: Mapping[str, Any], classes: list[dict[str, Any]], plans: list[dict[str, Any]], peers: int
+) -> io.Settings:
+    return io.Settings(
+        me=get(table, "me", int, 0),
+        gateways=max(1, peers),
+        zone=0,
+        classes=tuple(
+            io.RequestClass(
+                name=get(item, "name", str, required=True),
+                aim_ns=_positive(item, "wanted_ms") * _MS,
+                deadline_ns=_positive(item, "deadline_ms") * _MS,
+                repeat=io.Repeat.SAFE,
+            )
+            for item in classes
+        ),
+        plans=tuple(
+            io.Plan(
+                name=get(item, "name", str, required=True),
+                rate=get(item, "rate", float, 0.0),
+                burst=get(item, "burst", float, get(item, "rate", float, 0.0)),
+                open_limit=get(item, "open", int, 0),
+            )
+            for item in plans
+        ),
+        max_attempts=_positive(table, "max_attempts", 3),
+        second_copies=get(table, "second_copies", bool, False),
+        may_cancel=True,
+        peer_messages=peers > 1,
+        peer_intake=100.0,
+        retry_after=True,
+        max_retry_after_ns=_positive(table, "max_retry_after_ms", 60_000) * _MS,
+    )
+
+
+def _objects(table: Mapping[str, Any], key: str) -> list[dict[str, Any]]:
+    items: list[dict[str, Any]] = get(table, key, list, required=True)
+    if not items or not all(isinstance(item, dict) for item in items):
+        raise ValueError(f"{key}: at least one object is needed")
+    return items
+
+
+def _positive(table: Mapping[str, Any], key: str, default: int | None = None) -> int:
+    value: int = get(table, key, int, default, required=default is None)
+    if value <= 0:
+        raise ValueError(f"{key}: must be above 0")
+    return value
+
+
+def _field_name(name: Any, key: str) -> str:
+    if (
+        not isinstance(name, str)
+        or not name.replace("-", "").replace("_", "").isalnum()
+        or not name.isascii()
+    ):
+        raise ValueError(f"{key}: {name!r} is not the name of a header")
+    return name
--- a/pepperrun/exchange.py
+++ b/pepperrun/exchange.py
@@ -27,11 +27,15 @@
 
 @dataclass(slots=True)
 class Final(Generic[Given]):
-    """The final answer: `given` if served, `wait_ns` the advice that comes with a refusal (0: none)."""
+    """The final answer: `given` if served, `wait_ns` the advice that comes with a refusal (0: none).
+
+    `late`: the time was up when the request was given up.
+    """
 
     end: End
     given: Given | None = None
     wait_ns: int = 0
+    late: bool = False
 
 
 class Exchange(Generic[Asked, Given]):
--- a/pepperrun/fronts/http_client.py
+++ b/pepperrun/fronts/http_client.py
@@ -1,6 +1,7 @@
 """The client side of HTTP/1.1: one request at a time on a connection, each with one answer.
 
-What the fronts share. A front says what a request means (`begin`) and how a final answer reads (`reply`).
+What the fronts share. A front says what a request means (`begin`) and what follows from a final answer
+(`follow`): the answer as the client reads it, or a further exchange for the same request.
 """
 
 from __future__ import annotations
@@ -12,26 +13,40 @@
 from pepperrun.exchange import Exchange, Final
 from pepperrun.gatekeeper import Gatekeeper
 from pepperrun.net.buffer import Buffer
-from pepperrun.net.http1 import ROOM, HttpError, Request, RequestParser, write_response
+from pepperrun.net.http1 import ROOM, HttpError, Message, Request, RequestParser, write_response
 from pepperrun.net.listener import Listener
 
 Fields = list[tuple[bytes, bytes]]
 Answer = tuple[int, Fields, bytes]
+Step = tuple[Gatekeeper, Exchange[Any, Any]]  # an exchange and who is to take it
 LINGER_S = 1.0
 TEXT = (b"Content-Type", b"text/plain; charset=utf-8")
 
+# Between one connection and the next, or between client and gatekeeper: not the worker's.
+NOT_PASSED_ON = frozenset(
+    b"connection keep-alive proxy-connection proxy-authenticate proxy-authorization te trailer"
+    b" transfer-encoding upgrade content-length expect x-budget x-plan x-quota x-again".split()
+)
+
+
+def passed_on(request: Message, untrusted: frozenset[bytes] = frozenset()) -> Fields:
+    """The fields that go on to the next hop, less those that a client has no right to set."""
+    dropped = NOT_PASSED_ON | untrusted if untrusted else NOT_PASSED_ON
+    if b"connection" in request.names:
+        named = request.names[b"connection"].lower().split(b",")
+        dropped = dropped | {name.strip() for name in named}
+    return [pair for pair in request.fields if pair[0].lower() not in dropped]
+
 
 class HttpClient(asyncio.BufferedProtocol):
     """A client's connection. Fronts derive from it."""
 
-    gatekeeper: Gatekeeper
-
     def __init__(self, listener: Listener, clock: Callable[[], int]) -> None:
         self.listener, self.clock = listener, clock
         self.transport: asyncio.Transport | None = None
         self.buffer = Buffer(ROOM)
         self.parser = RequestParser(self.buffer)
-        self.exchange: Exchange[Any, Any] | None = None
+        self.step: Step | None = None  # the exchange that has no answer yet
         self.request: Request | None = None
         self.since = 0
         self.stuck: int | None = None  # since when the client has not taken what was written
@@ -40,12 +55,12 @@
 
     # For fronts.
 
-    def begin(self, request: Request) -> Exchange[Any, Any] | Answer:
+    def begin(self, request: Request) -> Step | Answer:
         """What to do with a request: an exchange, or an answer at once."""
         raise NotImplementedError
 
-    def reply(self, final: Final[Any]) -> Answer:
-        """How a final answer reads."""
+    def follow(self, final: Final[Any]) -> Step | Answer:
+        """How a final answer reads, or the request's next exchange."""
         raise NotImplementedError
 
     # For the listener.
@@ -54,7 +69,7 @@
         """Is a request on it, whole or in part, or an answer not yet written?"""
         if self.lingering:
             return False
-        if self.exchange is not None or len(self.buffer) or self.parser.request is not None:
+        if self.step is not None or len(self.buffer) or self.parser.request is not None:
             return True
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
@@ -68,7 +83,7 @@
 
     def stalled_since(self) -> int | None:
         """Since when the client has kept this side waiting for the rest of a request or to take an answer."""
-        if self.stuck is not None or self.exchange is not None:
+        if self.stuck is not None or self.step is not None:
             return self.stuck
         return self.buffer.first_at or self.since if self.busy() else None
 
@@ -112,13 +127,13 @@
         return False
 
     def _left(self) -> None:
-        exchange, self.exchange = self.exchange, None
-        if exchange is not None:
-            self.gatekeeper.left(exchange)
+        step, self.step = self.step, None
+        if step is not None:
+            step[0].left(step[1])
 
     def _read(self) -> None:
         """Begins the next request, unless one has not been answered."""
-        while self.exchange is None and not self.closing and self.transport is not None:
+        while self.step is None and not self.closing and self.transport is not None:
             try:
                 request = self.parser.next()
             except HttpError as error:
@@ -130,18 +145,8 @@
                     self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
                 return
             self.request = request
-            started = self.begin(request)
-            if isinstance(started, Exchange):
-                self.exchange = started
-                self.gatekeeper.take(started)
-            else:
-                self._write(started)
-        if (
-            self.exchange is not None
-            and self.buffer.full()
-            and self.transport is not None
-            and not self.paused
-        ):
+            self._proceed(self.begin(request))
+        if self.step is not None and self.buffer.full() and self.transport is not None and not self.paused:
             self.paused = True  # more was sent ahead than is held for a client
             self.transport.pause_reading()
 
@@ -160,16 +165,34 @@
         transport.write_eof()
         self.listener.loop.call_later(LINGER_S, transport.close)
 
+    def health(self, request: Request) -> Answer:
+        """`/health`: the process runs. `/ready`: it also takes new clients."""
+        if self.listener.draining and request.target == b"/ready":
+            return 503, [TEXT], b"draining\n"
+        return 200, [TEXT], b"ready\n"
+
+    def peer_address(self) -> bytes:
+        """The address of the client's machine."""
+        name = self.transport.get_extra_info("peername") if self.transport is not None else None
+        return name[0].encode() if name else b""
+
     def final(self, final: Final[Any]) -> None:
         """The exchange's final answer."""
-        self.exchange = None
-        self._write(self.reply(final))
-        if len(self.buffer):
+        self.step = None
+        self._proceed(self.follow(final))
+        if self.step is None and len(self.buffer):
             if self.paused and self.transport is not None and not self.closing:
                 self.paused = False
                 self.transport.resume_reading()
             self._read()
 
+    def _proceed(self, what: Step | Answer) -> None:
+        if len(what) == 2:
+            self.step = what
+            what[0].take(what[1])
+        else:
+            self._write(what)
+
     def _write(self, answer: Answer) -> None:
         if self.transport is None:
             return
--- a/pepperrun/fronts/platform.py
+++ b/pepperrun/fronts/platform.py
@@ -6,10 +6,11 @@
 from typing import Any
 
 from pepperrun.exchange import End, Exchange, Final
-from pepperrun.fronts.http_client import TEXT, Answer, Fields, HttpClient
+from pepperrun.fronts.forward_auth import AuthService, Granted
+from pepperrun.fronts.http_client import TEXT, Answer, Fields, HttpClient, Step, passed_on
 from pepperrun.gatekeeper import Clock, Gatekeeper
 from pepperrun.interface import Repeat, Settings
-from pepperrun.net.http1 import Request, Response
+from pepperrun.net.http1 import Request
 from pepperrun.net.listener import Listener
 
 _BUDGET = re.compile(rb"([0-9]{1,15})([mu])\Z")
@@ -17,21 +18,6 @@
 _CUSTOMER = re.compile(rb"(?:\A|&)customer=([0-9a-fA-F]{1,16})(?:&|\Z)")
 MOST_CUSTOMER = 2**33
 
-# Between one connection and the next, or between client and gatekeeper: not the worker's.
-NOT_PASSED_ON = frozenset(
-    b"connection keep-alive proxy-connection proxy-authenticate proxy-authorization te trailer"
-    b" transfer-encoding upgrade content-length expect x-budget x-plan x-quota x-again".split()
-)
-
-
-def passed_on(request: Request) -> Fields:
-    """The fields that go on to the next hop."""
-    dropped = NOT_PASSED_ON
-    if b"connection" in request.names:
-        named = request.names[b"connection"].lower().split(b",")
-        dropped = dropped | {name.strip() for name in named}
-    return [pair for pair in request.fields if pair[0].lower() not in dropped]
-
 
 def retry_after(wait_ns: int) -> Fields:
     """Seconds, to the millisecond, rounded up; nothing where no advice is given."""
@@ -43,12 +29,15 @@
 class Platform:
     """What all connections of this front share."""
 
-    def __init__(self, settings: Settings, gatekeeper: Gatekeeper, clock: Clock) -> None:
-        self.settings, self.gatekeeper, self.clock = settings, gatekeeper, clock
+    def __init__(
+        self, settings: Settings, gatekeeper: Gatekeeper, clock: Clock, auth: AuthService | None = None
+    ) -> None:
+        self.settings, self.gatekeeper, self.clock, self.auth = settings, gatekeeper, clock, auth
+        asking = auth.config.asking if auth is not None else ()
+        self.asks = [kind.name in asking for kind in settings.classes]
         self.classes = {kind.name.encode(): number for number, kind in enumerate(settings.classes)}
         self.plans = {plan.name.encode(): number for number, plan in enumerate(settings.plans)}
         self.methods = [b"GET" if kind.repeat is Repeat.SAFE else b"POST" for kind in settings.classes]
-        self.ready = True
 
     def make(self, listener: Listener) -> PlatformClient:
         """A new connection."""
@@ -101,21 +90,37 @@
 
     def __init__(self, front: Platform, listener: Listener) -> None:
         super().__init__(listener, front.clock)
-        self.front, self.gatekeeper = front, front.gatekeeper
+        self.front = front
+        self.parts: dict[str, Any] = {}
+        self.asking = False
 
-    def begin(self, request: Request) -> Exchange[Request, Response] | Answer:
+    def begin(self, request: Request) -> Step | Answer:
         if request.target in (b"/ready", b"/health"):
-            ready = self.front.ready and not self.listener.draining or request.target == b"/health"
-            return (200, [TEXT], b"ready\n") if ready else (503, [TEXT], b"draining\n")
+            return self.health(request)
         parts = self.front.read(request)
         if isinstance(parts, str):
             return 404 if parts == "no such class" else 400, [TEXT], f"{parts}\n".encode()
         if request.method != self.front.methods[parts["cls"]]:
             return 405, [(b"Allow", self.front.methods[parts["cls"]]), TEXT], b"not this method\n"
-        request.fields = passed_on(request)
-        return Exchange(request, self.final, **parts)
-
-    def reply(self, final: Final[Response]) -> Answer:
+        self.parts, auth = parts, self.front.auth
+        if auth is not None and self.front.asks[parts["cls"]]:
+            # Granted first; the same budget holds for both steps.
+            asked = auth.about(request, self.peer_address())
+            self.asking = True
+            return auth.step(asked, self.final, parts["started"], parts["deadline"])
+        return self._book(request, [])
+
+    def _book(self, request: Request, identity: Fields) -> Step:
+        auth = self.front.auth
+        request.fields = passed_on(request, auth.untrusted if auth is not None else frozenset()) + identity
+        return self.front.gatekeeper, Exchange(request, self.final, **self.parts)
+
+    def follow(self, final: Final[Any]) -> Step | Answer:
+        auth, request = self.front.auth, self.request
+        if auth is not None and request is not None and self.asking:
+            self.asking = False
+            outcome = auth.verdict(final)
+            return self._book(request, outcome.identity) if isinstance(outcome, Granted) else outcome
         match final.end:
             case End.SERVED if final.given is not None:
                 kind = final.given.names.get(b"content-type")
--- a/pepperrun/gatekeeper.py
+++ b/pepperrun/gatekeeper.py
@@ -218,11 +218,11 @@
             case Send():
                 self._send(action, now)
             case Refuse():
-                self._give_up(action.request, Final(End.REFUSED, wait_ns=action.wait_ns))
+                late = self._late(action.request, now)
+                self._give_up(action.request, Final(End.REFUSED, wait_ns=action.wait_ns, late=late))
             case Fail():
-                exchange = self.exchanges.get(action.request)
-                late = exchange is not None and now >= exchange.deadline - self._margin
-                self._give_up(action.request, Final(End.OUT_OF_TIME if late else End.FAILED))
+                late = self._late(action.request, now)
+                self._give_up(action.request, Final(End.OUT_OF_TIME if late else End.FAILED, late=late))
             case SetTimer():
                 self._arm(now + action.delay_ns)
             case TellPeer():
@@ -255,6 +255,10 @@
         else:
             self.backends.send(exchange, attempt, action.backend, action.timeout_ns)
 
+    def _late(self, request: int, now: int) -> bool:
+        exchange = self.exchanges.get(request)
+        return exchange is not None and now >= exchange.deadline - self._margin
+
     def _give_up(self, request: int, final: Final[Any]) -> None:
         exchange = self.exchanges.get(request)
         if exchange is not None:
--- a/pepperrun/net/http1.py
+++ b/pepperrun/net/http1.py
@@ -26,6 +26,7 @@
 
 REASONS = {
     200: "OK",
+    204: "No Content",
     301: "Moved Permanently",
     302: "Found",
     303: "See Other",
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -9,6 +9,7 @@
 
 from pepperrun.config import read_listing
 from pepperrun.exchange import Exchange
+from pepperrun.fronts.forward_auth import AuthService
 from pepperrun.fronts.platform import Platform
 from pepperrun.gatekeeper import Clock, Gatekeeper
 from pepperrun.interface import Group, ListKind, Outcome, Plan, Repeat, RequestClass, Settings
@@ -186,7 +187,9 @@
 class Front:
     """The whole gatekeeper behind the platform's front, on an ephemeral port."""
 
-    def __init__(self, settings: Settings = SETTINGS, most: int = 50) -> None:
+    def __init__(
+        self, settings: Settings = SETTINGS, most: int = 50, auth: AuthService | None = None
+    ) -> None:
         loop = asyncio.get_running_loop()
         self.clock = Clock()
         self.gatekeeper = Gatekeeper(settings, 1, self.clock, loop)
@@ -195,7 +198,7 @@
             loop, self.clock, self.directory, self.gatekeeper.ended, platform_judge, 20, 15 * SECOND, SECOND
         )
         self.gatekeeper.backends = self.side
-        self.platform = Platform(settings, self.gatekeeper, self.clock)
+        self.platform = Platform(settings, self.gatekeeper, self.clock, auth)
         self.listener = Listener(loop, self.clock, most, self.platform.make)
         self.listener.open((HOST, 0))
 
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -14,7 +14,7 @@
 import pytest
 from standins import HOST, Client, StandIn, going, line, ok, wait_then
 
-from pepperrun.config import read_config
+from pepperrun.config import read_auth, read_config
 
 ROOT = Path(__file__).parent.parent
 SETTINGS = {
@@ -135,3 +135,34 @@
     env = {"NODE_NAME": "n9", "NODE_LISTEN": "[::1]:80", "NODE_DISCOVERY": f"{HOST}:3"}
     got = read_config(json.dumps(table), env)
     assert (got.name, got.listen, got.discovery) == ("n9", ("::1", 80), (HOST, 3))
+
+
+def test_forward_authentication_is_off_unless_its_option_is_given(tmp_path):
+    run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+    assert "forward-auth" not in run
+    shipped = json.loads((ROOT / "deploy/forward-auth.json").read_text())
+    assert read_auth(json.dumps(shipped)).asking == {"booking-confirm"}
+
+    async def test():
+        identity = await StandIn(ok(b"", b"X-Auth-User: nurse")).start()
+        path = tmp_path / "auth.json"
+        changes = {"listen": f"{HOST}:0", "servers": [{"address": f"{HOST}:{identity.port}"}]}
+        path.write_text(json.dumps(shipped | changes))
+        env = {name: value for name, value in os.environ.items() if name != "NODE_CONFIG"}
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "pepperrun", "--forward-auth", str(path)),
+            cwd=ROOT,
+            env=env,
+            stderr=subprocess.PIPE,
+        )
+        first = (await process.stderr.readline()).decode()
+        client = await Client.to(int(first.rsplit(":", 1)[1]))
+        client.writer.write(
+            b"GET / HTTP/1.1\r\nHost: g\r\nX-Forwarded-Method: GET\r\nX-Forwarded-Host: d\r\nX-Forwarded-Uri: /\r\n\r\n"
+        )
+        status, fields, _ = await client.answer()
+        assert (status, fields["x-auth-user"]) == (200, "nurse")
+        process.terminate()
+        assert await process.wait() == 0
+
+    going(test)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -302,7 +302,7 @@
             raise KeyError("a bug")
 
         client.ask()
-        while not front.listener.clients or not any(c.exchange for c in front.listener.clients):
+        while not front.listener.clients or not any(c.step for c in front.listener.clients):
             await asyncio.sleep(0)
         gateway.handle = broken
         assert (await client.answer())[0] == 502
