--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -157,9 +157,8 @@
         )
         first = (await process.stderr.readline()).decode()
         client = await Client.to(int(first.rsplit(":", 1)[1]))
-        client.writer.write(
-            b"GET / HTTP/1.1\r\nHost: g\r\nX-Forwarded-Method: GET\r\nX-Forwarded-Host: d\r\nX-Forwarded-Uri: /\r\n\r\n"
-        )
+        forwarded = b"X-Forwarded-Method: GET\r\nX-Forwarded-Host: d\r\nX-Forwarded-Uri: /\r\n"
+        client.writer.write(b"GET / HTTP/1.1\r\nHost: g\r\n" + forwarded + b"\r\n")
         status, fields, _ = await client.answer()
         assert (status, fields["x-auth-user"]) == (200, "nurse")
         process.terminate()
