--- a/pepperrun/clock.py
+++ b/pepperrun/clock.py
@@ -45,13 +45,13 @@
     """What is to be done at what time, in the order of time and then of asking."""
 
     def __init__(self) -> None:
-        self.entries: list[tuple[int, int, Callable[[], None]]] = []
+        self.entries: list[tuple[int, int, Callable[[], None], Callable[[], bool] | None]] = []
         self.count = 0
 
-    def add(self, when: int, what: Callable[[], None]) -> None:
-        """Enters something to do."""
+    def add(self, when: int, what: Callable[[], None], void: Callable[[], bool] | None = None) -> None:
+        """Enters something to do, unless by then it is `void`: nobody is woken for that."""
         self.count += 1
-        heapq.heappush(self.entries, (when, self.count, what))
+        heapq.heappush(self.entries, (when, self.count, what, void))
 
     def run(self, now: int) -> None:
         """Does what is due."""
@@ -60,6 +60,8 @@
 
     def alarm(self, now: int, armed: int) -> int | None:
         """When to wake next, if that is not armed yet."""
+        while self.entries and (void := self.entries[0][3]) is not None and void():
+            heapq.heappop(self.entries)
         if not self.entries or now < armed <= self.entries[0][0]:
             return None
         return self.entries[0][0]
--- a/pepperrun/gateway.py
+++ b/pepperrun/gateway.py
@@ -477,7 +477,7 @@
         self.held: dict[int, Held] = {}
         self.further = Bucket(0.0, FURTHER_BURST, FURTHER_BURST, 0)
         self.look_at, self.most_left = 0, [0] * len(settings.classes)
-        self.logged = Seldom(LOG_EVERY)
+        self.logged, self.telling = Seldom(LOG_EVERY), True
         self.handlers = {Request: self._arrive, AttemptEnded: self._ended, BackendList: self._list}
         self.handlers |= {ClientLeft: self._gone, StreamStarted: self._gone, PeerMessage: self._hear}
 
@@ -487,16 +487,24 @@
         if self.settings.must_ask_for_list:
             self.actions.append(Watch())
         if self.quotas.direct and self.settings.peer_messages and self.settings.gateways > 1:
-            self.every(self.quotas.period, lambda: self.quotas.tell(self.now))
+            self.every(TELL_EACH, lambda: self.quotas.tell(self.now))
+            self.telling = False
         self.every(SECOND, lambda: self.quotas.refresh(self.now))
 
     def finish(self) -> None:
         self._pump()
+        if self.quotas.dirty and not self.telling:  # in one message what a period brings
+            self.telling = True
+            self.agenda.add(self.now + self.quotas.period, self._tell)
         for peer, message in self.quotas.outbox.empty():
             message.receiver = self.quotas.inbox.incarnation(peer)
             message.latency, message.marks = self.bound.latency, self.fleet.news.some(self.rng, self.now)
             self.actions.append(TellPeer(peer, gossip.pack(message)))
 
+    def _tell(self) -> None:
+        self.telling = False
+        self.quotas.tell(self.now)
+
     def _gone(self, event: ClientLeft | StreamStarted) -> None:
         """The client has left, or the attempt is now its own."""
         if (held := self.held.get(event.request)) is not None:
@@ -547,7 +555,8 @@
         pressed = self.bound.latency > PRESSURE_GOAL / 2
         # Answer a tick or two before the client gives up, so that the answer is no later than it.
         last = max(self.now, held.deadline - 2 * self.settings.tick_ns)
-        self.agenda.add(last, lambda: None if held.done or held.stream else self._fail_or_refuse(held))
+        over = lambda: held.done or held.stream  # noqa: E731
+        self.agenda.add(last, lambda: None if over() else self._fail_or_refuse(held), over)
         if age > self.settings.tick_ns and self.now + self.fleet.expected(held) > held.aim and pressed:
             self._fail_or_refuse(held)
         elif account.keepers and self.now < account.closed_until:
@@ -586,7 +595,8 @@
                 self.quotas.missed[keeper] = (self.quotas.missed.get(keeper, (0, 0))[0] + 1, self.now)
                 self._ask(held)
 
-        self.agenda.add(self.now + held.kind.aim_ns // ASK_PART, unanswered)
+        due = self.now + held.kind.aim_ns // ASK_PART
+        self.agenda.add(due, unanswered, lambda: not held.asking or held.asks != asks)
 
     def _answered(self, answer: gossip.Answer) -> None:
         """What a keeper says: units let the request go to its queue; units that come too late go back."""
@@ -612,7 +622,8 @@
         self.turns.add(held.account.customer, held)
         # What needs no waiting is not shed: else a slow spell would lock large requests out for good.
         shed = max(self.now + 1, int(held.aim - self.fleet.tail * self.fleet.expected(held)))
-        self.agenda.add(shed, lambda: self._refuse(held, 0.0) if held.waiting else None)
+        refuse = lambda: self._refuse(held, 0.0) if held.waiting else None  # noqa: E731
+        self.agenda.add(shed, refuse, lambda: not held.waiting)
 
     def _pump(self) -> None:
         """Sends what waits while the bound has room."""
@@ -656,7 +667,8 @@
         self.actions.append(Send(held.id, server.id, max(1, held.deadline - self.now)))
         number = len(held.attempts) - 1
         after = int(self.fleet.tail * self.fleet.expected(held))
-        self.agenda.add(self.now + after, lambda: self._overdue(held, number))
+        attempt = held.attempts[number]
+        self.agenda.add(self.now + after, lambda: self._overdue(held, number), lambda: not attempt.out)
 
     def _overdue(self, held: Held, number: int) -> None:
         """An attempt past nearly all latencies seen: a second copy, or a new one where one may be out."""
