--- a/pepperrun/__main__.py
+++ b/pepperrun/__main__.py
@@ -76,9 +76,8 @@
     return (limit - RESERVED) * 2 // 5, (limit - RESERVED) * 3 // 5
 
 
-async def start_auth(config: AuthConfig, clock: Clock) -> tuple[AuthService, Listener | None]:
+async def start_auth(config: AuthConfig, clock: Clock, seed: int) -> tuple[AuthService, Listener | None]:
     """The core before the authentication servers and, where configured, its front."""
-    seed = int.from_bytes(os.urandom(8), "little")
     most_clients, most = config.sockets * 2 // 5, config.sockets * 3 // 5
     core = Core(
         clock, config.settings, seed, (), auth_judge, most, config.keepalive_ns, config.connect_timeout_ns
@@ -138,7 +137,7 @@
     auth = watch = None
     longest_ns = 0
     if auth_config is not None:
-        auth, answering = await start_auth(auth_config, clock)
+        auth, answering = await start_auth(auth_config, clock, int.from_bytes(os.urandom(8), "little"))
         listeners += [answering] if answering is not None else []
         longest_ns = max(kind.deadline_ns for kind in auth_config.settings.classes)
     if config is not None:
--- a/pepperrun/gatekeeper.py
+++ b/pepperrun/gatekeeper.py
@@ -60,7 +60,10 @@
 
 
 class Backends(Protocol):
-    """What carries out attempts: `Gatekeeper.ended` is called once for each, never from within `send`."""
+    """What carries out attempts: `Gatekeeper.ended` is called once for each, never from within `send`.
+
+    `ended` may in turn call `send` before it returns.
+    """
 
     def send(self, exchange: AnyExchange, attempt: int, backend: int, timeout_ns: int) -> None: ...
 
@@ -89,7 +92,8 @@
         self._next = seed % 2**32
         self._events: list[Event | AnyExchange] = []
         self._last = -settings.tick_ns
-        self._flush: asyncio.TimerHandle | asyncio.Handle | None = None
+        self._flush: asyncio.TimerHandle | None = None
+        self._turning = False
         self._due: int | None = None  # the gateway's timer
         self._timer: asyncio.TimerHandle | None = None
         self._margin = 4 * settings.tick_ns
@@ -146,22 +150,25 @@
 
     def _event(self, event: Event | AnyExchange) -> None:
         self._events.append(event)
-        if self._flush is not None:
-            return
-        wait = self._last + self.settings.tick_ns - self.clock()
-        if wait <= 0:
-            self._flush = self.loop.call_soon(self._turn)
-        else:
-            self._flush = self.loop.call_later(wait / SECOND, self._turn)
+        if self._flush is None and not self._turning:
+            self._turn_or_wait()
 
-    def _turn(self) -> None:
-        self._flush = None
+    def _turn_or_wait(self) -> None:
+        """A turn now, or a tick after the last one; a timer of the loop may fire a little early."""
         now = self.clock()
-        if now - self._last < self.settings.tick_ns:  # a timer of the loop may fire a little early
-            self._flush = self.loop.call_later(
-                (self._last + self.settings.tick_ns - now) / SECOND, self._turn
-            )
+        wait = self._last + self.settings.tick_ns - now
+        if wait > 0:
+            self._flush = self.loop.call_later(wait / SECOND, self._turn_or_wait)
             return
+        self._flush, self._turning = None, True
+        try:
+            self._turn(now)
+        finally:
+            self._turning = False
+        if self._events:  # what the turn itself brought about
+            self._turn_or_wait()
+
+    def _turn(self, now: int) -> None:
         self._last = now
         events = [
             self._request(event, now) if isinstance(event, Exchange) else event for event in self._events
--- a/pepperrun/gateway.py
+++ b/pepperrun/gateway.py
@@ -555,7 +555,10 @@
         pressed = self.bound.latency > PRESSURE_GOAL / 2
         # Answer a tick or two before the client gives up, so that the answer is no later than it.
         last = max(self.now, held.deadline - 2 * self.settings.tick_ns)
-        over = lambda: held.done or held.stream  # noqa: E731
+
+        def over() -> bool:
+            return held.done or held.stream
+
         self.agenda.add(last, lambda: None if over() else self._fail_or_refuse(held), over)
         if age > self.settings.tick_ns and self.now + self.fleet.expected(held) > held.aim and pressed:
             self._fail_or_refuse(held)
@@ -622,8 +625,11 @@
         self.turns.add(held.account.customer, held)
         # What needs no waiting is not shed: else a slow spell would lock large requests out for good.
         shed = max(self.now + 1, int(held.aim - self.fleet.tail * self.fleet.expected(held)))
-        refuse = lambda: self._refuse(held, 0.0) if held.waiting else None  # noqa: E731
-        self.agenda.add(shed, refuse, lambda: not held.waiting)
+
+        def gone() -> bool:
+            return not held.waiting
+
+        self.agenda.add(shed, lambda: None if gone() else self._refuse(held, 0.0), gone)
 
     def _pump(self) -> None:
         """Sends what waits while the bound has room."""
--- a/pepperrun/net/server_side.py
+++ b/pepperrun/net/server_side.py
@@ -136,10 +136,10 @@
         self.attempt = None
         if response.close() or len(self.buffer) or self.unsent:
             self.close()
+        elif self.transport is not None and not self.transport.is_closing():
+            self.side.free(self)  # first: what the answer brings about may use it
         outcome, units = self.side.judge(response)
         self.side.end(attempt, outcome, response, units)
-        if self.transport is not None and not self.transport.is_closing():
-            self.side.free(self)
 
     def eof_received(self) -> bool:
         if self.attempt is not None and (response := self.parser.end()) is not None:
@@ -266,8 +266,8 @@
         if pool is None or pool.address != address:
             if pool is not None:
                 self.close_idle(backend)
-                while pool.waiting:
-                    self.end(pool.waiting[0], Outcome.CONNECT_FAILED)
+                for attempt in pool.waiting:
+                    self.loop.call_soon(self.end, attempt, Outcome.CONNECT_FAILED)
             pool = self.pools[backend] = Pool(backend, address)
         return pool
 
@@ -332,14 +332,16 @@
 
     async def _connect(self, pool: Pool) -> None:
         self.opened += 1
+        failed = False
         try:
             async with asyncio.timeout(self.connect_s):
                 await self.loop.create_connection(lambda: Connection(self, pool), *pool.address)
         except OSError:  # refused, unreachable, or not up in time
-            if pool.waiting:
-                self.end(pool.waiting[0], Outcome.CONNECT_FAILED)
+            failed = True
         finally:
             pool.opening -= 1
+        if failed and pool.waiting:
+            self.end(pool.waiting[0], Outcome.CONNECT_FAILED)
 
     def _sweep(self) -> None:
         now = self.clock()
