--- a/pepperrun/__main__.py
+++ b/pepperrun/__main__.py
@@ -6,15 +6,19 @@
 import gc
 import os
 import resource
+import secrets
 import signal
 import sys
 from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from pepperrun.clock import SECOND
 
 from pepperrun.config import Address, AuthConfig, Config, Listing, read_auth, read_config
 from pepperrun.fronts.forward_auth import AuthService, ForwardAuth, auth_judge
 from pepperrun.fronts.platform import Platform
 from pepperrun.gatekeeper import Clock, Gatekeeper
-from pepperrun.interface import ListKind, Settings
+from pepperrun.interface import ListKind, RequestClass, Settings
 from pepperrun.log import say
 from pepperrun.net.directory import Directory
 from pepperrun.net.discovery import Discovery
@@ -22,7 +26,10 @@
 from pepperrun.net.peers import Peers, open_peers
 from pepperrun.net.server_side import Judge, ServerSide, platform_judge
 
-USAGE = "usage: python3 -m pepperrun [--forward-auth FILE]"
+if TYPE_CHECKING:
+    from pepperrun.metrics import MetricsConfig, Reporter, Sample
+
+USAGE = "usage: python3 -m pepperrun [--forward-auth FILE] [--metrics FILE]"
 RESERVED = 48  # descriptors that are not connections of clients or to backends: files, listeners, the loop's
 OVERTIME_S = 1.0  # after the longest deadline: the last requests come a while after SIGTERM
 
@@ -68,6 +75,9 @@
         self.servers.listed()
 
 
+Part = tuple[Core, Listener | None]
+
+
 def split_sockets(limit: int) -> tuple[int, int]:
     """Connections of clients and to backends, at most, within the limit on descriptors."""
     soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
@@ -76,7 +86,9 @@
     return (limit - RESERVED) * 2 // 5, (limit - RESERVED) * 3 // 5
 
 
-async def start_auth(config: AuthConfig, clock: Clock, seed: int) -> tuple[AuthService, Listener | None]:
+async def start_auth(
+    config: AuthConfig, clock: Clock, seed: int
+) -> tuple[Core, AuthService, Listener | None]:
     """The core before the authentication servers and, where configured, its front."""
     most_clients, most = config.sockets * 2 // 5, config.sockets * 3 // 5
     core = Core(
@@ -86,10 +98,9 @@
     await core.meet(config.peer_listen, config.peers)
     service = AuthService(config, core.gatekeeper, clock)
     if config.listen is None:
-        return service, None
-    return service, listen(
-        "forward authentication", config.listen, clock, most_clients, ForwardAuth(service).make
-    )
+        return core, service, None
+    make = ForwardAuth(service).make
+    return core, service, listen("forward authentication", config.listen, clock, most_clients, make)
 
 
 async def start_platform(
@@ -127,64 +138,93 @@
     return listener
 
 
-async def run(config: Config | None, auth_config: AuthConfig | None) -> None:
+def reporters(config: MetricsConfig, instance: str, parts: dict[str, Part]) -> list[Reporter]:
+    """Where the figures go."""
+    from pepperrun.metrics import collectd, graphite, process_samples, samples
+
+    def figures() -> list[Sample]:
+        some = process_samples()
+        for name, (core, listener) in parts.items():
+            some += samples(name, core.gatekeeper, core.servers, listener)
+        return some
+
+    out = []
+    if config.graphite is not None:
+        prefix = f"{config.prefix}.{instance}"
+        out.append(graphite.reporter(config.graphite, prefix, config.interval_s, figures))
+    if config.collectd is not None:
+        out.append(collectd.reporter(config.collectd, config.host, config.prefix, config.interval_s, figures))
+    return out
+
+
+async def run(config: Config | None, auth_config: AuthConfig | None, metrics: MetricsConfig | None) -> None:
     """Serves until SIGTERM or SIGINT, then drains."""
     loop = asyncio.get_running_loop()
     clock, stop = Clock(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    listeners: list[Listener] = []
-    auth = watch = None
-    longest_ns = 0
+    parts: dict[str, Part] = {}
+    tasks: list[asyncio.Task[None]] = []
+    auth = None
+    classes: list[RequestClass] = []
     if auth_config is not None:
-        auth, answering = await start_auth(auth_config, clock, int.from_bytes(os.urandom(8), "little"))
-        listeners += [answering] if answering is not None else []
-        longest_ns = max(kind.deadline_ns for kind in auth_config.settings.classes)
+        core, auth, answering = await start_auth(auth_config, clock, secrets.randbits(64))
+        parts["auth"] = core, answering
+        classes += auth_config.settings.classes
     if config is not None:
         sockets = config.sockets - (auth_config.sockets if auth_config is not None else 0)
-        core, listener = await start_platform(config, clock, sockets, auth)
-        listeners.append(listener)
-        watch = loop.create_task(Discovery(config.discovery, core.told).run())
-        longest_ns = max(longest_ns, *(kind.deadline_ns for kind in config.settings.classes))
+        parts["platform"] = core, _ = await start_platform(config, clock, sockets, auth)
+        classes += config.settings.classes
+        if config.discovery is not None:
+            tasks.append(loop.create_task(Discovery(config.discovery, core.told).run()))
+    if metrics is not None:
+        instance = config.name if config is not None else "auth"
+        tasks += [loop.create_task(reporter.run()) for reporter in reporters(metrics, instance, parts)]
     gc.collect()
     gc.freeze()
 
     await stop.wait()
+    listeners = [listener for _, listener in parts.values() if listener is not None]
     say("stop", f"drains {sum(len(listener.clients) for listener in listeners)} connections")
+    longest_s = max(kind.deadline_ns for kind in classes) / SECOND
     try:
-        async with asyncio.timeout(longest_ns / 1e9 + OVERTIME_S):
+        async with asyncio.timeout(longest_s + OVERTIME_S):
             await asyncio.gather(*(listener.drain() for listener in listeners))
             for listener in listeners:
                 while listener.clients:  # each closes once its request has its answer
                     await listener.changed()
     except TimeoutError:
         say("stop", "connections were still open at the end")
-    if watch is not None:
-        watch.cancel()
+    for task in tasks:
+        task.cancel()
 
 
-def read_arguments(arguments: list[str]) -> str | None:
-    """The forward authentication file, if one is given; ValueError on any other argument."""
-    match arguments:
-        case []:
-            return None
-        case ["--forward-auth", path]:
-            return path
-    raise ValueError(USAGE)
+def read_arguments(arguments: list[str]) -> dict[str, str]:
+    """The files given by options; ValueError on anything else."""
+    files = dict(zip(arguments[::2], arguments[1::2], strict=False))
+    if len(arguments) != 2 * len(files) or not files.keys() <= {"--forward-auth", "--metrics"}:
+        raise ValueError(USAGE)
+    return files
 
 
 def main(arguments: list[str]) -> int:
     """Reads the configuration and runs; the exit code."""
-    path = os.environ.get("NODE_CONFIG")
-    config = auth = None
+
+    def read(path: str) -> str:
+        with open(path, encoding="utf-8") as file:
+            return file.read()
+
+    config = auth = metrics = None
     try:
-        auth_path = read_arguments(arguments)
-        if auth_path is not None:
-            with open(auth_path, encoding="utf-8") as file:
-                auth = read_auth(file.read())
-        if path:
-            with open(path, encoding="utf-8") as file:
-                config = read_config(file.read(), os.environ)
+        files = read_arguments(arguments)
+        if "--forward-auth" in files:
+            auth = read_auth(read(files["--forward-auth"]))
+        if "--metrics" in files:
+            from pepperrun.metrics import read_metrics  # only where asked for: a start takes its time too
+
+            metrics = read_metrics(read(files["--metrics"]))
+        if path := os.environ.get("NODE_CONFIG"):
+            config = read_config(read(path), os.environ)
         elif auth is None:
             raise ValueError("NODE_CONFIG: not set")
         elif auth.listen is None:
@@ -193,7 +233,7 @@
         print(f"pepperrun: {error}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(run(config, auth))
+        asyncio.run(run(config, auth, metrics))
     except OSError as error:
         print(f"pepperrun: {error}", file=sys.stderr)
         return 1
--- a/pepperrun/config.py
+++ b/pepperrun/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import secrets
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -187,7 +188,7 @@
 
     name: str
     listen: Address
-    discovery: Address
+    discovery: Address | None
     seed: int
     sockets: int
     peer_listen: Address | None
@@ -208,6 +209,7 @@
     if not isinstance(table, dict):
         raise ValueError("NODE_CONFIG: not an object")
     params = get(table, "settings", dict, required=True)
+    watched = table.get("discovery") or env.get("NODE_DISCOVERY")  # else the known list stands
     limits = get(params, "Limits", dict, {})
     known = get(table, "known", dict, {"version": 0, "servers": []})
     peers = get(table, "peers", list, [])
@@ -223,8 +225,8 @@
     return Config(
         name=get(table, "name", str, env.get("NODE_NAME", "pepperrun")),
         listen=address(table, "listen", env.get("NODE_LISTEN")),
-        discovery=address(table, "discovery", env.get("NODE_DISCOVERY")),
-        seed=_seed(get(table, "seed", str, "0")),
+        discovery=address(table, "discovery", env.get("NODE_DISCOVERY")) if watched else None,
+        seed=_seed(get(table, "seed", str, "")),
         sockets=sockets,
         peer_listen=address(table, "peer_listen") if table.get("peer_listen") else None,
         peers=tuple(parse_address(peer, "peers") for peer in peers),
@@ -245,7 +247,7 @@
 
 def _seed(text: str) -> int:
     try:
-        return int(text, 16) % 2**64
+        return int(text, 16) % 2**64 if text else secrets.randbits(64)
     except ValueError:
         raise ValueError(f"seed: {text!r} is not a number in hex digits") from None
 
--- a/tests/test_forward_auth.py
+++ b/tests/test_forward_auth.py
@@ -62,7 +62,7 @@
 
 
 async def answering(server: StandIn, **changes: Any) -> tuple[Any, Any, Proxy]:
-    service, listener = await start_auth(read_auth(auth_file(server.port, **changes)), Clock(), 1)
+    _, service, listener = await start_auth(read_auth(auth_file(server.port, **changes)), Clock(), 1)
     return service, listener, await Proxy.to(listener.address[1])
 
 
@@ -136,7 +136,7 @@
 def test_an_attempt_that_fails_is_made_again_elsewhere_within_the_budget():
     async def test():
         bad, good = await StandIn(reset).start(), await StandIn(GRANT).start()
-        service, listener = await start_auth(read_auth(auth_file(bad.port, good.port)), Clock(), 1)
+        _, service, listener = await start_auth(read_auth(auth_file(bad.port, good.port)), Clock(), 1)
         proxies = [await Proxy.to(listener.address[1]) for _ in range(6)]
         for proxy in proxies:  # together: each server gets some
             proxy.verify()
@@ -184,7 +184,7 @@
 
 
 async def asking(auth: StandIn, worker: StandIn, **changes: Any) -> tuple[Any, Front]:
-    service, _ = await start_auth(read_auth(auth_file(auth.port, listen=None, **changes)), Clock(), 1)
+    _, service, _ = await start_auth(read_auth(auth_file(auth.port, listen=None, **changes)), Clock(), 1)
     front = Front(auth=service)
     front.list(line("w", worker.port))
     return service, front
