--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,134 @@
+"""Graphite's plaintext lines and collectd's PUTVAL, against stand-ins that listen for them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+from standins import HOST, Front, StandIn, going, line, ok
+
+from pepperrun.metrics import Sample, collectd, graphite, process_samples, read_metrics, samples
+
+SOME = [Sample("platform.requests.served", 12, True), Sample("platform.connections.clients", 2.5, False)]
+
+
+class Sink:
+    """Takes lines, and answers each with the next of `answers`."""
+
+    def __init__(self, *answers: bytes) -> None:
+        self.answers = list(answers)
+        self.lines: asyncio.Queue[str] = asyncio.Queue()
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        while text := await reader.readline():
+            self.lines.put_nowait(text.decode())
+            if self.answers:
+                writer.write(self.answers.pop(0))
+        writer.close()
+
+
+def test_graphite_gets_a_line_for_each_figure_and_again_after_a_lost_connection():
+    async def test():
+        sink = Sink()
+        server = await asyncio.start_server(sink.serve, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        reporter = graphite.reporter((HOST, port), "site.n0", 10.0, lambda: SOME)
+        reporter.now_s = lambda: 1700000000
+        await reporter.report()
+        assert await sink.lines.get() == "site.n0.platform.requests.served 12 1700000000\n"
+        assert await sink.lines.get() == "site.n0.platform.connections.clients 2.5 1700000000\n"
+        link = reporter.link
+        sink.writers[0].transport.abort()
+        while link.transport is not None:
+            await asyncio.sleep(0)
+        await reporter.report()
+        assert (await sink.lines.get()).startswith("site.n0.platform.requests.served 12 ")
+        reporter.link.transport.abort()
+        server.close()
+
+    going(test)
+
+
+def test_collectd_gets_putval_and_what_it_did_not_take_is_logged(tmp_path, capsys):
+    async def test():
+        sink = Sink(b"0 Success: 1 value has been dispatched.\n", b"-1 No such type.\n")
+        path = str(tmp_path / "collectd.sock")
+        server = await asyncio.start_unix_server(sink.serve, path)
+        reporter = collectd.reporter(path, "front.example", "pepperrun", 10.0, lambda: SOME)
+        reporter.now_s = lambda: 1700000000
+        heard: asyncio.Queue[str] = asyncio.Queue()
+        log = reporter.heard
+        reporter.heard = lambda text: (log(text), heard.put_nowait(text))
+        await reporter.report()
+        assert await sink.lines.get() == (
+            'PUTVAL "front.example/pepperrun-platform/derive-requests_served" interval=10 1700000000:12\n'
+        )
+        assert await sink.lines.get() == (
+            'PUTVAL "front.example/pepperrun-platform/gauge-connections_clients" interval=10 1700000000:2.5\n'
+        )
+        assert [await heard.get(), await heard.get()][1] == "-1 No such type."
+        reporter.link.transport.abort()
+        server.close()
+
+    going(test)
+    assert "No such type" in capsys.readouterr().err
+
+
+def test_a_sink_that_is_away_or_does_not_read_costs_figures_only(capsys):
+    async def test():
+        gone = await asyncio.start_server(lambda r, w: None, HOST, 0)
+        port = gone.sockets[0].getsockname()[1]
+        gone.close()
+        reporter = graphite.reporter((HOST, port), "p", 10.0, lambda: SOME)
+        await reporter.report()
+        assert reporter.link is None
+
+        async def deaf(reader, writer):
+            writer.transport.pause_reading()
+
+        server = await asyncio.start_server(deaf, HOST, port)
+        many = [Sample("x" * 1000, 1, False)] * 400
+        reporter = graphite.reporter((HOST, port), "p", 10.0, lambda: many)
+        for _ in range(40):
+            await reporter.report()
+        assert reporter.link.transport.get_write_buffer_size() < 1 << 20  # memory does not grow with it
+        reporter.link.transport.abort()
+        server.close()
+
+    going(test)
+    assert "graphite" in capsys.readouterr().err
+
+
+def test_the_figures_follow_what_happens():
+    async def test():
+        front, worker = Front(), await StandIn(ok()).start()
+        front.list(line("w", worker.port))
+        client = await front.client()
+        for _ in range(3):
+            client.ask()
+            await client.answer()
+        got = {s.name: s.value for s in samples("platform", front.gatekeeper, front.side, front.listener)}
+        assert got["platform.requests.served"] == got["platform.attempts.ok"] == 3
+        assert got["platform.connections.clients"] == got["platform.connections.backends"] == 1
+        assert got["platform.requests.out_of_time"] == got["platform.requests.held"] == 0
+        assert all(sample.value > 0 for sample in process_samples())
+
+    going(test)
+
+
+@pytest.mark.parametrize(
+    ("changes", "key"),
+    [
+        ({"graphite": "nowhere"}, "graphite"),
+        ({"graphite": None}, "graphite"),
+        ({"interval_s": 0}, "interval_s"),
+        ({"prefix": "a b"}, "prefix"),
+        ({"host": "a/b"}, "host"),
+    ],
+)
+def test_a_bad_file_names_its_key(changes, key):
+    with pytest.raises(ValueError, match=f"^{key}: "):
+        read_metrics(json.dumps({"graphite": f"{HOST}:2003"} | changes))
