--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# make build, test, lint, run
+
+PYTHON ?= python3
+VENV ?= .venv
+CONFIG ?= build/clinic/n0.json
+
+.PHONY: build test lint run clean
+
+build: $(VENV)/bin/pytest
+	$(PYTHON) -m compileall -q pepperrun
+
+$(VENV)/bin/pytest: requirements-dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip -q install -r requirements-dev.txt
+
+test: build
+	$(VENV)/bin/python -m pytest -q tests
+
+lint: build
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/mypy --strict pepperrun
+
+$(CONFIG): examples/clinic.toml
+	$(PYTHON) -m pepperrun.tool write examples/clinic.toml --out $(dir $(CONFIG))
+
+run: build $(CONFIG)
+	NODE_CONFIG=$(CONFIG) $(PYTHON) -m pepperrun
+
+clean:
+	rm -rf build
--- a/pepperrun/fronts/platform.py
+++ b/pepperrun/fronts/platform.py
@@ -56,13 +56,15 @@
         plan = self.plans.get(names.get(b"x-plan", b""))
         if plan is None:
             return "X-Plan: no such plan"
-        if b"x-call-id" not in names:
-            return "X-Call-Id: missing"
         if self.methods[cls] == b"POST" and b"idempotency-key" not in names:
             return "Idempotency-Key: missing"
-        budget = _BUDGET.match(names.get(b"x-budget", b""))
-        if budget is None:
-            return "X-Budget: a number and m or u are needed"
+        left_ns = deadline_ns = self.settings.classes[cls].deadline_ns
+        if b"x-budget" in names:
+            budget = _BUDGET.match(names[b"x-budget"])
+            if budget is None:
+                return "X-Budget: a number and m or u are needed"
+            # A time longer than the class ever waits would only hold the request longer.
+            left_ns = min(deadline_ns, int(budget[1]) * (1_000_000 if budget[2] == b"m" else 1_000))
         quota = {"units": 1.0, "spread": 1.0, "first": float(self.settings.me)}
         for part in filter(None, names.get(b"x-quota", b"").split(b",")):
             match = _QUOTA.match(part)
@@ -70,9 +72,6 @@
                 return "X-Quota: can't be read"
             quota[match[1].decode()] = float(match[2])
         gateways = self.settings.gateways
-        # A time longer than the class ever waits would only hold the request longer.
-        left_ns = int(budget[1]) * (1_000_000 if budget[2] == b"m" else 1_000)
-        left_ns = min(left_ns, self.settings.classes[cls].deadline_ns)
         return {
             "cls": cls,
             "plan": plan,
