--- a/.ci/answer.py
+++ b/.ci/answer.py
@@ -27,8 +27,8 @@
         ["/bin/sh", "-c", run], env=os.environ | {"NODE_CONFIG": file.name}, stderr=subprocess.PIPE, text=True
     )
     assert program.stderr is not None
-    line = program.stderr.readline()
     try:
+        line = next(line for line in program.stderr if "listens at" in line)
         port = int(line.rsplit(":", 1)[1])
         with urllib.request.urlopen(f"http://127.0.0.1:{port}/ready", timeout=10) as answer:
             print("the real program answers", answer.status, answer.read().decode().strip())
