A customer forgotten and met again no longer fills its peers' stores; counters may wrap

Checked by a probe of two gateways that share a customer: one drops the idle account (Quotas.refresh), meets the customer again with a count from 0, and Heard.take at the other reads 4 - 60 units as given back: its store went from 10 to 66 where the burst is 12. New accounts now count on from the largest dropped.

Read beside it: Inbox.accept compared counters that wrap (incarnations in milliseconds after 49 days), the sequence would have failed to pack after 2^32 messages, and totals stopped at 134 million units. All three compare modulo 2^32 now; incarnations count tenths of a second.

--- a/pepperrun/gateway.py
+++ b/pepperrun/gateway.py
@@ -102,7 +102,8 @@
         self.near_told, self.closed_until = False, now  # what a keeper last told of it
         self.asked = Decayed(SECOND, now)  # asks, where this gateway is keeper
         self.granted: dict[tuple[int, int], int] = {}  # as keeper: peer and request, when granted
-        self.total = self.untold = 0.0
+        # Not from 0: peers remember the count of an account that was dropped, and a lower one gives back.
+        self.total, self.untold = quotas.counted, 0.0
         self.out, self.seen, self.period = 0, now, quotas.period
         self.told_at = self.asked_at = quotas.start - HEARD_FOR
         self.told = gossip.Heard()
@@ -155,6 +156,7 @@
         self.accounts: dict[int, Account] = {}
         self.dirty: dict[int, None] = {}
         self.start = self.beat = 0
+        self.counted = 0.0  # no account dropped so far had counted more
         intake = max(settings.peer_intake, 0.1) * INTAKE_USED
         self.period = max(2 * settings.tick_ns, int(max(1, settings.gateways - 1) / intake * SECOND))
         self.direct = self.period <= DIRECT_WITHIN or not settings.peer_messages
@@ -294,6 +296,7 @@
             buckets = [account.whole, account.slice] + [account.ceiling] * (account.plan.ceiling_rate > 0)
             full = all(bucket.fill(now) >= bucket.depth for bucket in buckets)
             if full and not account.out and now - account.seen > HEARD_FOR:
+                self.counted = max(self.counted, account.total)
                 del self.accounts[account.customer]
 
 
@@ -483,7 +486,7 @@
 
     def start(self) -> None:
         self.quotas.start = self.now
-        self.quotas.outbox.incarnation = self.now // 1_000_000 % (2**32 - 1) + 1  # grows, never 0
+        self.quotas.outbox.incarnation = self.now // gossip.TENTH % (2**32 - 1) + 1  # grows, never 0
         if self.settings.must_ask_for_list:
             self.actions.append(Watch())
         if self.quotas.direct and self.settings.peer_messages and self.settings.gateways > 1:
--- a/pepperrun/gossip.py
+++ b/pepperrun/gossip.py
@@ -32,6 +32,7 @@
 _MARK = struct.Struct("<IBBB")
 MAX_MARKS = 4
 AGE_NS = 50_000_000
+TENTH = 100_000_000  # incarnations count these: they wrap after 13 years, and one start takes longer
 MAX_ENTRIES = (MAX_BYTES - _HEADER.size - MAX_MARKS * _MARK.size) // _ENTRY.size
 
 
@@ -111,6 +112,16 @@
     return min(65535, max(0, int(amount * STEP))) / STEP
 
 
+def _wrapped(total: float) -> int:
+    """A total as it fits; what counts is how far it is from the one before."""
+    return (round(total * STEP) + 2**31) % 2**32 - 2**31
+
+
+def _since(now: int, before: int) -> int:
+    """How far a count that wraps at 32 bits has come; below 0 where `now` is the older one."""
+    return (now - before + 2**31) % 2**32 - 2**31
+
+
 def _signed(amount: float) -> int:
     return max(-(2**31), min(2**31 - 1, round(amount * STEP)))
 
@@ -126,7 +137,7 @@
     for entry in entries:
         amounts = [int(to_wire(amount) * STEP) for amount in (entry.debt, entry.ceiling, entry.handed)]
         out = min(255, max(0, entry.out))
-        parts.append(_ENTRY.pack(entry.customer, _signed(entry.total), *amounts, out))
+        parts.append(_ENTRY.pack(entry.customer, _wrapped(entry.total), *amounts, out))
     for ask in message.asks:
         units, owed = int(to_wire(ask.units) * STEP), _signed(ask.owed)
         parts.append(_ASK.pack(ask.customer, ask.request, units, owed, ask.plan, ask.first, ask.spread))
@@ -200,7 +211,8 @@
         told = self.told.get(peer)
         used = entry.debt
         if told is not None and told.incarnation == incarnation:
-            used = min(entry.debt, entry.total - told.entry.total)
+            more = _since(round(entry.total * STEP), round(told.entry.total * STEP)) / STEP
+            used = min(entry.debt, more)
         grew_at = now if used > 0 else told.grew_at if told else -(2**62)
         self.told[peer] = Told(incarnation, entry, now, grew_at)
         return used
@@ -241,8 +253,13 @@
     def accept(self, peer: int, data: bytes, now: int) -> Message | None:
         """The message in these bytes, if it is to be taken in."""
         message = unpack(data)
-        if message is None or (message.incarnation, message.sequence) <= self.peers.get(peer, (0, 0))[:2]:
+        if message is None:
             return None
+        if peer in self.peers:
+            incarnation, sequence, _ = self.peers[peer]
+            newer = _since(message.incarnation, incarnation)
+            if newer < 0 or newer == 0 and _since(message.sequence, sequence) <= 0:
+                return None
         self.peers[peer] = (message.incarnation, message.sequence, now)
         return message
 
@@ -272,6 +289,6 @@
         out = self.closed + list(self.open.items())
         self.closed, self.open = [], {}
         for _, message in out:
-            self.sequence += 1
+            self.sequence = (self.sequence + 1) % 2**32
             message.sequence = self.sequence
         return out
--- /dev/null
+++ b/tests/test_long_running.py
@@ -0,0 +1,86 @@
+"""What goes wrong only after minutes, weeks or years of running."""
+
+from __future__ import annotations
+
+from helpers import MS, RATE, SECOND, START, make_settings
+
+from pepperrun import gossip
+from pepperrun.gateway import Gateway
+from pepperrun.interface import (
+    AttemptEnded,
+    Backend,
+    BackendList,
+    Event,
+    ListKind,
+    Outcome,
+    PeerMessage,
+    Request,
+    Send,
+    TellPeer,
+    TimerFired,
+)
+
+
+def test_a_customer_forgotten_and_met_again_gives_its_peers_no_units():
+    # A gatekeeper drops an idle customer's account. When it meets the customer again its count must not start
+    # from 0: a peer took the difference for units given back, and its store held five times the burst.
+    gateways = [Gateway(make_settings(me=me, gateways=2), me) for me in (0, 1)]
+    inbox: list[list[Event]] = [[], []]
+    for gateway in gateways:
+        gateway.handle(START, [BackendList(ListKind.CACHED, (Backend(0, 0), Backend(1, 0)))])
+    forgotten = False
+    for ms in range(0, 20_000, 20):
+        busy = (ms < 6000 and ms % 400 == 200, ms % 2000 == 0)
+        for me, gateway in enumerate(gateways):
+            events, inbox[me] = [*inbox[me], TimerFired(0)], []
+            if busy[me] or me == 0 and ms == 16_200:
+                events.append(Request(2 * ms + me, 7, RATE, 0, 3 * SECOND, 4.0, 2, 0))
+            for action in gateway.handle(START + ms * MS, events):
+                if isinstance(action, TellPeer):
+                    inbox[action.peer].append(PeerMessage(me, action.data))
+                elif isinstance(action, Send):
+                    ended = AttemptEnded(action.request, 0, action.backend, Outcome.OK, 10 * MS, True)
+                    inbox[me].append(ended)
+        forgotten = forgotten or ms > 7000 and 7 not in gateways[0].quotas.accounts
+        account = gateways[1].quotas.accounts[7]
+        assert account.whole.level <= account.plan.burst
+    assert forgotten and 7 in gateways[0].quotas.accounts
+
+
+def test_messages_are_taken_in_order_when_their_counters_wrap():
+    # A tuple comparison dropped all messages of a gatekeeper that started after its counter had wrapped.
+    def message(incarnation: int, sequence: int) -> bytes:
+        return gossip.pack(gossip.Message(incarnation, sequence, 0))
+
+    inbox, last = gossip.Inbox(), 2**32 - 1
+    for incarnation, sequence, taken in (
+        (last, last - 1, True),
+        (last, last, True),
+        (last, 0, True),
+        (last, last, False),
+        (3, 1, True),
+        (last, 5, False),
+        (3, 1, False),
+        (3, 2, True),
+    ):
+        assert (inbox.accept(1, message(incarnation, sequence), 0) is not None) == taken
+    outbox = gossip.Outbox()
+    outbox.sequence = last
+    outbox.to(1)
+    ((_, first),) = outbox.empty()
+    assert first.sequence == 0 and gossip.unpack(gossip.pack(first)) is not None
+
+
+def test_a_customers_count_goes_on_past_what_fits():
+    heard, top = gossip.Heard(), 2.0**31 / gossip.STEP
+
+    def told(total: float) -> float:
+        entry = gossip.Entry(7, total, 50.0, 0.0, 0.0, 0)
+        sent = gossip.unpack(gossip.pack(gossip.Message(1, 1, 0, entries=[entry])))
+        assert sent is not None
+        return heard.take(1, 1, sent.entries[0], 0)
+
+    told(top - 2)
+    assert told(top - 1) == 1
+    assert told(top + 3) == 4
+    assert told(top + 2) == -1  # settled: given back
