Stores hold the burst at most; a silent backend is asked on a new connection

ServerSide took kept connections to a backend that had said nothing for long: when a machine is cut off, they stay silent even once it is back, and an attempt on one is lost until the client's deadline. After 1 s without a byte since the first unanswered request idle connections close and the next attempt connects anew.

--- a/pepperrun/__main__.py
+++ b/pepperrun/__main__.py
@@ -30,7 +30,7 @@
     from pepperrun.metrics import MetricsConfig, Reporter, Sample
 
 USAGE = "usage: python3 -m pepperrun [--forward-auth FILE] [--metrics FILE]"
-RESERVED = 48  # descriptors that are not connections of clients or to backends: files, listeners, the loop's
+RESERVED = 24  # descriptors that are not connections of clients or to backends: files, listeners, the loop's
 OVERTIME_S = 1.0  # after the longest deadline: the last requests come a while after SIGTERM
 
 
--- a/pepperrun/gateway.py
+++ b/pepperrun/gateway.py
@@ -142,8 +142,8 @@
         return self.plan.ceiling_rate <= 0 or self.ceiling.fill(now) >= units
 
     def charge(self, units: float, now: int) -> None:
-        self.whole.level = self.whole.fill(now) - units
-        self.slice.level = self.slice.fill(now) - units
+        for bucket in (self.whole, self.slice):  # what is given back does not fill it beyond its depth
+            bucket.level = min(bucket.depth, bucket.fill(now) - units)
         self.total += units
         self.untold += units
 
@@ -241,7 +241,8 @@
                 continue
             used = account.told.take(peer, message.incarnation, entry, now)
             account.whole.fill(now)
-            account.whole.level = max(account.whole.level - used, min(0.0, account.whole.level))
+            left = max(account.whole.level - used, min(0.0, account.whole.level))
+            account.whole.level = min(account.whole.depth, left)
             ceiling = account.ceiling
             if message.receiver == self.outbox.incarnation and ceiling.fill(now) < ceiling.depth:
                 ceiling.level = min(ceiling.depth, ceiling.level + entry.handed)
--- a/pepperrun/net/server_side.py
+++ b/pepperrun/net/server_side.py
@@ -20,6 +20,7 @@
 from pepperrun.net.directory import Directory
 from pepperrun.net.http1 import ROOM, HttpError, Request, Response, ResponseParser, write_fields
 
+SILENT_NS = SECOND  # a backend that has been asked and said nothing for so long may have been cut off
 IDLE_PART = 0.8  # of the time after which the other side closes an idle connection: closed here before
 SWEEP_S = 1.0
 
@@ -70,13 +71,14 @@
 class Pool:
     """The connections to one backend at one address, and the attempts that wait for one."""
 
-    __slots__ = ("address", "backend", "idle", "opening", "waiting")
+    __slots__ = ("address", "asked_at", "backend", "idle", "opening", "waiting")
 
     def __init__(self, backend: int, address: Address) -> None:
         self.backend, self.address = backend, address
         self.idle: list[Connection] = []
         self.waiting: deque[Attempt] = deque()
         self.opening = 0
+        self.asked_at = 0  # when the first request went out that nothing has been heard since; 0: none
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -96,12 +98,14 @@
         self.transport = transport
         transport.set_write_buffer_limits(high=0)  # told at once whether all is written
         self.side.connections.add(self)
+        self.pool.asked_at = 0
         self.side.free(self)
 
     def start(self, attempt: Attempt, now: int) -> None:
         """Writes the attempt's request."""
         assert self.transport is not None
         self.attempt, attempt.connection = attempt, self
+        self.pool.asked_at = self.pool.asked_at or now
         self.transport.write(write_request(attempt.exchange.asked, attempt.deadline - now))
         if self.transport.is_closing():
             self.unsent = True  # the write itself failed: nothing has gone out
@@ -117,6 +121,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         self.buffer.filled(nbytes, 0)
+        self.pool.asked_at = 0
         attempt = self.attempt
         if attempt is None:  # nothing was asked
             self.close()
@@ -196,6 +201,10 @@
             self.loop.call_soon(self.end, attempt, Outcome.CONNECT_FAILED)
             return
         attempt.timer = self.loop.call_later(timeout_ns / SECOND, self._late, attempt)
+        if pool.asked_at and now - pool.asked_at > SILENT_NS:
+            # A machine that is cut off says nothing, and once it is back its old connections may stay silent:
+            # a new connection tells within its time-out, a kept one only at the client's deadline.
+            self.close_idle(backend)
         while pool.idle:
             connection = pool.idle.pop()
             if self._fit(connection, now):
--- a/tests/test_long_running.py
+++ b/tests/test_long_running.py
@@ -5,7 +5,7 @@
 from helpers import MS, RATE, SECOND, START, make_settings
 
 from pepperrun import gossip
-from pepperrun.gateway import Gateway
+from pepperrun.gateway import Account, Gateway, Quotas
 from pepperrun.interface import (
     AttemptEnded,
     Backend,
@@ -84,3 +84,13 @@
     assert told(top - 1) == 1
     assert told(top + 3) == 4
     assert told(top + 2) == -1  # settled: given back
+
+
+def test_units_given_back_do_not_fill_a_store_beyond_its_burst():
+    # The true store holds the burst at most; what was settled below its guess came on top of a full one.
+    quotas = Quotas(make_settings(gateways=2))
+    account = Account(Request(1, 7, RATE, 0, SECOND, 4.0, 2, 0), START, quotas)
+    account.whole.at = START
+    account.charge(1.0, START)
+    account.charge(-3.0, START)
+    assert account.whole.level == account.plan.burst and account.slice.level == account.slice.depth
--- a/tests/test_server_side.py
+++ b/tests/test_server_side.py
@@ -222,3 +222,26 @@
         server.close()
 
     going(test)
+
+
+def test_a_silent_backend_is_asked_on_a_new_connection():
+    # A machine that is cut off says nothing, on any of its connections; they may stay silent once it is back.
+    async def test():
+        backends, worker = Backends(), await StandIn(ok(), wait_then(ok()), stall, ok()).start()
+        backends.list(line("w", worker.port))
+        for _ in range(2):
+            backends.send()
+            if worker.connections < 2:
+                await worker.arrived.get()
+        assert await backends.outcome() is Outcome.OK  # two connections, one of them idle by now
+        shift, real = 0, backends.clock
+        backends.side.clock = lambda: real() + shift
+        backends.send()
+        await worker.arrived.get()
+        shift = 2 * SECOND
+        before = worker.connections
+        backends.send()
+        assert await backends.outcome() is Outcome.OK
+        assert worker.connections == before + 1
+
+    going(test)
