--- a/tests/test_server_side.py
+++ b/tests/test_server_side.py
@@ -227,21 +227,21 @@
 def test_a_silent_backend_is_asked_on_a_new_connection():
     # A machine that is cut off says nothing, on any of its connections; they may stay silent once it is back.
     async def test():
-        backends, worker = Backends(), await StandIn(ok(), wait_then(ok()), stall, ok()).start()
+        held = wait_then(ok())
+        backends, worker = Backends(), await StandIn(held, held, stall, ok()).start()
         backends.list(line("w", worker.port))
         for _ in range(2):
             backends.send()
-            if worker.connections < 2:
-                await worker.arrived.get()
-        assert await backends.outcome() is Outcome.OK  # two connections, one of them idle by now
+            await worker.arrived.get()
+        worker.go.set()
+        assert [await backends.outcome() for _ in range(2)] == [Outcome.OK] * 2  # both are idle now
         shift, real = 0, backends.clock
         backends.side.clock = lambda: real() + shift
         backends.send()
         await worker.arrived.get()
         shift = 2 * SECOND
-        before = worker.connections
         backends.send()
         assert await backends.outcome() is Outcome.OK
-        assert worker.connections == before + 1
+        assert worker.connections == 3
 
     going(test)
