Own files refuse unknown keys; logs name backends; forward-auth quotas over gatekeepers tested

A misspelt identity_headers would have let client-sent identities through without a word: read_auth and read_metrics now name any key that nothing reads. Log lines of the gateway bear the backend's name.

--- a/pepperrun/__main__.py
+++ b/pepperrun/__main__.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import os
+import re
 import resource
 import secrets
 import signal
@@ -51,7 +52,7 @@
         loop = asyncio.get_running_loop()
         self.peers: Peers | None = None
         self.settings = settings
-        self.gatekeeper = Gatekeeper(settings, seed, clock, loop, self._tell)
+        self.gatekeeper = Gatekeeper(settings, seed, clock, loop, self._tell, log=self._log)
         self.directory = Directory(zones, clock.of_unix_ms)
         ended = self.gatekeeper.ended
         self.servers = ServerSide(
@@ -59,6 +60,15 @@
         )
         self.gatekeeper.backends = self.servers
 
+    def _log(self, text: str) -> None:
+        """A line of the gateway, with the backend's name in place of its number."""
+        names = self.directory.names
+
+        def name(match: re.Match[str]) -> str:
+            return f"backend {names.get(int(match[1]), match[1])}"
+
+        say("gateway", re.sub(r"backend (\d+)", name, text))
+
     def _tell(self, peer: int, data: bytes) -> None:
         if self.peers is not None:
             self.peers.tell(peer, data)
--- a/pepperrun/config.py
+++ b/pepperrun/config.py
@@ -282,6 +282,20 @@
 
 
 _MS = 1_000_000
+_AUTH_KEYS = {
+    "": "listen servers path host identity_headers customer_header asking_classes classes plans max_attempts"
+    " second_copies max_retry_after_ms keepalive_ms connect_timeout_ms sockets me peers peer_listen",
+    "servers": "name address",
+    "classes": "name prefix wanted_ms deadline_ms",
+    "plans": "name customers rate burst open",
+}
+
+
+def known_keys(table: Mapping[str, Any], allowed: str, where: str = "") -> None:
+    """In a file of our own a key that nothing reads is a slip, and may leave a door open."""
+    for key in table:
+        if key not in allowed.split():
+            raise ValueError(f"{where}{key}: no such key")
 
 
 def read_auth(text: str) -> AuthConfig:
@@ -292,6 +306,7 @@
         raise ValueError(f"forward-auth: not JSON: {error}") from None
     if not isinstance(table, dict):
         raise ValueError("forward-auth: not an object")
+    known_keys(table, _AUTH_KEYS[""])
     servers = _objects(table, "servers")
     plans, classes = _objects(table, "plans"), _objects(table, "classes")
     peers = tuple(parse_address(str(peer), "peers") for peer in get(table, "peers", list, []))
@@ -378,6 +393,8 @@
     items: list[dict[str, Any]] = get(table, key, list, required=True)
     if not items or not all(isinstance(item, dict) for item in items):
         raise ValueError(f"{key}: at least one object is needed")
+    for item in items:
+        known_keys(item, _AUTH_KEYS[key], f"{key}.")
     return items
 
 
--- a/pepperrun/gatekeeper.py
+++ b/pepperrun/gatekeeper.py
@@ -83,11 +83,12 @@
         loop: asyncio.AbstractEventLoop,
         tell: Callable[[int, bytes], None] = lambda peer, data: None,
         watch: Callable[[bool], None] = lambda on: None,
+        log: Callable[[str], None] = lambda text: say("gateway", text),
     ) -> None:
         self.settings, self.clock, self.loop = settings, clock, loop
         self.gateway = Gateway(settings, seed)
         self.backends: Backends | None = None
-        self.tell, self.watch = tell, watch
+        self.tell, self.watch, self.log = tell, watch, log
         self.exchanges: dict[int, AnyExchange] = {}
         self._next = seed % 2**32
         self._events: list[Event | AnyExchange] = []
@@ -242,7 +243,7 @@
                 if self.backends:
                     self.backends.close_idle(action.backend)
             case Log():
-                say("gateway", action.text)
+                self.log(action.text)
             case Watch():
                 self.watch(action.on)
             case FetchList():
--- a/pepperrun/metrics/__init__.py
+++ b/pepperrun/metrics/__init__.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from pepperrun.config import Address, address, get
+from pepperrun.config import Address, address, get, known_keys
 from pepperrun.gatekeeper import Gatekeeper
 from pepperrun.log import say
 from pepperrun.net.buffer import Buffer
@@ -80,6 +80,7 @@
         raise ValueError(f"metrics: not JSON: {error}") from None
     if not isinstance(table, dict):
         raise ValueError("metrics: not an object")
+    known_keys(table, "graphite collectd interval_s prefix host")
     graphite = address(table, "graphite") if table.get("graphite") else None
     collectd = get(table, "collectd", str)
     if graphite is None and not collectd:
--- a/tests/test_forward_auth.py
+++ b/tests/test_forward_auth.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 from collections import Counter
 from typing import Any
 
@@ -183,6 +184,31 @@
     going(test)
 
 
+def test_a_quota_holds_over_two_gatekeepers_that_tell_each_other():
+    async def test():
+        server = await StandIn(GRANT).start()
+        plans = [{"name": "desk", "rate": 0.1, "burst": 6}]
+        sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(2)]
+        for one in sockets:
+            one.bind((HOST, 0))
+        peers = [f"{HOST}:{one.getsockname()[1]}" for one in sockets]
+        proxies = []
+        for me, one in enumerate(sockets):
+            one.close()
+            changes = {"me": me, "peers": peers, "peer_listen": peers[me], "plans": plans}
+            text = auth_file(server.port, **changes)
+            _, _, listener = await start_auth(read_auth(text), Clock(), me)
+            proxies.append(await Proxy.to(listener.address[1]))
+        granted = 0
+        for _ in range(12):
+            for proxy in proxies:
+                proxy.verify()
+                granted += (await proxy.answer())[0] == 200
+        assert 4 <= granted <= 7 and len(server.heads) == granted
+
+    going(test)
+
+
 async def asking(auth: StandIn, worker: StandIn, **changes: Any) -> tuple[Any, Front]:
     _, service, _ = await start_auth(read_auth(auth_file(auth.port, listen=None, **changes)), Clock(), 1)
     front = Front(auth=service)
@@ -325,6 +351,9 @@
         ({"identity_headers": ["a b"]}, "identity_headers"),
         ({"classes": [{"name": "c", "wanted_ms": 0, "deadline_ms": 5}]}, "wanted_ms"),
         ({"plans": [{"name": "p", "customers": []}]}, "plans"),
+        ({"identity_header": ["X-Auth-User"]}, "identity_header"),  # a slip that would trust a client's claim
+        ({"classes": [{"name": "c", "wanted_ms": 1, "deadline_ms": 5, "path": "/"}]}, "classes.path"),
+        ({"me": 2, "peers": [f"{HOST}:1", f"{HOST}:2"]}, "me"),
     ],
 )
 def test_a_bad_file_names_its_key(changes, key):
