One action that fails no longer takes those behind it along

Read, not seen in a run: Gatekeeper._turn carried a turn's actions out in one loop, so an exception in one (a message, a connection) would have left the answers behind it and the timer undone.

--- a/pepperrun/gatekeeper.py
+++ b/pepperrun/gatekeeper.py
@@ -185,7 +185,10 @@
             self._arm(now + self.settings.tick_ns)  # its own timer may have been lost with the turn
             return
         for action in actions:
-            self._carry_out(action, now)
+            try:
+                self._carry_out(action, now)
+            except Exception as error:  # nor must one action take those behind it along
+                say("action", f"{type(action).__name__} failed: {type(error).__name__}: {error}")
 
     @staticmethod
     def _request(exchange: AnyExchange, now: int) -> Request:
--- a/tests/test_gatekeeper.py
+++ b/tests/test_gatekeeper.py
@@ -25,6 +25,7 @@
     Request,
     Send,
     SetTimer,
+    TellPeer,
     TimerFired,
 )
 
@@ -221,3 +222,19 @@
         driven.decisions.say = lambda event: [Fail(event.id)] if isinstance(event, Request) else []
         driven.loop.run(10 * MS)
         assert driven.ask(left_ns).end is end
+
+
+def test_an_action_that_fails_does_not_take_the_others_along(capsys):
+    # One exception on the way out would otherwise leave the answers behind it, and the timer, undone.
+    driven = Driven()
+
+    def broken(peer: int, data: bytes) -> None:
+        raise OSError("no buffers")
+
+    driven.keeper.tell = broken
+    driven.decisions.say = (
+        lambda event: [TellPeer(0, b""), Refuse(event.id)] if isinstance(event, Request) else []
+    )
+    driven.loop.run(10 * MS)
+    assert driven.ask().end is End.REFUSED
+    assert "no buffers" in capsys.readouterr().err
