--- a/pepperrun/gatekeeper.py
+++ b/pepperrun/gatekeeper.py
@@ -188,7 +188,7 @@
             try:
                 self._carry_out(action, now)
             except Exception as error:  # nor must one action take those behind it along
-                say("action", f"{type(action).__name__} failed: {type(error).__name__}: {error}")
+                say(type(action).__name__, f"{type(action).__name__} failed: {type(error).__name__}: {error}")
 
     @staticmethod
     def _request(exchange: AnyExchange, now: int) -> Request:
