--- a/pepperrun/__main__.py
+++ b/pepperrun/__main__.py
@@ -10,7 +10,8 @@
 import secrets
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from dataclasses import fields, replace
 from typing import TYPE_CHECKING
 
 from pepperrun.clock import SECOND
@@ -167,8 +168,70 @@
     return out
 
 
-async def run(config: Config | None, auth_config: AuthConfig | None, metrics: MetricsConfig | None) -> None:
+class Watch:
+    """The watch on discovery, which a new configuration may move to another address."""
+
+    def __init__(self) -> None:
+        self.address: Address | None = None
+        self.task: asyncio.Task[None] | None = None
+
+    def move(self, address: Address | None, told: Callable[[Listing], None]) -> None:
+        """Watches there from now on. The last list stands until the new place has told one."""
+        if address == self.address:
+            return
+        self.stop()
+        self.address = address
+        if address is not None:
+            self.task = asyncio.get_running_loop().create_task(Discovery(address, told).run())
+
+    def stop(self) -> None:
+        """Watches no more."""
+        if self.task is not None:
+            self.task.cancel()
+        self.address = self.task = None
+
+
+def reloaded(
+    files: Files,
+    config: Config | None,
+    auth_config: AuthConfig | None,
+    parts: dict[str, Part],
+    watch: Watch,
+) -> tuple[Config | None, AuthConfig | None]:
+    """Reads the files anew and gives what is in force: where discovery is and whom to ask change at once.
+
+    A file that is no good changes nothing, nor does one for which another file is no good. What is in flight
+    is never touched.
+    """
+    try:
+        new, new_auth, _ = files.read(metrics=False)
+    except (OSError, ValueError) as error:
+        say("bad reload", f"the new configuration is no good, the old one stays in force: {error}")
+        return config, auth_config
+    later: list[str] = []
+    if config is not None and new is not None:
+        later += changed(config, new, "seed", "known", "discovery")
+        config = replace(config, discovery=new.discovery)
+        watch.move(new.discovery, parts["platform"][0].told)
+    if auth_config is not None and new_auth is not None:
+        later += [f"forward-auth {key}" for key in changed(auth_config, new_auth, "servers")]
+        if new_auth.servers != auth_config.servers:
+            parts["auth"][0].told(new_auth.servers, ListKind.FULL)
+        auth_config = replace(auth_config, servers=new_auth.servers)
+    rest = f"; at the next start: {', '.join(later)}" if later else ""
+    say("reload", f"took in the new configuration{rest}")
+    return config, auth_config
+
+
+def changed(old: Config | AuthConfig, new: Config | AuthConfig, *but: str) -> list[str]:
+    """The keys in which two configurations differ."""
+    names = [field.name for field in fields(old) if field.name not in but]
+    return [name for name in names if getattr(old, name) != getattr(new, name)]
+
+
+async def run(files: Files) -> None:
     """Serves until SIGTERM or SIGINT, then drains."""
+    config, auth_config, metrics = files.first
     loop = asyncio.get_running_loop()
     clock, stop = Clock(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -177,6 +240,7 @@
     tasks: list[asyncio.Task[None]] = []
     auth = None
     classes: list[RequestClass] = []
+    watch = Watch()
     if auth_config is not None:
         core, auth, answering = await start_auth(auth_config, clock, secrets.randbits(64))
         parts["auth"] = core, answering
@@ -185,11 +249,17 @@
         sockets = config.sockets - (auth_config.sockets if auth_config is not None else 0)
         parts["platform"] = core, _ = await start_platform(config, clock, sockets, auth)
         classes += config.settings.classes
-        if config.discovery is not None:
-            tasks.append(loop.create_task(Discovery(config.discovery, core.told).run()))
+        watch.move(config.discovery, core.told)
     if metrics is not None:
         instance = config.name if config is not None else "auth"
         tasks += [loop.create_task(reporter.run()) for reporter in reporters(metrics, instance, parts)]
+
+    def reload() -> None:
+        nonlocal config, auth_config
+        if not stop.is_set():  # a drain goes on with what it has
+            config, auth_config = reloaded(files, config, auth_config, parts, watch)
+
+    loop.add_signal_handler(signal.SIGHUP, reload)
     gc.collect()
     gc.freeze()
 
@@ -205,45 +275,53 @@
                     await listener.changed()
     except TimeoutError:
         say("stop", "connections were still open at the end")
+    watch.stop()
     for task in tasks:
         task.cancel()
 
 
-def read_arguments(arguments: list[str]) -> dict[str, str]:
-    """The files given by options; ValueError on anything else."""
-    files = dict(zip(arguments[::2], arguments[1::2], strict=False))
-    if len(arguments) != 2 * len(files) or not files.keys() <= {"--forward-auth", "--metrics"}:
-        raise ValueError(USAGE)
-    return files
+class Files:
+    """Where the configuration is, and what it said at the start; ValueError on bad arguments or files."""
 
+    def __init__(self, arguments: list[str], env: Mapping[str, str]) -> None:
+        options = dict(zip(arguments[::2], arguments[1::2], strict=False))
+        if len(arguments) != 2 * len(options) or not options.keys() <= {"--forward-auth", "--metrics"}:
+            raise ValueError(USAGE)
+        self.env, self.config = env, env.get("NODE_CONFIG")
+        self.auth, self.metrics = options.get("--forward-auth"), options.get("--metrics")
+        self.first = self.read()
 
-def main(arguments: list[str]) -> int:
-    """Reads the configuration and runs; the exit code."""
+    def read(self, metrics: bool = True) -> tuple[Config | None, AuthConfig | None, MetricsConfig | None]:
+        """The files as they are now."""
 
-    def read(path: str) -> str:
-        with open(path, encoding="utf-8") as file:
-            return file.read()
+        def text(path: str) -> str:
+            with open(path, encoding="utf-8") as file:
+                return file.read()
 
-    config = auth = metrics = None
-    try:
-        files = read_arguments(arguments)
-        if "--forward-auth" in files:
-            auth = read_auth(read(files["--forward-auth"]))
-        if "--metrics" in files:
+        auth = read_auth(text(self.auth)) if self.auth else None
+        figures = None
+        if self.metrics and metrics:
             from pepperrun.metrics import read_metrics  # only where asked for: a start takes its time too
 
-            metrics = read_metrics(read(files["--metrics"]))
-        if path := os.environ.get("NODE_CONFIG"):
-            config = read_config(read(path), os.environ)
-        elif auth is None:
+            figures = read_metrics(text(self.metrics))
+        config = read_config(text(self.config), self.env) if self.config else None
+        if config is None and auth is None:
             raise ValueError("NODE_CONFIG: not set")
-        elif auth.listen is None:
+        if config is None and auth is not None and auth.listen is None:
             raise ValueError("listen: missing, and NODE_CONFIG is not set")
+        return config, auth, figures
+
+
+def main(arguments: list[str]) -> int:
+    """Reads the configuration and runs; the exit code."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes too early must not end the program
+    try:
+        files = Files(arguments, os.environ)
     except (OSError, ValueError) as error:
         print(f"pepperrun: {error}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(run(config, auth, metrics))
+        asyncio.run(run(files))
     except OSError as error:
         print(f"pepperrun: {error}", file=sys.stderr)
         return 1
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 import pytest
-from standins import HOST, Client, StandIn, going, line, ok, wait_then
+from standins import HOST, Client, StandIn, going, line, ok, stall, wait_then
 
 from pepperrun.config import read_auth, read_config
 
@@ -50,6 +50,12 @@
     } | changes
 
 
+async def line_with(process: asyncio.subprocess.Process, text: str) -> str:
+    while text not in (got := (await process.stderr.readline()).decode()):
+        assert got, "the program has ended"
+    return got
+
+
 async def start(path: Path, **changes: object) -> tuple[asyncio.subprocess.Process, int]:
     """The program by the deploy file's `run`, and the port on which it is ready."""
     run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"].replace("python3", sys.executable)
@@ -57,9 +63,7 @@
     process = await asyncio.create_subprocess_exec(
         *("/bin/sh", "-c", run), cwd=ROOT, env=os.environ | {"NODE_CONFIG": str(path)}, stderr=subprocess.PIPE
     )
-    first = (await process.stderr.readline()).decode()
-    assert "listens at" in first, first
-    return process, int(first.rsplit(":", 1)[1])
+    return process, int((await line_with(process, "listens at")).rsplit(":", 1)[1])
 
 
 def test_it_serves_from_the_known_list_and_drains_at_sigterm(tmp_path):
@@ -165,3 +169,73 @@
         assert await process.wait() == 0
 
     going(test)
+
+
+def test_sighup_moves_discovery_and_disturbs_nothing(tmp_path):
+    # Nothing handled SIGHUP: it ended the program, and all that was in flight was lost.
+    async def test():
+        first, second = await StandIn(wait_then(ok(b"first"))).start(), await StandIn(ok(b"second")).start()
+        agents = []
+        for worker in (first, second):
+            listed = {"version": 1, "full": True, "servers": [line(f"w{worker.port}", worker.port)]}
+            agents.append(await StandIn(ok(json.dumps(listed).encode()), stall).start())
+        path = tmp_path / "config.json"
+        process, port = await start(path, discovery=f"{HOST}:{agents[0].port}")
+        await agents[0].arrived.get()
+        await agents[0].arrived.get()  # the list has been taken in: this is the watch
+        waiting = await Client.to(port)
+        waiting.ask()
+        await first.arrived.get()
+
+        path.write_text("{")
+        process.send_signal(signal.SIGHUP)
+        assert "stays in force: NODE_CONFIG" in await line_with(process, "configuration")
+        path.write_text(json.dumps(config(discovery=f"{HOST}:{agents[1].port}", name="other")))
+        process.send_signal(signal.SIGHUP)
+        assert "next start: name" in await line_with(process, "configuration")
+        await agents[0].closed.get()
+        await agents[1].arrived.get()
+        await agents[1].arrived.get()
+
+        late = await Client.to(port)
+        late.ask()
+        assert (await late.answer())[2] == b"second"
+        first.go.set()
+        assert (await waiting.answer())[2] == b"first"
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGHUP)  # nor does one cut a drain short
+        assert await process.wait() == 0
+
+    going(test)
+
+
+def test_sighup_takes_in_other_authentication_servers(tmp_path):
+    async def test():
+        servers = [await StandIn(ok(b"", b"X-Auth-User: %d" % number)).start() for number in (1, 2)]
+        path = tmp_path / "auth.json"
+        table = json.loads((ROOT / "deploy/forward-auth.json").read_text()) | {"listen": f"{HOST}:0"}
+
+        def write(server):
+            path.write_text(json.dumps(table | {"servers": [{"address": f"{HOST}:{server.port}"}]}))
+
+        write(servers[0])
+        env = {name: value for name, value in os.environ.items() if name != "NODE_CONFIG"}
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "pepperrun", "--forward-auth", str(path)),
+            cwd=ROOT,
+            env=env,
+            stderr=subprocess.PIPE,
+        )
+        client = await Client.to(int((await line_with(process, "listens at")).rsplit(":", 1)[1]))
+        for number, server in enumerate(servers, 1):
+            if number == 2:
+                write(server)
+                process.send_signal(signal.SIGHUP)
+                await line_with(process, "took in")
+            forwarded = b"X-Forwarded-Method: GET\r\nX-Forwarded-Host: d\r\nX-Forwarded-Uri: /\r\n"
+            client.writer.write(b"GET / HTTP/1.1\r\nHost: g\r\n" + forwarded + b"\r\n")
+            assert (await client.answer())[1]["x-auth-user"] == str(number)
+        process.terminate()
+        assert await process.wait() == 0
+
+    going(test)
