--- a/pepperrun/__main__.py
+++ b/pepperrun/__main__.py
@@ -90,18 +90,21 @@
 
 
 def split_sockets(limit: int) -> tuple[int, int]:
-    """Connections of clients and to backends, at most, within the limit on descriptors."""
+    """Connections of clients and to backends, at most, within the limit on descriptors.
+
+    Clients that ask hold a third of them at most; the rest of the clients' half is for those that do not.
+    """
     soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     if soft != resource.RLIM_INFINITY:
         limit = min(limit, soft)
-    return (limit - RESERVED) * 2 // 5, (limit - RESERVED) * 3 // 5
+    return (limit - RESERVED) // 2, (limit - RESERVED) // 2
 
 
 async def start_auth(
     config: AuthConfig, clock: Clock, seed: int
 ) -> tuple[Core, AuthService, Listener | None]:
     """The core before the authentication servers and, where configured, its front."""
-    most_clients, most = config.sockets * 2 // 5, config.sockets * 3 // 5
+    most_clients, most = config.sockets // 2, config.sockets // 2
     core = Core(
         clock, config.settings, seed, (), auth_judge, most, config.keepalive_ns, config.connect_timeout_ns
     )
--- a/pepperrun/fronts/http_client.py
+++ b/pepperrun/fronts/http_client.py
@@ -6,10 +6,14 @@
 
 from __future__ import annotations
 
+import array
 import asyncio
+import fcntl
+import termios
 from collections.abc import Callable
 from typing import Any
 
+from pepperrun.clock import SECOND
 from pepperrun.exchange import Exchange, Final
 from pepperrun.gatekeeper import Gatekeeper
 from pepperrun.net.buffer import Buffer
@@ -18,8 +22,18 @@
 
 Fields = list[tuple[bytes, bytes]]
 Answer = tuple[int, Fields, bytes]
+BAD = (400, 404, 405)  # a client that is answered so at once knows the protocol badly: the connection ends
+SILENT_NS = 2 * SECOND  # a connection on which nothing has been asked
+WHOLE_NS = 5 * SECOND // 2  # for the first request, from connecting on; for others, from their first byte on
+IDLE_NS = 15 * SECOND
+AHEAD = 16 * 1024  # of what is sent ahead of an answer, so much is held
+STUCK_NS = 5 * SECOND  # for taking an answer
+LINGER_NS = 4 * SECOND  # for reading why a request can't be read, beside sending the rest of it
+LINGER_BYTES = 96 * 1024 * 1024  # so much more is dropped
+GREEN_NS = SECOND // 4  # a new connection has this long to ask before it gives way to others
+UNUSED_NS = 2 * SECOND  # nobody misses a connection that has been idle for so long
+SCRATCH = memoryview(bytearray(256 * 1024))  # takes what is dropped; never read
 Step = tuple[Gatekeeper, Exchange[Any, Any]]  # an exchange and who is to take it
-LINGER_S = 1.0
 TEXT = (b"Content-Type", b"text/plain; charset=utf-8")
 
 # Between one connection and the next, or between client and gatekeeper: not the worker's.
@@ -38,6 +52,13 @@
     return [pair for pair in request.fields if pair[0].lower() not in dropped]
 
 
+def unread(transport: asyncio.Transport) -> bool:
+    """Have bytes come that have not been read from the socket?"""
+    count = array.array("i", [0])
+    fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.FIONREAD, count)
+    return count[0] > 0
+
+
 class HttpClient(asyncio.BufferedProtocol):
     """A client's connection. Fronts derive from it."""
 
@@ -48,9 +69,9 @@
         self.parser = RequestParser(self.buffer)
         self.step: Step | None = None  # the exchange that has no answer yet
         self.request: Request | None = None
-        self.since = 0
+        self.made = self.since = 0  # when it was connected, when it was last used
         self.stuck: int | None = None  # since when the client has not taken what was written
-        self.answers = 0
+        self.answers = self.dropped = 0
         self.paused = self.closing = self.lingering = False
 
     # For fronts.
@@ -67,31 +88,61 @@
 
     def busy(self) -> bool:
         """Is a request on it, whole or in part, or an answer not yet written?"""
-        if self.lingering:
-            return False
-        if self.step is not None or len(self.buffer) or self.parser.request is not None:
-            return True
-        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+        return not self.lingering and (self.step is not None or self.partial() or self.unwritten())
 
     def fresh(self) -> bool:
         """Has it had no answer yet?"""
         return self.answers == 0
 
-    def idle_since(self) -> int:
-        """When it was last used."""
-        return self.since
+    def partial(self) -> bool:
+        """Has a part of a request come?"""
+        return self.parser.request is not None or len(self.buffer) > 0
+
+    def due(self) -> int | None:
+        """When the connection ends if nothing more happens on it; None while an answer is owed."""
+        if self.lingering:
+            return self.since + LINGER_NS
+        if self.stuck is not None:
+            return self.stuck + STUCK_NS
+        if self.step is not None:
+            return None
+        if self.unwritten():
+            return self.since + STUCK_NS
+        if self.fresh():
+            return self.made + (WHOLE_NS if self.partial() else SILENT_NS)
+        return self.buffer.first_at + WHOLE_NS if self.partial() else self.since + IDLE_NS
+
+    def spare(self, now: int) -> tuple[int, int] | None:
+        """How readily it gives way to a new connection; None: not at all.
+
+        Those that have come back with a second request are the likeliest to come again.
+        """
+        transport = self.transport
+        if transport is None or transport.is_closing() or not self.lingering and self.busy():
+            return None
+        if self.fresh():  # a loop that is late has not read yet what has come long ago
+            silent = now - self.made >= GREEN_NS and not unread(transport)
+            return (0, self.made) if silent else None
+        if self.lingering or now - self.since >= UNUSED_NS:
+            return (0, self.since) if now - self.since >= GREEN_NS else None
+        return (1 if self.answers == 1 else 2), self.since
+
+    def unwritten(self) -> bool:
+        """Is a part of an answer not yet taken?"""
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
-    def stalled_since(self) -> int | None:
-        """Since when the client has kept this side waiting for the rest of a request or to take an answer."""
-        if self.stuck is not None or self.step is not None:
-            return self.stuck
-        return self.buffer.first_at or self.since if self.busy() else None
+    def expire(self) -> None:
+        """Its time is up: who has sent a part of a request is told so."""
+        if self.partial() and not self.closing and not self.unwritten() and self.transport is not None:
+            text = b"the request did not come whole in time\n"
+            self.transport.write(write_response(408, [TEXT], text, close=True))
+        self.close()
 
     def close(self) -> None:
         """Closes; what is written still goes out, unless the client does not take it."""
         self.closing = True
         if self.transport is not None:
-            if self.stalled_since() is not None:
+            if self.stuck is not None or self.lingering and self.unwritten():
                 self.transport.abort()
             else:
                 self.transport.close()
@@ -100,7 +151,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
-        self.transport, self.since = transport, self.clock()
+        self.transport, self.made = transport, self.clock()
+        self.since = self.made
         self.listener.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -115,12 +167,16 @@
         self.stuck = None
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self.buffer.room()
+        return SCRATCH if self.lingering else self.buffer.room()
 
     def buffer_updated(self, nbytes: int) -> None:
         if not self.lingering:
             self.buffer.filled(nbytes, self.clock())
             self._read()
+            return
+        self.dropped += nbytes
+        if self.dropped > LINGER_BYTES and self.transport is not None:
+            self.transport.pause_reading()
 
     def eof_received(self) -> bool:
         self._left()
@@ -137,7 +193,7 @@
             try:
                 request = self.parser.next()
             except HttpError as error:
-                self._reject(error)
+                self._reject((error.status, [TEXT], f"{error}\n".encode()))
                 return
             if request is None:
                 if self.parser.waits_for_continue() and self.parser.request is not None:
@@ -145,25 +201,32 @@
                     self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
                 return
             self.request = request
-            self._proceed(self.begin(request))
-        if self.step is not None and self.buffer.full() and self.transport is not None and not self.paused:
+            what = self.begin(request)
+            if len(what) == 3 and what[0] in BAD:
+                self._reject(what)
+            else:
+                self._proceed(what)
+        ahead = self.step is not None and len(self.buffer) >= AHEAD
+        if ahead and self.transport is not None and not self.paused:
             self.paused = True  # more was sent ahead than is held for a client
             self.transport.pause_reading()
 
-    def _reject(self, error: HttpError) -> None:
-        """Answers and closes: where the next request begins is not known.
+    def _reject(self, answer: Answer) -> None:
+        """Answers and closes: where the next request begins is not known, or the next is as bad.
 
         What still comes is dropped for a while: closing on unread bytes would reset the connection, and the
-        client might never read why.
+        client might never read why. It may be sending 60 MB.
         """
-        transport = self.transport
+        transport, request = self.transport, self.request
         assert transport is not None
         self.closing = self.lingering = True
-        self.buffer.drop(len(self.buffer))
+        self.request = None
+        self.buffer.forget()
         self.answers, self.since = self.answers + 1, self.clock()
-        transport.write(write_response(error.status, [TEXT], f"{error}\n".encode(), close=True))
-        transport.write_eof()
-        self.listener.loop.call_later(LINGER_S, transport.close)
+        bodiless = request is not None and request.method == b"HEAD"
+        transport.write(write_response(*answer, close=True, bodiless=bodiless))
+        if not transport.is_closing():
+            transport.write_eof()
 
     def health(self, request: Request) -> Answer:
         """`/health`: the process runs. `/ready`: it also takes new clients."""
--- a/pepperrun/fronts/platform.py
+++ b/pepperrun/fronts/platform.py
@@ -14,7 +14,8 @@
 from pepperrun.net.listener import Listener
 
 _BUDGET = re.compile(rb"([0-9]{1,15})([mu])\Z")
-_QUOTA = re.compile(rb"[ \t]*(units|spread|first)=([0-9]{1,9}(?:\.[0-9]{1,9})?)[ \t]*\Z")
+_QUOTA = re.compile(rb"[ \t]*(?:units=([0-9]{1,9}(?:\.[0-9]{1,9})?)|(spread|first)=([0-9]{1,9}))[ \t]*\Z")
+_CALL_ID = re.compile(rb"[0-9A-Za-z_-]{1,64}\Z")
 _CUSTOMER = re.compile(rb"(?:\A|&)customer=([0-9a-fA-F]{1,16})(?:&|\Z)")
 MOST_CUSTOMER = 2**33
 
@@ -65,22 +66,31 @@
                 return "X-Budget: a number and m or u are needed"
             # A time longer than the class ever waits would only hold the request longer.
             left_ns = min(deadline_ns, int(budget[1]) * (1_000_000 if budget[2] == b"m" else 1_000))
-        quota = {"units": 1.0, "spread": 1.0, "first": float(self.settings.me)}
+        units, where = 1.0, {b"spread": 1, b"first": self.settings.me}
         for part in filter(None, names.get(b"x-quota", b"").split(b",")):
             match = _QUOTA.match(part)
             if match is None:
                 return "X-Quota: can't be read"
-            quota[match[1].decode()] = float(match[2])
-        gateways = self.settings.gateways
+            if match[1] is not None:
+                units = float(match[1])
+            else:
+                where[match[2]] = int(match[3])
+        # What is out of range would be charged to the customer, or asked of gatekeepers that are not there.
+        gateways, spread, first = self.settings.gateways, where[b"spread"], where[b"first"]
+        if not 0 < units <= self.settings.max_units or not 0 < spread <= gateways or first >= gateways:
+            return "X-Quota: out of range"
+        # Workers take a request without an id for none of theirs, and would look bad to the decisions.
+        if _CALL_ID.match(names.get(b"x-call-id", b"")) is None:
+            return "X-Call-Id: one is needed"
         return {
             "cls": cls,
             "plan": plan,
             "customer": int(customer[1], 16),
             "started": request.arrived,
             "deadline": request.arrived + left_ns,
-            "units": quota["units"],
-            "spread": min(max(1, int(quota["spread"])), gateways),
-            "first": int(quota["first"]) % gateways,
+            "units": units,
+            "spread": spread,
+            "first": first,
         }
 
 
--- a/pepperrun/net/buffer.py
+++ b/pepperrun/net/buffer.py
@@ -69,6 +69,11 @@
         self.drop(len(taken))
         return taken
 
+    def forget(self) -> None:
+        """Drops everything, and the room for more: nothing will be put in again."""
+        self.data = bytearray()
+        self.start = self.end = 0
+
     def drop(self, count: int) -> None:
         """Takes bytes off the front."""
         self.start += min(count, len(self))
--- a/pepperrun/net/http1.py
+++ b/pepperrun/net/http1.py
@@ -37,6 +37,7 @@
     403: "Forbidden",
     404: "Not Found",
     405: "Method Not Allowed",
+    408: "Request Timeout",
     413: "Content Too Large",
     429: "Too Many Requests",
     431: "Request Header Fields Too Large",
--- a/pepperrun/net/listener.py
+++ b/pepperrun/net/listener.py
@@ -7,28 +7,36 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from pepperrun.clock import SECOND
 from pepperrun.config import Address
 from pepperrun.log import say
 
-SWEEP_S = 1.0
-SLOW_NS = 10 * SECOND  # a request that is not whole after this, or an answer not taken, ends the connection
-IDLE_NS = 75 * SECOND
+SWEEP_S = 0.25
+PAUSE_S = 0.05  # between looks for room while there is none
+RETRY_S = 1.0  # when the system has no descriptor or memory for a connection
+PART = (
+    16  # of all connections, this part gives way at a time: looking at them all for each new one takes long
+)
 BACKLOG = 512
 ACCEPT_S = 0.5  # after SIGTERM new connections keep coming for up to 0.4 s
 LINGER_S = 0.15  # and the last of them may still send their request this much later
 
 
 class Client(Protocol):
-    """A client's connection, as the listener sees it."""
+    """A client's connection, as the listener sees it.
+
+    `due` is when it ends if nothing more happens on it, `spare` how readily it gives way to a new one: the
+    smallest first, below 1 for one that nobody misses.
+    """
 
     def busy(self) -> bool: ...
 
     def fresh(self) -> bool: ...
 
-    def idle_since(self) -> int: ...
+    def due(self) -> int | None: ...
+
+    def spare(self, now: int) -> tuple[int, int] | None: ...
 
-    def stalled_since(self) -> int | None: ...
+    def expire(self) -> None: ...
 
     def close(self) -> None: ...
 
@@ -84,8 +92,8 @@
         assert self.socket is not None
         for _ in range(BACKLOG):
             if not self._room():
-                say("limit", f"all {self.most} client connections are in use; accepting later")
                 self._pause()
+                self.loop.call_later(PAUSE_S, self.free)
                 return
             try:
                 sock, _ = self.socket.accept()
@@ -94,7 +102,7 @@
             except OSError as error:  # no descriptor or memory for it now
                 say("accept", f"accept: {error}")
                 self._pause()
-                self.loop.call_later(SWEEP_S, self._resume)
+                self.loop.call_later(RETRY_S, self._resume)
                 return
             sock.setblocking(False)
             self.accepting += 1
@@ -111,16 +119,21 @@
             self.accepting -= 1
 
     def _room(self) -> bool:
-        """Is there room for one more? At the limit the connection that has been idle longest gives way."""
+        """Is there room for one more? At the limit some give way: it comes once they are closed.
+
+        Clients that connect by the hundred and say nothing, or ask once and stay, must not keep others out.
+        """
         if len(self.clients) + self.accepting < self.most:
             return True
-        idle = [client for client in self.clients if not client.busy() and not client.fresh()]
-        if not idle:
-            return False
-        oldest = min(idle, key=lambda client: client.idle_since())
-        self.clients.discard(oldest)
-        oldest.close()
-        return True
+        now = self.clock()
+        ranked = [(rank, client) for client in self.clients if (rank := client.spare(now)) is not None]
+        ranked.sort(key=lambda pair: pair[0])
+        unmissed = sum(rank[0] < 1 for rank, _ in ranked)
+        for _, client in ranked[: max(1, min(unmissed, self.most // PART))]:
+            client.close()
+        if not ranked:
+            say("limit", f"all {self.most} client connections are in use; accepting later")
+        return False
 
     def add(self, client: Client) -> None:
         """A connection is up."""
@@ -146,10 +159,9 @@
     def _sweep(self) -> None:
         now = self.clock()
         for client in list(self.clients):
-            stalled = client.stalled_since()
-            idle = not client.busy() and now - client.idle_since() > IDLE_NS
-            if idle or stalled is not None and now - stalled > SLOW_NS:
-                client.close()
+            due = client.due()
+            if due is not None and now >= due:
+                client.expire()
         self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
     async def drain(self, accept_s: float = ACCEPT_S, linger_s: float = LINGER_S) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -23,6 +23,7 @@
 )
 
 from pepperrun.exchange import End
+from pepperrun.fronts import http_client
 from pepperrun.net import listener as listener_module
 from pepperrun.net.http1 import ROOM
 
@@ -170,7 +171,13 @@
     [
         ({"budget": "3s"}, 400),
         ({"plan": "nobody"}, 400),
-        ({"X_Quota": "units=-1"}, 400),
+        *[({"X_Quota": f"units={units}"}, 400) for units in ("-1", "0", "2", "1e12", "nan", "", "9" * 20)],
+        *[
+            ({"X_Quota": quota}, 400)
+            for quota in ("spread=0", "spread=2", "spread=1.5", "first=1", "first=-1")
+        ],
+        ({"X_Call_Id": ""}, 400),
+        ({"budget": "99999999999999999999m"}, 400),
         ({"cls": "nothing"}, 404),
     ],
 )
@@ -179,7 +186,8 @@
         front = Front()
         client = await front.client()
         client.ask(**change)
-        assert (await client.answer())[0] == status
+        client.ask()  # the same connection: nothing is served behind what can't be used
+        assert (await client.answer())[0] == status and await client.ended()
         assert not front.gatekeeper.exchanges
 
     going(test)
@@ -242,14 +250,16 @@
 
 
 def test_slow_requests_and_answers_that_are_not_taken_end(monkeypatch):
-    monkeypatch.setattr(listener_module, "SLOW_NS", 10 * MS)
+    for name in ("WHOLE_NS", "STUCK_NS", "SILENT_NS"):
+        monkeypatch.setattr(http_client, name, 10 * MS)
     monkeypatch.setattr(listener_module, "SWEEP_S", 0.01)
 
     async def test():
         front = Front()
         client = await front.client()
         client.writer.write(b"GET /search HTTP/1.1\r\nHost: h\r\nX-")
-        assert await client.ended()
+        assert (await client.answer())[0] == 408 and await client.ended()
+        assert await (await front.client()).ended()  # it has said nothing at all
         deaf = await front.client()
         deaf.writer.transport.pause_reading()
         deaf.writer.write(b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n" * 200_000)
@@ -262,6 +272,62 @@
     going(test)
 
 
+def test_silent_connections_do_not_keep_others_out(monkeypatch):
+    # New connections never gave way: silent ones by the hundred held every place, for 75 s.
+    monkeypatch.setattr(http_client, "GREEN_NS", 20 * MS)
+
+    async def test():
+        front, worker = Front(most=4), await StandIn(ok()).start()
+        front.list(line("w", worker.port))
+        usual = await front.client()
+        usual.ask()
+        assert (await usual.answer())[0] == 200
+        silent = [await front.client() for _ in range(40)]
+        late = await front.client()  # behind all of them
+        late.ask()
+        assert (await late.answer())[0] == 200
+        assert len(front.listener.clients) <= 4 and await silent[0].ended()
+
+    going(test)
+
+
+def test_a_request_that_waits_unread_in_its_socket_is_not_taken_for_silence(monkeypatch):
+    # A loop that is late finds new connections old before it has read from them.
+    monkeypatch.setattr(http_client, "GREEN_NS", 0)
+
+    async def test():
+        front = Front(most=1)
+        client = await front.client()
+        while not front.listener.clients:
+            await asyncio.sleep(0)
+        (connection,) = front.listener.clients
+        assert connection.spare(front.clock()) is not None
+        connection.transport.pause_reading()
+        client.ask()
+        await asyncio.sleep(0)
+        assert connection.spare(front.clock()) is None
+        connection.transport.resume_reading()
+        assert (await client.answer())[0] == 429  # no worker is listed: refused, and taken all the same
+
+    going(test)
+
+
+def test_a_client_that_sends_60_mb_reads_why_it_is_turned_away():
+    # The connection closed on unread bytes after a second: a reset, and the answer was lost with it.
+    async def test():
+        front = Front()
+        client = await front.client()
+        client.writer.write(b"POST /confirm HTTP/1.1\r\nHost: h\r\nContent-Length: 60000000\r\n\r\n")
+        for _ in range(60):
+            client.writer.write(bytes(1_000_000))
+            await client.writer.drain()
+        (connection,) = front.listener.clients
+        assert len(connection.buffer.data) == 0
+        assert (await client.answer())[0] == 413 and await client.ended()
+
+    going(test)
+
+
 def test_a_drain_answers_what_was_taken_and_closes_each_connection():
     async def test():
         front, worker = Front(), await StandIn(wait_then(ok(b"done"))).start()
