--- a/pepperrun/__main__.py
+++ b/pepperrun/__main__.py
@@ -127,7 +127,7 @@
         config.settings,
         config.seed,
         config.zones,
-        platform_judge,
+        platform_judge(config.settings.max_units),
         most,
         config.keepalive_ns,
         config.connect_timeout_ns,
--- a/pepperrun/fronts/http_client.py
+++ b/pepperrun/fronts/http_client.py
@@ -6,17 +6,14 @@
 
 from __future__ import annotations
 
-import array
 import asyncio
-import fcntl
-import termios
 from collections.abc import Callable
 from typing import Any
 
 from pepperrun.clock import SECOND
 from pepperrun.exchange import Exchange, Final
 from pepperrun.gatekeeper import Gatekeeper
-from pepperrun.net.buffer import Buffer
+from pepperrun.net.buffer import Buffer, unread
 from pepperrun.net.http1 import ROOM, HttpError, Message, Request, RequestParser, write_response
 from pepperrun.net.listener import Listener
 
@@ -52,13 +49,6 @@
     return [pair for pair in request.fields if pair[0].lower() not in dropped]
 
 
-def unread(transport: asyncio.Transport) -> bool:
-    """Have bytes come that have not been read from the socket?"""
-    count = array.array("i", [0])
-    fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.FIONREAD, count)
-    return count[0] > 0
-
-
 class HttpClient(asyncio.BufferedProtocol):
     """A client's connection. Fronts derive from it."""
 
--- a/pepperrun/gatekeeper.py
+++ b/pepperrun/gatekeeper.py
@@ -92,6 +92,7 @@
         self.exchanges: dict[int, AnyExchange] = {}
         self._next = seed % 2**32
         self._events: list[Event | AnyExchange] = []
+        self._over: list[AnyExchange] = []  # ended, and the gateway is not yet told
         self._last = -settings.tick_ns
         self._flush: asyncio.TimerHandle | None = None
         self._turning = False
@@ -115,8 +116,8 @@
     def left(self, exchange: AnyExchange) -> None:
         """The client has gone away."""
         if self._finish(exchange, Final(End.LEFT)):
+            self._over.append(exchange)
             self._event(ClientLeft(exchange.id))
-            self._drop(exchange)
 
     def ended(
         self,
@@ -136,8 +137,9 @@
             self._finish(exchange, Final(End.SERVED, given))
         elapsed = self.clock() - exchange.attempts[attempt]
         done = exchange.end is not None
+        if done:
+            self._over.append(exchange)
         self._event(AttemptEnded(exchange.id, attempt, backend, outcome, elapsed, done, units))
-        self._drop(exchange)
 
     def listed(self, backends: BackendList) -> None:
         """Discovery has told something."""
@@ -147,6 +149,10 @@
         """A peer has sent a message."""
         self._event(PeerMessage(peer, data))
 
+    def waiting(self) -> int:
+        """How many requests have no answer yet."""
+        return sum(exchange.end is None for exchange in self.exchanges.values())
+
     # Time.
 
     def _event(self, event: Event | AnyExchange) -> None:
@@ -175,6 +181,7 @@
             self._request(event, now) if isinstance(event, Exchange) else event for event in self._events
         ]
         self._events.clear()
+        over, self._over = self._over, []
         try:
             actions = self.gateway.handle(now, events)
         except Exception as error:  # one bad turn must not leave everybody without an answer
@@ -183,12 +190,16 @@
                 if isinstance(event, Request):
                     self._give_up(event.id, Final(End.FAILED))
             self._arm(now + self.settings.tick_ns)  # its own timer may have been lost with the turn
-            return
+            actions = []
         for action in actions:
             try:
                 self._carry_out(action, now)
             except Exception as error:  # nor must one action take those behind it along
                 say(type(action).__name__, f"{type(action).__name__} failed: {type(error).__name__}: {error}")
+        # Not before: in the turn that told of the end the gateway may still have sent an attempt, of whose
+        # end it must hear, or it takes it for one that is out for good.
+        for exchange in over:
+            self._drop(exchange)
 
     @staticmethod
     def _request(exchange: AnyExchange, now: int) -> Request:
@@ -256,7 +267,7 @@
 
     def _send(self, action: Send, now: int) -> None:
         exchange = self.exchanges.get(action.request)
-        if exchange is None:  # the gateway has been told of its end before: nobody waits for this
+        if exchange is None:
             say("action", "an attempt of a request that is over was not sent")
             return
         attempt = exchange.begin(now)
--- a/pepperrun/gateway.py
+++ b/pepperrun/gateway.py
@@ -432,10 +432,13 @@
             return wait * self.rng.uniform(1, 1.05) * (FAR if server.zone != self.settings.zone else 1.0)
 
         some = [server for server in self.draw(now) if able(server)]
+        some = some or [server for server in self.hot if able(server)]  # where the cold one drawn is not able
         return min(some, key=cost) if some else None
 
     def see(self, server: Server, cls: int, failed: bool, now: int, sure: bool = False) -> None:
         """An attempt's end, or its being overdue, tells how a backend does with a class, or all if `sure`."""
+        if server.id not in self.servers:
+            return  # gone for good
         for index in range(len(self.typical)) if sure else [cls]:
             before = self.bad(server, index, now)
             after = (1 + before) / 2 if failed else before / 2
@@ -460,7 +463,7 @@
             step = max(0.01, 1 / self.seen[held.cls])
             self.typical[held.cls] += step * (event.elapsed_ns / held.units - self.typical[held.cls])
             self.tail = max(1.5, self.tail + 0.1 * (TAIL if ratio > self.tail else TAIL - 1))
-        if outcome is not Outcome.MOOT:
+        if outcome not in (Outcome.MOOT, Outcome.STALE):
             # A full backend fails fast too: without this it would look idle and draw ever more traffic.
             sure = outcome in (Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.FULL)
             server.down_at = now if outcome is Outcome.CONNECT_FAILED else server.down_at
@@ -539,6 +542,7 @@
         for server in self.fleet.update(event, self.now):
             for cls in range(len(self.settings.classes)):
                 self.fleet.news.see(server.id, cls, 0.0, server.born, False)
+        self.fleet.news.forget(self.fleet.servers)
         self.fleet.surveyed = -SURVEY_EVERY
         if all(line.state is not BackendState.READY for line in self.fleet.servers.values()):
             self._log("empty", "no backend is ready")
@@ -697,12 +701,17 @@
         elif self.settings.may_cancel and self.fleet.speed(server, self.now) > 2 * self.fleet.tail:
             self.actions.append(Cancel(held.id, number))
 
-    def _again(self, held: Held, failed: Server) -> bool:
-        """A further attempt, under the budget."""
-        if self.further.level < 1 or self.now + self.fleet.expected(held) > held.aim:
+    def _again(self, held: Held, failed: Server, outcome: Outcome = Outcome.TIMEOUT) -> bool:
+        """A further attempt, under the budget: a stale connection cost the fleet nothing."""
+        cost = 0.0 if outcome is Outcome.STALE else 1.0
+        if self.further.level < cost or self.now + self.fleet.expected(held) > held.aim:
             return False
-        if (server := self.fleet.choose(held, self.now, failed)) is not None:
-            self.further.level -= 1
+        server = self.fleet.choose(held, self.now, failed)
+        if server is None and outcome in (Outcome.STALE, Outcome.RESET, Outcome.ERROR):
+            # It may go nowhere else: only the cell that has seen it knows a repeat.
+            server = self.fleet.choose(held, self.now)
+        if server is not None:
+            self.further.level -= cost
             self._send(held, server)
         return server is not None
 
@@ -723,7 +732,8 @@
         if event.outcome is Outcome.OK and event.units > 0 and self.settings.settles:
             self.quotas.settle(held.account, event.units - held.units, self.now)
         held.done = held.done or event.complete
-        if not held.done and not held.out() and not held.stream and not self._again(held, attempt.backend):
+        over = held.done or held.stream or held.out() > 0
+        if not over and not self._again(held, attempt.backend, event.outcome):
             self._fail_or_refuse(held)
         self._drop(held)
 
--- a/pepperrun/gossip.py
+++ b/pepperrun/gossip.py
@@ -20,6 +20,7 @@
 
 import random
 import struct
+from collections.abc import Container
 from dataclasses import dataclass, field
 
 VERSION = 2
@@ -237,6 +238,11 @@
             if spread:
                 self.fresh[backend, cls] = at + self.lasts
 
+    def forget(self, kept: Container[int]) -> None:
+        """Only of these backends is anything still of use."""
+        self.known = {key: seen for key, seen in self.known.items() if key[0] in kept}
+        self.fresh = {key: until for key, until in self.fresh.items() if key[0] in kept}
+
     def some(self, rng: random.Random, now: int) -> list[Mark]:
         """Some of the news, for one message."""
         self.fresh = {key: until for key, until in self.fresh.items() if until > now}
--- a/pepperrun/interface.py
+++ b/pepperrun/interface.py
@@ -35,6 +35,7 @@
     TIMEOUT = "timeout"
     CONNECT_FAILED = "connect_failed"
     RESET = "reset"
+    STALE = "stale"  # a kept connection broke at once under the request: a reset that shows no bad backend
     CANCELLED = "cancelled"
     MOOT = "moot"
 
--- a/pepperrun/metrics/__init__.py
+++ b/pepperrun/metrics/__init__.py
@@ -43,7 +43,7 @@
         for outcome, count in gatekeeper.outcomes.items()
     ]
     now = [
-        Sample(f"{name}.requests.held", len(gatekeeper.exchanges), False),
+        Sample(f"{name}.requests.held", gatekeeper.waiting(), False),
         Sample(f"{name}.connections.backends", len(servers.connections), False),
         Sample(f"{name}.connections.opened", servers.opened, True),
     ]
--- a/pepperrun/net/buffer.py
+++ b/pepperrun/net/buffer.py
@@ -2,10 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
+import select
+
 FIRST = 4096
 LEAST_FREE = 1024
 
 
+def unread(transport: asyncio.Transport) -> bool:
+    """Does its socket hold what has not been read from it: bytes, an end or an error?"""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class Buffer:
     """Bytes come in at the end and are taken off the front. Never holds more than `most`."""
 
--- a/pepperrun/net/directory.py
+++ b/pepperrun/net/directory.py
@@ -35,22 +35,28 @@
     def take(self, listing: Listing, kind: ListKind) -> BackendList:
         """Takes in a list."""
         backends = []
-        if kind is not ListKind.DELTA:
-            for number in list(self.lines):
-                self._gone(number)
+        before = set(self.lines) if kind is not ListKind.DELTA else set()
+        gone = set()
         for line in listing.lines:
             number = self.id_of(line.name)
             if line.state is BackendState.GONE:
-                self._gone(number)
+                gone.add(number)
             else:
                 self.lines[number] = line
+                gone.discard(number)
+                before.discard(number)
             born = self.of_unix_ms(line.started_ms) if line.started_ms > 0 else 0
             zone = self.zones.get(line.zone, len(self.zones))
             backends.append(Backend(number, zone, line.cell, line.state, born))
+        for number in before | gone:
+            self._forget(number)
         return BackendList(kind, tuple(backends))
 
-    def _gone(self, number: int) -> None:
+    def _forget(self, number: int) -> None:
+        """Workers under new names replace the old ones day by day: those gone leave nothing behind."""
         self.lines.pop(number, None)
+        if (name := self.names.pop(number, None)) is not None:
+            del self.ids[name]
 
     def address(self, backend: int) -> Address | None:
         """Where a worker that is ready listens; None for one that is draining, gone or unknown."""
--- a/pepperrun/net/http1.py
+++ b/pepperrun/net/http1.py
@@ -14,6 +14,7 @@
 MAX_HEAD = 16 * 1024
 MAX_FIELDS = 100
 MAX_BODY = 64 * 1024
+MAX_INTERIM = 64  # 1xx responses ahead of a final one
 MAX_LINE = 256  # of a chunk's size with its extensions
 ROOM = MAX_HEAD + MAX_BODY
 
@@ -260,6 +261,7 @@
         super().__init__(buffer, most_body)
         self.response: Response | None = None
         self.until_end = False
+        self.interim = 0
 
     def next(self) -> Response | None:
         """The next whole response, or None until more has come. Interim ones are passed over."""
@@ -273,7 +275,11 @@
                 raise HttpError(502, "bad status line")
             status, http11 = int(match[2]), match[1] == b"1"
             if status < 200:
+                self.interim += 1
+                if self.interim > MAX_INTERIM:
+                    raise HttpError(502, "no end of interim responses")
                 continue
+            self.interim = 0
             self.response = Response(fields, names, http11, status=status)
             if status in (204, 304):
                 self.length, self.chunks = 0, None
--- a/pepperrun/net/server_side.py
+++ b/pepperrun/net/server_side.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -16,30 +17,45 @@
 from pepperrun.exchange import Exchange
 from pepperrun.interface import Outcome
 from pepperrun.log import say
-from pepperrun.net.buffer import Buffer
+from pepperrun.net.buffer import Buffer, unread
 from pepperrun.net.directory import Directory
 from pepperrun.net.http1 import ROOM, HttpError, Request, Response, ResponseParser, write_fields
 
 SILENT_NS = SECOND  # a backend that has been asked and said nothing for so long may have been cut off
+STALE_NS = SECOND // 100  # a kept connection that was no longer one breaks this soon under a request
+CONNECTS = 3  # that are accepted and reset in a row: nothing has been written, so another one is tried
+STALE_MOST = 0.2  # of kept connections as long idle: past this they are not used again
+STALE_UNSAFE = 0.03  # the same for a request that may not simply be sent anew
+FADE = 0.9  # in each sweep: what was learnt is tried again
 IDLE_PART = 0.8  # of the time after which the other side closes an idle connection: closed here before
 SWEEP_S = 1.0
+SAFE = (b"GET", b"HEAD")  # to send again, by HTTP's own word
 
 Ended = Callable[[Exchange[Any, Any], int, int, Outcome, object, float], None]
 Judge = Callable[[Response], tuple[Outcome, float]]
 
 
-def platform_judge(response: Response) -> tuple[Outcome, float]:
-    """The platform's table of outcomes, and the true units of a good answer."""
-    if response.status == 200:
-        try:
-            units = float(response.names.get(b"x-units-charged", b"0"))
-        except ValueError:
-            units = 0.0
-        return Outcome.OK, units if 0 <= units < 1e9 else 0.0
-    # Only with this mark does a 503 or 504 prove that the request was turned away unseen.
-    if response.status in (503, 504) and response.names.get(b"x-rejected") == b"1":
-        return Outcome.FULL, 0.0
-    return Outcome.ERROR, 0.0
+_UNITS = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?\Z")
+
+
+def platform_judge(most_units: float) -> Judge:
+    """The platform's table of outcomes, and the true units of a good answer; 0 where they are not known.
+
+    A figure that can't be read, or is more than any request counts, is not taken for a true one: it would be
+    charged to the customer.
+    """
+
+    def judge(response: Response) -> tuple[Outcome, float]:
+        if response.status == 200:
+            told = response.names.get(b"x-units-charged", b"")
+            units = float(told) if _UNITS.match(told) else 0.0
+            return Outcome.OK, units if units <= most_units else 0.0
+        # Only with this mark does a 503 or 504 prove that the request was turned away unseen.
+        if response.status in (503, 504) and response.names.get(b"x-rejected") == b"1":
+            return Outcome.FULL, 0.0
+        return Outcome.ERROR, 0.0
+
+    return judge
 
 
 def write_request(request: Request, timeout_ns: int) -> bytes:
@@ -57,15 +73,44 @@
     )
 
 
+class Wear:
+    """How often kept connections turned out to be stale, by how long they had been idle.
+
+    Backends, and machines between, close idle connections earlier than they say, and may not tell of it.
+    """
+
+    UNIT = 8_000_000  # each step is twice as long as the one before
+
+    def __init__(self) -> None:
+        self.shares = [0.0] * 16
+
+    def _step(self, idle_ns: int) -> int:
+        return min(len(self.shares) - 1, (idle_ns // self.UNIT).bit_length())
+
+    def saw(self, idle_ns: int, stale: bool) -> None:
+        """One was used that had been idle for so long."""
+        step = self._step(idle_ns)
+        self.shares[step] += (stale - self.shares[step]) / 10
+
+    def trusted(self, idle_ns: int, most: float) -> bool:
+        """Is the share of stale ones among those idle for so long, or less, at most this?"""
+        return max(self.shares[: self._step(idle_ns) + 1]) <= most
+
+    def fade(self) -> None:
+        """Forgets a little."""
+        self.shares = [share * FADE for share in self.shares]
+
+
 class Attempt:
     """One attempt that has not ended."""
 
-    __slots__ = ("backend", "connection", "deadline", "exchange", "number", "timer")
+    __slots__ = ("backend", "connection", "connects", "deadline", "exchange", "number", "timer")
 
     def __init__(self, exchange: Exchange[Request, Response], number: int, backend: int, deadline: int):
         self.exchange, self.number, self.backend, self.deadline = exchange, number, backend, deadline
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.connects = 0
 
 
 class Pool:
@@ -91,7 +136,9 @@
         self.parser = ResponseParser(self.buffer)
         self.attempt: Attempt | None = None
         self.unsent = False  # the last byte of the request is not yet written
-        self.idle_since = 0
+        self.idle_since = self.heard_at = self.started_at = 0
+        self.served = 0  # answers so far
+        self.watched: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -105,6 +152,7 @@
         """Writes the attempt's request."""
         assert self.transport is not None
         self.attempt, attempt.connection = attempt, self
+        self.started_at = now
         self.pool.asked_at = self.pool.asked_at or now
         self.transport.write(write_request(attempt.exchange.asked, attempt.deadline - now))
         if self.transport.is_closing():
@@ -122,6 +170,10 @@
     def buffer_updated(self, nbytes: int) -> None:
         self.buffer.filled(nbytes, 0)
         self.pool.asked_at = 0
+        now = self.side.clock()
+        if self.served and self.attempt is not None and self.heard_at < self.started_at:
+            self.side.wear.saw(self.started_at - self.idle_since, False)
+        self.heard_at = now
         attempt = self.attempt
         if attempt is None:  # nothing was asked
             self.close()
@@ -129,20 +181,48 @@
         try:
             response = self.parser.next()
         except HttpError as error:
-            say("backend", f"an answer that can't be read: {error}")
-            self.attempt = None
-            self.close()
-            self.side.end(attempt, Outcome.ERROR)
+            self._spoilt(attempt, str(error))
             return
         if response is not None:
             self._answered(attempt, response)
+        elif self.watched is None:
+            self.watched = self.side.loop.call_later(self.side.connect_s, self._stalled, attempt)
+
+    def _spoilt(self, attempt: Attempt, why: str) -> None:
+        """It may have run. Where a next answer would begin is not known: the connection is of no use."""
+        say("backend", f"an answer that can't be read: {why}")
+        self.attempt = None
+        self.close()
+        self.side.end(attempt, Outcome.ERROR)
+
+    def _stalled(self, attempt: Attempt) -> None:
+        """An answer may say that it is longer than it is, and nothing ends then but the client's patience.
+
+        One that brings nothing more for as long as a connection may take to come up will not become whole.
+        """
+        self.watched = None
+        if self.attempt is not attempt or self.transport is None:
+            return
+        left_s = self.side.connect_s - (self.side.clock() - self.heard_at) / SECOND
+        if left_s > 0 or unread(self.transport):  # this side may be late, and not the backend
+            self.watched = self.side.loop.call_later(max(left_s, 0.01), self._stalled, attempt)
+        else:
+            self._spoilt(attempt, "it stops short")
 
     def _answered(self, attempt: Attempt, response: Response) -> None:
         self.attempt = None
+        self.served += 1
+        if self.watched is not None:
+            self.watched.cancel()
+            self.watched = None
         if response.close() or len(self.buffer) or self.unsent:
             self.close()
         elif self.transport is not None and not self.transport.is_closing():
-            self.side.free(self)  # first: what the answer brings about may use it
+            # What comes behind an answer would be read as the next one: a request must not meet it.
+            if unread(self.transport):
+                self.close()
+            else:
+                self.side.free(self)  # first: what the answer brings about may use it
         outcome, units = self.side.judge(response)
         self.side.end(attempt, outcome, response, units)
 
@@ -154,10 +234,20 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
+        if self.watched is not None:
+            self.watched.cancel()
         attempt, self.attempt = self.attempt, None
         self.side.lost(self)
         if attempt is not None:
-            self.side.end(attempt, Outcome.CONNECT_FAILED if self.unsent else Outcome.RESET)
+            self.side.end(attempt, Outcome.CONNECT_FAILED if self.unsent else self._broke())
+
+    def _broke(self) -> Outcome:
+        """How an attempt ended whose connection broke under it: a kept one that did so at once was stale."""
+        now = self.side.clock()
+        if not self.served or self.heard_at >= self.started_at or now - self.started_at > STALE_NS:
+            return Outcome.RESET
+        self.side.wear.saw(self.started_at - self.idle_since, True)
+        return Outcome.STALE
 
     def close(self) -> None:
         """Closes at once: what is out on it is given up."""
@@ -187,6 +277,7 @@
         self.connections: set[Connection] = set()
         self.opening: set[asyncio.Task[None]] = set()
         self.opened = 0
+        self.wear = Wear()
         self.sweeper = loop.call_later(SWEEP_S, self._sweep)
 
     # What the gatekeeper asks for.
@@ -205,12 +296,17 @@
             # A machine that is cut off says nothing, and once it is back its old connections may stay silent:
             # a new connection tells within its time-out, a kept one only at the client's deadline.
             self.close_idle(backend)
+        safe = exchange.asked.method in SAFE
         while pool.idle:
-            connection = pool.idle.pop()
-            if self._fit(connection, now):
+            connection = pool.idle[-1]
+            if not self._fit(connection, now):
+                pool.idle.pop().close()
+            elif safe or self.wear.trusted(now - connection.idle_since, STALE_UNSAFE):
+                pool.idle.pop()
                 connection.start(attempt, now)
                 return
-            connection.close()
+            else:
+                break
         pool.waiting.append(attempt)
         self._open(backend, pool)
 
@@ -282,12 +378,18 @@
 
     def _fit(self, connection: Connection, now: int) -> bool:
         transport = connection.transport
-        up = transport is not None and not transport.is_closing()
-        return up and now - connection.idle_since < self.idle_ns
+        idle_ns = now - connection.idle_since
+        if transport is None or transport.is_closing() or idle_ns >= self.idle_ns:
+            return False
+        if not self.wear.trusted(idle_ns, STALE_MOST):
+            return False
+        # Bytes that nothing was asked for, or an end that has not been read: neither takes a request.
+        return not unread(transport)
 
     def free(self, connection: Connection) -> None:
         """A connection can take the next attempt that waits, or is idle."""
         pool, now = connection.pool, self.clock()
+        connection.idle_since = now
         while pool.waiting:
             attempt = pool.waiting.popleft()
             # It may have waited for this connection while the list came to call the backend draining or gone.
@@ -298,7 +400,6 @@
         if self.directory.address(pool.backend) != pool.address:
             connection.close()
             return
-        connection.idle_since = now
         pool.idle.append(connection)
 
     def lost(self, connection: Connection) -> None:
@@ -337,23 +438,32 @@
 
     def _starved(self, pool: Pool, attempt: Attempt) -> None:
         if attempt in pool.waiting:
-            self.end(attempt, Outcome.CONNECT_FAILED)
+            self.end(attempt, Outcome.MOOT)  # it never left, which is no fault of the backend's
 
     async def _connect(self, pool: Pool) -> None:
         self.opened += 1
-        failed = False
+        failed = accepted = False
         try:
             async with asyncio.timeout(self.connect_s):
                 await self.loop.create_connection(lambda: Connection(self, pool), *pool.address)
+        except ConnectionResetError:
+            failed = accepted = True
         except OSError:  # refused, unreachable, or not up in time
             failed = True
         finally:
             pool.opening -= 1
-        if failed and pool.waiting:
-            self.end(pool.waiting[0], Outcome.CONNECT_FAILED)
+        if not failed or not pool.waiting:
+            return
+        first = pool.waiting[0]
+        first.connects += 1
+        if accepted and first.connects < CONNECTS:
+            self._open(pool.backend, pool)  # a process that is down would not have accepted it
+        else:
+            self.end(first, Outcome.CONNECT_FAILED)
 
     def _sweep(self) -> None:
         now = self.clock()
+        self.wear.fade()
         for pool in self.pools.values():
             for connection in [c for c in pool.idle if not self._fit(c, now)]:
                 pool.idle.remove(connection)
--- a/pepperrun/state.py
+++ b/pepperrun/state.py
@@ -52,6 +52,8 @@
             for server in self.servers.values():
                 if server.id not in listed:
                     server.state = BackendState.GONE
+        for server in [server for server in self.servers.values() if server.state is BackendState.GONE]:
+            del self.servers[server.id]  # attempts still out at it end all the same
         return started
 
     def ready(self) -> list[Server]:
--- a/tests/test_gatekeeper.py
+++ b/tests/test_gatekeeper.py
@@ -238,3 +238,18 @@
     driven.loop.run(10 * MS)
     assert driven.ask().end is End.REFUSED
     assert "no buffers" in capsys.readouterr().err
+
+
+def test_an_attempt_sent_in_the_turn_that_tells_of_the_end_has_an_end_itself():
+    # Its exchange was gone by then: the gateway never heard of the attempt again, and it, the request
+    # and a place of the bound stayed taken for good.
+    driven = Driven()
+    driven.loop.run(10 * MS)
+    driven.keeper.heard(0, b"")  # a turn now, so that the next one brings both
+    exchange = driven.ask()
+    driven.decisions.say = lambda event: [Send(exchange.id, 5, 50 * MS)] if isinstance(event, Request) else []
+    driven.keeper.left(exchange)
+    driven.loop.run(20 * MS)
+    ended = [event for _, events in driven.decisions.turns for event in events if type(event) is AttemptEnded]
+    assert [(event.attempt, event.outcome, event.complete) for event in ended] == [(0, Outcome.MOOT, True)]
+    assert not driven.backends.sent and not driven.keeper.exchanges and driven.keeper.waiting() == 0
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -264,6 +264,25 @@
     assert [type(action) for action in done if isinstance(action, Refuse | Fail)] == [answer]
 
 
+def test_stale_connections_show_no_bad_backend_and_cost_no_budget() -> None:
+    # Each counted as a failure: three in a row left a good backend out, and the budget for further attempts
+    # was gone after ten.
+    driver = Driver(backends=1)
+    for _ in range(20):
+        (send,) = sends(driver.ask())
+        (again,) = sends(driver.end(send, Outcome.STALE))
+        driver.end(again, Outcome.OK, attempt=1)
+        driver.run(100 * MS)
+    assert driver.gateway.fleet.bad(driver.gateway.fleet.servers[0], 0, driver.now) == 0.0
+
+
+def test_a_keyed_request_may_go_again_to_the_only_backend_that_knows_it() -> None:
+    driver = Driver(backends=3)  # each in a zone of its own
+    (send,) = sends(driver.ask(cls=2))
+    (again,) = sends(driver.end(send, Outcome.RESET))
+    assert again.backend == send.backend
+
+
 def test_an_answer_comes_before_the_client_gives_up() -> None:
     driver = Driver()
     driver.ask(cls=3, left_ns=2 * SECOND)
--- a/tests/test_long_running.py
+++ b/tests/test_long_running.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from helpers import MS, RATE, SECOND, START, make_settings
+from helpers import MS, RATE, SECOND, START, Driver, make_settings, only
+from standins import line, listing
 
 from pepperrun import gossip
 from pepperrun.gateway import Account, Gateway, Quotas
@@ -19,6 +20,7 @@
     TellPeer,
     TimerFired,
 )
+from pepperrun.net.directory import Directory
 
 
 def test_a_customer_forgotten_and_met_again_gives_its_peers_no_units():
@@ -94,3 +96,32 @@
     account.charge(1.0, START)
     account.charge(-3.0, START)
     assert account.whole.level == account.plan.burst and account.slice.level == account.slice.depth
+
+
+def test_workers_that_have_gone_for_good_are_forgotten_everywhere():
+    # All workers are replaced through the day under new ids, some at the address of one that has gone.
+    directory = Directory(("a",), lambda ms: ms)
+    driver = Driver(backends=0)
+    for day in range(50):
+        number = directory.id_of(f"w{day}")
+        changes = [line(f"w{day}", 9000), *([line(f"w{day - 1}", 9000, "Gone")] if day % 2 else [])]
+        driver.feed(
+            directory.take(
+                listing(*changes, full=day % 2 == 0), ListKind.FULL if day % 2 == 0 else ListKind.DELTA
+            )
+        )
+        (send,) = only(driver.ask(), Send)
+        assert send.backend == number
+        mark = gossip.Mark(number, 0, 0, 0.5)
+        driver.feed(PeerMessage(1, gossip.pack(gossip.Message(1, day + 1, 0, marks=[mark]))))
+        if day % 2:
+            driver.end(send, Outcome.FULL)
+        else:  # its attempt is still out when it goes
+            driver.feed(BackendList(ListKind.FULL, ()))
+            assert not driver.gateway.fleet.servers
+            driver.end(send, Outcome.RESET)
+            driver.feed(directory.take(listing(line(f"w{day}", 9000)), ListKind.FULL))
+    fleet = driver.gateway.fleet
+    assert len(directory.ids) == len(directory.names) == len(directory.lines) == 1
+    assert list(fleet.servers) == [number] == list({backend for backend, _ in fleet.news.known})
+    assert {backend for backend, _ in fleet.news.fresh} <= {number} and fleet.out == 0
