--- a/pepperrun/gateway.py
+++ b/pepperrun/gateway.py
@@ -23,6 +23,7 @@
 TELL_EACH = SECOND  # heartbeats, answers to peers that ask, and how long use that grew counts as active
 OUT_FRESH = SECOND // 4  # told attempts out are old after about the time that an attempt takes
 NEAR = 0.75  # a customer is near its slice once less than this part of the slice is left
+NEWS = 1 / 8  # of the room left: use below it is told within TELL_EACH, not at once
 INTAKE_USED = 0.6  # part of a receiver's intake that all its peers together fill: room for bursts
 DIRECT_WITHIN = SECOND // 2  # peers tell each other directly if their messages fit the intake this often
 KEEPER_PARTS = (0.75, 0.25)  # of a hard ceiling: a customer's first keeper grants, the next while it is away
@@ -118,7 +119,7 @@
     def room(self, now: int) -> float:
         """Units that this gateway may send on before it hears more."""
         active = sum(now - told.grew_at < TELL_EACH for told in self.told.told.values())
-        answered = self.asked_at + self.period < self.told_at and now - self.told_at < HEARD_FOR
+        answered = self.asked_at + 2 * self.period <= now and now - self.told_at < HEARD_FOR
         if self.spread > 1 and not answered and not self.told.since(now - HEARD_FOR):
             # A full slice may be smaller than one request; it pays for one all the same and owes the rest.
             return self.slice.fill(now) if self.slice.level < self.slice.depth else self.plan.burst
@@ -251,22 +252,29 @@
         return message
 
     def tell(self, now: int) -> None:
-        """Each peer hears of the customers that it shares, when they are near."""
-        for customer in self.dirty:
+        """Each peer hears of the customers that it shares, when they are near and there is news."""
+        dirty, self.dirty = self.dirty, {}
+        for customer in dirty:
             account = self.accounts.get(customer)
             if account is None or not account.peers:
                 continue
             if not account.near(now) and not account.told.since(now - HEARD_FOR):
                 continue
+            news = abs(account.untold) > NEWS * max(0.0, account.whole.fill(now))
+            if not news and now - account.told_at < TELL_EACH:
+                if account.untold:
+                    self.dirty[customer] = None
+                continue
             if now - account.told_at >= HEARD_FOR:
                 account.asked_at = now
             account.untold, account.told_at = 0.0, now
             debt = max(0.0, account.slice.depth - account.slice.fill(now))
             for peer in account.peers:
                 handed, level = self._hand_over(account, peer, now), max(0.0, account.ceiling.level)
+                if handed <= 0 and level >= NEAR * account.ceiling.depth:
+                    level = gossip.FAR
                 entry = gossip.Entry(customer, account.total, debt, level, handed, account.out)
                 self.outbox.to(peer).entries.append(entry)
-        self.dirty.clear()
         if now - self.beat >= TELL_EACH:
             self.beat = now
             for peer in range(self.settings.gateways):
@@ -279,6 +287,8 @@
         account.ceiling.fill(now)
         if account.plan.ceiling_rate <= 0 or told is None or now - told.at > HEARD_FOR:
             return 0.0
+        if told.entry.ceiling == gossip.FAR:
+            return 0.0
         # What is on its way while the true store is full is beyond it: the slack over the spread bounds that.
         most = account.plan.ceiling_slack / account.spread / 2
         handed = gossip.to_wire(min(most, (account.ceiling.level - told.entry.ceiling) / 2))
--- a/pepperrun/gossip.py
+++ b/pepperrun/gossip.py
@@ -5,15 +5,17 @@
     header  u8 version, u32 incarnation of the sender, u32 sequence number, u32 incarnation of the receiver
             as last heard (0: not heard), u8 latency as the sender sees it, u8 entries, u8 asks, u8 answers,
             u8 marks
-    entry   u64 customer, i32 total, u16 debt, u16 ceiling level, u16 handed over, u8 attempts out
+    entry   u64 of 33 bits customer, 1 bit that ceiling fields follow, 1 bit that attempts out follow, 5 spare
+            bits and 24 bits total; u16 debt; where so said u16 ceiling level and u16 handed over; where so
+            said u8 attempts out
     ask     u64 customer, u32 request, u16 units, i32 owed, u8 plan, u16 first, u16 spread
     answer  u64 customer, u32 request, u16 units, u16 wait in ms, u8 flags (1 near its quota, 2 beyond it)
     mark    u32 backend, u8 class, u8 age in 50 ms, u8 badness in 255ths
 
-Amounts are in sixteenths of a unit. `total` counts the units that the sender sent since its
-start; `debt` is what it lately used of its slice; `latency` is in hundredths of an aim;
-`handed over` are ceiling units that the sender
-gave up for the receiver; `owed` is what it used without asking, or gives back.
+Amounts are in sixteenths of a unit. `total` counts the units that the sender sent since its start, and wraps;
+`debt` is what it lately used of its slice; `latency` is in hundredths of an aim; `handed over` are ceiling
+units that the sender gave up for the receiver (no ceiling fields: the sender's part of it is far from spent);
+`owed` is what it used without asking, or gives back.
 """
 
 from __future__ import annotations
@@ -23,23 +25,31 @@
 from collections.abc import Container
 from dataclasses import dataclass, field
 
-VERSION = 2
+VERSION = 3
 MAX_BYTES = 256
 STEP = 16
 _HEADER = struct.Struct("<BIIIBBBBB")
-_ENTRY = struct.Struct("<QiHHHB")
+_ENTRY = struct.Struct("<QH")
+_CEILING = struct.Struct("<HH")
+_CUSTOMER = 2**33
+_HAS_CEILING, _HAS_OUT, _TOTAL_AT = 2**33, 2**34, 40
+TOTALS = 2**24  # a total wraps here
 _ASK = struct.Struct("<QIHiBHH")
 _ANSWER = struct.Struct("<QIHHB")
 _MARK = struct.Struct("<IBBB")
 MAX_MARKS = 4
 AGE_NS = 50_000_000
 TENTH = 100_000_000  # incarnations count these: they wrap after 13 years, and one start takes longer
-MAX_ENTRIES = (MAX_BYTES - _HEADER.size - MAX_MARKS * _MARK.size) // _ENTRY.size
+MOST_ENTRY = _ENTRY.size + _CEILING.size + 1
+MAX_ENTRIES = (MAX_BYTES - _HEADER.size - MAX_MARKS * _MARK.size) // MOST_ENTRY
+
+
+FAR = float("inf")
 
 
 @dataclass(slots=True)
 class Entry:
-    """What a gateway tells of one customer."""
+    """What a gateway tells of one customer. `ceiling`: FAR where it is far from spent."""
 
     customer: int
     total: float
@@ -48,6 +58,10 @@
     handed: float
     out: int
 
+    def size(self) -> int:
+        """Bytes in a message."""
+        return _ENTRY.size + _CEILING.size * (self.ceiling < FAR) + (self.out > 0)
+
 
 @dataclass(slots=True)
 class Ask:
@@ -102,10 +116,10 @@
         size = (
             _HEADER.size
             + MAX_MARKS * _MARK.size
-            + len(self.entries) * _ENTRY.size
+            + sum(entry.size() for entry in self.entries)
             + len(self.asks) * _ASK.size
         )
-        return size + len(self.answers) * _ANSWER.size + _ASK.size > MAX_BYTES
+        return size + len(self.answers) * _ANSWER.size + max(_ASK.size, MOST_ENTRY) > MAX_BYTES
 
 
 def to_wire(amount: float) -> float:
@@ -113,14 +127,13 @@
     return min(65535, max(0, int(amount * STEP))) / STEP
 
 
-def _wrapped(total: float) -> int:
-    """A total as it fits; what counts is how far it is from the one before."""
-    return (round(total * STEP) + 2**31) % 2**32 - 2**31
+def _since(now: int, before: int, wrap: int = 2**32) -> int:
+    """How far a count that wraps has come; below 0 where `now` is the older one."""
+    return (now - before + wrap // 2) % wrap - wrap // 2
 
 
-def _since(now: int, before: int) -> int:
-    """How far a count that wraps at 32 bits has come; below 0 where `now` is the older one."""
-    return (now - before + 2**31) % 2**32 - 2**31
+def _steps(amount: float) -> int:
+    return int(to_wire(amount) * STEP)
 
 
 def _signed(amount: float) -> int:
@@ -136,14 +149,19 @@
         _HEADER.pack(VERSION, *ids, len(entries), len(message.asks), len(message.answers), len(message.marks))
     ]
     for entry in entries:
-        amounts = [int(to_wire(amount) * STEP) for amount in (entry.debt, entry.ceiling, entry.handed)]
-        out = min(255, max(0, entry.out))
-        parts.append(_ENTRY.pack(entry.customer, _wrapped(entry.total), *amounts, out))
+        near, out = entry.ceiling < FAR, min(255, entry.out)
+        word = entry.customer % _CUSTOMER + _HAS_CEILING * near + _HAS_OUT * (out > 0)
+        total = round(entry.total * STEP) % TOTALS
+        parts.append(_ENTRY.pack(word + (total << _TOTAL_AT), _steps(entry.debt)))
+        if near:
+            parts.append(_CEILING.pack(_steps(entry.ceiling), _steps(entry.handed)))
+        if out > 0:
+            parts.append(bytes((out,)))
     for ask in message.asks:
-        units, owed = int(to_wire(ask.units) * STEP), _signed(ask.owed)
+        units, owed = _steps(ask.units), _signed(ask.owed)
         parts.append(_ASK.pack(ask.customer, ask.request, units, owed, ask.plan, ask.first, ask.spread))
     for answer in message.answers:
-        units, wait = int(to_wire(answer.units) * STEP), min(65535, max(0, answer.wait_ms))
+        units, wait = _steps(answer.units), min(65535, max(0, answer.wait_ms))
         flags = answer.near + 2 * answer.beyond
         parts.append(_ANSWER.pack(answer.customer, answer.request, units, wait, flags))
     for mark in message.marks:
@@ -152,12 +170,37 @@
     return b"".join(parts)
 
 
+def _unpack_entries(data: bytes, at: int, count: int) -> tuple[list[Entry], int]:
+    """The entries and where they end; past the data's end where it is too short."""
+    entries = []
+    for _ in range(count):
+        if at + _ENTRY.size > len(data):
+            return [], len(data) + 1
+        word, debt = _ENTRY.unpack_from(data, at)
+        at += _ENTRY.size
+        ceiling, handed, out = FAR, 0.0, 0
+        if word & _HAS_CEILING:
+            if at + _CEILING.size > len(data):
+                return [], len(data) + 1
+            level, given = _CEILING.unpack_from(data, at)
+            ceiling, handed = level / STEP, given / STEP
+            at += _CEILING.size
+        if word & _HAS_OUT:
+            if at >= len(data):
+                return [], len(data) + 1
+            out = data[at]
+            at += 1
+        total = (word >> _TOTAL_AT) / STEP
+        entries.append(Entry(word % _CUSTOMER, total, debt / STEP, ceiling, handed, out))
+    return entries, at
+
+
 def unpack(data: bytes) -> Message | None:
     """The message in these bytes; None when they are garbled, oversized or of a foreign version."""
     if not _HEADER.size <= len(data) <= MAX_BYTES or data[0] != VERSION:
         return None
-    _, incarnation, sequence, receiver, latency, entries, asks, answers, marks = _HEADER.unpack_from(data)
-    asks_at = _HEADER.size + entries * _ENTRY.size
+    _, incarnation, sequence, receiver, latency, count, asks, answers, marks = _HEADER.unpack_from(data)
+    entries, asks_at = _unpack_entries(data, _HEADER.size, count)
     answers_at = asks_at + asks * _ASK.size
     marks_at = answers_at + answers * _ANSWER.size
     if len(data) != marks_at + marks * _MARK.size:
@@ -167,12 +210,7 @@
         sequence,
         receiver,
         latency / 100,
-        [
-            Entry(customer, total / STEP, debt / STEP, ceiling / STEP, handed / STEP, out)
-            for customer, total, debt, ceiling, handed, out in _ENTRY.iter_unpack(
-                data[_HEADER.size : asks_at]
-            )
-        ],
+        entries,
         [
             Ask(customer, request, units / STEP, owed / STEP, plan, first, spread)
             for customer, request, units, owed, plan, first, spread in _ASK.iter_unpack(
@@ -212,7 +250,7 @@
         told = self.told.get(peer)
         used = entry.debt
         if told is not None and told.incarnation == incarnation:
-            more = _since(round(entry.total * STEP), round(told.entry.total * STEP)) / STEP
+            more = _since(round(entry.total * STEP), round(told.entry.total * STEP), TOTALS) / STEP
             used = min(entry.debt, more)
         grew_at = now if used > 0 else told.grew_at if told else -(2**62)
         self.told[peer] = Told(incarnation, entry, now, grew_at)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -494,3 +494,22 @@
     account = driver.gateway.quotas.accounts[1]
     account.untold = 0.0
     assert abs(account.room(driver.now) - account.whole.fill(driver.now) / 4) < 1e-9
+
+
+def test_peers_are_told_of_use_that_matters_and_of_small_use_within_a_second() -> None:
+    # Each message costs: a customer whose requests are all refused has no news, one with much room little.
+    def entries(actions: list) -> int:  # type: ignore[type-arg]
+        messages = [gossip.unpack(action.data) for action in only(actions, TellPeer) if action.peer == 1]
+        return sum(len(message.entries) for message in messages if message is not None)
+
+    driver = Driver(backends=3)
+    count = sum(entries(driver.ask(RATE, units=4.0, spread=3) + driver.run(50 * MS)) for _ in range(100))
+    served = len(only(driver.actions, Send))
+    assert 0 < count <= served + 5  # it asked for 80 units a second, ten are its quota
+
+    driver = Driver(backends=3)
+    driver.ask(FREE, units=4.0, spread=3)
+    tell(driver, (5, 1, 0.0))
+    counts = [entries(driver.ask(FREE, units=1.0, spread=3) + driver.run(50 * MS)) for _ in range(40)]
+    assert 1 <= sum(counts) <= 4  # of 1000 units these are few
+    assert driver.gateway.quotas.accounts[1].untold <= 20  # a second's use at most
--- a/tests/test_long_running.py
+++ b/tests/test_long_running.py
@@ -74,7 +74,7 @@
 
 
 def test_a_customers_count_goes_on_past_what_fits():
-    heard, top = gossip.Heard(), 2.0**31 / gossip.STEP
+    heard, top = gossip.Heard(), gossip.TOTALS / gossip.STEP
 
     def told(total: float) -> float:
         entry = gossip.Entry(7, total, 50.0, 0.0, 0.0, 0)
@@ -82,7 +82,7 @@
         assert sent is not None
         return heard.take(1, 1, sent.entries[0], 0)
 
-    told(top - 2)
+    told(top - 2)  # where it wraps
     assert told(top - 1) == 1
     assert told(top + 3) == 4
     assert told(top + 2) == -1  # settled: given back
