--- a/pepperrun/gateway.py
+++ b/pepperrun/gateway.py
@@ -118,16 +118,16 @@
 
     def room(self, now: int) -> float:
         """Units that this gateway may send on before it hears more."""
-        active = sum(now - told.grew_at < TELL_EACH for told in self.told.told.values())
         answered = self.asked_at + 2 * self.period <= now and now - self.told_at < HEARD_FOR
-        if self.spread > 1 and not answered and not self.told.since(now - HEARD_FOR):
+        heard = self.told.since(now - HEARD_FOR)
+        if self.spread > 1 and not answered and not heard:
             # A full slice may be smaller than one request; it pays for one all the same and owes the rest.
             return self.slice.fill(now) if self.slice.level < self.slice.depth else self.plan.burst
         room = self.whole.fill(now)
-        # Even parts among the active; two for the first request, or a large one would be locked out.
-        if self.untold <= 0:
-            return room * min(1.0, 2 / (1 + active))
-        return (room + self.untold) / (1 + active) - self.untold
+        if self.plan.over_cost <= 0:
+            return room  # what two let go at once costs nothing
+        # The rest is split by use: each leaves the others what they will use before it hears of it.
+        return room - sum(told.unseen(now, 2 * self.period) for told in heard)
 
     def inside(self, units: float, now: int) -> bool:
         return self.plan.rate <= 0 or self.room(now) >= units
--- a/pepperrun/gossip.py
+++ b/pepperrun/gossip.py
@@ -25,6 +25,10 @@
 from collections.abc import Container
 from dataclasses import dataclass, field
 
+from pepperrun.clock import SECOND, Decayed
+
+USED_HALF_LIFE = SECOND
+USED_RATE = 0.69  # a second, of a sum that halves in one
 VERSION = 3
 MAX_BYTES = 256
 STEP = 16
@@ -230,12 +234,16 @@
 
 @dataclass(slots=True)
 class Told:
-    """What a peer last told of a customer, when, and when its use last grew."""
+    """What a peer last told of a customer, when, and how much of it the peer used lately."""
 
     incarnation: int
     entry: Entry
     at: int
-    grew_at: int
+    used: Decayed
+
+    def unseen(self, now: int, most: int) -> float:
+        """What it will have used since, at the rate of late, for at most so long."""
+        return self.used.read(now) * USED_RATE * min(most, now - self.at) / SECOND
 
 
 class Heard:
@@ -252,8 +260,9 @@
         if told is not None and told.incarnation == incarnation:
             more = _since(round(entry.total * STEP), round(told.entry.total * STEP), TOTALS) / STEP
             used = min(entry.debt, more)
-        grew_at = now if used > 0 else told.grew_at if told else -(2**62)
-        self.told[peer] = Told(incarnation, entry, now, grew_at)
+        lately = told.used if told is not None else Decayed(USED_HALF_LIFE, now)
+        lately.add(max(0.0, used), now)
+        self.told[peer] = Told(incarnation, entry, now, lately)
         return used
 
     def since(self, at: int) -> list[Told]:
