--- a/pepperrun/net/buffer.py
+++ b/pepperrun/net/buffer.py
@@ -7,6 +7,7 @@
 
 FIRST = 4096
 LEAST_FREE = 1024
+KEPT = 64 * 1024  # what an empty buffer keeps at most: connections are many and large messages few
 
 
 def unread(transport: asyncio.Transport) -> bool:
@@ -89,5 +90,7 @@
         self.start += min(count, len(self))
         if self.start == self.end:
             self.start = self.end = 0
+            if len(self.data) > KEPT:
+                self.data = bytearray(FIRST)
         else:
             self.first_at = self.last_at  # what is left came with the last ones
--- a/pepperrun/net/http1.py
+++ b/pepperrun/net/http1.py
@@ -13,10 +13,12 @@
 
 MAX_HEAD = 16 * 1024
 MAX_FIELDS = 100
-MAX_BODY = 64 * 1024
+MAX_BODY = 64 * 1024  # of a request
+MAX_ANSWER = 1024 * 1024  # workers send more than they may, and their clients want it
 MAX_INTERIM = 64  # 1xx responses ahead of a final one
 MAX_LINE = 256  # of a chunk's size with its extensions
 ROOM = MAX_HEAD + MAX_BODY
+ANSWER_ROOM = MAX_HEAD + MAX_ANSWER
 
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 _FIELDS = re.compile(rb"(?:" + _TOKEN + rb":[^\x00-\x08\x0a-\x1f\x7f]*\r\n)*")
@@ -255,9 +257,9 @@
 
 
 class ResponseParser(_Parser):
-    """Reads responses off a buffer. `bodiless` goes with a response to HEAD."""
+    """Reads responses off a buffer."""
 
-    def __init__(self, buffer: Buffer, most_body: int = MAX_BODY) -> None:
+    def __init__(self, buffer: Buffer, most_body: int = MAX_ANSWER) -> None:
         super().__init__(buffer, most_body)
         self.response: Response | None = None
         self.until_end = False
--- a/pepperrun/net/server_side.py
+++ b/pepperrun/net/server_side.py
@@ -19,7 +19,7 @@
 from pepperrun.log import say
 from pepperrun.net.buffer import Buffer, unread
 from pepperrun.net.directory import Directory
-from pepperrun.net.http1 import ROOM, HttpError, Request, Response, ResponseParser, write_fields
+from pepperrun.net.http1 import ANSWER_ROOM, HttpError, Request, Response, ResponseParser, write_fields
 
 SILENT_NS = SECOND  # a backend that has been asked and said nothing for so long may have been cut off
 STALE_NS = SECOND // 100  # a kept connection that was no longer one breaks this soon under a request
@@ -132,7 +132,7 @@
     def __init__(self, side: ServerSide, pool: Pool) -> None:
         self.side, self.pool = side, pool
         self.transport: asyncio.Transport | None = None
-        self.buffer = Buffer(ROOM)
+        self.buffer = Buffer(ANSWER_ROOM)
         self.parser = ResponseParser(self.buffer)
         self.attempt: Attempt | None = None
         self.unsent = False  # the last byte of the request is not yet written
--- a/tests/test_server_side.py
+++ b/tests/test_server_side.py
@@ -21,7 +21,7 @@
 )
 
 from pepperrun.interface import Outcome
-from pepperrun.net.buffer import unread
+from pepperrun.net.buffer import KEPT, unread
 from pepperrun.net.server_side import Wear
 
 
@@ -134,6 +134,20 @@
     going(test)
 
 
+def test_a_large_answer_comes_whole_and_leaves_no_large_buffer_behind():
+    # Workers answer with more than 64 KiB now and then: each such answer was five failed attempts.
+    async def test():
+        backends, worker = Backends(), await StandIn(ok(b"x" * 400_000)).start()
+        backends.list(line("w", worker.port))
+        backends.send()
+        _, outcome, given, _ = await backends.outcomes.get()
+        assert outcome is Outcome.OK and len(given.body) == 400_000
+        (connection,) = backends.side.connections
+        assert len(connection.buffer.data) <= KEPT
+
+    going(test)
+
+
 def test_a_refused_connection_and_a_worker_that_is_not_listed_never_ran():
     async def test():
         backends, worker = Backends(), await StandIn(stall).start()
