--- a/pepperrun/gateway.py
+++ b/pepperrun/gateway.py
@@ -36,6 +36,7 @@
 START_DEPTH = 6.0  # attempts out a backend at the start, by all gateways: a few for each of a machine's cores
 START_LEAST = 3.0  # attempts out a gateway at the start: with one, its own requests would wait for each other
 FURTHER_SHARE = 0.1  # further attempts a first attempt pays for: a slow fleet gets at most this much on top
+CALM_COST = 0.3  # of a further attempt while the fleet is not pressed: no load comes of it that matters
 FURTHER_BURST = 10.0  # further attempts saved up: one lost backend's worth
 TAIL = 0.97  # an attempt is overdue past this quantile of the latencies seen
 TRIAL_AT = 0.6  # from two failures in a row on, one safe request at a time tries a backend
@@ -712,8 +713,9 @@
             self.actions.append(Cancel(held.id, number))
 
     def _again(self, held: Held, failed: Server, outcome: Outcome = Outcome.TIMEOUT) -> bool:
-        """A further attempt, under the budget: a stale connection cost the fleet nothing."""
-        cost = 0.0 if outcome is Outcome.STALE else 1.0
+        """A further attempt, under the budget. What never ran, or broke at once, cost the fleet nothing."""
+        free = outcome in (Outcome.STALE, Outcome.CONNECT_FAILED, Outcome.MOOT)
+        cost = 0.0 if free else 1.0 if self.bound.latency > PRESSURE_GOAL or self.fleet.shared else CALM_COST
         if self.further.level < cost or self.now + self.fleet.expected(held) > held.aim:
             return False
         server = self.fleet.choose(held, self.now, failed)
--- a/pepperrun/net/server_side.py
+++ b/pepperrun/net/server_side.py
@@ -26,7 +26,7 @@
 CONNECTS = 3  # that are accepted and reset in a row: nothing has been written, so another one is tried
 STALE_MOST = 0.2  # of kept connections as long idle: past this they are not used again
 STALE_UNSAFE = 0.03  # the same for a request that may not simply be sent anew
-FADE = 0.9  # in each sweep: what was learnt is tried again
+FADE = 0.97  # in each sweep: what was learnt is tried again
 IDLE_PART = 0.8  # of the time after which the other side closes an idle connection: closed here before
 SWEEP_S = 1.0
 SAFE = (b"GET", b"HEAD")  # to send again, by HTTP's own word
@@ -83,6 +83,7 @@
 
     def __init__(self) -> None:
         self.shares = [0.0] * 16
+        self.new = 0.0  # the same of new connections, under their first request
 
     def _step(self, idle_ns: int) -> int:
         return min(len(self.shares) - 1, (idle_ns // self.UNIT).bit_length())
@@ -92,13 +93,20 @@
         step = self._step(idle_ns)
         self.shares[step] += (stale - self.shares[step]) / 10
 
+    def saw_new(self, broke: bool) -> None:
+        """A new one was used."""
+        self.new += (broke - self.new) / 10
+
     def trusted(self, idle_ns: int, most: float) -> bool:
-        """Is the share of stale ones among those idle for so long, or less, at most this?"""
-        return max(self.shares[: self._step(idle_ns) + 1]) <= most
+        """Is the share of stale ones among those idle for so long, or less, at most this?
+
+        Or no more than that of new ones that break: these would do no better.
+        """
+        return max(self.shares[: self._step(idle_ns) + 1]) <= max(most, self.new)
 
     def fade(self) -> None:
         """Forgets a little."""
-        self.shares = [share * FADE for share in self.shares]
+        self.shares, self.new = [share * FADE for share in self.shares], self.new * FADE
 
 
 class Attempt:
@@ -171,8 +179,11 @@
         self.buffer.filled(nbytes, 0)
         self.pool.asked_at = 0
         now = self.side.clock()
-        if self.served and self.attempt is not None and self.heard_at < self.started_at:
-            self.side.wear.saw(self.started_at - self.idle_since, False)
+        if self.attempt is not None and self.heard_at < self.started_at:
+            if self.served:
+                self.side.wear.saw(self.started_at - self.idle_since, False)
+            else:
+                self.side.wear.saw_new(False)
         self.heard_at = now
         attempt = self.attempt
         if attempt is None:  # nothing was asked
@@ -244,7 +255,10 @@
     def _broke(self) -> Outcome:
         """How an attempt ended whose connection broke under it: a kept one that did so at once was stale."""
         now = self.side.clock()
-        if not self.served or self.heard_at >= self.started_at or now - self.started_at > STALE_NS:
+        if self.heard_at >= self.started_at or now - self.started_at > STALE_NS:
+            return Outcome.RESET
+        if not self.served:
+            self.side.wear.saw_new(True)
             return Outcome.RESET
         self.side.wear.saw(self.started_at - self.idle_since, True)
         return Outcome.STALE
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -277,6 +277,22 @@
     assert driver.gateway.fleet.bad(driver.gateway.fleet.servers[0], 0, driver.now) == 0.0
 
 
+def test_further_attempts_cost_the_budget_by_what_they_load_the_fleet() -> None:
+    # A tenth of the attempts broke on a calm fleet, and the budget of a tenth was gone: the rest failed.
+    def tried(pressed: bool) -> int:
+        driver, count = Driver(backends=3), 0
+        for _ in range(40):
+            driver.gateway.bound.latency = 1.0 if pressed else 0.1
+            (send,) = sends(driver.ask())
+            for again in sends(driver.end(send, Outcome.ERROR)):
+                count += 1
+                driver.end(again, Outcome.OK, attempt=1)
+            driver.run(200 * MS)
+        return count
+
+    assert tried(pressed=False) > 30 and 5 <= tried(pressed=True) <= 20
+
+
 def test_a_keyed_request_may_go_again_to_the_only_backend_that_knows_it() -> None:
     driver = Driver(backends=3)  # each in a zone of its own
     (send,) = sends(driver.ask(cls=2))
