No more connections give way than are needed

Found by reading: Listener._room closed a further sixteenth at each look, also while those told before were still closing; free() looks at each answer. A test with stub clients fails without the set of those leaving.

--- a/pepperrun/net/listener.py
+++ b/pepperrun/net/listener.py
@@ -53,6 +53,7 @@
     ) -> None:
         self.loop, self.clock, self.most, self.make = loop, clock, most, make
         self.clients: set[Client] = set()
+        self.leaving: set[Client] = set()  # closed to give way, and not yet gone
         self.accepting = 0
         self.draining = False
         self.socket: socket.socket | None = None
@@ -125,11 +126,14 @@
         """
         if len(self.clients) + self.accepting < self.most:
             return True
+        if self.leaving:
+            return False
         now = self.clock()
         ranked = [(rank, client) for client in self.clients if (rank := client.spare(now)) is not None]
         ranked.sort(key=lambda pair: pair[0])
         unmissed = sum(rank[0] < 1 for rank, _ in ranked)
         for _, client in ranked[: max(1, min(unmissed, self.most // PART))]:
+            self.leaving.add(client)
             client.close()
         if not ranked:
             say("limit", f"all {self.most} client connections are in use; accepting later")
@@ -142,6 +146,7 @@
     def remove(self, client: Client) -> None:
         """A connection has ended."""
         self.clients.discard(client)
+        self.leaving.discard(client)
         if self._changed is not None and not self._changed.done():
             self._changed.set_result(None)
         self.free()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -292,6 +292,33 @@
     going(test)
 
 
+def test_no_more_connections_give_way_than_are_needed():
+    # While those told to give way were closing, each look for room told as many more.
+    class Idle:
+        closed = 0
+
+        def spare(self, now):
+            return None if self.closed else (0, 0)
+
+        def close(self):
+            self.closed += 1
+
+    async def test():
+        listener = listener_module.Listener(asyncio.get_running_loop(), lambda: 0, 32, lambda listener: None)
+        clients = [Idle() for _ in range(32)]
+        for client in clients:
+            listener.add(client)
+        for _ in range(10):
+            assert not listener._room()
+        gone = [client for client in clients if client.closed]
+        assert len(gone) == 2 and all(client.closed == 1 for client in gone)
+        for client in gone:
+            listener.remove(client)
+        assert listener._room()
+
+    going(test)
+
+
 def test_a_request_that_waits_unread_in_its_socket_is_not_taken_for_silence(monkeypatch):
     # A loop that is late finds new connections old before it has read from them.
     monkeypatch.setattr(http_client, "GREEN_NS", 0)
