--- a/pepperrun/fronts/http_client.py
+++ b/pepperrun/fronts/http_client.py
@@ -22,13 +22,15 @@
 BAD = (400, 404, 405)  # a client that is answered so at once knows the protocol badly: the connection ends
 SILENT_NS = 2 * SECOND  # a connection on which nothing has been asked
 WHOLE_NS = 5 * SECOND // 2  # for the first request, from connecting on; for others, from their first byte on
-IDLE_NS = 15 * SECOND
+IDLE_NS = (
+    2 * SECOND
+)  # clients keep no more than a part of the descriptors open, some for nothing: theirs must end
+CROWDED_NS = SECOND // 2  # the same where many are open
 AHEAD = 16 * 1024  # of what is sent ahead of an answer, so much is held
 STUCK_NS = 10 * SECOND  # for taking an answer
 LINGER_NS = 4 * SECOND  # for reading why a request can't be read, beside sending the rest of it
 LINGER_BYTES = 96 * 1024 * 1024  # so much more is dropped
 GREEN_NS = SECOND // 4  # a new connection has this long to ask before it gives way to others
-UNUSED_NS = 2 * SECOND  # nobody misses a connection that has been idle for so long
 SCRATCH = memoryview(bytearray(256 * 1024))  # takes what is dropped; never read
 Step = tuple[Gatekeeper, Exchange[Any, Any]]  # an exchange and who is to take it
 TEXT = (b"Content-Type", b"text/plain; charset=utf-8")
@@ -61,7 +63,7 @@
         self.request: Request | None = None
         self.made = self.since = 0  # when it was connected, when it was last used
         self.stuck: int | None = None  # since when the client has not taken what was written
-        self.answers = self.dropped = 0
+        self.answers = self.asked = self.dropped = 0  # `asked`: requests that became exchanges
         self.paused = self.closing = self.lingering = False
 
     # For fronts.
@@ -88,7 +90,7 @@
         """Has a part of a request come?"""
         return self.parser.request is not None or len(self.buffer) > 0
 
-    def due(self) -> int | None:
+    def due(self, crowded: bool) -> int | None:
         """When the connection ends if nothing more happens on it; None while an answer is owed."""
         if self.lingering:
             return self.since + LINGER_NS
@@ -100,12 +102,15 @@
             return self.since + STUCK_NS
         if self.fresh():
             return self.made + (WHOLE_NS if self.partial() else SILENT_NS)
-        return self.buffer.first_at + WHOLE_NS if self.partial() else self.since + IDLE_NS
+        if self.partial():
+            return self.buffer.first_at + WHOLE_NS
+        return self.since + (CROWDED_NS if crowded else IDLE_NS)
 
     def spare(self, now: int) -> tuple[int, int] | None:
         """How readily it gives way to a new connection; None: not at all.
 
-        Those that have come back with a second request are the likeliest to come again.
+        Nobody misses one that has only asked whether this gatekeeper is ready, and stays. Of the others those
+        that have come back with a second request are the likeliest to come again.
         """
         transport = self.transport
         if transport is None or transport.is_closing() or not self.lingering and self.busy():
@@ -113,9 +118,11 @@
         if self.fresh():  # a loop that is late has not read yet what has come long ago
             silent = now - self.made >= GREEN_NS and not unread(transport)
             return (0, self.made) if silent else None
-        if self.lingering or now - self.since >= UNUSED_NS:
+        if self.lingering:
             return (0, self.since) if now - self.since >= GREEN_NS else None
-        return (1 if self.answers == 1 else 2), self.since
+        if not self.asked or now - self.since >= CROWDED_NS:
+            return 0, self.since
+        return (1 if self.asked == 1 else 2), self.since
 
     def unwritten(self) -> bool:
         """Is a part of an answer not yet taken?"""
@@ -123,6 +130,8 @@
 
     def expire(self) -> None:
         """Its time is up: who has sent a part of a request is told so."""
+        if self.transport is not None and not self.busy() and not self.lingering and unread(self.transport):
+            return  # it has been used, and the loop is late
         if self.partial() and not self.closing and not self.unwritten() and self.transport is not None:
             text = b"the request did not come whole in time\n"
             self.transport.write(write_response(408, [TEXT], text, close=True))
@@ -242,6 +251,7 @@
     def _proceed(self, what: Step | Answer) -> None:
         if len(what) == 2:
             self.step = what
+            self.asked += 1
             what[0].take(what[1])
         else:
             self._write(what)
--- a/pepperrun/net/listener.py
+++ b/pepperrun/net/listener.py
@@ -13,9 +13,8 @@
 SWEEP_S = 0.25
 PAUSE_S = 0.05  # between looks for room while there is none
 RETRY_S = 1.0  # when the system has no descriptor or memory for a connection
-PART = (
-    16  # of all connections, this part gives way at a time: looking at them all for each new one takes long
-)
+CROWD = 3  # past this part of all connections, idle ones end sooner
+PART = 4  # this part gives way at a time: looking at them all for each new one takes long
 BACKLOG = 512
 ACCEPT_S = 0.5  # after SIGTERM new connections keep coming for up to 0.4 s
 LINGER_S = 0.15  # and the last of them may still send their request this much later
@@ -32,7 +31,7 @@
 
     def fresh(self) -> bool: ...
 
-    def due(self) -> int | None: ...
+    def due(self, crowded: bool) -> int | None: ...
 
     def spare(self, now: int) -> tuple[int, int] | None: ...
 
@@ -162,9 +161,9 @@
         await self._changed
 
     def _sweep(self) -> None:
-        now = self.clock()
+        now, crowded = self.clock(), len(self.clients) > self.most // CROWD
         for client in list(self.clients):
-            due = client.due()
+            due = client.due(crowded)
             if due is not None and now >= due:
                 client.expire()
         self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
