--- a/pepperrun/fronts/http_client.py
+++ b/pepperrun/fronts/http_client.py
@@ -25,7 +25,7 @@
 IDLE_NS = (
     2 * SECOND
 )  # clients keep no more than a part of the descriptors open, some for nothing: theirs must end
-CROWDED_NS = SECOND // 2  # the same where many are open
+CROWDED_NS = SECOND // 5  # the same where many are open
 AHEAD = 16 * 1024  # of what is sent ahead of an answer, so much is held
 STUCK_NS = 10 * SECOND  # for taking an answer
 LINGER_NS = 4 * SECOND  # for reading why a request can't be read, beside sending the rest of it
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -293,7 +293,7 @@
 
 
 def test_idle_connections_end_after_2_s_and_sooner_where_many_are_open(monkeypatch):
-    # Clients that asked once and kept their connection for good held all that clients may open, for 15 s each.
+    # Clients that ask once and keep their connection for good held all that clients may open, 15 s each.
     monkeypatch.setattr(listener_module, "SWEEP_S", 0.01)
 
     async def test():
