Silent clients' connections are parked: a record instead of transport and buffer

Need: patient apps hold connections for hours. Each cost an asyncio transport, a protocol and a 4 KiB buffer, was looked at four times a second, and ended after 2 s.

The package pepperrun/parking holds a hierarchical timer wheel, the records in arrays by descriptor, the order of giving way, a time budget for each turn (all without I/O), a nested epoll instance, and holder processes that keep descriptors beyond one process's limit and hand them back when they speak. Without the file the listener is as before: its times became one value that the file replaces.

--- a/pepperrun/__main__.py
+++ b/pepperrun/__main__.py
@@ -30,8 +30,11 @@
 
 if TYPE_CHECKING:
     from pepperrun.metrics import MetricsConfig, Reporter, Sample
+    from pepperrun.parking.config import ClientsConfig
+    from pepperrun.parking.lot import Lot
 
-USAGE = "usage: python3 -m pepperrun [--forward-auth FILE] [--metrics FILE]"
+OPTIONS = ("--forward-auth", "--metrics", "--clients")
+USAGE = "usage: pepperrun [--forward-auth FILE] [--metrics FILE] [--clients FILE], or pepperrun --help"
 RESERVED = 24  # descriptors that are not connections of clients or to backends: files, listeners, the loop's
 OVERTIME_S = 1.0  # after the longest deadline: the last requests come a while after SIGTERM
 
@@ -100,8 +103,26 @@
     return (limit - RESERVED) // 2, (limit - RESERVED) // 2
 
 
+def make_lot(config: ClientsConfig, clock: Clock, sockets: int, auth_sockets: int) -> tuple[Lot, int]:
+    """Where clients' connections are parked, and how many may lead to workers: a sixth of the descriptors.
+
+    The limit on descriptors is raised as far as the system lets an ordinary user.
+    """
+    from pepperrun.parking.lot import Lot
+
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft != hard:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    limit = min(sockets, hard) if hard != resource.RLIM_INFINITY else sockets
+    backends = max(16, limit // 6)
+    here = max(16, limit - RESERVED - backends - auth_sockets // 2 - config.holders)
+    if config.most_here:
+        here = min(here, config.most_here)
+    return Lot(asyncio.get_running_loop(), clock, config, here), backends
+
+
 async def start_auth(
-    config: AuthConfig, clock: Clock, seed: int
+    config: AuthConfig, clock: Clock, seed: int, lot: Lot | None = None
 ) -> tuple[Core, AuthService, Listener | None]:
     """The core before the authentication servers and, where configured, its front."""
     most_clients, most = config.sockets // 2, config.sockets // 2
@@ -114,14 +135,19 @@
     if config.listen is None:
         return core, service, None
     make = ForwardAuth(service).make
-    return core, service, listen("forward authentication", config.listen, clock, most_clients, make)
+    return core, service, listen("forward authentication", config.listen, clock, most_clients, make, lot)
 
 
 async def start_platform(
-    config: Config, clock: Clock, sockets: int, auth: AuthService | None
+    config: Config,
+    clock: Clock,
+    sockets: int,
+    auth: AuthService | None,
+    lot: Lot | None = None,
+    backends: int = 0,
 ) -> tuple[Core, Listener]:
     """The core before the workers and the platform's front."""
-    most_clients, most = split_sockets(sockets)
+    most_clients, most = split_sockets(sockets) if lot is None else (0, backends)
     core = Core(
         clock,
         config.settings,
@@ -135,7 +161,7 @@
     core.told(config.known, ListKind.CACHED)
     await core.meet(config.peer_listen, config.peers)
     front = Platform(config.settings, core.gatekeeper, clock, auth)
-    return core, listen(config.name, config.listen, clock, most_clients, front.make)
+    return core, listen(config.name, config.listen, clock, most_clients, front.make, lot)
 
 
 def listen(
@@ -144,9 +170,15 @@
     clock: Clock,
     most: int,
     make: Callable[[Listener], asyncio.BufferedProtocol],
+    lot: Lot | None = None,
 ) -> Listener:
     """A front at its address."""
-    listener = Listener(asyncio.get_running_loop(), clock, most, make)
+    if lot is None:
+        listener = Listener(asyncio.get_running_loop(), clock, most, make)
+    else:
+        from pepperrun.parking.listener import ParkingListener
+
+        listener = ParkingListener(asyncio.get_running_loop(), clock, lot, make)
     listener.open(address)
     say(name, f"{name} listens at {listener.address[0]}:{listener.address[1]}")
     return listener
@@ -200,6 +232,7 @@
     auth_config: AuthConfig | None,
     parts: dict[str, Part],
     watch: Watch,
+    lot: Lot | None = None,
 ) -> tuple[Config | None, AuthConfig | None]:
     """Reads the files anew and gives what is in force: where discovery is and whom to ask change at once.
 
@@ -207,7 +240,7 @@
     is never touched.
     """
     try:
-        new, new_auth, _ = files.read(metrics=False)
+        new, new_auth, _, clients = files.read(metrics=False)
     except (OSError, ValueError) as error:
         say("bad reload", f"the new configuration is no good, the old one stays in force: {error}")
         return config, auth_config
@@ -221,11 +254,18 @@
         if new_auth.servers != auth_config.servers:
             parts["auth"][0].told(new_auth.servers, ListKind.FULL)
         auth_config = replace(auth_config, servers=new_auth.servers)
+    if lot is not None and clients is not None:
+        later += [f"clients {key}" for key in lot.follow(clients)]
     rest = f"; at the next start: {', '.join(later)}" if later else ""
     say("reload", f"took in the new configuration{rest}")
     return config, auth_config
 
 
+def drained_count(listeners: list[Listener], lot: Lot | None) -> int:
+    """Connections that are up; fronts that park theirs share one count."""
+    return lot.total() if lot is not None else sum(listener.count() for listener in listeners)
+
+
 def changed(old: Config | AuthConfig, new: Config | AuthConfig, *but: str) -> list[str]:
     """The keys in which two configurations differ."""
     names = [field.name for field in fields(old) if field.name not in but]
@@ -234,7 +274,7 @@
 
 async def run(files: Files) -> None:
     """Serves until SIGTERM or SIGINT, then drains."""
-    config, auth_config, metrics = files.first
+    config, auth_config, metrics, clients = files.first
     loop = asyncio.get_running_loop()
     clock, stop = Clock(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -244,13 +284,19 @@
     auth = None
     classes: list[RequestClass] = []
     watch = Watch()
+    lot, backends = None, 0
+    if clients is not None:
+        held = auth_config.sockets if auth_config is not None else 0
+        # Forward authentication alone has no key for the process's limit: the system's is what there is.
+        sockets = config.sockets if config is not None else resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+        lot, backends = make_lot(clients, clock, sockets, held)
     if auth_config is not None:
-        core, auth, answering = await start_auth(auth_config, clock, secrets.randbits(64))
+        core, auth, answering = await start_auth(auth_config, clock, secrets.randbits(64), lot)
         parts["auth"] = core, answering
         classes += auth_config.settings.classes
     if config is not None:
         sockets = config.sockets - (auth_config.sockets if auth_config is not None else 0)
-        parts["platform"] = core, _ = await start_platform(config, clock, sockets, auth)
+        parts["platform"] = core, _ = await start_platform(config, clock, sockets, auth, lot, backends)
         classes += config.settings.classes
         watch.move(config.discovery, core.told)
     if metrics is not None:
@@ -260,7 +306,7 @@
     def reload() -> None:
         nonlocal config, auth_config
         if not stop.is_set():  # a drain goes on with what it has
-            config, auth_config = reloaded(files, config, auth_config, parts, watch)
+            config, auth_config = reloaded(files, config, auth_config, parts, watch, lot)
 
     loop.add_signal_handler(signal.SIGHUP, reload)
     gc.collect()
@@ -268,7 +314,7 @@
 
     await stop.wait()
     listeners = [listener for _, listener in parts.values() if listener is not None]
-    say("stop", f"drains {sum(len(listener.clients) for listener in listeners)} connections")
+    say("stop", f"drains {drained_count(listeners, lot)} connections")
     longest_s = max(kind.deadline_ns for kind in classes) / SECOND
     try:
         async with asyncio.timeout(longest_s + OVERTIME_S):
@@ -281,6 +327,12 @@
     watch.stop()
     for task in tasks:
         task.cancel()
+    if lot is not None:
+        lot.close()
+
+
+# Of the platform, forward authentication, figures and clients' connections: what was given.
+Read = tuple["Config | None", "AuthConfig | None", "MetricsConfig | None", "ClientsConfig | None"]
 
 
 class Files:
@@ -288,13 +340,13 @@
 
     def __init__(self, arguments: list[str], env: Mapping[str, str]) -> None:
         options = dict(zip(arguments[::2], arguments[1::2], strict=False))
-        if len(arguments) != 2 * len(options) or not options.keys() <= {"--forward-auth", "--metrics"}:
+        if len(arguments) != 2 * len(options) or not options.keys() <= set(OPTIONS):
             raise ValueError(USAGE)
         self.env, self.config = env, env.get("NODE_CONFIG")
-        self.auth, self.metrics = options.get("--forward-auth"), options.get("--metrics")
+        self.auth, self.metrics, self.clients = (options.get(name) for name in OPTIONS)
         self.first = self.read()
 
-    def read(self, metrics: bool = True) -> tuple[Config | None, AuthConfig | None, MetricsConfig | None]:
+    def read(self, metrics: bool = True) -> Read:
         """The files as they are now."""
 
         def text(path: str) -> str:
@@ -307,12 +359,20 @@
             from pepperrun.metrics import read_metrics  # only where asked for: a start takes its time too
 
             figures = read_metrics(text(self.metrics))
+        clients = None
+        if self.clients:
+            from pepperrun.parking.config import read_clients
+
+            try:
+                clients = read_clients(text(self.clients))
+            except ValueError as error:
+                raise ValueError(f"{self.clients}: {error}") from None
         config = read_config(text(self.config), self.env) if self.config else None
         if config is None and auth is None:
             raise ValueError("NODE_CONFIG: not set")
         if config is None and auth is not None and auth.listen is None:
             raise ValueError("listen: missing, and NODE_CONFIG is not set")
-        return config, auth, figures
+        return config, auth, figures, clients
 
 
 def main(arguments: list[str]) -> int:
--- a/pepperrun/fronts/http_client.py
+++ b/pepperrun/fronts/http_client.py
@@ -15,23 +15,19 @@
 from pepperrun.gatekeeper import Gatekeeper
 from pepperrun.net.buffer import Buffer, unread
 from pepperrun.net.http1 import ROOM, HttpError, Message, Request, RequestParser, write_response
-from pepperrun.net.listener import Listener
+from pepperrun.net.listener import CROWDED_NS, Listener
 
 Fields = list[tuple[bytes, bytes]]
 Answer = tuple[int, Fields, bytes]
 BAD = (400, 404, 405)  # a client that is answered so at once knows the protocol badly: the connection ends
-SILENT_NS = 2 * SECOND  # a connection on which nothing has been asked
-WHOLE_NS = 5 * SECOND // 2  # for the first request, from connecting on; for others, from their first byte on
-IDLE_NS = (
-    2 * SECOND
-)  # clients keep no more than a part of the descriptors open, some for nothing: theirs must end
-CROWDED_NS = SECOND // 5  # the same where many are open
 AHEAD = 16 * 1024  # of what is sent ahead of an answer, so much is held
 STUCK_NS = 10 * SECOND  # for taking an answer
 LINGER_NS = 4 * SECOND  # for reading why a request can't be read, beside sending the rest of it
 LINGER_BYTES = 96 * 1024 * 1024  # so much more is dropped
 GREEN_NS = SECOND // 4  # a new connection has this long to ask before it gives way to others
 SCRATCH = memoryview(bytearray(256 * 1024))  # takes what is dropped; never read
+MOST_HELD = 2048  # bytes of a part of a request with which a connection can be parked
+Snapshot = tuple[int, int, int, bytes, int]
 Step = tuple[Gatekeeper, Exchange[Any, Any]]  # an exchange and who is to take it
 TEXT = (b"Content-Type", b"text/plain; charset=utf-8")
 
@@ -65,6 +61,9 @@
         self.stuck: int | None = None  # since when the client has not taken what was written
         self.answers = self.asked = self.dropped = 0  # `asked`: requests that became exchanges
         self.paused = self.closing = self.lingering = False
+        self.parked = False  # another keeps its connection
+        self.fd = -1  # for who keeps connections by descriptor
+        self.woken = 0  # when it spoke, for one that is taken up again; 0 once that is read
 
     # For fronts.
 
@@ -100,11 +99,14 @@
             return None
         if self.unwritten():
             return self.since + STUCK_NS
-        if self.fresh():
-            return self.made + (WHOLE_NS if self.partial() else SILENT_NS)
+        times = self.listener.times
+        if self.fresh() and not self.partial():
+            return self.made + times.silent_ns
+        if self.fresh() and times.whole_from_made:
+            return self.made + times.whole_ns
         if self.partial():
-            return self.buffer.first_at + WHOLE_NS
-        return self.since + (CROWDED_NS if crowded else IDLE_NS)
+            return self.buffer.first_at + times.whole_ns
+        return self.since + (times.crowded_ns if crowded else times.idle_ns)
 
     def spare(self, now: int) -> tuple[int, int] | None:
         """How readily it gives way to a new connection; None: not at all.
@@ -146,15 +148,51 @@
             else:
                 self.transport.close()
 
+    # For who parks connections.
+
+    def idle_since(self) -> int | None:
+        """Since when it has said nothing; None where parking would lose more."""
+        transport = self.transport
+        if transport is None or transport.is_closing() or self.step is not None or self.closing:
+            return None
+        if self.woken or self.paused or self.stuck is not None or self.parser.request is not None:
+            return None
+        if self.unwritten() or len(self.buffer) > MOST_HELD:
+            return None
+        return self.buffer.last_at if len(self.buffer) else self.since
+
+    def snapshot(self) -> Snapshot:
+        """What outlasts the object: answers, exchanges, last use, a part of a request and when it began."""
+        held = self.buffer.peek(len(self.buffer))
+        return self.answers, self.asked, self.since, held, self.buffer.first_at if held else 0
+
+    def park(self) -> None:
+        """Gives up the transport, whose connection lives on in a copy of its descriptor."""
+        transport, self.transport = self.transport, None
+        self.parked = True
+        self.listener.let_go(self)
+        if transport is not None:
+            transport.abort()
+
+    def revive(self, snapshot: Snapshot, woken: int) -> None:
+        """Goes on as the connection was; it has spoken at `woken`."""
+        self.answers, self.asked, self.since, held, held_at = snapshot
+        self.made, self.woken = self.since, woken
+        if held:
+            self.buffer.add(held, held_at)
+
     # For asyncio.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
-        self.transport, self.made = transport, self.clock()
-        self.since = self.made
+        self.transport = transport
+        if not self.woken:
+            self.made = self.since = self.clock()
         self.listener.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        if self.parked:
+            return
         self.transport = None
         self.listener.remove(self)
         self._left()
@@ -170,7 +208,12 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         if not self.lingering:
+            first = not len(self.buffer)
             self.buffer.filled(nbytes, self.clock())
+            if self.woken:
+                if first:  # its time runs from when it spoke, not from when it was taken up
+                    self.buffer.first_at = self.woken
+                self.woken = 0
             self._read()
             return
         self.dropped += nbytes
--- a/pepperrun/metrics/__init__.py
+++ b/pepperrun/metrics/__init__.py
@@ -48,7 +48,7 @@
         Sample(f"{name}.connections.opened", servers.opened, True),
     ]
     if listener is not None:
-        now.append(Sample(f"{name}.connections.clients", len(listener.clients), False))
+        now.append(Sample(f"{name}.connections.clients", listener.count(), False))
     return taken + ended + now
 
 
--- a/pepperrun/net/listener.py
+++ b/pepperrun/net/listener.py
@@ -5,8 +5,10 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
+from pepperrun.clock import SECOND
 from pepperrun.config import Address
 from pepperrun.log import say
 
@@ -20,6 +22,26 @@
 LINGER_S = 0.15  # and the last of them may still send their request this much later
 
 
+SILENT_NS = 2 * SECOND  # a connection on which nothing has been asked
+WHOLE_NS = 5 * SECOND // 2  # for the first request, from connecting on; for others, from their first byte on
+IDLE_NS = 2 * SECOND  # clients keep no more than a part of the descriptors open, some for nothing
+CROWDED_NS = SECOND // 5  # the same where many are open
+
+
+@dataclass(slots=True, frozen=True)
+class Times:
+    """How long clients' connections last, in nanoseconds; the platform's where no file says more."""
+
+    silent_ns: int = SILENT_NS
+    whole_ns: int = WHOLE_NS
+    idle_ns: int = IDLE_NS
+    crowded_ns: int = CROWDED_NS
+    whole_from_made: bool = True  # the first request's time counts from connecting on
+
+
+PLATFORM_TIMES = Times()
+
+
 class Client(Protocol):
     """A client's connection, as the listener sees it.
 
@@ -56,12 +78,22 @@
         self.accepting = 0
         self.draining = False
         self.socket: socket.socket | None = None
+        self.backlog = BACKLOG
         self.on = False  # connections are being accepted
         self.address: Address = ("", 0)
         self._tasks: set[asyncio.Task[None]] = set()
         self._sweeper: asyncio.TimerHandle | None = None
         self._changed: asyncio.Future[None] | None = None
 
+    @property
+    def times(self) -> Times:
+        """How long connections last."""
+        return PLATFORM_TIMES
+
+    def count(self) -> int:
+        """Connections that are up."""
+        return len(self.clients)
+
     def open(self, address: Address) -> None:
         """Listens at an address."""
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
@@ -70,7 +102,7 @@
         sock.setblocking(False)
         try:
             sock.bind(address)
-            sock.listen(BACKLOG)
+            sock.listen(self.backlog)
         except OSError:
             sock.close()
             raise
@@ -144,11 +176,15 @@
 
     def remove(self, client: Client) -> None:
         """A connection has ended."""
+        self.let_go(client)
+        self.free()
+
+    def let_go(self, client: Client) -> None:
+        """A connection is no longer this listener's to look after."""
         self.clients.discard(client)
         self.leaving.discard(client)
         if self._changed is not None and not self._changed.done():
             self._changed.set_result(None)
-        self.free()
 
     def free(self) -> None:
         """A connection has ended or become idle: accepting may go on."""
--- /dev/null
+++ b/tests/test_parking_core.py
@@ -0,0 +1,276 @@
+"""The deciding half of parked connections: wheel, ledger, budget, messages and the operators' file."""
+
+from __future__ import annotations
+
+import json
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from pepperrun.parking import wire
+from pepperrun.parking.budget import Budget
+from pepperrun.parking.config import ClientsConfig, read_clients
+from pepperrun.parking.ledger import Ledger, Rank, Record, State
+from pepperrun.parking.wheel import LEVELS, SLOTS, TICK_BITS, Wheel
+
+TICK = 1 << TICK_BITS
+S = 1_000_000_000
+KEYS = st.integers(0, 40)
+SPANS = st.one_of(
+    st.integers(0, 3 * TICK),
+    st.integers(0, 200 * TICK),
+    st.integers(0, SLOTS**LEVELS * TICK * 2),
+    st.sampled_from([SLOTS**level * TICK + more for level in range(1, 5) for more in (-1, 0, 1)]),
+)
+
+
+def config(**changes: object) -> ClientsConfig:
+    return read_clients(json.dumps({"idle_s": 100, "first_byte_s": 10, "request_s": 5} | changes))
+
+
+class AgainstASortedReference(RuleBasedStateMachine):
+    """The wheel fires what a sorted list of (due, key) would fire: never early, a tick late at most."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 5 * S
+        self.wheel = Wheel(self.now)
+        self.wheel.grow(64)
+        self.set: dict[int, int] = {}
+        self.again: set[int] = set()
+
+    @rule(key=KEYS, span=SPANS)
+    def insert(self, key: int, span: int) -> None:
+        self.wheel.insert(key, self.now + span)
+        self.set[key] = self.now + span
+        self.again.discard(key)
+
+    @rule(key=KEYS)
+    def cancel(self, key: int) -> None:
+        self.wheel.cancel(key)
+        self.set.pop(key, None)
+        self.again.discard(key)
+
+    @rule(span=SPANS, most=st.integers(1, 50))
+    def advance(self, span: int, most: int) -> None:
+        self.now += span
+        self.wheel.advance(self.now)
+        fired = []
+        while self.wheel.pending():
+            got = self.wheel.take(self.now, most)
+            assert len(got) <= most
+            fired += got
+        assert all(self.set[key] <= self.now for key in fired if key not in self.again), "fired early"
+        assert self.again <= set(fired)
+        self.again.clear()
+        # A timer is on time once its tick has begun.
+        must = {key for key, due in self.set.items() if due <= (self.now >> TICK_BITS) << TICK_BITS}
+        assert must <= set(fired) and len(set(fired)) == len(fired)
+        for key in fired:
+            if self.set[key] > self.now:
+                self.wheel.insert(key, self.set[key])
+            else:
+                del self.set[key]
+
+    @rule(back=st.integers(1, 100 * TICK))
+    def clock_steps_back(self, back: int) -> None:
+        self.now = max(0, self.now - back)
+
+    @rule()
+    def restart(self) -> None:
+        self.wheel.restart()
+        self.again = set(self.set)
+
+    @invariant()
+    def wakes_in_time(self) -> None:
+        assert len(self.wheel) == len(self.set)
+        assert {key: self.wheel.due(key) for key in self.set} == self.set
+        wake = self.wheel.wake()
+        if self.set:
+            # The moment to look next: no later than the tick by which the first must fire.
+            assert wake is not None and wake <= max(
+                -(-min(self.set.values()) >> TICK_BITS) << TICK_BITS, self.now
+            )
+        elif not self.wheel.pending():
+            assert wake is None
+
+
+AgainstASortedReference.TestCase.settings = settings(
+    derandomize=True, max_examples=60, stateful_step_count=40
+)
+test_the_wheel_against_a_sorted_reference = AgainstASortedReference.TestCase
+
+
+def test_a_hundred_thousand_timers_due_together_are_worked_off_in_bounded_steps():
+    wheel, count = Wheel(0), 100_000
+    wheel.grow(count)
+    for key in range(count):
+        wheel.insert(key, 3600 * S)  # far off: they come down the levels together, too
+    now, fired, steps = 0, 0, 0
+    while len(wheel):
+        now = max(now, wheel.wake())
+        wheel.advance(now)
+        while wheel.pending():
+            got = wheel.take(now, 500)
+            assert len(got) <= 500 and (not got or now >= 3600 * S)
+            fired, steps = fired + len(got), steps + 1
+    # Each timer is looked at once a level at most.
+    assert fired == count and steps <= (LEVELS + 1) * count / 500 + LEVELS
+
+
+class LedgerAgainstADictionary(RuleBasedStateMachine):
+    """The arrays say of each descriptor what plain dictionaries say, whatever happens to its number."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = S
+        self.ledger = Ledger(config(most_asking=4, most=50), self.now)
+        self.parked: dict[int, Record] = {}
+        self.waiting: list[tuple[int, Record, int]] = []
+        self.taken: set[int] = set()
+
+    def free(self, key: int) -> bool:
+        return key not in self.parked and key not in self.taken and key not in [k for k, _, _ in self.waiting]
+
+    @rule(key=KEYS, rank=st.sampled_from(Rank), held=st.sampled_from([b"", b"", b"GET "]))
+    def park(self, key: int, rank: Rank, held: bytes) -> None:
+        if self.free(key):
+            record = Record(1, rank, self.now, held, self.now if held else 0)
+            self.ledger.park(key, record)
+            self.parked[key] = record
+
+    @rule(key=KEYS)
+    def wake(self, key: int) -> None:
+        assert self.ledger.wake(key, self.now) == (key in self.parked)
+        if key in self.parked:
+            self.waiting.append((key, self.parked.pop(key), self.now))
+
+    @rule()
+    def next_up(self) -> None:
+        got = self.ledger.next_up()
+        if self.waiting and len(self.taken) < 4:
+            assert got == self.waiting[0]
+            self.taken.add(self.waiting.pop(0)[0])
+        else:
+            assert got is None
+
+    @rule(key=KEYS)
+    def drop(self, key: int) -> None:
+        self.ledger.drop(key)
+        self.parked.pop(key, None)
+        self.taken.discard(key)
+        self.waiting = [one for one in self.waiting if one[0] != key]
+
+    @rule(span=st.integers(0, 12 * S))
+    def time_passes(self, span: int) -> None:
+        self.now += span
+        fired = self.ledger.fire(self.now, 1000)
+        assert all(state is State.PARKED for _, state in fired)
+        for key, _ in fired:
+            record = self.parked.pop(key)
+            life = 5 if record.held else 10 if record.rank is Rank.SILENT else 100
+            assert record.since + life * S <= self.now
+            self.ledger.drop(key)
+
+    @invariant()
+    def same(self) -> None:
+        ledger = self.ledger
+        assert (ledger.parked, ledger.taken, len(ledger.woken)) == (
+            len(self.parked),
+            len(self.taken),
+            len(self.waiting),
+        )
+        assert {key: ledger.record(key) for key in self.parked} == self.parked
+        victims = ledger.giving_way(100, self.now + S)
+        assert sorted(victims) == sorted(key for key, one in self.parked.items() if not one.held)
+        ranks = [self.parked[key].rank for key in victims]
+        assert ranks == sorted(ranks)
+
+
+LedgerAgainstADictionary.TestCase.settings = settings(
+    derandomize=True, max_examples=40, stateful_step_count=40
+)
+test_the_ledger_against_a_dictionary = LedgerAgainstADictionary.TestCase
+
+
+def test_a_new_connection_has_a_moment_to_ask_before_it_gives_way():
+    ledger = Ledger(config(give_way_after_s=1), 0)
+    ledger.park(5, Record(0, Rank.SILENT, 0))
+    ledger.park(6, Record(0, Rank.SILENT, S))
+    ledger.park(7, Record(0, Rank.OFTEN, 0))
+    assert ledger.giving_way(9, S + 1) == [5, 7] and ledger.giving_way(1, S + 1) == [5]
+    assert ledger.longest_silent(9) == [7, 5, 6]
+
+
+def test_parked_connections_follow_other_times_at_once_and_longer_ones_without_a_look_at_each():
+    ledger = Ledger(config(), 0)
+    for key in range(100):
+        ledger.park(key, Record(0, Rank.ONCE, 0))
+    ledger.follow(config(idle_s=2))
+    assert ledger.fire(1 * S, 1000) == [] and len(ledger.wheel) == 100
+    assert len(ledger.fire(2 * S + TICK, 1000)) == 100
+
+
+def test_a_turns_budget_follows_what_an_item_costs_and_lets_one_through_always():
+    budget = Budget(2_000_000, most=500)
+    assert budget.allow("wake") == 100  # nothing measured yet: 20 us each
+    for _ in range(50):
+        budget.spent("wake", 10, 10 * 500_000)
+    assert budget.allow("wake") == 4 and budget.allow("timer") == 100
+    for _ in range(50):
+        budget.spent("wake", 1, 60 * S)  # the process was stopped meanwhile
+    assert budget.allow("wake") == 2
+    for _ in range(100):
+        budget.spent("wake", 100, 100)
+    assert budget.allow("wake") == 500
+
+
+@given(
+    st.binary(max_size=60)
+    | st.integers(0, 9).map(lambda kind: bytes([kind]) + bytes(random.Random(kind).randbytes(17)))
+)
+def test_messages_of_holders_are_read_or_refused(data):
+    try:
+        kind, _ = wire.read(data)
+    except ValueError:
+        return
+    assert isinstance(kind, wire.Kind)
+
+
+def test_messages_of_holders_come_back_as_they_were():
+    batch = [Record(n % 2, Rank(n % 4), n * S) for n in range(wire.BATCH)]
+    assert wire.read(wire.records(wire.Kind.BACK, batch)) == (wire.Kind.BACK, batch)
+    times, report = wire.Times(1, 2, 3, 4, 5), wire.Report(1, 2, 3, 4, 5, 6, 7)
+    assert wire.read(wire.times(times))[1] == times and wire.read(wire.report(report))[1] == report
+    assert wire.read(wire.giving(7)) == (wire.Kind.YIELD, 7)
+    with pytest.raises(ValueError, match="batch"):
+        wire.records(wire.Kind.KEEP, [Record(0, Rank.ONCE, 0, b"GET", 1)])
+
+
+@pytest.mark.parametrize(
+    ("text", "key"),
+    [
+        ("[]", "clients"),
+        ("{", "clients"),
+        ('{"idle": 1}', "idle"),
+        ('{"idle_s": "1"}', "idle_s"),
+        ('{"idle_s": NaN}', "idle_s"),
+        ('{"idle_s": -1}', "idle_s"),
+        ('{"idle_s": 1e300}', "idle_s"),
+        ('{"first_byte_s": 0}', "first_byte_s"),
+        ('{"request_s": true}', "request_s"),
+        ('{"most": 0}', "most"),
+        ('{"most": 1.5}', "most"),
+        ('{"most": 10, "most_asking": 11}', "most_asking"),
+        ('{"park_after_s": 3600}', "park_after_s"),
+        ('{"holders": 65}', "holders"),
+        ('{"turn_ms": 0}', "turn_ms"),
+        ('{"backlog": 0}', "backlog"),
+    ],
+)
+def test_a_bad_clients_file_names_its_key(text, key):
+    with pytest.raises(ValueError, match=rf"^{key}\b"):
+        read_clients(text)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -251,8 +251,9 @@
 
 
 def test_slow_requests_and_answers_that_are_not_taken_end(monkeypatch):
-    for name in ("WHOLE_NS", "STUCK_NS", "SILENT_NS"):
-        monkeypatch.setattr(http_client, name, 10 * MS)
+    monkeypatch.setattr(http_client, "STUCK_NS", 10 * MS)
+    times = listener_module.Times(silent_ns=10 * MS, whole_ns=10 * MS)
+    monkeypatch.setattr(listener_module, "PLATFORM_TIMES", times)
     monkeypatch.setattr(listener_module, "SWEEP_S", 0.01)
 
     async def test():
@@ -310,14 +311,14 @@
             return clients
 
         few = await open_ones(2)
-        later = http_client.CROWDED_NS
+        later = listener_module.CROWDED_NS
         await asyncio.sleep(0.05)
         assert len(front.listener.clients) == 2
-        later = http_client.IDLE_NS
+        later = listener_module.IDLE_NS
         assert [await client.ended() for client in few] == [True, True]
         later = 0
         many = await open_ones(5)
-        later = http_client.CROWDED_NS
+        later = listener_module.CROWDED_NS
         assert all([await client.ended() for client in many])
 
     going(test)
