One command with sub-commands, and a bench for silent connections

Need: the cost of silent connections had no measure, and the tools had no common command.

Connections in use are taken up before those long silent, turns are bounded by what they have cost, transports that are given up leave no cycle, and nobody gives way while holders have room.

--- a/Makefile
+++ b/Makefile
@@ -6,12 +6,13 @@
 
 .PHONY: build test lint run clean
 
-build: $(VENV)/bin/pytest
+build: $(VENV)/installed.txt
 	$(PYTHON) -m compileall -q pepperrun
 
-$(VENV)/bin/pytest: requirements-dev.txt
+$(VENV)/installed.txt: requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
 	$(VENV)/bin/pip -q install -r requirements-dev.txt
+	cp requirements-dev.txt $@
 
 test: build
 	$(VENV)/bin/python -m pytest -q tests
--- a/pepperrun/__main__.py
+++ b/pepperrun/__main__.py
@@ -21,7 +21,7 @@
 from pepperrun.fronts.platform import Platform
 from pepperrun.gatekeeper import Clock, Gatekeeper
 from pepperrun.interface import ListKind, RequestClass, Settings
-from pepperrun.log import say
+from pepperrun.log import json_lines, say
 from pepperrun.net.directory import Directory
 from pepperrun.net.discovery import Discovery
 from pepperrun.net.listener import Listener
@@ -33,8 +33,12 @@
     from pepperrun.parking.config import ClientsConfig
     from pepperrun.parking.lot import Lot
 
-OPTIONS = ("--forward-auth", "--metrics", "--clients")
-USAGE = "usage: pepperrun [--forward-auth FILE] [--metrics FILE] [--clients FILE], or pepperrun --help"
+OPTIONS = ("--forward-auth", "--metrics", "--clients", "--log-format")
+USAGE = (
+    "usage: pepperrun [--forward-auth FILE] [--metrics FILE] [--clients FILE] [--log-format text|json],"
+    " or pepperrun --help"
+)
+HELP = ("-h", "--help", "--version")
 RESERVED = 24  # descriptors that are not connections of clients or to backends: files, listeners, the loop's
 OVERTIME_S = 1.0  # after the longest deadline: the last requests come a while after SIGTERM
 
@@ -343,7 +347,11 @@
         if len(arguments) != 2 * len(options) or not options.keys() <= set(OPTIONS):
             raise ValueError(USAGE)
         self.env, self.config = env, env.get("NODE_CONFIG")
-        self.auth, self.metrics, self.clients = (options.get(name) for name in OPTIONS)
+        self.auth, self.metrics, self.clients, log_format = (options.get(name) for name in OPTIONS)
+        if log_format not in (None, "text", "json"):
+            raise ValueError(f"--log-format: {log_format!r} is neither text nor json")
+        if log_format == "json":
+            json_lines()
         self.first = self.read()
 
     def read(self, metrics: bool = True) -> Read:
@@ -376,7 +384,24 @@
 
 
 def main(arguments: list[str]) -> int:
-    """Reads the configuration and runs; the exit code."""
+    """A sub-command, or without one a gatekeeper; the exit code."""
+    if not arguments or arguments[0].startswith("-") and arguments[0] not in HELP:
+        return serve(arguments)
+    try:
+        from pepperrun.cli.main import main as command
+    except ImportError as error:
+        print(f"pepperrun: {arguments[0]}: {error} (pip install 'pepperrun[tools]')", file=sys.stderr)
+        return 2
+    return command(arguments)
+
+
+def entry() -> None:
+    """The installed command."""
+    sys.exit(main(sys.argv[1:]))
+
+
+def serve(arguments: list[str]) -> int:
+    """Reads the configuration and runs a gatekeeper; the exit code."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes too early must not end the program
     try:
         files = Files(arguments, os.environ)
@@ -392,4 +417,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(sys.argv[1:]))
+    entry()
--- /dev/null
+++ b/pepperrun/bench/worker.py
@@ -0,0 +1,56 @@
+"""A stand-in worker: `python3 -m pepperrun.bench.worker PORT SERVICE_MS` serves until its input ends."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+from pepperrun.net.buffer import Buffer
+from pepperrun.net.http1 import ROOM, HttpError, RequestParser, write_response
+
+HOST = "127.0.0.1"
+
+
+class Worker(asyncio.BufferedProtocol):
+    """Answers each request after the service time, one at a time on a connection."""
+
+    def __init__(self, service_s: float) -> None:
+        self.service_s, self.buffer = service_s, Buffer(ROOM)
+        self.parser = RequestParser(self.buffer)
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.buffer.room()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.buffer.filled(nbytes, 0)
+        try:
+            while self.parser.next() is not None:
+                asyncio.get_running_loop().call_later(self.service_s, self._answer)
+        except HttpError:
+            if self.transport is not None:
+                self.transport.close()
+
+    def _answer(self) -> None:
+        if self.transport is not None:
+            self.transport.write(write_response(200, [(b"X-Units-Charged", b"1")], b"served\n", False))
+
+
+async def serve(port: int, service_s: float) -> None:
+    """Until standard input ends, which it does with the process that started this one."""
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(lambda: Worker(service_s), HOST, port, backlog=1024)
+    print(server.sockets[0].getsockname()[1], flush=True)
+    await loop.run_in_executor(None, sys.stdin.read)
+    server.close()
+
+
+if __name__ == "__main__":
+    asyncio.run(serve(int(sys.argv[1]), float(sys.argv[2]) / 1000))
--- /dev/null
+++ b/pepperrun/cli/bench.py
@@ -0,0 +1,160 @@
+"""`pepperrun bench`: experiments on this machine's loopback."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import click
+
+
+def numbers(context: click.Context, parameter: click.Parameter, value: str) -> tuple[int, ...]:
+    """Whole numbers with commas between them."""
+    try:
+        found = tuple(int(part) for part in value.split(","))
+    except ValueError:
+        raise click.BadParameter(f"{value!r} is not a list of whole numbers") from None
+    if not found or min(found) < 1 or max(found) > 1_000_000:
+        raise click.BadParameter("each must be from 1 to 1000000")
+    return found
+
+
+@click.group()
+@click.option("--log-format", type=click.Choice(["text", "json"]), default="text", show_default=True)
+def bench(log_format: str) -> None:
+    """Measure gatekeepers on this machine's loopback."""
+    from pepperrun.cli.logs import configure
+
+    configure(log_format)
+
+
+def with_progress(what: Callable[[Callable[[str], None]], dict[str, Any]]) -> dict[str, Any]:
+    """Runs an experiment; what it is at is shown on a terminal, and logged elsewhere."""
+    if sys.stderr.isatty():
+        from rich.console import Console
+
+        with Console(stderr=True).status("starting") as status:
+            return what(status.update)
+    import structlog
+
+    log = structlog.get_logger()
+    return what(lambda text: log.info("bench", at=text))
+
+
+def keep(found: dict[str, Any], path: Path | None) -> None:
+    """Writes what was found, all or nothing."""
+    if path is None:
+        return
+    new = path.with_name(path.name + ".new")
+    new.write_text(json.dumps(found, indent=1) + "\n", encoding="utf-8")
+    new.replace(path)
+
+
+@bench.command()
+@click.option(
+    "--steps", default="1000,4000,16000", show_default=True, callback=numbers, help="Silent connections."
+)
+@click.option(
+    "--rate", default=150.0, show_default=True, type=click.FloatRange(1, 5000), help="Asks a second."
+)
+@click.option(
+    "--burst", default=4.0, show_default=True, type=click.FloatRange(1, 100), help="Times the rate."
+)
+@click.option("--steady", default=10.0, show_default=True, type=click.FloatRange(1, 600), help="Seconds.")
+@click.option("--burst-for", default=5.0, show_default=True, type=click.FloatRange(1, 600), help="Seconds.")
+@click.option("--silent", default=5.0, show_default=True, type=click.FloatRange(1, 600), help="Seconds.")
+@click.option("--wake", default=10_000, show_default=True, type=click.IntRange(1), help="Speak at once.")
+@click.option("--seed", default=1, show_default=True, type=int)
+@click.option("--holders", default=0, show_default=True, type=click.IntRange(0, 64), help="At least.")
+@click.option("--json", "json_path", type=click.Path(path_type=Path, dir_okay=False), help="Write all here.")
+@click.option("--plot", type=click.Path(path_type=Path, dir_okay=False), help="PNG or SVG, by its ending.")
+def idle(
+    steps: tuple[int, ...],
+    rate: float,
+    burst: float,
+    steady: float,
+    burst_for: float,
+    silent: float,
+    wake: int,
+    seed: int,
+    holders: int,
+    json_path: Path | None,
+    plot: Path | None,
+) -> int:
+    """What silent connections cost, and from how many on confirmations suffer.
+
+    Exits with 1 if they do at one of the steps.
+    """
+    from pepperrun.bench import idle as experiment
+    from pepperrun.bench.rig import RigError
+
+    plan = experiment.Plan(steps, rate, burst, steady, burst_for, silent, seed, wake)
+    try:
+        found = with_progress(lambda say: experiment.run(plan, holders, say))
+        keep(found, json_path)
+        if plot is not None:
+            from pepperrun.bench.plots import idle_plot
+
+            idle_plot(found, plot)
+    except (RigError, OSError, ValueError) as error:
+        raise click.ClickException(str(error)) from None
+    click.echo(experiment.table(found))
+    return 0 if found["suffers"] is None else 1
+
+
+@bench.command()
+@click.option("--count", default=3000, show_default=True, type=click.IntRange(100, 15_000))
+@click.option("--rounds", default=3, show_default=True, type=click.IntRange(1, 20))
+@click.option("--json", "json_path", type=click.Path(path_type=Path, dir_okay=False), help="Write all here.")
+def accepts(count: int, rounds: int, json_path: Path | None) -> int:
+    """Accepts a second without and with a clients file, in turn."""
+    from pepperrun.bench import idle as experiment
+    from pepperrun.bench.rig import RigError
+
+    try:
+        found = with_progress(lambda say: experiment.accepts(count, rounds, say))
+        keep(found, json_path)
+    except (RigError, OSError) as error:
+        raise click.ClickException(str(error)) from None
+    medians = found["median"]
+    click.echo(
+        f"accepts a second: {medians['before']} before, {medians['after']} after, {found['ratio']} times"
+    )
+    return 0
+
+
+@bench.command()
+@click.option("--count", default=16_000, show_default=True, type=click.IntRange(100, 100_000))
+@click.option(
+    "--compare", default=8000, show_default=True, type=click.IntRange(0, 9000), help="Without a file."
+)
+@click.option("--json", "json_path", type=click.Path(path_type=Path, dir_okay=False), help="Write all here.")
+def timeouts(count: int, compare: int, json_path: Path | None) -> int:
+    """When silent connections are closed, against when they are due, and how long the loop stalls."""
+    from pepperrun.bench import idle as experiment
+    from pepperrun.bench.rig import RigError
+
+    def both(say: Callable[[str], None]) -> dict[str, Any]:
+        runs = [experiment.timeouts(compare, None, 2.0, say)] if compare else []
+        if compare:
+            runs.append(experiment.timeouts(compare, experiment.CLIENTS, 5.0, say))
+        return {"runs": [*runs, experiment.timeouts(count, experiment.CLIENTS, 5.0, say)]}
+
+    try:
+        found = with_progress(both)
+        keep(found, json_path)
+    except (RigError, OSError) as error:
+        raise click.ClickException(str(error)) from None
+    early = 0
+    for run in found["runs"]:
+        late, early = run["lateness_ms"], early + run["early"]
+        click.echo(
+            f"{run['connections']} {'parked' if run['parked'] else 'as without a file'}:"
+            f" {run['closed']} closed, {run['early']} early;"
+            f" late by ms: p50 {late['p50']:.0f}, p99 {late['p99']:.0f},"
+            f" most {late['most']:.0f}; longest stall a probe saw {run['probe_most_ms']:.0f} ms"
+        )
+    return 1 if early else 0
--- a/pepperrun/fronts/http_client.py
+++ b/pepperrun/fronts/http_client.py
@@ -79,7 +79,9 @@
 
     def busy(self) -> bool:
         """Is a request on it, whole or in part, or an answer not yet written?"""
-        return not self.lingering and (self.step is not None or self.partial() or self.unwritten())
+        if self.lingering:
+            return False
+        return self.step is not None or self.partial() or self.unwritten() or self.woken > 0
 
     def fresh(self) -> bool:
         """Has it had no answer yet?"""
@@ -312,4 +314,4 @@
         if close:
             self.transport.close()
         else:
-            self.listener.free()
+            self.listener.answered(self)
--- a/pepperrun/log.py
+++ b/pepperrun/log.py
@@ -11,13 +11,49 @@
 EACH = SECOND
 
 _seldom = Seldom(EACH)
+Sink = Callable[[str, str, int], None]  # the line's kind, its text, and how many more of its kind there were
+_sink: Sink | None = None
 _dropped: dict[str, int] = {}
 
 
+def send_to(sink: Sink | None) -> None:
+    """Lines go there from now on; None: to standard error as text."""
+    global _sink
+    _sink = sink
+
+
+def json_lines() -> None:
+    """One JSON object a line on standard error, by structlog; ValueError where that is not installed."""
+    try:
+        import structlog
+    except ImportError:
+        raise ValueError("--log-format: json needs structlog (pip install 'pepperrun[tools]')") from None
+    log = structlog.wrap_logger(
+        structlog.PrintLogger(sys.stderr),
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.BoundLogger,
+    )
+
+    def sink(kind: str, text: str, more: int) -> None:
+        if more:
+            log.info(text, kind=kind, more=more)
+        else:
+            log.info(text, kind=kind)
+
+    send_to(sink)
+
+
 def say(kind: str, text: str, clock: Callable[[], int] = time.monotonic_ns) -> None:
     """Prints the line, or counts it where one of its kind was printed within the last second."""
     if not _seldom.now(kind, clock()):
         _dropped[kind] = _dropped.get(kind, 0) + 1
         return
     more = _dropped.pop(kind, 0)
+    if _sink is not None:
+        _sink(kind, text, more)
+        return
     print(f"pepperrun: {text}" + (f" ({more} more)" if more else ""), file=sys.stderr, flush=True)
--- a/pepperrun/net/listener.py
+++ b/pepperrun/net/listener.py
@@ -186,6 +186,10 @@
         if self._changed is not None and not self._changed.done():
             self._changed.set_result(None)
 
+    def answered(self, client: Client) -> None:
+        """A connection has had an answer and may be idle: it could give way."""
+        self.free()
+
     def free(self) -> None:
         """A connection has ended or become idle: accepting may go on."""
         if not self.on and self.socket is not None and self._room():
--- a/pepperrun/parking/holders.py
+++ b/pepperrun/parking/holders.py
@@ -18,7 +18,7 @@
 from pepperrun.parking.wire import Kind
 
 AGAIN_S = 1.0  # before a holder that has died is started again
-MESSAGES = 4  # taken in at a time: each may bring 64 connections
+MESSAGES = 1  # taken in a turn: each may bring 64 connections
 SPARE = 32  # descriptors of a holder that are not connections
 
 
--- a/pepperrun/parking/ledger.py
+++ b/pepperrun/parking/ledger.py
@@ -18,6 +18,9 @@
 
 GROW = 1024
 LATER_NS = 1_000_000_000  # between looks at a connection that is being served
+RECENT_NS = 5_000_000_000  # a connection used within this time is in use, and goes before those long silent
+TURNS = 4  # of so many turns one goes to those long silent, whoever else waits
+KEPT = 8  # this part of `most_asking` is kept for connections in use
 
 
 class State(IntEnum):
@@ -66,7 +69,9 @@
         self.since = array("q")
         self.held: dict[int, tuple[bytes, int]] = {}
         self.woken: dict[int, int] = {}  # waiting, and since when
-        self.queue: deque[tuple[int, int]] = deque()  # key and generation, in the order of waking
+        # Key and generation in the order of waking: connections in use, and those that were long silent.
+        self.queues: tuple[deque[tuple[int, int]], deque[tuple[int, int]]] = deque(), deque()
+        self.turn = 0
         self.parked = self.taken = 0
         self.ranks = [0] * (len(Rank) + 1)  # parked ones by ring
 
@@ -152,25 +157,43 @@
         self.wheel.cancel(key)
         self.state[key] = State.WAITING
         self.woken[key] = now
-        self.queue.append((key, self.generation[key]))
+        long_silent = now - self.since[key] >= RECENT_NS
+        self.queues[long_silent].append((key, self.generation[key]))
         return True
 
     def next_up(self) -> tuple[int, Record, int] | None:
-        """Who has waited longest, its record and when it woke, if it may be taken up now; it then is."""
-        while self.queue and self.taken < self.config.most_asking:
-            key, generation = self.queue.popleft()
-            if self.state[key] != State.WAITING or self.generation[key] != generation:
-                continue
-            record, woken = self.record(key), self.woken.pop(key)
-            self.held.pop(key, None)
-            self.state[key] = State.TAKEN
-            self.taken += 1
-            return key, record, woken
-        return None
+        """Who is next, its record and when it woke, if it may be taken up now; it then is.
+
+        Ten thousand that wake at once must not delay a client that is in the middle of its work, whose
+        connection happened to be parked: connections in use go first, and have some places to themselves.
+        """
+        in_use, silent = self.queues
+        most = self.config.most_asking
+        if self.taken >= most:
+            return None
+        for queue in self.queues:
+            while queue and not self._waits(*queue[0]):
+                queue.popleft()
+        self.turn += 1
+        may = bool(silent) and self.taken < most - most // KEPT
+        if may and (not in_use or self.turn % TURNS == 0):
+            return self._up(silent.popleft()[0])
+        return self._up(in_use.popleft()[0]) if in_use else None
+
+    def _waits(self, key: int, generation: int) -> bool:
+        return self.state[key] == State.WAITING and self.generation[key] == generation
+
+    def _up(self, key: int) -> tuple[int, Record, int]:
+        record, woken = self.record(key), self.woken.pop(key)
+        self.held.pop(key, None)
+        self.state[key] = State.TAKEN
+        self.taken += 1
+        return key, record, woken
 
     def crowded(self) -> bool:
         """Do some wait because as many as may ask have been taken up?"""
-        return bool(self.woken) and self.taken >= self.config.most_asking
+        most = self.config.most_asking
+        return bool(self.woken) and self.taken >= most - most // KEPT
 
     # Taken up.
 
--- a/pepperrun/parking/listener.py
+++ b/pepperrun/parking/listener.py
@@ -110,8 +110,11 @@
         self.lot.down(client)  # type: ignore[arg-type]
         super().remove(client)
 
+    def answered(self, client: Client) -> None:
+        self.lot.answered(client)  # type: ignore[arg-type]
+
     def free(self) -> None:
-        """An answer has been written: nothing to do, idle ones are parked in their time."""
+        """A connection has ended: the lot sees to it."""
 
     def _sweep(self) -> None:
         """The wheel looks after times."""
--- a/pepperrun/parking/lot.py
+++ b/pepperrun/parking/lot.py
@@ -12,6 +12,7 @@
 import resource
 import socket
 import time
+from collections import deque
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -26,7 +27,8 @@
 HAND_OVER = 3, 4  # past this part of the descriptors here, the longest silent go to holders
 IN_A_TURN = 4  # batches handed over
 GIVE_WAY = 64  # connections at a time
-PARK_EACH_NS = SECOND // 50  # between looks for idle ones among the taken while others wait
+LOOK_NS = SECOND // 50  # between looks at one connection that is taken up, at least
+SCAN_S = 0.02  # between looks for idle ones among all that are taken up, while others wait
 SHORT_S = 0.1  # when the system has no descriptor or memory for a connection
 
 
@@ -47,6 +49,16 @@
     return answers, max(0, record.rank - Rank.UNASKED), record.since, record.held, record.held_at
 
 
+def unknot(transport: asyncio.Transport | None) -> None:
+    """Lets go of a transport that will read no more at once, not at the collector's next full round.
+
+    The loop's transport refers to itself through a bound method. Thousands of them that are given up in a
+    second made the collector stop the loop for 50 ms. Where the loop has no such attribute nothing changes.
+    """
+    if transport is not None:
+        vars(transport).pop("_read_ready_cb", None)
+
+
 class Client(Protocol):
     """A connection that is taken up, as the lot sees it."""
 
@@ -108,7 +120,9 @@
         self._timer: asyncio.TimerHandle | None = None
         self._armed: int | None = None
         self._serving = self._handing = False
-        self._parked_at = 0
+        self._idle: deque[int] = deque()  # answered while others waited, in that order
+        self._scan: asyncio.TimerHandle | None = None
+        self._served = 0, 0  # how many were taken up last, and when, if the loop came straight back from it
         loop.add_reader(self.shelf.epoll.fileno(), self._look)
 
     # Room.
@@ -125,13 +139,17 @@
         """Is there room for one more, if those that are missed least give way?"""
         if self.free():
             return True
+        away = self.holders is not None and self.holders.room() and self.ledger.parked > 0
+        if away and self.total() < self.config.most:
+            self.settle()  # only here it is full: nobody gives way while others can be handed over
+            return False
         most = min(GIVE_WAY, 1 + self.config.most // 4)
         here = self.ledger.giving_way(most, self.clock())
         if len(self.ledger) < self.most_here and self.holders is not None:
             # Of one rank those with holders have been silent longer: they were handed over for that.
-            away = self.holders.lowest()
+            lowest = self.holders.lowest()
             first = self.ledger.rank[here[0]] if here else len(Rank)
-            if away is not None and away <= first and self.holders.give_way(most):
+            if lowest is not None and lowest <= first and self.holders.give_way(most):
                 return False
         if here and self.shelf.give_way(here):
             return True
@@ -170,9 +188,9 @@
 
     def _returned(self, fd: int, record: Record) -> None:
         """A holder gives a connection back: it has spoken."""
-        if self.shelf.put(fd, record):
-            self.shelf.spoken(fd, self.clock())
-            self._later()
+        self.ledger.park(fd, record)
+        self.ledger.wake(fd, self.clock())
+        self._later()
 
     def _later(self) -> None:
         if not self._serving:
@@ -184,15 +202,23 @@
         self._serve()
 
     def _serve(self) -> None:
-        """Takes up a bounded number of those that have spoken, longest waiting first."""
-        most, count, start = self.budget.allow("take up"), 0, time.perf_counter_ns()
+        """Takes up a bounded number of those that have spoken.
+
+        What one costs shows only in the turns that follow, when its transport is made and its request is read
+        and answered: while some still wait, the time from one turn to the next is what the last ones took.
+        """
+        start, (last, before) = time.perf_counter_ns(), self._served
+        if last:
+            self.budget.spent("take up", last, start - before)
+        most, count = self.budget.allow("take up"), 0
         while count < most and (up := self.ledger.next_up()) is not None:
             self._take_up(*up)
             count += 1
-        self.budget.spent("take up", count, time.perf_counter_ns() - start)
+        self._served = 0, 0
         if self.ledger.crowded():
             self._park_idle()
         elif self.ledger.woken:
+            self._served = count, start
             self._later()
 
     def _take_up(self, fd: int, record: Record, woken: int) -> None:
@@ -239,7 +265,7 @@
 
     def _watch(self, fd: int, client: Client) -> None:
         """When to look at it again: once in a while for all that it did meanwhile, not for each request."""
-        later = self.clock() + max(PARK_EACH_NS, min(LATER_NS, self.config.park_after_ns))
+        later = self.clock() + max(LOOK_NS, min(LATER_NS, self.config.park_after_ns))
         due = client.due(False)
         self.ledger.watch(fd, later if due is None else min(due, later))
 
@@ -277,20 +303,40 @@
         del self.clients[fd]
         self.ledger.drop(fd)
         client.park()
+        unknot(transport)
         self.shelf.put(kept, record)
         return True
 
+    def answered(self, client: Client) -> None:
+        """A connection has had its answer; if others wait for its place, it is parked before its time."""
+        if self.ledger.crowded():
+            self._idle.append(client.fd)
+            self._later()
+
     def _park_idle(self) -> None:
-        """Others wait to be taken up: those that hold no request make way for them."""
-        now = self.clock()
-        if now - self._parked_at < PARK_EACH_NS:
-            self.loop.call_later(PARK_EACH_NS / SECOND, self._later)
-            return
-        self._parked_at = now
-        idle = [(fd, client) for fd, client in self.clients.items() if client.idle_since() is not None]
-        for fd, client in idle[: max(GIVE_WAY, len(self.ledger.woken))]:
-            self._park(fd, client)
-        self._later() if idle else self.loop.call_later(PARK_EACH_NS / SECOND, self._later)
+        """Others wait to be taken up: those that hold no request make way for them, longest idle first."""
+        most = min(len(self.ledger.woken), self.budget.allow("park"))
+        count, start = 0, time.perf_counter_ns()
+        while count < most and self._idle:
+            fd = self._idle.popleft()
+            client = self.clients.get(fd)
+            count += client is not None and self._park(fd, client)
+        self.budget.spent("park", count, time.perf_counter_ns() - start)
+        if count:
+            self._later()
+        elif self._scan is None:  # those that were idle before anybody waited: one look at all in a while
+            self._scan = self.loop.call_later(SCAN_S, self._find_idle)
+
+    def _find_idle(self) -> None:
+        self._scan = None
+        if self.ledger.crowded():
+            idle = [
+                (since, fd) for fd, one in self.clients.items() if (since := one.idle_since()) is not None
+            ]
+            self._idle = deque(fd for _, fd in sorted(idle))
+            self._serve()
+        else:
+            self._idle.clear()
 
     # Time.
 
