--- a/pepperrun/parking/holder.py
+++ b/pepperrun/parking/holder.py
@@ -23,6 +23,7 @@
 
 REPORT_NS = 50_000_000  # between two reports
 MESSAGES = 16  # in one turn
+NICE = 10
 
 
 def config_of(times: wire.Times) -> ClientsConfig:
@@ -193,6 +194,7 @@
     """Runs a holder. It outlives the terminal's signals: the gatekeeper drains through it."""
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, signal.SIG_IGN)
+    os.nice(NICE)  # on one core with the gatekeeper, who is served goes before who is silent
     control = socket.socket(fileno=int(arguments[0]))
     Holder(control, int(arguments[1])).run()
     return 0
--- a/pepperrun/parking/ledger.py
+++ b/pepperrun/parking/ledger.py
@@ -235,10 +235,22 @@
                 chosen.append(key)
         return chosen
 
-    def longest_silent(self, count: int) -> list[int]:
-        """Whom to hand to another process: those least likely to speak soon, at most `count`."""
+    def longest_silent(self, count: int, now: int) -> list[int]:
+        """Whom to hand to another process: those least likely to speak soon, at most `count`.
+
+        First whoever has been silent for long, whatever the rank; then those who ask seldom. One with a part
+        of a request is about to speak, and stays.
+        """
         chosen: list[int] = []
-        # Those that ask often come last; one with a part of a request is about to speak.
+        for rank in Rank:
+            for key in self.order.members(rank):
+                if len(chosen) >= count:
+                    return chosen
+                if now - self.since[key] < RECENT_NS:
+                    break
+                chosen.append(key)
+        if chosen:
+            return chosen
         for rank in (Rank.UNASKED, Rank.ONCE, Rank.OFTEN, Rank.SILENT):
             for key in self.order.members(rank):
                 if len(chosen) >= count:
--- a/pepperrun/parking/lot.py
+++ b/pepperrun/parking/lot.py
@@ -378,7 +378,7 @@
         for _ in range(IN_A_TURN):
             if not self._crowded_here():
                 break
-            fds = self.ledger.longest_silent(wire.BATCH)
+            fds = self.ledger.longest_silent(wire.BATCH, self.clock())
             batch = [(fd, self.ledger.record(fd)) for fd in fds]
             if not batch or not self.holders.keep(batch):
                 if self.holders.room():
