Captured load, a model in virtual time with the real decisions, and a planner on it

Stand-in nodes on sockets run the model's node on the real clock, and pepperrun bench replay plays a capture through real gatekeepers.

--- a/pepperrun/__main__.py
+++ b/pepperrun/__main__.py
@@ -12,6 +12,7 @@
 import sys
 from collections.abc import Callable, Mapping
 from dataclasses import fields, replace
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from pepperrun.clock import SECOND
@@ -29,17 +30,19 @@
 from pepperrun.net.server_side import Judge, ServerSide, platform_judge
 
 if TYPE_CHECKING:
+    from pepperrun.capture.recorder import Recorder
     from pepperrun.metrics import MetricsConfig, Reporter, Sample
     from pepperrun.parking.config import ClientsConfig
     from pepperrun.parking.lot import Lot
 
-OPTIONS = ("--forward-auth", "--metrics", "--clients", "--log-format")
+OPTIONS = ("--forward-auth", "--metrics", "--clients", "--log-format", "--capture")
 USAGE = (
-    "usage: pepperrun [--forward-auth FILE] [--metrics FILE] [--clients FILE] [--log-format text|json],"
-    " or pepperrun --help"
+    "usage: pepperrun [--forward-auth FILE] [--metrics FILE] [--clients FILE] [--capture DIR]"
+    " [--log-format text|json], or pepperrun --help"
 )
 HELP = ("-h", "--help", "--version")
 RESERVED = 24  # descriptors that are not connections of clients or to backends: files, listeners, the loop's
+MOST_CAPTURES = 100  # files of a gatekeeper that are kept
 OVERTIME_S = 1.0  # after the longest deadline: the last requests come a while after SIGTERM
 
 
@@ -312,6 +315,13 @@
         if not stop.is_set():  # a drain goes on with what it has
             config, auth_config = reloaded(files, config, auth_config, parts, watch, lot)
 
+    recorders = []
+    if files.capture is not None:
+        name = config.name if config is not None else "auth"
+        for part, (core, _) in parts.items():
+            label = name if part == "platform" else f"{name}-auth"
+            recorders.append(recorder_of(files.capture, label, core, clock))
+
     loop.add_signal_handler(signal.SIGHUP, reload)
     gc.collect()
     gc.freeze()
@@ -333,6 +343,35 @@
         task.cancel()
     if lot is not None:
         lot.close()
+    for recorder in recorders:
+        recorder.close()
+
+
+def check_capture(folder: str) -> None:
+    """Captures can be written there; ValueError or OSError where not."""
+    try:
+        from pepperrun.capture.recorder import key_of
+    except ImportError as error:
+        raise ValueError(f"--capture: {error} (pip install 'pepperrun[capture]')") from None
+    if not os.path.isdir(folder):
+        raise ValueError(f"--capture: {folder} is no folder")
+    key_of(Path(folder))
+
+
+def recorder_of(folder: str, name: str, core: Core, clock: Clock) -> Recorder:
+    """Writes what a core takes into the folder; what is known of a worker is its name and zone."""
+    from pepperrun.capture.recorder import Recorder, files_in, key_of
+
+    directory = core.directory
+
+    def place(backend: int) -> tuple[str, str]:
+        line = directory.lines.get(backend)
+        return directory.names.get(backend, str(backend)), line.zone if line is not None else ""
+
+    path = Path(folder)
+    recorder = Recorder(core.settings, name, key_of(path), place, files_in(path, name, MOST_CAPTURES), clock)
+    core.gatekeeper.observer = recorder.take
+    return recorder
 
 
 # Of the platform, forward authentication, figures and clients' connections: what was given.
@@ -347,12 +386,14 @@
         if len(arguments) != 2 * len(options) or not options.keys() <= set(OPTIONS):
             raise ValueError(USAGE)
         self.env, self.config = env, env.get("NODE_CONFIG")
-        self.auth, self.metrics, self.clients, log_format = (options.get(name) for name in OPTIONS)
+        self.auth, self.metrics, self.clients, log_format, self.capture = map(options.get, OPTIONS)
         if log_format not in (None, "text", "json"):
             raise ValueError(f"--log-format: {log_format!r} is neither text nor json")
         if log_format == "json":
             json_lines()
         self.first = self.read()
+        if self.capture is not None:
+            check_capture(self.capture)
 
     def read(self, metrics: bool = True) -> Read:
         """The files as they are now."""
--- a/pepperrun/bench/rig.py
+++ b/pepperrun/bench/rig.py
@@ -10,7 +10,7 @@
 import sys
 import tempfile
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from types import TracebackType
@@ -137,8 +137,13 @@
     """Everything of one experiment. A context: at its end all that it started has ended."""
 
     def __init__(
-        self, clients: dict[str, Any] | None, service_ms: float = 5.0, sockets: int = 20_000
+        self,
+        clients: dict[str, Any] | None,
+        service_ms: float = 5.0,
+        sockets: int = 20_000,
+        arguments: Sequence[str] = (),
     ) -> None:
+        self.arguments = list(arguments)
         self.clients_file, self.service_ms, self.sockets = clients, service_ms, sockets
         self.children: list[Child] = []
         self.lines: list[str] = []
@@ -169,7 +174,9 @@
         }
         path = Path(self.folder.name)
         (path / "config.json").write_text(json.dumps(config))
-        command = [sys.executable, "-S", "-B", "-m", "pepperrun"]
+        # Without the libraries, as the platform starts it, unless an option needs one.
+        command = [sys.executable, *([] if self.arguments else ["-S"]), "-B", "-m", "pepperrun"]
+        command += self.arguments
         if self.clients_file is not None:
             self.write_clients(self.clients_file)
             command += ["--clients", str(path / "clients.json")]
--- a/pepperrun/cli/bench.py
+++ b/pepperrun/cli/bench.py
@@ -105,6 +105,48 @@
     return 0 if found["suffers"] is None else 1
 
 
+@bench.command()
+@click.argument("capture", type=click.Path(path_type=Path))
+@click.option("--fleet", "fleet_path", type=click.Path(path_type=Path), required=True)
+@click.option("--seed", default=1, show_default=True, type=int)
+@click.option(
+    "--fault", "faults", multiple=True, help="lost|restart|drain:AT_S[:FOR_S[:ZONE[:SHARE]]], several times."
+)
+@click.option("--json", "as_json", is_flag=True, help="One JSON object on standard output.")
+def replay(capture: Path, fleet_path: Path, seed: int, faults: tuple[str, ...], as_json: bool) -> int:
+    """Play a CAPTURE through real gatekeepers against stand-in nodes, beside what the model says.
+
+    Exits with 1 where the machine was too busy for the day to say anything.
+    """
+    from pepperrun.bench.replay import replay as played
+    from pepperrun.bench.rig import RigError
+    from pepperrun.cli.capture import load
+    from pepperrun.model.fleet import read_fleet
+    from pepperrun.model.simulate import Run, load_of, read_fault
+
+    captured = load(capture)
+    try:
+        fleet = read_fleet(fleet_path.read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        raise click.ClickException(f"{fleet_path}: {error}") from None
+    classes, plans = captured.header.classes, captured.header.plans
+    try:
+        hits = [read_fault(text) for text in faults]
+        load_ = load_of(captured.entries, classes, fleet, seed)
+        day = Run(load_, classes, plans, fleet, seed, hits).run().summary()
+        load_ = load_of(captured.entries, classes, fleet, seed)
+        found = with_progress(lambda say: played(load_, classes, plans, fleet, seed, hits, say=say))
+    except (RigError, OSError, ValueError) as error:
+        raise click.ClickException(str(error)) from None
+    if as_json:
+        click.echo(json.dumps({"measured": found, "model": day}))
+    else:
+        for name in ("service", "whole", "worst_10_s", "worst_plan"):
+            click.echo(f"{name:12} measured {found[name]:.3f}  model {day[name]:.3f}")
+        click.echo(f"answers by status: {found['statuses']}; latest send {found['late_ms']} ms late")
+    return 1 if found["busy"] else 0
+
+
 @bench.command()
 @click.option("--count", default=3000, show_default=True, type=click.IntRange(100, 15_000))
 @click.option("--rounds", default=3, show_default=True, type=click.IntRange(1, 20))
--- a/pepperrun/cli/main.py
+++ b/pepperrun/cli/main.py
@@ -9,7 +9,9 @@
 import click
 
 from pepperrun.cli.bench import bench
+from pepperrun.cli.capture import capture
 from pepperrun.cli.config import config
+from pepperrun.cli.plan import plan
 
 
 def version() -> str:
@@ -26,7 +28,8 @@
     """A gatekeeper sidecar for a service that is sold by plan.
 
     Without a sub-command it runs a gatekeeper of the file named by NODE_CONFIG:
-    pepperrun [--forward-auth FILE] [--metrics FILE] [--clients FILE] [--log-format text|json].
+    pepperrun [--forward-auth FILE] [--metrics FILE] [--clients FILE] [--capture DIR]
+    [--log-format text|json].
     """
 
 
@@ -43,6 +46,8 @@
 
 command.add_command(config)
 command.add_command(bench)
+command.add_command(capture)
+command.add_command(plan)
 
 
 def main(arguments: Sequence[str]) -> int:
--- a/pepperrun/exchange.py
+++ b/pepperrun/exchange.py
@@ -9,7 +9,7 @@
 import enum
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Generic, TypeVar
+from typing import Any, Generic, TypeVar
 
 Asked = TypeVar("Asked")
 Given = TypeVar("Given")
@@ -43,7 +43,7 @@
 
     __slots__ = (
         *("asked", "attempts", "cls", "cost", "customer", "deadline", "end", "first", "id", "on_final"),
-        *("open", "plan", "spread", "started", "units"),
+        *("finished", "open", "plan", "spread", "started", "trace", "units"),
     )
 
     def __init__(
@@ -69,6 +69,9 @@
         self.attempts: list[int] = []  # when each was sent
         self.open: set[int] = set()  # the numbers of those not ended
         self.cost = 0.0  # true units, as told with the first good answer
+        self.finished = 0  # when the final answer was; 0 where nobody records that
+        # For a recorder, of each attempt: backend, sent, outcome (None while it is out), ended (0 till then).
+        self.trace: list[list[Any]] | None = None
 
     def begin(self, now: int) -> int:
         """A further attempt; its number."""
--- a/pepperrun/gatekeeper.py
+++ b/pepperrun/gatekeeper.py
@@ -99,6 +99,7 @@
         self._due: int | None = None  # the gateway's timer
         self._timer: asyncio.TimerHandle | None = None
         self._margin = 4 * settings.tick_ns
+        self.observer: Callable[[AnyExchange], None] | None = None  # told of each exchange that is over
         self.counts = {end: 0 for end in End}
         self.outcomes = {outcome: 0 for outcome in Outcome}
 
@@ -132,6 +133,8 @@
         if not exchange.ended(attempt):
             return
         self.outcomes[outcome] += 1
+        if exchange.trace is not None:
+            exchange.trace[attempt][2:] = outcome, self.clock()
         if outcome is Outcome.OK:
             exchange.cost = exchange.cost or units
             self._finish(exchange, Final(End.SERVED, given))
@@ -271,6 +274,10 @@
             say("action", "an attempt of a request that is over was not sent")
             return
         attempt = exchange.begin(now)
+        if self.observer is not None:
+            if exchange.trace is None:
+                exchange.trace = []
+            exchange.trace.append([action.backend, now, None, 0])
         moot = exchange.end is not None or attempt >= self.settings.max_attempts or self.backends is None
         if moot or self.backends is None:
             self.loop.call_soon(self.ended, exchange, attempt, action.backend, Outcome.MOOT)
@@ -290,8 +297,12 @@
     def _finish(self, exchange: AnyExchange, final: Final[Any]) -> bool:
         first = exchange.finish(final)
         self.counts[final.end] += first
+        if first and self.observer is not None:
+            exchange.finished = self.clock()
         return first
 
     def _drop(self, exchange: AnyExchange) -> None:
         if exchange.end is not None and not exchange.open:
-            self.exchanges.pop(exchange.id, None)
+            gone = self.exchanges.pop(exchange.id, None)
+            if gone is not None and self.observer is not None:
+                self.observer(gone)
--- /dev/null
+++ b/tests/test_capture.py
@@ -0,0 +1,292 @@
+"""Captures: written whole or dropped and counted, read as far as they are good, made into others."""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import json
+import threading
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from standins import SECOND, SETTINGS, Front, StandIn, going, line, ok, reset
+
+from pepperrun.__main__ import main
+from pepperrun.capture import edit
+from pepperrun.capture import format as capture_format
+from pepperrun.capture.format import (
+    Attempt,
+    Capture,
+    Class,
+    Entry,
+    FormatError,
+    Header,
+    Plan,
+    Worker,
+    read,
+    write,
+)
+from pepperrun.capture.recorder import BATCH, MOST_WAITING, Recorder, files_in, key_of
+
+KEY = b"k" * 32
+HEADER = Header(
+    capture_format.VERSION,
+    "n0",
+    0,
+    2,
+    1_700_000_000 * SECOND,
+    "id",
+    (Class("search", 2000, 8000, "safe", 1.0), Class("confirm", 1500, 5000, "keyed", 5.0)),
+    (Plan("small", 2, 8), Plan("large", 15, 33)),
+)
+
+
+def sample(count: int = 40, gatekeeper: int = 0, shift_s: int = 0, **header: object) -> Capture:
+    import msgspec
+
+    capture = Capture(
+        msgspec.structs.replace(
+            HEADER, **({"number": gatekeeper, "start_ns": HEADER.start_ns + shift_s * SECOND} | header)
+        )
+    )
+    capture.workers = {0: Worker(0, f"w{gatekeeper}", "a"), 1: Worker(1, "shared", "b")}
+    for number in range(count):
+        attempts = (Attempt(number % 2, "ok", 100, 50_000),)
+        capture.entries.append(
+            Entry(
+                *(number * 100_000, number % 2, number % 2, number % 5, 2.0, 1.0, 8_000_000),
+                *("served", 51_000, 2, 0, attempts, gatekeeper),
+            )
+        )
+    return capture
+
+
+def test_a_capture_comes_back_as_it_was():
+    capture = sample()
+    again = read(write(capture, each=7))
+    assert (again.header, again.entries, again.workers) == (capture.header, capture.entries, capture.workers)
+    assert again.complete and not again.remarks
+
+
+def test_cut_off_anywhere_it_gives_what_stands_before():
+    data, whole = write(sample(20), each=5), sample(20).entries
+    for end in range(len(data)):
+        try:
+            capture = read(data[:end])
+        except FormatError:
+            assert end < 300  # within the header
+            continue
+        assert capture.remarks and not capture.complete
+        assert capture.entries == whole[: len(capture.entries)] and len(capture.entries) % 5 == 0
+
+
+@given(st.integers(0, 5000), st.integers(1, 255))
+def test_one_changed_byte_is_never_believed(at, change):
+    data = bytearray(write(sample(20), each=5))
+    data[at % len(data)] ^= change
+    try:
+        capture = read(bytes(data))
+    except FormatError:
+        return
+    assert capture.remarks and capture.entries == sample(20).entries[: len(capture.entries)]
+
+
+@given(st.binary(max_size=200))
+def test_garbage_is_refused_in_words(data):
+    for text in (data, capture_format.MAGIC + data):
+        with pytest.raises(FormatError):
+            read(text)
+
+
+def test_another_version_and_what_contradicts_itself_are_told():
+    import msgspec
+
+    newer = msgspec.structs.replace(HEADER, version=2)
+    with pytest.raises(FormatError, match="version 2"):
+        read(capture_format.opening(newer))
+    bad = sample(3)
+    bad.entries[1] = capture_format.replaced(bad.entries[1], cls=9)
+    assert "class 9" in read(write(bad)).remarks[0]
+    bad = sample(3)
+    del bad.workers[1]
+    assert "without a name" in read(write(bad)).remarks[0]
+
+
+def test_files_of_several_gatekeepers_become_one_and_what_is_missing_is_named():
+    merged = edit.merge([sample(gatekeeper=1, shift_s=1), sample()])
+    times = [entry.at_us for entry in merged.entries]
+    assert times == sorted(times) and len(times) == 80 and not merged.remarks
+    assert sorted(worker.name for worker in merged.workers.values()) == ["shared", "w0", "w1"]
+    assert {merged.workers[one.attempts[0].worker].name for one in merged.entries if one.gatekeeper} == {
+        "w1",
+        "shared",
+    }
+    told = edit.merge([sample(), sample(shift_s=1), sample(shift_s=30, key_id="other")]).remarks
+    assert [
+        any(what in remark for remark in told)
+        for what in ("gatekeeper 1: no file", "stepped", "nothing from")
+    ]
+    assert any("another key" in remark for remark in told)
+    with pytest.raises(FormatError, match="other classes"):
+        edit.merge([sample(), sample(classes=HEADER.classes[:1])])
+
+
+def test_cut_scale_and_anonymise():
+    capture = sample(400)
+    spell = edit.cut(capture, 10, 20)
+    assert len(spell.entries) == 100 and spell.entries[0].at_us == 0
+    for factor in (0.5, 1.0, 2.5):
+        got = len(edit.scale(capture, factor, seed=3).entries)
+        assert abs(got - 400 * factor) <= 40 * factor
+    assert edit.scale(capture, 2.5, seed=3).entries == edit.scale(capture, 2.5, seed=3).entries
+    only = edit.scale(capture, 1.0, {"confirm": 0.0}, {"large": 3.0}).entries
+    assert {entry.cls for entry in only} == {0}
+    with pytest.raises(FormatError, match="'nosuch'"):
+        edit.scale(capture, 1.0, {"nosuch": 2.0})
+    hidden = edit.anonymise(capture, KEY)
+    assert {worker.name for worker in hidden.workers.values()} == {"worker-0", "worker-1"}
+    before, after = ([entry.customer for entry in one.entries] for one in (capture, hidden))
+    assert len(set(zip(before, after, strict=True))) == len(set(after)) == 5 and not set(before) & set(after)
+
+
+class Stalled(io.BytesIO):
+    """A disk that takes the header and then nothing, until it is let go."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.go, self.kept, self.writes = threading.Event(), b"", 0
+
+    def write(self, data: bytes) -> int:  # type: ignore[override]
+        self.writes += 1
+        if self.writes > 1:
+            self.go.wait(20)
+        self.kept += data
+        return len(data)
+
+    def close(self) -> None:
+        pass
+
+
+def exchange_of(number: int) -> object:
+    from pepperrun.exchange import End, Exchange
+
+    exchange = Exchange(None, print, cls=0, plan=0, customer=number, started=number, deadline=number + SECOND)
+    exchange.end, exchange.finished = End.SERVED, number + 1000
+    exchange.trace = [[7, number + 500, None, 0]]
+    return exchange
+
+
+def test_a_stalled_disk_costs_records_that_are_counted_and_no_more_memory():
+    file = Stalled()
+    recorder = Recorder(SETTINGS, "n0", KEY, lambda backend: ("w", "a"), lambda start: file, lambda: 0)
+    total = BATCH * (MOST_WAITING + 20) + 5
+    for number in range(total):
+        recorder.take(exchange_of(number))
+    recorder.flush()
+    held = recorder._queue.qsize() * BATCH
+    assert held <= MOST_WAITING * BATCH and recorder.dropped > 0
+    dropped = recorder.dropped
+    file.go.set()
+    recorder.close()
+    capture = read(file.kept)
+    assert capture.complete and not capture.remarks
+    assert len(capture.entries) == recorder.written == total - dropped and capture.dropped == dropped
+    assert capture.entries[0].attempts == (Attempt(0, "out", 0, -1),)
+
+
+def test_a_full_disk_costs_what_it_did_not_take_and_the_next_file_has_the_rest():
+    files = []
+
+    class Full(io.BytesIO):
+        def write(self, data: bytes) -> int:  # type: ignore[override]
+            if len(files) == 1 and self.tell():
+                raise OSError(28, "No space left on device")
+            return super().write(data)
+
+        def close(self) -> None:
+            pass
+
+    def open_file(start: int) -> io.BytesIO:
+        files.append(Full())
+        return files[-1]
+
+    recorder = Recorder(SETTINGS, "n0", KEY, lambda backend: ("w", "a"), open_file, lambda: 0)
+    for number in range(3 * BATCH):
+        recorder.take(exchange_of(number))
+    recorder.close()
+    assert (recorder.lost, recorder.written) == (BATCH, 2 * BATCH) and len(files) == 2
+    second = read(files[1].getvalue())
+    assert len(second.entries) == 2 * BATCH and second.dropped == BATCH
+
+
+def test_files_are_rotated_and_the_oldest_go(tmp_path):
+    opened = files_in(tmp_path, "n/0", 2)
+    for start in (1, 2, 3):
+        opened(start * SECOND).close()
+    assert [path.name for path in sorted(tmp_path.iterdir())] == [
+        "n_0-000000000002000.prcap",
+        "n_0-000000000003000.prcap",
+    ]
+    assert key_of(tmp_path) == key_of(tmp_path) and (tmp_path / "capture.key").stat().st_mode & 0o077 == 0
+
+
+def test_a_gatekeeper_records_what_it_took_and_each_attempt(tmp_path):
+    async def test():
+        front, bad, good = Front(), await StandIn(reset).start(), await StandIn(ok()).start()
+        front.list(line("bad", bad.port), line("good", good.port))
+        key = key_of(tmp_path)
+        place = front.directory
+        recorder = Recorder(
+            SETTINGS,
+            "n0",
+            key,
+            lambda backend: (place.names[backend], place.lines[backend].zone),
+            files_in(tmp_path, "n0", 9),
+            front.clock,
+        )
+        front.gatekeeper.observer = recorder.take
+        client = await front.client()
+        for status in (200, 429):
+            client.ask(plan="tight")
+            assert (await client.answer())[0] == status
+        while front.gatekeeper.exchanges:
+            await asyncio.sleep(0)
+        recorder.close()
+        (path,) = tmp_path.glob("*.prcap")
+        capture = read(path.read_bytes())
+        capture.entries.sort(key=lambda entry: entry.at_us)  # a refusal is over before an attempt that is out
+        assert [entry.end for entry in capture.entries] == ["served", "refused"]
+        names = {worker.number: worker.name for worker in capture.workers.values()}
+        outcomes = [(names[a.worker], a.outcome) for entry in capture.entries for a in entry.attempts]
+        assert outcomes.count(("good", "ok")) == 1 and set(outcomes) <= {
+            ("good", "ok"),
+            ("bad", "reset"),
+        }
+        assert all(
+            0 <= a.sent_us < a.ended_us <= entry.took_us for entry in capture.entries for a in entry.attempts
+        )
+        assert capture.entries[0].customer != 7 and len({entry.customer for entry in capture.entries}) == 1
+
+    going(test)
+
+
+def test_the_command_shows_edits_and_refuses(tmp_path, capsys):
+    path, out = tmp_path / "a.prcap", tmp_path / "b.prcap"
+    path.write_bytes(write(sample(100)))
+    assert main(["capture", "show", "--json", str(path)]) == 0
+    assert json.loads(capsys.readouterr().out)["requests"] == 100
+    assert main(["capture", "cut", str(path), "--to", "5", "--out", str(out)]) == 0
+    assert main(["capture", "scale", str(out), "--by", "2", "--out", str(out)]) == 0
+    assert main(["capture", "anonymise", str(out), "--out", str(out)]) == 0
+    assert len(read(out.read_bytes()).entries) == 100
+    assert main(["capture", "merge", str(path), "--out", str(out)]) == 1  # a gatekeeper's file is missing
+    path.write_bytes(path.read_bytes()[:-30])
+    assert main(["capture", "show", str(path)]) == 1
+    capsys.readouterr()
+    (tmp_path / "no").write_text("x")
+    for arguments in (["show", str(tmp_path / "no")], ["scale", str(out), "--class", "x", "--out", str(out)]):
+        assert main(["capture", *arguments]) == 2
+        assert len(capsys.readouterr().err.splitlines()) == 1
+    assert Path(out).exists()
--- /dev/null
+++ b/tests/test_model.py
@@ -0,0 +1,193 @@
+"""The model: nodes against plain arithmetic, a seed and its run, faults, and the planner on it."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pepperrun.__main__ import main
+from pepperrun.capture.format import Capture, Class, Header, Plan, Worker, write
+from pepperrun.model.fleet import read_fleet, resized
+from pepperrun.model.load import LoadSpec, draw
+from pepperrun.model.node import Kind, Node, Taken
+from pepperrun.model.service import Ask, inside_quota, service
+from pepperrun.model.simulate import Fault, Run, load_of, read_fault
+from pepperrun.planner.fit import fit
+
+MS = 1_000_000
+S = 1_000 * MS
+FLEET = (Path(__file__).parent.parent / "examples/fleet.toml").read_text()
+CLASSES = (Class("slot-search", 600, 2400, "safe", 1), Class("booking-confirm", 450, 1500, "keyed", 5))
+PLANS = (Plan("essentiel", 1.7, 8, 0, 0, 1.2, 0, 1.0), Plan("reseau", 12, 20, 25, 40, 1.8, 0.1, 0))
+
+
+def finish(node: Node, until: int) -> list[tuple[int, object]]:
+    """Steps a node as its owner would; when each was done."""
+    done = []
+    while (due := node.due()) is not None and due <= until:
+        done += [(due, key) for key in node.advance(due)]
+    return done + [(until, key) for key in node.advance(until)]
+
+
+def test_cores_are_shared_evenly():
+    node = Node(Kind(cores=2, slots=10), 1.0, 0)
+    for key, work in (("a", 10 * MS), ("b", 10 * MS), ("c", 10 * MS), ("d", 20 * MS)):
+        assert node.arrive(0, key, work) is Taken.WORK
+    # Four on two cores run at half speed; the last goes on alone at full speed from 20 ms on.
+    assert [(round(at / MS), key) for at, key in finish(node, S)] == [
+        (20, "a"),
+        (20, "b"),
+        (20, "c"),
+        (30, "d"),
+    ]
+    assert round(node.busy_ns / MS) == 50
+
+
+def test_a_cold_node_warms_up_and_slots_queue_and_cancel_hold():
+    kind = Kind(cores=1, slots=1, queue=1, cold_from=0.5, cold_ns=S)
+    node = Node(kind, 1.0, 0, warm=False)
+    assert [node.arrive(0, key, 100 * MS) for key in "abc"] == [Taken.WORK, Taken.WAITS, Taken.FULL]
+    assert not node.cancel(0, "a") and node.cancel(0, "b")  # running work goes on, waiting work does not
+    assert node.arrive(0, "d", 100 * MS) is Taken.WAITS
+    ((first, _), (second, _)) = finish(node, S)
+    assert 150 * MS < first < 200 * MS and 100 * MS < second - first < first
+    stops = Node(Kind(cores=1, slots=1, queue=1, cancel_running=True), 1.0, 0)
+    stops.arrive(0, "a", 100 * MS), stops.arrive(0, "b", 10 * MS)
+    assert stops.cancel(0, "a") and finish(stops, S) == [(10 * MS + 1, "b")]
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 50), st.integers(1, 80)), min_size=1, max_size=25), st.integers(1, 4)
+)
+def test_a_node_does_the_work_that_it_took_and_no_more(arrivals, cores):
+    node, now, took, done = Node(Kind(cores=cores, slots=5, queue=6), 1.0, 0), 0, 0, []
+    for number, (gap, work) in enumerate(arrivals):
+        done += [key for _, key in finish(node, now + gap * MS)]
+        now += gap * MS
+        if node.arrive(now, number, work * MS) is not Taken.FULL:
+            took += 1
+    done += [key for _, key in finish(node, now + 10 * S)]
+    assert len(done) == len(set(done)) == took and node.held() == 0
+    assert node.busy_ns <= cores * (now + 10 * S)
+
+
+def test_service_counts_worth_in_time_inside_the_quotas():
+    plans = (Plan("p", 1.0, 2.0, 0, 0, 1.0, 0.0, 0.0),)
+    asks = [Ask(at * S // 2, 0, 0, 1, 1.0, 100 * MS) for at in range(20)]
+    good = inside_quota(asks, plans)
+    assert good[:2] == [True, True] and sum(good) == 2 + 9  # the burst, and one a second after it
+    late = [Ask(one.at, 0, 0, one.customer, 1.0, 700 * MS) for one in asks]
+    assert service(asks, CLASSES, plans).figure == 1.0 and service(late, CLASSES, plans).figure == 0.0
+    half = [Ask(one.at, 0, 0, number, 1.0, None if number % 2 else MS) for number, one in enumerate(asks)]
+    assert service(half, CLASSES, plans).whole == 0.5
+
+
+def entries(seconds: float = 4.0, inside: float = 60.0, seed: int = 1) -> list:
+    return draw(LoadSpec(seconds, inside), CLASSES, (0.8, 0.2), PLANS, seed)
+
+
+def day(faults: tuple[Fault, ...] = (), nodes: int = 4, inside: float = 60.0, seed: int = 1):
+    fleet = resized(read_fleet(FLEET), nodes)
+    load = load_of(entries(inside=inside), CLASSES, fleet, seed)
+    return Run(load, CLASSES, PLANS, fleet, seed, faults).run()
+
+
+def test_the_same_seed_gives_the_same_day_and_another_gives_another():
+    one, two, other = day(), day(), day(seed=2)
+    assert [(r.end, r.took) for r in one.requests] == [(r.end, r.took) for r in two.requests]
+    assert [r.took for r in one.requests] != [r.took for r in other.requests]
+    assert all(r.end for r in one.requests) and one.service.figure > 0.8
+
+
+def test_faults_and_want_of_nodes_cost_service_and_every_request_has_one_end():
+    calm = day().service.figure
+    for faults in (
+        (Fault("lost", 1.0, 0.0, "a"),),
+        (Fault("restart", 1.0),),
+        (Fault("drain", 1.0, 0.0, "", 0.5), Fault("lost", 2.0, 1.0, "b", 0.5)),
+    ):
+        hit = day(faults)
+        assert hit.service.figure < calm + 0.02 and all(r.end for r in hit.requests)
+    assert day(nodes=1, inside=200.0).service.figure < calm - 0.2
+
+
+@pytest.mark.parametrize("text", ["gone:1", "lost", "lost:x", "lost:1:2:a:7", "restart:-1", "drain:nan"])
+def test_a_fault_that_cannot_be_is_refused(text):
+    with pytest.raises(ValueError, match="--fault"):
+        read_fault(text)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "key"),
+    [
+        ("cores = 4", "cores = -4", "cores"),
+        ("cores = 4", "cores = nan", "kind.std-4c|cores"),
+        ("slots = 12", "slot = 12", "slot"),
+        ("count = 4", "count = 0", "nodes"),
+        ('kind = "std-4c"\ncount', 'kind = "nosuch"\ncount', "nosuch"),
+        ("cold_from = 0.35", "cold_from = 0", "cold_from"),
+        ("retries = 1", 'retries = "1"', "retries"),
+        ("[network]", "[network", "TOML"),
+    ],
+)
+def test_a_fleet_that_cannot_be_names_its_key(old, new, key):
+    with pytest.raises(ValueError, match=key):
+        read_fleet(FLEET.replace(old, new))
+
+
+def captured(tmp_path: Path, seconds: float = 3.0, inside: float = 40.0) -> Path:
+    header = Header(1, "n0", 0, 2, 0, "id", CLASSES, PLANS)
+    capture = Capture(header)
+    capture.entries = entries(seconds, inside)
+    path = tmp_path / "day.prcap"
+    path.write_bytes(write(capture))
+    return path
+
+
+def test_plan_answers_and_bad_input_ends_in_one_line(tmp_path, capsys):
+    path, fleet = captured(tmp_path), tmp_path / "fleet.toml"
+    fleet.write_text(FLEET)
+    out = tmp_path / "out.json"
+    arguments = ["plan", "nodes", str(path), "--fleet", str(fleet), "--seeds", "2", "--jobs", "2"]
+    code = main(
+        [*arguments, "--goal", "0.5", "--most", "6", "--json", str(out), "--plot", str(tmp_path / "p.svg")]
+    )
+    found = json.loads(out.read_text())
+    assert code == 0 and "fewest nodes for 0.5" in capsys.readouterr().out
+    assert 1 <= found["fewest"]["nodes"] <= 6
+    assert {"zone a lost", "zone b lost", "all restarted cold"} <= set(found["losses"]["losses"])
+    assert len(found["breaks"]["steps"]) == 6 and "work +10%" in found["sensitivity"]
+    capsys.readouterr()
+    fleet.write_text(FLEET.replace("[work.booking-confirm]", "[work.other]"))
+    assert main(arguments) == 2
+    assert "work.booking-confirm" in capsys.readouterr().err
+    assert main(["plan", "fit", str(path)]) == 2  # no attempts in it
+
+
+def test_fit_finds_what_the_nodes_were_made_of():
+    import numpy
+
+    random = numpy.random.default_rng(1)
+    capture = Capture(Header(1, "n0", 0, 1, 0, "id", CLASSES, PLANS))
+    true_speeds = [0.8, 1.0, 1.25]
+    capture.workers = {number: Worker(number, f"w{number}", "a") for number in range(3)}
+    from pepperrun.capture.format import Attempt, Entry
+
+    for number in range(3000):
+        worker, units = number % 3, 1.0 + number % 4
+        work = random.lognormal(0, 0.5) * 80 * units**0.5 / true_speeds[worker]
+        attempt = Attempt(worker, "ok", 200, 200 + int(1000 * (work + 0.4)))
+        capture.entries.append(
+            Entry(number * 400_000, 0, 0, 1, units, units, 0, "served", 0, 1, 0, (attempt,))
+        )
+    found = fit(capture)
+    work = found["work"]["slot-search"]
+    true_mean = 80 * float(numpy.exp(0.125)) / 1.0
+    assert work["mean_ms"]["low"] * 0.95 <= true_mean <= work["mean_ms"]["high"] * 1.05
+    assert abs(work["by_units"] - 0.5) < 0.05 and abs(work["cv"]["value"] - 0.533) < 0.05
+    ratios = [found["speeds"][f"w{number}"] / speed for number, speed in enumerate(true_speeds)]
+    assert max(ratios) / min(ratios) < 1.06
