--- /dev/null
+++ b/benchmarks/planner_scale.py
@@ -0,0 +1,44 @@
+"""How long the planner's answers take: a day of 50 s, by nodes and with the load in proportion.
+
+python3 benchmarks/planner_scale.py [--most 200]
+"""
+
+import argparse
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent))
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+from planner_days import CLASSES, FLEET, PLANS, SHARES  # noqa: E402
+
+from pepperrun.capture.format import Capture, Header  # noqa: E402
+from pepperrun.model.fleet import read_fleet, resized  # noqa: E402
+from pepperrun.model.load import LoadSpec, draw  # noqa: E402
+from pepperrun.planner.plan import Planner  # noqa: E402
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--most", type=int, default=200)
+    options = parser.parse_args()
+    for count in [size for size in (10, 20, 50, 100, 200) if size <= options.most]:
+        fleet = resized(read_fleet(FLEET.read_text()), count)
+        capture = Capture(Header(1, "drawn", 0, 2, 0, "id", CLASSES, PLANS))
+        capture.entries = draw(LoadSpec(50.0, 20.0 * count), CLASSES, SHARES, PLANS, seed=1)
+        planner = Planner(capture, fleet, range(1, 6), 8, lambda text: None)
+        start = time.monotonic()
+        today = planner.today()
+        span = time.monotonic() - start
+        planner.close()
+        requests = len(capture.entries)
+        print(
+            f"{count:4} nodes: {requests:7} requests, five seeds in {span:6.1f} s,"
+            f" {span * 1e6 / requests:5.0f} us a request; service {today['service']['mean']:.3f}",
+            flush=True,
+        )
+
+
+if __name__ == "__main__":
+    main()
