--- a/pepperrun/cli/plan.py
+++ b/pepperrun/cli/plan.py
@@ -120,6 +120,17 @@
     return 0 if found["today"]["service"]["mean"] >= goal else 1
 
 
+@plan.command()
+def schema() -> int:
+    """Print the JSON Schema of what `plan nodes --json` writes."""
+    import msgspec
+
+    from pepperrun.planner.result import PlanResult
+
+    click.echo(json.dumps(msgspec.json.schema(PlanResult), indent=1))
+    return 0
+
+
 def text(found: dict[str, Any]) -> str:
     """For people."""
 
--- a/pepperrun/model/simulate.py
+++ b/pepperrun/model/simulate.py
@@ -96,6 +96,7 @@
     outcomes: dict[str, int]
     utilisation: list[float]  # of each node, over the day
     busiest: dict[str, float] = field(default_factory=dict)
+    times: dict[str, dict[str, float]] = field(default_factory=dict)  # by class, ms
     steps: int = 0
 
     def summary(self) -> dict[str, Any]:
@@ -108,6 +109,7 @@
             "worst_plan": round(one.worst_plan, 4),
             "by_plan": {name: round(value, 4) for name, value in one.by_plan.items()},
             "by_class": {name: round(value, 4) for name, value in one.by_class.items()},
+            "times_ms": self.times,
             "requests": len(self.requests),
             "ends": self.ends,
             "attempts": self.outcomes,
@@ -539,5 +541,19 @@
                 "gatekeeper_descriptors": max(sender.most_open for sender in self.senders)
                 / max(1, self.fleet.gatekeepers.descriptors // 2),
             },
+            times_of(self.load, self.classes),
             self.world.steps,
         )
+
+
+def times_of(load: Sequence[Request], classes: Sequence[Class]) -> dict[str, dict[str, float]]:
+    """Median and 99th percentile of what was served, by class, in ms."""
+    found = {}
+    for number, kind in enumerate(classes):
+        took = sorted(one.took / MS for one in load if one.cls == number and one.took is not None)
+        if took:
+            found[kind.name] = {
+                "p50": round(took[len(took) // 2], 2),
+                "p99": round(took[len(took) * 99 // 100], 2),
+            }
+    return found
--- a/pepperrun/planner/plan.py
+++ b/pepperrun/planner/plan.py
@@ -156,7 +156,7 @@
             return bool(tried[count]["service"]["low"] >= goal)
 
         if not meets(most):
-            return {"goal": goal, "nodes": None, "most": most, "tried": tried}
+            return {"goal": goal, "nodes": None, "most": most, "tried": {str(most): tried[most]}}
         while high - low > 1:
             middle = (low + high) // 2
             if meets(middle):
@@ -245,4 +245,11 @@
             name: round(statistics.fmean(day["by_class"].get(name, 1.0) for day in days), 4)
             for name in days[0]["by_class"]
         },
+        "times_ms": {
+            name: {
+                part: round(statistics.fmean(day["times_ms"].get(name, one)[part] for day in days), 2)
+                for part in one
+            }
+            for name, one in days[0]["times_ms"].items()
+        },
     }
--- a/pepperrun/planner/plots.py
+++ b/pepperrun/planner/plots.py
@@ -12,8 +12,8 @@
 
 
 def plan_plot(found: dict[str, Any], path: Path) -> None:
-    """Service against nodes, and against load with what is exhausted when."""
-    figure, (nodes, load) = pyplot.subplots(1, 2, figsize=(11, 4.5))
+    """Service against nodes; what is exhausted as load grows; times by class against load."""
+    figure, (nodes, load, times) = pyplot.subplots(1, 3, figsize=(15, 4.5))
     tried = {int(count): one["service"] for count, one in found.get("fewest", {}).get("tried", {}).items()}
     counts = sorted(tried)
     means = [tried[count]["mean"] for count in counts]
@@ -42,7 +42,22 @@
     )
     load.set(xlabel="times the load", ylim=(0, 1.1))
     load.legend(fontsize="small")
-    for axis in (nodes, load):
+    for name in found["today"]["times_ms"]:
+        shown = [step for step in steps if name in step["times_ms"]]
+        (drawn,) = times.plot(
+            [step["load"] for step in shown], [step["times_ms"][name]["p50"] for step in shown], ":"
+        )
+        times.plot(
+            [step["load"] for step in shown],
+            [step["times_ms"][name]["p99"] for step in shown],
+            color=drawn.get_color(),
+            marker=".",
+            label=name,
+        )
+    times.set(xlabel="times the load", ylabel="ms: p50 dotted, p99", yscale="log")
+    if found["today"]["times_ms"] and steps:
+        times.legend(fontsize="small")
+    for axis in (nodes, load, times):
         axis.grid(alpha=0.3)
     figure.tight_layout()
     figure.savefig(path, dpi=110)
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -5,6 +5,7 @@
 import json
 from pathlib import Path
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -17,6 +18,7 @@
 from pepperrun.model.service import Ask, inside_quota, service
 from pepperrun.model.simulate import Fault, Run, load_of, read_fault
 from pepperrun.planner.fit import fit
+from pepperrun.planner.result import PlanResult
 
 MS = 1_000_000
 S = 1_000 * MS
@@ -160,6 +162,9 @@
     assert code == 0 and "fewest nodes for 0.5" in capsys.readouterr().out
     assert 1 <= found["fewest"]["nodes"] <= 6
     assert {"zone a lost", "zone b lost", "all restarted cold"} <= set(found["losses"]["losses"])
+    whole = msgspec.convert(found, PlanResult)  # as `plan schema` says
+    assert whole.today.times_ms["slot-search"].p50 > 0
+    assert main(["plan", "schema"]) == 0 and "PlanResult" in capsys.readouterr().out
     assert len(found["breaks"]["steps"]) == 6 and "work +10%" in found["sensitivity"]
     capsys.readouterr()
     fleet.write_text(FLEET.replace("[work.booking-confirm]", "[work.other]"))
