--- a/pepperrun/bench/askers.py
+++ b/pepperrun/bench/askers.py
@@ -18,7 +18,7 @@
 from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
 
 from pepperrun.net.buffer import Buffer
-from pepperrun.net.http1 import ANSWER_ROOM, HttpError, ResponseParser
+from pepperrun.net.http1 import ANSWER_ROOM, HttpError, Response, ResponseParser
 
 MOST_US = 60_000_000
 LATE_US = 5_000_000  # a client's patience
@@ -55,8 +55,12 @@
                 self.transport.abort()
             return
         if answer is not None:
+            self.answered(answer)
             self._done(answer.status)
 
+    def answered(self, answer: Response) -> None:
+        """For those who want more of an answer than its status."""
+
     def _done(self, status: int) -> None:
         intended, self.intended = self.intended, None
         if intended is not None:
--- a/pepperrun/bench/players.py
+++ b/pepperrun/bench/players.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from pepperrun.bench.askers import Connection as AskerConnection
-from pepperrun.net.http1 import HttpError
+from pepperrun.net.http1 import Response
 
 HOST = "127.0.0.1"
 
@@ -24,20 +24,11 @@
 
     wait_s = 0.0
 
-    def buffer_updated(self, nbytes: int) -> None:
-        self.buffer.filled(nbytes, 0)
+    def answered(self, answer: Response) -> None:
         try:
-            answer = self.parser.next()
-        except HttpError:
-            if self.transport is not None:
-                self.transport.abort()
-            return
-        if answer is not None:
-            try:
-                self.wait_s = float(answer.names.get(b"retry-after", b"0"))
-            except ValueError:
-                self.wait_s = 0.0
-            self._done(answer.status)
+            self.wait_s = float(answer.names.get(b"retry-after", b"0"))
+        except ValueError:
+            self.wait_s = 0.0
 
 
 class Player:
--- a/pepperrun/parking/shelf.py
+++ b/pepperrun/parking/shelf.py
@@ -11,16 +11,15 @@
 import time
 from collections.abc import Callable, Iterable
 
+from pepperrun.net.http1 import write_response
 from pepperrun.parking.budget import Budget
 from pepperrun.parking.config import ClientsConfig
 from pepperrun.parking.ledger import Ledger, Record, State
 
 EVENTS = select.EPOLLIN | select.EPOLLRDHUP
 OVER = select.EPOLLERR | select.EPOLLHUP
-LATE = (
-    b"HTTP/1.1 408 Request Timeout\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: 40\r\n"
-    b"Connection: close\r\n\r\nthe request did not come whole in time\r\n"
-)
+TEXT = (b"Content-Type", b"text/plain; charset=utf-8")
+LATE = write_response(408, [TEXT], b"the request did not come whole in time\n", close=True)
 
 
 def unread(fd: int) -> bool:
