--- a/.ci/answer.py
+++ b/.ci/answer.py
@@ -1,4 +1,4 @@
-"""Starts the deploy file's `run` with a configuration, reads one answer over a socket, and ends it."""
+"""Carries out the deploy file's `build`, starts its `run` with a configuration, reads one answer over a socket, and ends it."""
 
 import json
 import os
@@ -19,7 +19,9 @@
 }
 config = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1", "settings": settings}
 with open("deploy/balancer.toml", "rb") as deploy:
-    run = tomllib.load(deploy)["run"]
+    commands = tomllib.load(deploy)
+run = commands["run"]
+subprocess.run(["/bin/sh", "-c", commands["build"]], check=True, timeout=600)
 with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
     json.dump(config, file)
     file.flush()
