--- a/pepperrun/gateway.py
+++ b/pepperrun/gateway.py
@@ -95,9 +95,11 @@
             at = event.customer * HASH % 2**32 * spread >> 32
             self.keepers = [(event.first + step % spread) % count for step in (at, at + (spread + 1) // 2)]
             hard = KEEPER_PARTS[self.keepers.index(me)] if me in self.keepers else 0.0
-        # A keeper's store starts empty, the second one's stays small: no restart or change grants a burst.
+        # The second keeper's store stays small: no change of keepers grants another burst.
         small = max(plan.rate, quotas.settings.max_units) if me in self.keepers[1:] else plan.burst
-        self.whole = Bucket(plan.rate, min(plan.burst, small), plan.burst * (not self.keepers), quotas.start)
+        depth = min(plan.burst, small)
+        # Full: most use a part of their quota, and a keeper that starts knows of nobody that did more.
+        self.whole = Bucket(plan.rate, depth, depth, now)
         self.slice = Bucket(plan.rate / spread, plan.burst / spread, plan.burst / spread, now)
         # The hard slice starts empty when this gateway starts: the one before it may have spent it (rule 5).
         self.ceiling = Bucket(plan.ceiling_rate * hard, plan.ceiling_depth * hard, 0.0, quotas.start)
