--- a/pepperrun/__main__.py
+++ b/pepperrun/__main__.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import os
+import random
 import re
 import resource
 import secrets
@@ -23,6 +24,7 @@
 from pepperrun.gatekeeper import Clock, Gatekeeper
 from pepperrun.interface import ListKind, RequestClass, Settings
 from pepperrun.log import json_lines, say
+from pepperrun.net.backoff import Backoff
 from pepperrun.net.directory import Directory
 from pepperrun.net.discovery import Discovery
 from pepperrun.net.listener import Listener
@@ -191,6 +193,11 @@
     return listener
 
 
+def calls_of(config: Config) -> Backoff:
+    """When to call discovery, which the other gatekeepers call too."""
+    return Backoff(config.settings.gateways, random.Random(config.seed))
+
+
 def reporters(config: MetricsConfig, instance: str, parts: dict[str, Part]) -> list[Reporter]:
     """Where the figures go."""
     from pepperrun.metrics import collectd, graphite, process_samples, samples
@@ -217,14 +224,23 @@
         self.address: Address | None = None
         self.task: asyncio.Task[None] | None = None
 
-    def move(self, address: Address | None, told: Callable[[Listing], None]) -> None:
-        """Watches there from now on. The last list stands until the new place has told one."""
+    def move(
+        self,
+        address: Address | None,
+        told: Callable[[Listing], None],
+        backoff: Backoff,
+        known: int | None = None,
+    ) -> None:
+        """Watches there from now on. The last list stands until the new place has told one.
+
+        `known`: the version of the list that is held, where this place has told it.
+        """
         if address == self.address:
             return
         self.stop()
         self.address = address
         if address is not None:
-            self.task = asyncio.get_running_loop().create_task(Discovery(address, told).run())
+            self.task = asyncio.get_running_loop().create_task(Discovery(address, told, backoff, known).run())
 
     def stop(self) -> None:
         """Watches no more."""
@@ -255,7 +271,7 @@
     if config is not None and new is not None:
         later += changed(config, new, "seed", "known", "discovery")
         config = replace(config, discovery=new.discovery)
-        watch.move(new.discovery, parts["platform"][0].told)
+        watch.move(new.discovery, parts["platform"][0].told, calls_of(config))
     if auth_config is not None and new_auth is not None:
         later += [f"forward-auth {key}" for key in changed(auth_config, new_auth, "servers")]
         if new_auth.servers != auth_config.servers:
@@ -305,7 +321,8 @@
         sockets = config.sockets - (auth_config.sockets if auth_config is not None else 0)
         parts["platform"] = core, _ = await start_platform(config, clock, sockets, auth, lot, backends)
         classes += config.settings.classes
-        watch.move(config.discovery, core.told)
+        known = config.known.version if config.known.lines else None
+        watch.move(config.discovery, core.told, calls_of(config), known)
     if metrics is not None:
         instance = config.name if config is not None else "auth"
         tasks += [loop.create_task(reporter.run()) for reporter in reporters(metrics, instance, parts)]
--- /dev/null
+++ b/pepperrun/net/backoff.py
@@ -0,0 +1,37 @@
+"""When to call a service that all gatekeepers call. Decides pauses only: no clock, no socket.
+
+Gatekeepers that start or fail together would call together for good: each pause is drawn at random, and the
+longer the more gatekeepers there are, so that all of them together call no more often than a few would.
+"""
+
+from __future__ import annotations
+
+import random
+
+LEAST_S = 0.1  # the mean pause after a first failure, of a single gatekeeper
+EACH_S = 0.025  # and more for each further one: all together make some 40 calls a second at the most
+GROWTH = 2.0  # a service that turns away has more to do than it can: halve what is asked of it
+DOUBLINGS = 3  # and no more: a list that is old by much costs more than a call
+MOST_S = 8.0  # however many there are; sends to workers that have gone go on meanwhile
+
+
+class Backoff:
+    """The pauses of one caller."""
+
+    def __init__(self, callers: int, rng: random.Random) -> None:
+        self.callers, self.rng = max(1, callers), rng
+        self.failures = 0
+
+    def start(self) -> float:
+        """Seconds before the first call of one that can wait, as most others may start in the same moment."""
+        return self.rng.uniform(0, min(MOST_S, EACH_S * (self.callers - 1)))
+
+    def failed(self) -> float:
+        """Seconds before the next call after a failed one."""
+        mean = min(MOST_S, (LEAST_S + EACH_S * (self.callers - 1)) * GROWTH ** min(self.failures, DOUBLINGS))
+        self.failures += 1
+        return self.rng.uniform(0.5, 1.5) * mean
+
+    def succeeded(self) -> None:
+        """The next failure is a first one."""
+        self.failures = 0
--- a/pepperrun/net/discovery.py
+++ b/pepperrun/net/discovery.py
@@ -1,19 +1,24 @@
-"""Watches discovery and hands on each list. When that fails the last list stands, and it starts anew."""
+"""Watches discovery and hands on each list. When that fails the last list stands.
+
+All gatekeepers of a tier may ask one service: whoever holds a list asks for its changes only, after pauses
+that `backoff` draws. Whole lists are asked for where none is held, or one that no readable answer follows.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import json
+import random
 from collections.abc import AsyncIterator, Callable
 
 from pepperrun.config import Address, Listing, read_listing
 from pepperrun.log import say
+from pepperrun.net.backoff import Backoff
 from pepperrun.net.buffer import Buffer
 from pepperrun.net.http1 import MAX_HEAD, HttpError, Response, ResponseParser
 
 WAIT_MS = 2000  # a watch that waits no longer shows a silent agent soon
 GRACE_S = 1.0  # an answer that comes later than this after its wait does not come
-PAUSES_S = (0.1, 0.2, 0.5, 1.0)  # before the next call after failures in a row
 LEAST_S = 0.05  # between calls, should an agent answer watches at once with nothing
 MAX_LIST = 8 * 1024 * 1024
 
@@ -78,52 +83,68 @@
 
 
 class Discovery:
-    """Calls `told` with each list; `full` ones replace all."""
+    """Calls `told` with each list; `full` ones replace all. `known`: the version of the list that is held."""
 
     def __init__(
-        self, address: Address, told: Callable[[Listing], None], pauses_s: tuple[float, ...] = PAUSES_S
+        self,
+        address: Address,
+        told: Callable[[Listing], None],
+        backoff: Backoff | None = None,
+        known: int | None = None,
     ):
-        self.address, self.told, self.pauses_s = address, told, pauses_s
-        self.version = 0
+        self.address, self.told = address, told
+        self.backoff = backoff or Backoff(1, random.Random())
+        self.version = known  # None: the whole list is asked for
+        self.holds = known is not None  # a list with workers
 
     async def run(self) -> None:
         """Watches until cancelled."""
-        failures = 0
+        if self.version is not None:
+            await asyncio.sleep(self.backoff.start())
         while True:
             try:
                 async for _ in self._watch():
-                    failures = 0
+                    self.backoff.succeeded()
             except (OSError, HttpError, ValueError, RecursionError) as error:
                 say("discovery", f"discovery: {error or type(error).__name__}; going on with the last list")
-            await asyncio.sleep(self.pauses_s[min(failures, len(self.pauses_s) - 1)])
-            failures += 1
+            await asyncio.sleep(self.backoff.failed())
 
     async def _watch(self) -> AsyncIterator[Listing]:
-        """One connection's calls, the whole list first; yields after each answer."""
+        """One connection's calls, the whole list first where none is held; yields after each answer."""
         loop = asyncio.get_running_loop()
         host = f"{self.address[0]}:{self.address[1]}"
         async with asyncio.timeout(GRACE_S):
             _, link = await loop.create_connection(_Link, *self.address)
         try:
-            query, wait_s = "", 0.0
             while True:
+                held = self.version
+                query, wait_s = "", 0.0
+                if held is not None:
+                    query, wait_s = f"?index={held}&wait={WAIT_MS}", WAIT_MS / 1000
                 async with asyncio.timeout(wait_s + GRACE_S):
                     response = await link.get(f"/v1/endpoints{query}", host)
                 if response.status != 200:
                     raise ValueError(f"status {response.status}")
-                table = json.loads(response.body)
-                if not isinstance(table, dict):
-                    raise ValueError("not an object")
-                listing = read_listing(table)
-                if not listing.full and (not query or listing.version < self.version):
-                    raise ValueError("changes to a list that is not held")
-                self.version = listing.version
+                listing = self._read(response.body, held)
                 if listing.full or listing.lines:
                     self.told(listing)
                 else:
                     await asyncio.sleep(LEAST_S)
                 yield listing
-                query, wait_s = f"?index={self.version}&wait={WAIT_MS}", WAIT_MS / 1000
         finally:
             if link.transport is not None:
                 link.transport.abort()
+
+    def _read(self, body: bytes, held: int | None) -> Listing:
+        """The list in an answer; ValueError, and nothing changed, where it can't be one that follows."""
+        self.version = None  # should it be no good: the same changes would be no good again
+        table = json.loads(body)
+        if not isinstance(table, dict):
+            raise ValueError("not an object")
+        listing = read_listing(table)
+        if not listing.full and (held is None or listing.version < held):
+            raise ValueError("changes to a list that is not held")
+        if listing.full and not listing.lines and self.holds:
+            raise ValueError("a whole list of nothing")  # an agent starts so; a fleet does not end so
+        self.version, self.holds = listing.version, self.holds or bool(listing.lines)
+        return listing
