--- a/pepperrun/gateway.py
+++ b/pepperrun/gateway.py
@@ -49,7 +49,10 @@
 FAR = 1.1  # a backend in another zone counts as this much slower: crossing is cheap
 LOOK_EVERY = SECOND // 50  # waiting work is looked at, by one timer at a time: slices fill and backends fade
 SURVEY_EVERY = SECOND // 4  # the fleet is looked over: short against warming; changes are seen at once
-CHOICES = 12  # backends compared for an attempt; a few random ones do nearly as well as all
+CHOICES = (
+    8  # backends in a gateway's window at least: in a few it sees much of each, and connections are kept
+)
+SPARE = 4  # and so many more than attempts out: one that is busy or slow can be passed over
 LOG_EVERY = 5 * SECOND  # one line of a kind in this time
 
 
@@ -394,7 +397,10 @@
         worst = {s: min(self.bad(s, cls, now) for cls in range(len(self.typical))) for s in ready}
         self.shared = 2 * sum(bad > OUT_AT for bad in worst.values()) > len(ready)
         self.cold = [server for server in ready if self.warmth(server, now) < 1]
-        self.hot = [server for server in ready if self.warmth(server, now) >= 1]
+        # Each gateway's window begins elsewhere, so that all together cover the fleet evenly.
+        hot = sorted((s for s in ready if self.warmth(s, now) >= 1), key=lambda s: s.id * HASH % 2**32)
+        first = self.settings.me * len(hot) // self.settings.gateways
+        self.hot = hot[first:] + hot[:first]
         self.capacity = sum(self.warmth(s, now) for s in ready if self.shared or worst[s] <= OUT_AT)
 
     def bad(self, server: Server, cls: int, now: int) -> float:
@@ -421,13 +427,17 @@
         return slow
 
     def draw(self, now: int) -> list[Server]:
-        """Rule 4: a cold backend is drawn for its part: all gateways together keep to it, in bursts too."""
+        """A window of the fleet as wide as this gateway's use. Drawn from all, two of forty gateways in three
+        would hit a backend that others are at: what one has out says nothing of a backend then.
+
+        Rule 4: a cold backend is drawn for its part: all gateways together keep to it, in bursts too.
+        """
         lot = self.rng.random() * max(1, len(self.hot) + len(self.cold))
         for server in self.cold:
             lot -= self.warmth(server, now)
             if lot < 0:
                 return [server]
-        return self.hot if len(self.hot) <= CHOICES else self.rng.sample(self.hot, CHOICES)
+        return self.hot[: max(CHOICES, self.out + SPARE)]
 
     def choose(self, held: Held, now: int, avoid: Server | None = None) -> Server | None:
         """The backend with the least expected wait; a failing one gets single trials, a cold one its part."""
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -255,3 +255,35 @@
         late = driver.ask(customer=2, left_ns=3 * SECOND - 980 * MS)  # of an aim of 1 s
         assert len(only(late, Send)) == sent and len(only(late, Refuse | Fail)) == 1 - sent
         assert len(only(driver.ask(customer=3, left_ns=3 * SECOND - 100 * MS), Send)) == 1
+
+
+@pytest.mark.parametrize("gateways", [4, 16, 40, 64])
+def test_each_gateway_uses_few_backends_and_all_together_use_them_evenly(gateways: int) -> None:
+    many = Many(gateways, backends=60)
+    out = 8  # attempts that each gateway has out all the time: more than one would wait at the same backend
+    hits: Counter[int] = Counter()
+    used = []
+    for me, driver in enumerate(many.drivers):
+        driver.gateway.bound.depth = 1.0
+        mine = set()
+        for number in range(out):
+            for send in only(driver.ask(customer=number, spread=1, first=me), Send):
+                hits[send.backend] += 1
+                mine.add(send.backend)
+        assert len(mine) == out  # none waits for another while there is room elsewhere
+        for send in only(driver.actions, Send):
+            driver.end(send, Outcome.OK)
+        for number in range(50):  # one after the other
+            for send in only(driver.ask(customer=100 + number, spread=1, first=me), Send):
+                mine.add(send.backend)
+                driver.end(send, Outcome.OK)
+        used.append(len(mine))
+    assert max(used) <= out + 4
+    assert max(hits.values()) <= 2 + 2 * gateways * out / 60
+
+
+def test_a_gateway_that_sends_more_looks_at_more_backends() -> None:
+    driver = Driver(backends=60, gateways=40, peer_intake=INTAKE)
+    driver.gateway.bound.depth = 1.0
+    sent = [send for number in range(40) for send in only(driver.ask(customer=number), Send)]
+    assert len(sent) == len({send.backend for send in sent}) == 40
