--- a/pepperrun/gateway.py
+++ b/pepperrun/gateway.py
@@ -46,6 +46,7 @@
 NEWS_FOR = 2 * SECOND  # what is seen of a bad backend is passed on this long: time to reach all by hearsay
 FORGET = 4 * SECOND  # a speed estimate without samples drifts back to normal over this
 SLOW_MOST = 20.0  # a backend counts as at most this much slower: one stray answer must not bury it
+COLD_WHOLE = 0.7  # of a window's full capacity: one with less left is not loaded as if it had this
 FAR = 1.1  # a backend in another zone counts as this much slower: crossing is cheap
 LOOK_EVERY = SECOND // 50  # waiting work is looked at, by one timer at a time: slices fill and backends fade
 SURVEY_EVERY = SECOND // 4  # the fleet is looked over: short against warming; changes are seen at once
@@ -383,7 +384,7 @@
         self.typical: list[float] = [cls.aim_ns / 4 / settings.max_units for cls in settings.classes]
         self.seen = [0] * len(settings.classes)
         self.tail = 3.0  # the TAIL quantile of latency over expected; until seen
-        self.cold, self.hot = list[Server](), list[Server]()
+        self.ring, self.hot = list[Server](), list[Server]()  # ready ones, from this gateway's place on
         self.out, self.capacity = 0, 0.0  # backends in full use, cold ones in part
         self.shared = False  # most look bad: the trouble is not theirs, nobody is ejected, load is cut
         self.surveyed = -SURVEY_EVERY
@@ -399,11 +400,11 @@
         ready = self.ready()
         worst = {s: min(self.bad(s, cls, now) for cls in range(len(self.typical))) for s in ready}
         self.shared = 2 * sum(bad > OUT_AT for bad in worst.values()) > len(ready)
-        self.cold = [server for server in ready if self.warmth(server, now) < 1]
         # Each gateway's window begins elsewhere, so that all together cover the fleet evenly.
-        hot = sorted((s for s in ready if self.warmth(s, now) >= 1), key=lambda s: s.id * HASH % 2**32)
-        first = self.settings.me * len(hot) // self.settings.gateways
-        self.hot = hot[first:] + hot[:first]
+        ready.sort(key=lambda server: server.id * HASH % 2**32)
+        first = self.settings.me * len(ready) // self.settings.gateways
+        self.ring = ready[first:] + ready[:first]
+        self.hot = [server for server in self.ring if self.warmth(server, now) >= 1]
         self.capacity = sum(self.warmth(s, now) for s in ready if self.shared or worst[s] <= OUT_AT)
 
     def bad(self, server: Server, cls: int, now: int) -> float:
@@ -433,14 +434,17 @@
         """A window of the fleet as wide as this gateway's use. Drawn from all, two of forty gateways in three
         would hit a backend that others are at: what one has out says nothing of a backend then.
 
-        Rule 4: a cold backend is drawn for its part: all gateways together keep to it, in bursts too.
+        Rule 4: a cold backend is drawn for its part of the window's capacity: all gateways keep to it, in bursts
+        too. Of a window that is cold nearly whole it is less: the rest goes to warm ones or waits.
         """
-        lot = self.rng.random() * max(1, len(self.hot) + len(self.cold))
-        for server in self.cold:
-            lot -= self.warmth(server, now)
+        width = max(CHOICES, self.out + SPARE)
+        warm = [(server, self.warmth(server, now)) for server in self.ring[:width]]
+        lot = self.rng.random() * max(sum(part for _, part in warm), COLD_WHOLE * len(warm))
+        for server, part in warm:
+            lot -= part * (part < 1)
             if lot < 0:
                 return [server]
-        return self.hot[: max(CHOICES, self.out + SPARE)]
+        return [server for server, part in warm if part >= 1] or self.hot[:width]
 
     def choose(self, held: Held, now: int, avoid: Server | None = None) -> Server | None:
         """The backend with the least expected wait; a failing one gets single trials, a cold one its part."""
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -346,3 +346,30 @@
     assert gossip.unpack(data) == whole
     assert all(gossip.unpack(data[:end]) is None for end in range(len(data)))
     assert gossip.unpack(data + b"x") is None
+
+
+def test_cold_backends_get_their_part_of_the_load_and_no_more_where_most_have_been_replaced() -> None:
+    many = Many(40, backends=0)
+    born = many.now - SECOND
+    lines = tuple(Backend(n, n % 3, born_ns=born * (n % 5 < 3)) for n in range(60))  # three in five, of 28 %
+    hits: Counter[int] = Counter()
+    pairs = set()
+    for me, driver in enumerate(many.drivers):
+        driver.feed(BackendList(ListKind.FULL, lines))
+        for number in range(400):
+            for send in only(driver.ask(customer=number, spread=1, first=me), Send):
+                hits[send.backend] += 1
+                pairs.add((me, send.backend))
+                driver.end(send, Outcome.OK)
+    warmth = 0.2 + 0.8 / 10
+    warm = sum(hits[n] for n in range(60) if n % 5 >= 3) / 24
+    cold = [hits[n] for n in range(60) if n % 5 < 3]
+    assert 0.7 * warmth * warm <= sum(cold) / 36 <= 1.1 * warmth * warm
+    assert max(cold) <= 2.5 * warmth * warm
+    assert len(pairs) <= 40 * 12  # not each with all 60
+
+
+def test_a_fleet_that_is_cold_whole_is_not_loaded_as_if_it_were_warm() -> None:
+    driver = Driver(backends=0, gateways=40, peer_intake=INTAKE)
+    driver.feed(BackendList(ListKind.FULL, tuple(Backend(n, 0, born_ns=driver.now) for n in range(60))))
+    assert sum(bool(driver.gateway.fleet.draw(driver.now)) for _ in range(400)) <= 0.4 * 400
