--- a/pepperrun/gateway.py
+++ b/pepperrun/gateway.py
@@ -434,8 +434,8 @@
         """A window of the fleet as wide as this gateway's use. Drawn from all, two of forty gateways in three
         would hit a backend that others are at: what one has out says nothing of a backend then.
 
-        Rule 4: a cold backend is drawn for its part of the window's capacity: all gateways keep to it, in bursts
-        too. Of a window that is cold nearly whole it is less: the rest goes to warm ones or waits.
+        Rule 4: a cold backend is drawn for its part of the window's capacity: all gateways keep to it, in
+        bursts too. Of a window that is cold nearly whole it is less: the rest goes to warm ones or waits.
         """
         width = max(CHOICES, self.out + SPARE)
         warm = [(server, self.warmth(server, now)) for server in self.ring[:width]]
