--- a/pepperrun/gateway.py
+++ b/pepperrun/gateway.py
@@ -233,7 +233,9 @@
             if self.settings.me in account.keepers and (peer - account.first) % count < account.spread:
                 self.accounts[ask.customer] = account
                 account.seen = now
-                account.whole.level = min(account.whole.depth, account.whole.fill(now) - ask.owed)
+                level = min(account.whole.depth, account.whole.fill(now) - ask.owed)
+                # A figure out of all range must not shut a customer out for long.
+                account.whole.level = max(level, min(account.whole.level, -account.whole.depth))
                 if ask.units > 0:
                     answers = self.outbox.to(peer).answers
                     answers.append(self.grant(account, peer, ask.request, ask.units, now))
@@ -514,7 +516,7 @@
         self.fleet = Fleet(settings, self.rng, self._log)
         self.held: dict[int, Held] = {}
         self.further = Bucket(0.0, FURTHER_BURST, FURTHER_BURST, 0)
-        self.look_at, self.most_left = 0, [0] * len(settings.classes)
+        self.look_at, self.most_left, self.garbled = 0, [0] * len(settings.classes), 0
         self.logged, self.telling = Seldom(LOG_EVERY), True
         self.handlers = {Request: self._arrive, AttemptEnded: self._ended, BackendList: self._list}
         self.handlers |= {ClientLeft: self._gone, StreamStarted: self._gone, PeerMessage: self._hear}
@@ -552,6 +554,10 @@
 
     def _hear(self, event: PeerMessage) -> None:
         if (message := self.quotas.hear(event.peer, event.data, self.now)) is None:
+            if (garbled := self.quotas.inbox.garbled) > self.garbled and self.logged.now("garbled", self.now):
+                self.garbled = garbled
+                text = f"dropped messages that can't be read, {garbled} so far, the last of gatekeeper"
+                self.actions.append(Log(f"{text} {event.peer}"))
             return
         self.bound.hear(message.latency)
         for mark in message.marks:
--- a/pepperrun/gossip.py
+++ b/pepperrun/gossip.py
@@ -336,11 +336,13 @@
 
     def __init__(self) -> None:
         self.peers: dict[int, tuple[int, int, int]] = {}  # peer: incarnation, last sequence, heard at
+        self.garbled = 0  # messages that could not be read
 
     def accept(self, peer: int, data: bytes, now: int) -> Message | None:
         """The message in these bytes, if it is to be taken in."""
         message = unpack(data)
         if message is None:
+            self.garbled += 1
             return None
         if peer in self.peers:
             incarnation, sequence, _ = self.peers[peer]
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -373,3 +373,27 @@
     driver = Driver(backends=0, gateways=40, peer_intake=INTAKE)
     driver.feed(BackendList(ListKind.FULL, tuple(Backend(n, 0, born_ns=driver.now) for n in range(60))))
     assert sum(bool(driver.gateway.fleet.draw(driver.now)) for _ in range(400)) <= 0.4 * 400
+
+
+def test_messages_that_can_not_be_read_are_dropped_and_counted_in_one_line_for_a_while() -> None:
+    driver = Driver(gateways=60, peer_intake=INTAKE)
+    good = gossip.pack(gossip.Message(5, 1, 0))
+    for data in (b"", b"x", good[:-1], good + bytes(250), bytes([99]) + good[1:], good, good):
+        driver.feed(PeerMessage(3, data))
+    lines = only(driver.actions, Log)
+    assert len(lines) == 1 and driver.gateway.quotas.inbox.garbled == 5
+    driver.now += 6 * SECOND
+    driver.feed(PeerMessage(3, b"y"))
+    assert "6 so far, the last of gatekeeper 3" in only(driver.actions, Log)[-1].text
+
+
+def test_a_false_figure_of_a_peer_shuts_no_customer_out_for_long() -> None:
+    keeper = keeper_of(5)
+    driver = Driver(me=keeper, gateways=60, peer_intake=INTAKE)
+    for number in range(1, 20):
+        ask(driver, (keeper + 1) % 60, number, request=number, units=0.0, owed=2000.0)
+    assert driver.gateway.quotas.accounts[5].whole.fill(driver.now) >= -PLANS[RATE].burst
+    driver.run(3 * SECOND)
+    assert ask(driver, (keeper + 1) % 60, 30, request=30, units=2.0)[0].units == 2.0
+    ask(driver, (keeper + 1) % 60, 31, request=31, units=0.0, owed=-2000.0)  # nor grants it more
+    assert driver.gateway.quotas.accounts[5].whole.fill(driver.now) <= PLANS[RATE].burst
