--- a/pepperrun/bench/rig.py
+++ b/pepperrun/bench/rig.py
@@ -10,7 +10,7 @@
 import sys
 import tempfile
 import threading
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from types import TracebackType
@@ -142,8 +142,10 @@
         service_ms: float = 5.0,
         sockets: int = 20_000,
         arguments: Sequence[str] = (),
+        module: str = "pepperrun",
+        env: Mapping[str, str] | None = None,
     ) -> None:
-        self.arguments = list(arguments)
+        self.arguments, self.module, self.env = list(arguments), module, dict(env or {})
         self.clients_file, self.service_ms, self.sockets = clients, service_ms, sockets
         self.children: list[Child] = []
         self.lines: list[str] = []
@@ -175,14 +177,14 @@
         path = Path(self.folder.name)
         (path / "config.json").write_text(json.dumps(config))
         # Without the libraries, as the platform starts it, unless an option needs one.
-        command = [sys.executable, *([] if self.arguments else ["-S"]), "-B", "-m", "pepperrun"]
+        command = [sys.executable, *([] if self.arguments else ["-S"]), "-B", "-m", self.module]
         command += self.arguments
         if self.clients_file is not None:
             self.write_clients(self.clients_file)
             command += ["--clients", str(path / "clients.json")]
         self.gatekeeper = subprocess.Popen(
             command,
-            env=os.environ | {"NODE_CONFIG": str(path / "config.json")},
+            env=os.environ | self.env | {"NODE_CONFIG": str(path / "config.json")},
             stderr=subprocess.PIPE,
             text=True,
             cwd=ROOT,
--- a/pepperrun/model/fleet.py
+++ b/pepperrun/model/fleet.py
@@ -19,7 +19,7 @@
 
 
 class NodeKind(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """`[kind.NAME]`. Times in seconds."""
+    """`[kind.NAME]`. Times in seconds, work in seconds of a core at speed 1."""
 
     cores: Positive = 4.0
     speed: Positive = 1.0
@@ -31,6 +31,8 @@
     cold_from: Annotated[float, Meta(gt=0, le=1)] = 1.0
     cold_s: AtLeast0 = 0.0
     cancel: Literal["queued", "all"] = "queued"
+    warm_by: Literal["time", "work"] = "time"
+    cold_work_s: AtLeast0 = 0.0
 
     def kind(self, name: str) -> Kind:
         """As the model takes it."""
@@ -46,6 +48,7 @@
             self.cold_from,
             int(self.cold_s * 1e9),
             self.cancel == "all",
+            int(self.cold_work_s * 1e9) if self.warm_by == "work" else 0,
         )
 
 
@@ -140,6 +143,8 @@
     for name, kind in fleet.kind.items():
         if any(math.isnan(value) for value in (kind.cores, kind.speed, kind.thrash)):
             raise ValueError(f"kind.{name}: not a number")
+        if kind.warm_by == "work" and not (kind.cold_work_s > 0 and kind.cold_s > 0):
+            raise ValueError(f"kind.{name}.cold_work_s: warming by work needs it, and cold_s, above 0")
     return fleet
 
 
--- a/pepperrun/model/node.py
+++ b/pepperrun/model/node.py
@@ -22,7 +22,8 @@
 
     `slots` requests are in work at most, `queue` wait, more are turned away. Holding over `thrash_at`
     requests a core makes it less efficient, by `thrash` for each such measure more. It starts with
-    `cold_from` of its speed and is warm after `cold_ns`. `cancel_running`: what is given up stops in work.
+    `cold_from` of its speed and is warm after `cold_ns`, or sooner where `cold_work_ns` is given: by so much
+    work done, evenly. `cancel_running`: what is given up stops in work.
     """
 
     name: str = "node"
@@ -36,6 +37,7 @@
     cold_from: float = 1.0
     cold_ns: int = 0
     cancel_running: bool = False
+    cold_work_ns: int = 0
 
 
 class Taken(Enum):
@@ -67,7 +69,10 @@
         kind = self.kind
         if kind.cold_ns <= 0 or now >= self.born + kind.cold_ns:
             return 1.0
-        return kind.cold_from + (1 - kind.cold_from) * max(0, now - self.born) / kind.cold_ns
+        part = max(0, now - self.born) / kind.cold_ns
+        if kind.cold_work_ns > 0:  # never slower than by time
+            part = max(part, self.busy_ns / kind.cold_work_ns)
+        return kind.cold_from + (1 - kind.cold_from) * min(1.0, part)
 
     def held(self) -> int:
         """Requests in work and waiting."""
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -14,6 +14,7 @@
 from standins import SECOND, SETTINGS, Front, StandIn, going, line, ok, reset
 
 from pepperrun.__main__ import main
+from pepperrun.bench.stalling import stalling
 from pepperrun.capture import edit
 from pepperrun.capture import format as capture_format
 from pepperrun.capture.format import (
@@ -290,3 +291,19 @@
         assert main(["capture", *arguments]) == 2
         assert len(capsys.readouterr().err.splitlines()) == 1
     assert Path(out).exists()
+
+
+def test_a_disk_of_the_benchmarks_stalls_for_as_long_as_its_file_is_there(tmp_path):
+    stall, taken = tmp_path / "stall", tmp_path / "taken"
+    stall.touch()
+    file = stalling(lambda folder, name, most: lambda start: open(taken, "wb", buffering=0), stall)(
+        tmp_path, "n", 1
+    )(0)
+    looked = threading.Event()
+    writer = threading.Thread(target=lambda: (looked.set(), file.write(b"late")))
+    writer.start()
+    assert looked.wait(5) and taken.read_bytes() == b""
+    stall.unlink()
+    writer.join(5)
+    assert not writer.is_alive() and taken.read_bytes() == b"late"
+    file.close()
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -62,6 +62,20 @@
     assert stops.cancel(0, "a") and finish(stops, S) == [(10 * MS + 1, "b")]
 
 
+def test_a_node_that_warms_by_work_does_so_by_what_it_has_done_and_never_slower_than_by_time():
+    kind = Kind(cores=1, slots=1, queue=9, cold_from=0.5, cold_ns=10 * S, cold_work_ns=S)
+    idle, busy = Node(kind, 1.0, 0, warm=False), Node(kind, 1.0, 0, warm=False)
+    for key in range(8):
+        busy.arrive(0, key, 250 * MS)
+    finish(busy, 2 * S), finish(idle, 2 * S)
+    assert idle.warmth(2 * S) == pytest.approx(0.6) and busy.warmth(2 * S) == 1.0
+    # Half of the work done, half of the way; steps of 100 ms make it a little late.
+    half = Node(kind, 1.0, 0, warm=False)
+    half.arrive(0, "a", 500 * MS)
+    assert finish(half, 2 * S)[0][0] < S and half.warmth(S) == pytest.approx(0.75, abs=0.01)
+    assert half.warmth(10 * S) == 1.0
+
+
 @given(
     st.lists(st.tuples(st.integers(0, 50), st.integers(1, 80)), min_size=1, max_size=25), st.integers(1, 4)
 )
@@ -135,6 +149,9 @@
         ('kind = "std-4c"\ncount', 'kind = "nosuch"\ncount', "nosuch"),
         ("cold_from = 0.35", "cold_from = 0", "cold_from"),
         ("retries = 1", 'retries = "1"', "retries"),
+        ('cancel = "queued"', 'cancel = "queued"\nwarm_by = "work"', "kind.std-4c.cold_work_s"),
+        ("cold_s = 8", 'cold_s = 0\nwarm_by = "work"\ncold_work_s = 3', "kind.std-4c.cold_work_s"),
+        ("cold_s = 8", 'cold_s = 8\nwarm_by = "luck"', "warm_by"),
         ("[network]", "[network", "TOML"),
     ],
 )
