--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -296,9 +296,11 @@
 def test_a_disk_of_the_benchmarks_stalls_for_as_long_as_its_file_is_there(tmp_path):
     stall, taken = tmp_path / "stall", tmp_path / "taken"
     stall.touch()
-    file = stalling(lambda folder, name, most: lambda start: open(taken, "wb", buffering=0), stall)(
-        tmp_path, "n", 1
-    )(0)
+
+    def files(folder: Path, name: str, most: int):
+        return lambda start: (folder / name).open("wb", buffering=0)
+
+    file = stalling(files, stall)(tmp_path, "taken", 1)(0)
     looked = threading.Event()
     writer = threading.Thread(target=lambda: (looked.set(), file.write(b"late")))
     writer.start()
