A second address: readyz and telemetry, figures by class counted once

Change: pepperrun/admin (calls and lines without I/O; a server of 16 connections, 5 s each, the oldest gives way); Gatekeeper counts final answers by class, ServerSide attempts when the system has taken the last byte, Gateway tells which backends it leaves out; key admin and $NODE_ADMIN, one line and exit 2 where it is no address or in use.

--- a/pepperrun/__main__.py
+++ b/pepperrun/__main__.py
@@ -16,9 +16,12 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from pepperrun.admin.calls import Calls
+from pepperrun.admin.figures import figures
+from pepperrun.admin.server import DESCRIPTORS
+from pepperrun.admin.server import Server as AdminServer
 from pepperrun.clock import SECOND
-
-from pepperrun.config import Address, AuthConfig, Config, Listing, read_auth, read_config
+from pepperrun.config import Address, AuthConfig, Config, Listing, Unusable, read_auth, read_config
 from pepperrun.fronts.forward_auth import AuthService, ForwardAuth, auth_judge
 from pepperrun.fronts.platform import Platform
 from pepperrun.gatekeeper import Clock, Gatekeeper
@@ -193,6 +196,18 @@
     return listener
 
 
+async def open_admin(address: Address, core: Core, listener: Listener) -> AdminServer:
+    """The second address: it says yes while clients are taken."""
+
+    def ready() -> bool:
+        return listener.socket is not None and not listener.draining
+
+    calls = Calls(ready, lambda: figures(core.gatekeeper, core.servers, core.directory))
+    server = AdminServer(asyncio.get_running_loop(), calls)
+    await server.open(address)
+    return server
+
+
 def calls_of(config: Config) -> Backoff:
     """When to call discovery, which the other gatekeepers call too."""
     return Backoff(config.settings.gateways, random.Random(config.seed))
@@ -312,6 +327,7 @@
     auth = None
     classes: list[RequestClass] = []
     watch = Watch()
+    admin: AdminServer | None = None
     lot, backends = None, 0
     if clients is not None:
         held = auth_config.sockets if auth_config is not None else 0
@@ -324,7 +340,11 @@
         classes += auth_config.settings.classes
     if config is not None:
         sockets = config.sockets - (auth_config.sockets if auth_config is not None else 0)
-        parts["platform"] = core, _ = await start_platform(config, clock, sockets, auth, lot, backends)
+        sockets -= DESCRIPTORS if config.admin is not None else 0
+        core, listener = await start_platform(config, clock, sockets, auth, lot, backends)
+        parts["platform"] = core, listener
+        if config.admin is not None:
+            admin = await open_admin(config.admin, core, listener)
         classes += config.settings.classes
         known = config.known.version if config.known.lines else None
         watch.move(config.discovery, core.told, calls_of(config), known)
@@ -361,6 +381,8 @@
     except TimeoutError:
         say("stop", "connections were still open at the end")
     watch.stop()
+    if admin is not None:
+        admin.close()
     for task in tasks:
         task.cancel()
     if lot is not None:
@@ -473,6 +495,9 @@
         return 2
     try:
         asyncio.run(run(files))
+    except Unusable as error:
+        print(f"pepperrun: {error}", file=sys.stderr)
+        return 2
     except OSError as error:
         print(f"pepperrun: {error}", file=sys.stderr)
         return 1
--- a/pepperrun/config.py
+++ b/pepperrun/config.py
@@ -12,6 +12,11 @@
 
 Address = tuple[str, int]
 
+
+class Unusable(ValueError):
+    """What the platform or a file names can't be had; the text names the key."""
+
+
 _REPEATS = {
     "read_like": io.Repeat.SAFE,
     "idempotency_key": io.Repeat.KEYED,
@@ -198,6 +203,7 @@
     zones: tuple[str, ...]
     keepalive_ns: int
     connect_timeout_ns: int
+    admin: Address | None = None  # where operators call
 
 
 def read_config(text: str, env: Mapping[str, str]) -> Config:
@@ -210,6 +216,7 @@
         raise ValueError("NODE_CONFIG: not an object")
     params = get(table, "settings", dict, required=True)
     watched = table.get("discovery") or env.get("NODE_DISCOVERY")  # else the known list stands
+    calls = table.get("admin") or env.get("NODE_ADMIN")
     limits = get(params, "Limits", dict, {})
     known = get(table, "known", dict, {"version": 0, "servers": []})
     peers = get(table, "peers", list, [])
@@ -235,6 +242,7 @@
         zones=tuple(str(zone) for zone in get(params, "Dcs", list, [])),
         keepalive_ns=_above_0(limits, "KeepaliveNs", 15_000_000_000),
         connect_timeout_ns=_above_0(limits, "ConnectTimeoutNs", 250_000_000),
+        admin=address(table, "admin", env.get("NODE_ADMIN")) if calls else None,
     )
 
 
--- a/pepperrun/gatekeeper.py
+++ b/pepperrun/gatekeeper.py
@@ -100,7 +100,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._margin = 4 * settings.tick_ns
         self.observer: Callable[[AnyExchange], None] | None = None  # told of each exchange that is over
-        self.counts = {end: 0 for end in End}
+        self.by_class = [dict.fromkeys(End, 0) for _ in settings.classes]
         self.outcomes = {outcome: 0 for outcome in Outcome}
 
     # Events.
@@ -152,6 +152,11 @@
         """A peer has sent a message."""
         self._event(PeerMessage(peer, data))
 
+    @property
+    def counts(self) -> dict[End, int]:
+        """Final answers by their kind, over all classes."""
+        return {end: sum(counts[end] for counts in self.by_class) for end in End}
+
     def waiting(self) -> int:
         """How many requests have no answer yet."""
         return sum(exchange.end is None for exchange in self.exchanges.values())
@@ -296,7 +301,7 @@
 
     def _finish(self, exchange: AnyExchange, final: Final[Any]) -> bool:
         first = exchange.finish(final)
-        self.counts[final.end] += first
+        self.by_class[exchange.cls][final.end] += first
         if first and self.observer is not None:
             exchange.finished = self.clock()
         return first
--- a/pepperrun/gateway.py
+++ b/pepperrun/gateway.py
@@ -549,6 +549,14 @@
             if not held.stream:
                 self._close(held)
 
+    def avoided(self) -> set[int]:
+        """Backends of the list that are left out for their failures, whatever the class."""
+        bad = self.fleet.bad
+        classes = range(len(self.settings.classes))
+        return {
+            id for id, s in self.fleet.servers.items() if any(bad(s, c, self.now) > OUT_AT for c in classes)
+        }
+
     def _hear(self, event: PeerMessage) -> None:
         if (message := self.quotas.hear(event.peer, event.data, self.now)) is None:
             if (count := self.quotas.inbox.garbled) > self.garbled:
--- a/pepperrun/net/server_side.py
+++ b/pepperrun/net/server_side.py
@@ -165,12 +165,15 @@
         self.transport.write(write_request(attempt.exchange.asked, attempt.deadline - now))
         if self.transport.is_closing():
             self.unsent = True  # the write itself failed: nothing has gone out
+        elif not self.unsent:
+            self.side.written += 1
 
     def pause_writing(self) -> None:
         self.unsent = True
 
     def resume_writing(self) -> None:
         self.unsent = False
+        self.side.written += 1
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return self.buffer.room()
@@ -290,7 +293,7 @@
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.connections: set[Connection] = set()
         self.opening: set[asyncio.Task[None]] = set()
-        self.opened = 0
+        self.opened = self.written = 0  # connections, and attempts written whole
         self.wear = Wear()
         self.sweeper = loop.call_later(SWEEP_S, self._sweep)
 
