--- a/pepperrun/__main__.py
+++ b/pepperrun/__main__.py
@@ -21,7 +21,7 @@
 from pepperrun.admin.server import DESCRIPTORS
 from pepperrun.admin.server import Server as AdminServer
 from pepperrun.clock import SECOND
-from pepperrun.config import Address, AuthConfig, Config, Listing, Unusable, read_auth, read_config
+from pepperrun.config import Address, AuthConfig, Config, Listing, UnusableError, read_auth, read_config
 from pepperrun.fronts.forward_auth import AuthService, ForwardAuth, auth_judge
 from pepperrun.fronts.platform import Platform
 from pepperrun.gatekeeper import Clock, Gatekeeper
@@ -495,7 +495,7 @@
         return 2
     try:
         asyncio.run(run(files))
-    except Unusable as error:
+    except UnusableError as error:
         print(f"pepperrun: {error}", file=sys.stderr)
         return 2
     except OSError as error:
--- a/pepperrun/admin/server.py
+++ b/pepperrun/admin/server.py
@@ -9,7 +9,7 @@
 import socket
 
 from pepperrun.admin.calls import MOST_LINE, Calls, line_of
-from pepperrun.config import Address, Unusable
+from pepperrun.config import Address, UnusableError
 from pepperrun.log import say
 from pepperrun.net.buffer import Buffer
 
@@ -91,13 +91,13 @@
         self.address: Address = ("", 0)
 
     async def open(self, address: Address) -> None:
-        """Listens there; Unusable names the key where that can't be."""
+        """Listens there; UnusableError names the key where that can't be."""
         try:
             self.listener = await self.loop.create_server(
                 lambda: Caller(self), *address, family=_family(address), reuse_address=True, backlog=MOST * 4
             )
         except OSError as error:
-            raise Unusable(f"admin: {address[0]}:{address[1]}: {error.strerror}") from None
+            raise UnusableError(f"admin: {address[0]}:{address[1]}: {error.strerror}") from None
         self.address = self.listener.sockets[0].getsockname()[:2]
         say("admin", f"operators may call at {self.address[0]}:{self.address[1]}")
 
--- a/pepperrun/config.py
+++ b/pepperrun/config.py
@@ -13,7 +13,7 @@
 Address = tuple[str, int]
 
 
-class Unusable(ValueError):
+class UnusableError(ValueError):
     """What the platform or a file names can't be had; the text names the key."""
 
 
