The process is replaced while it serves: state, peers' socket and connections pass on

Change: pepperrun/handover (state and messages without I/O; a channel, the two ends), the listener by $NODE_INHERITED_FD, held and never shut down; __main__ is split, what puts parts together is in assembly.py. Ruled out on the way: that peers take the successor for an old message (same incarnation, sequence goes on), that a store grants twice (split, rate to one side).

--- a/pepperrun/__main__.py
+++ b/pepperrun/__main__.py
@@ -5,36 +5,40 @@
 import asyncio
 import gc
 import os
-import random
-import re
 import resource
 import secrets
 import signal
 import sys
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import fields, replace
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from pepperrun.admin.calls import Calls
-from pepperrun.admin.figures import figures
 from pepperrun.admin.server import DESCRIPTORS
 from pepperrun.admin.server import Server as AdminServer
 from pepperrun.clock import SECOND
-from pepperrun.config import Address, AuthConfig, Config, Listing, UnusableError, read_auth, read_config
-from pepperrun.fronts.forward_auth import AuthService, ForwardAuth, auth_judge
-from pepperrun.fronts.platform import Platform
-from pepperrun.gatekeeper import Clock, Gatekeeper
-from pepperrun.interface import ListKind, RequestClass, Settings
+from pepperrun.assembly import (
+    Core,
+    Part,
+    Watch,
+    ask_before,
+    calls_of,
+    inherited_socket,
+    make_lot,
+    meeting_place,
+    open_admin,
+    start_auth,
+    start_platform,
+    wait_for_next,
+)
+from pepperrun.config import AuthConfig, Config, UnusableError, read_auth, read_config
+from pepperrun.gatekeeper import Clock
+from pepperrun.interface import ListKind, RequestClass
 from pepperrun.log import json_lines, say
-from pepperrun.net.backoff import Backoff
-from pepperrun.net.directory import Directory
-from pepperrun.net.discovery import Discovery
 from pepperrun.net.listener import Listener
-from pepperrun.net.peers import Peers, open_peers
-from pepperrun.net.server_side import Judge, ServerSide, platform_judge
 
 if TYPE_CHECKING:
+    from pepperrun.handover.predecessor import Predecessor
     from pepperrun.capture.recorder import Recorder
     from pepperrun.metrics import MetricsConfig, Reporter, Sample
     from pepperrun.parking.config import ClientsConfig
@@ -46,173 +50,10 @@
     " [--log-format text|json], or pepperrun --help"
 )
 HELP = ("-h", "--help", "--version")
-RESERVED = 24  # descriptors that are not connections of clients or to backends: files, listeners, the loop's
 MOST_CAPTURES = 100  # files of a gatekeeper that are kept
 OVERTIME_S = 1.0  # after the longest deadline: the last requests come a while after SIGTERM
 
 
-class Core:
-    """A gatekeeper with the backends before which it stands."""
-
-    def __init__(
-        self,
-        clock: Clock,
-        settings: Settings,
-        seed: int,
-        zones: tuple[str, ...],
-        judge: Judge,
-        most: int,
-        keepalive_ns: int,
-        connect_timeout_ns: int,
-    ) -> None:
-        loop = asyncio.get_running_loop()
-        self.peers: Peers | None = None
-        self.settings = settings
-        self.gatekeeper = Gatekeeper(settings, seed, clock, loop, self._tell, log=self._log)
-        self.directory = Directory(zones, clock.of_unix_ms)
-        ended = self.gatekeeper.ended
-        self.servers = ServerSide(
-            loop, clock, self.directory, ended, judge, most, keepalive_ns, connect_timeout_ns
-        )
-        self.gatekeeper.backends = self.servers
-
-    def _log(self, text: str) -> None:
-        """A line of the gateway, with the backend's name in place of its number."""
-        names = self.directory.names
-
-        def name(match: re.Match[str]) -> str:
-            return f"backend {names.get(int(match[1]), match[1])}"
-
-        say("gateway", re.sub(r"backend (\d+)", name, text))
-
-    def _tell(self, peer: int, data: bytes) -> None:
-        if self.peers is not None:
-            self.peers.tell(peer, data)
-
-    async def meet(self, listen: Address | None, peers: tuple[Address, ...]) -> None:
-        """Listens for messages of the other gatekeepers."""
-        if listen is not None and self.settings.peer_messages:
-            self.peers = await open_peers(listen, peers, self.settings.me, self.gatekeeper.heard)
-
-    def told(self, listing: Listing, kind: ListKind | None = None) -> None:
-        """Takes in a list of backends."""
-        kind = kind or (ListKind.FULL if listing.full else ListKind.DELTA)
-        self.gatekeeper.listed(self.directory.take(listing, kind))
-        self.servers.listed()
-
-
-Part = tuple[Core, Listener | None]
-
-
-def split_sockets(limit: int) -> tuple[int, int]:
-    """Connections of clients and to backends, at most, within the limit on descriptors.
-
-    Clients that ask hold a third of them at most; the rest of the clients' half is for those that do not.
-    """
-    soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    if soft != resource.RLIM_INFINITY:
-        limit = min(limit, soft)
-    return (limit - RESERVED) // 2, (limit - RESERVED) // 2
-
-
-def make_lot(config: ClientsConfig, clock: Clock, sockets: int, auth_sockets: int) -> tuple[Lot, int]:
-    """Where clients' connections are parked, and how many may lead to workers: a sixth of the descriptors.
-
-    The limit on descriptors is raised as far as the system lets an ordinary user.
-    """
-    from pepperrun.parking.lot import Lot
-
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if soft != hard:
-        resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
-    limit = min(sockets, hard) if hard != resource.RLIM_INFINITY else sockets
-    backends = max(16, limit // 6)
-    here = max(16, limit - RESERVED - backends - auth_sockets // 2 - config.holders)
-    if config.most_here:
-        here = min(here, config.most_here)
-    return Lot(asyncio.get_running_loop(), clock, config, here), backends
-
-
-async def start_auth(
-    config: AuthConfig, clock: Clock, seed: int, lot: Lot | None = None
-) -> tuple[Core, AuthService, Listener | None]:
-    """The core before the authentication servers and, where configured, its front."""
-    most_clients, most = config.sockets // 2, config.sockets // 2
-    core = Core(
-        clock, config.settings, seed, (), auth_judge, most, config.keepalive_ns, config.connect_timeout_ns
-    )
-    core.told(config.servers, ListKind.CACHED)
-    await core.meet(config.peer_listen, config.peers)
-    service = AuthService(config, core.gatekeeper, clock)
-    if config.listen is None:
-        return core, service, None
-    make = ForwardAuth(service).make
-    return core, service, listen("forward authentication", config.listen, clock, most_clients, make, lot)
-
-
-async def start_platform(
-    config: Config,
-    clock: Clock,
-    sockets: int,
-    auth: AuthService | None,
-    lot: Lot | None = None,
-    backends: int = 0,
-) -> tuple[Core, Listener]:
-    """The core before the workers and the platform's front."""
-    most_clients, most = split_sockets(sockets) if lot is None else (0, backends)
-    core = Core(
-        clock,
-        config.settings,
-        config.seed,
-        config.zones,
-        platform_judge(config.settings.max_units),
-        most,
-        config.keepalive_ns,
-        config.connect_timeout_ns,
-    )
-    core.told(config.known, ListKind.CACHED)
-    await core.meet(config.peer_listen, config.peers)
-    front = Platform(config.settings, core.gatekeeper, clock, auth)
-    return core, listen(config.name, config.listen, clock, most_clients, front.make, lot)
-
-
-def listen(
-    name: str,
-    address: Address,
-    clock: Clock,
-    most: int,
-    make: Callable[[Listener], asyncio.BufferedProtocol],
-    lot: Lot | None = None,
-) -> Listener:
-    """A front at its address."""
-    if lot is None:
-        listener = Listener(asyncio.get_running_loop(), clock, most, make)
-    else:
-        from pepperrun.parking.listener import ParkingListener
-
-        listener = ParkingListener(asyncio.get_running_loop(), clock, lot, make)
-    listener.open(address)
-    say(name, f"{name} listens at {listener.address[0]}:{listener.address[1]}")
-    return listener
-
-
-async def open_admin(address: Address, core: Core, listener: Listener) -> AdminServer:
-    """The second address: it says yes while clients are taken."""
-
-    def ready() -> bool:
-        return listener.socket is not None and not listener.draining
-
-    calls = Calls(ready, lambda: figures(core.gatekeeper, core.servers, core.directory))
-    server = AdminServer(asyncio.get_running_loop(), calls)
-    await server.open(address)
-    return server
-
-
-def calls_of(config: Config) -> Backoff:
-    """When to call discovery, which the other gatekeepers call too."""
-    return Backoff(config.settings.gateways, random.Random(config.seed))
-
-
 def reporters(config: MetricsConfig, instance: str, parts: dict[str, Part]) -> list[Reporter]:
     """Where the figures go."""
     from pepperrun.metrics import collectd, graphite, process_samples, samples
@@ -232,41 +73,6 @@
     return out
 
 
-class Watch:
-    """The watch on discovery, which a new configuration may move to another address."""
-
-    def __init__(self) -> None:
-        self.address: Address | None = None
-        self.task: asyncio.Task[None] | None = None
-
-    def move(
-        self,
-        address: Address | None,
-        told: Callable[[Listing], None],
-        backoff: Backoff,
-        known: int | None = None,
-        holds: bool = False,
-    ) -> None:
-        """Watches there from now on, `known` and `holds` as `Discovery` has them.
-
-        The last list stands until the new place has told one.
-        """
-        if address == self.address:
-            return
-        self.stop()
-        self.address = address
-        if address is not None:
-            self.task = asyncio.get_running_loop().create_task(
-                Discovery(address, told, backoff, known, holds).run()
-            )
-
-    def stop(self) -> None:
-        """Watches no more."""
-        if self.task is not None:
-            self.task.cancel()
-        self.address = self.task = None
-
-
 def reloaded(
     files: Files,
     config: Config | None,
@@ -328,6 +134,7 @@
     classes: list[RequestClass] = []
     watch = Watch()
     admin: AdminServer | None = None
+    after: Predecessor | None = None
     lot, backends = None, 0
     if clients is not None:
         held = auth_config.sockets if auth_config is not None else 0
@@ -341,13 +148,22 @@
     if config is not None:
         sockets = config.sockets - (auth_config.sockets if auth_config is not None else 0)
         sockets -= DESCRIPTORS if config.admin is not None else 0
-        core, listener = await start_platform(config, clock, sockets, auth, lot, backends)
+        shared = inherited_socket(os.environ)
+        place = meeting_place(config.name, os.environ) if shared is not None else None
+        before = await ask_before(place)
+        core, listener = await start_platform(config, clock, sockets, auth, lot, backends, shared, before)
         parts["platform"] = core, listener
         if config.admin is not None:
             admin = await open_admin(config.admin, core, listener)
         classes += config.settings.classes
         known = config.known.version if config.known.lines else None
-        watch.move(config.discovery, core.told, calls_of(config), known)
+        if before is not None and before.table is not None:
+            known = before.version()
+        watch.move(config.discovery, core.told, calls_of(config), known, holds=bool(core.directory.lines))
+        if before is not None:
+            before.yes(listener, core.peers)
+        if place is not None:
+            after = wait_for_next(place, core, listener, watch)
     if metrics is not None:
         instance = config.name if config is not None else "auth"
         tasks += [loop.create_task(reporter.run()) for reporter in reporters(metrics, instance, parts)]
@@ -372,6 +188,8 @@
     listeners = [listener for _, listener in parts.values() if listener is not None]
     say("stop", f"drains {drained_count(listeners, lot)} connections")
     longest_s = max(kind.deadline_ns for kind in classes) / SECOND
+    if after is not None and await after.finish(longest_s + OVERTIME_S):
+        listeners.remove(listener)
     try:
         async with asyncio.timeout(longest_s + OVERTIME_S):
             await asyncio.gather(*(listener.drain() for listener in listeners))
--- /dev/null
+++ b/pepperrun/assembly.py
@@ -0,0 +1,325 @@
+"""Puts the parts of a gatekeeper together: cores, fronts, the watch on discovery and the second address."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import re
+import resource
+import socket
+import stat
+import os
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from pepperrun.admin.calls import Calls
+from pepperrun.admin.figures import figures
+from pepperrun.admin.server import Server as AdminServer
+from pepperrun.config import Address, AuthConfig, Config, Listing, UnusableError
+from pepperrun.fronts.forward_auth import AuthService, ForwardAuth, auth_judge
+from pepperrun.fronts.platform import Platform
+from pepperrun.gatekeeper import Clock, Gatekeeper
+from pepperrun.interface import ListKind, Settings
+from pepperrun.handover.channel import path_of
+from pepperrun.handover.predecessor import Predecessor
+from pepperrun.handover.successor import Successor
+from pepperrun.log import say
+from pepperrun.net.backoff import Backoff
+from pepperrun.net.directory import Directory
+from pepperrun.net.discovery import Discovery
+from pepperrun.net.listener import Listener
+from pepperrun.net.peers import Peers, open_peers
+from pepperrun.net.server_side import Judge, ServerSide, platform_judge
+
+if TYPE_CHECKING:
+    from pepperrun.parking.config import ClientsConfig
+    from pepperrun.parking.lot import Lot
+
+AGAIN_S = 0.5  # between tries for an address that another process still has
+Part = tuple["Core", "Listener | None"]
+RESERVED = 24  # descriptors that are not connections of clients or to backends: files, listeners, the loop's
+
+
+class Core:
+    """A gatekeeper with the backends before which it stands."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        settings: Settings,
+        seed: int,
+        zones: tuple[str, ...],
+        judge: Judge,
+        most: int,
+        keepalive_ns: int,
+        connect_timeout_ns: int,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        self.peers: Peers | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.settings = settings
+        self.gatekeeper = Gatekeeper(settings, seed, clock, loop, self._tell, log=self._log)
+        self.directory = Directory(zones, clock.of_unix_ms)
+        ended = self.gatekeeper.ended
+        self.servers = ServerSide(
+            loop, clock, self.directory, ended, judge, most, keepalive_ns, connect_timeout_ns
+        )
+        self.gatekeeper.backends = self.servers
+
+    def _log(self, text: str) -> None:
+        """A line of the gateway, with the backend's name in place of its number."""
+        names = self.directory.names
+
+        def name(match: re.Match[str]) -> str:
+            return f"backend {names.get(int(match[1]), match[1])}"
+
+        say("gateway", re.sub(r"backend (\d+)", name, text))
+
+    def _tell(self, peer: int, data: bytes) -> None:
+        if self.peers is not None:
+            self.peers.tell(peer, data)
+
+    async def meet(
+        self,
+        listen: Address | None,
+        peers: tuple[Address, ...],
+        fd: int | None = None,
+        patient: bool = False,
+    ) -> None:
+        """Listens for messages of the other gatekeepers, by `fd` where another process gave its socket.
+
+        `patient`: another process may have the address still; tries again until it is free.
+        """
+        if listen is None or not self.settings.peer_messages:
+            if fd is not None:
+                os.close(fd)
+            return
+        try:
+            self.peers = await open_peers(listen, peers, self.settings.me, self.gatekeeper.heard, fd)
+        except OSError as error:
+            if not patient:
+                raise
+            say("peers", f"peers can't be heard yet: {error}")
+            again = asyncio.get_running_loop().create_task(self._meet_later(listen, peers))
+            self.tasks.add(again)
+            again.add_done_callback(self.tasks.discard)
+
+    async def _meet_later(self, listen: Address, peers: tuple[Address, ...]) -> None:
+        while self.peers is None:
+            await asyncio.sleep(AGAIN_S)
+            try:
+                self.peers = await open_peers(listen, peers, self.settings.me, self.gatekeeper.heard)
+            except OSError as error:
+                say("peers", f"peers can't be heard yet: {error}")
+
+    def told(self, listing: Listing, kind: ListKind | None = None) -> None:
+        """Takes in a list of backends."""
+        kind = kind or (ListKind.FULL if listing.full else ListKind.DELTA)
+        self.gatekeeper.listed(self.directory.take(listing, kind))
+        self.servers.listed()
+
+
+def split_sockets(limit: int) -> tuple[int, int]:
+    """Connections of clients and to backends, at most, within the limit on descriptors.
+
+    Clients that ask hold a third of them at most; the rest of the clients' half is for those that do not.
+    """
+    soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    if soft != resource.RLIM_INFINITY:
+        limit = min(limit, soft)
+    return (limit - RESERVED) // 2, (limit - RESERVED) // 2
+
+
+def make_lot(config: ClientsConfig, clock: Clock, sockets: int, auth_sockets: int) -> tuple[Lot, int]:
+    """Where clients' connections are parked, and how many may lead to workers: a sixth of the descriptors.
+
+    The limit on descriptors is raised as far as the system lets an ordinary user.
+    """
+    from pepperrun.parking.lot import Lot
+
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft != hard:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    limit = min(sockets, hard) if hard != resource.RLIM_INFINITY else sockets
+    backends = max(16, limit // 6)
+    here = max(16, limit - RESERVED - backends - auth_sockets // 2 - config.holders)
+    if config.most_here:
+        here = min(here, config.most_here)
+    return Lot(asyncio.get_running_loop(), clock, config, here), backends
+
+
+async def start_auth(
+    config: AuthConfig, clock: Clock, seed: int, lot: Lot | None = None
+) -> tuple[Core, AuthService, Listener | None]:
+    """The core before the authentication servers and, where configured, its front."""
+    most_clients, most = config.sockets // 2, config.sockets // 2
+    core = Core(
+        clock, config.settings, seed, (), auth_judge, most, config.keepalive_ns, config.connect_timeout_ns
+    )
+    core.told(config.servers, ListKind.CACHED)
+    await core.meet(config.peer_listen, config.peers)
+    service = AuthService(config, core.gatekeeper, clock)
+    if config.listen is None:
+        return core, service, None
+    make = ForwardAuth(service).make
+    return core, service, listen("forward authentication", config.listen, clock, most_clients, make, lot)
+
+
+async def start_platform(
+    config: Config,
+    clock: Clock,
+    sockets: int,
+    auth: AuthService | None,
+    lot: Lot | None = None,
+    backends: int = 0,
+    inherited: socket.socket | None = None,
+    before: Successor | None = None,
+) -> tuple[Core, Listener]:
+    """The core before the workers and the platform's front."""
+    most_clients, most = split_sockets(sockets) if lot is None else (0, backends)
+    core = Core(
+        clock,
+        config.settings,
+        config.seed,
+        config.zones,
+        platform_judge(config.settings.max_units),
+        most,
+        config.keepalive_ns,
+        config.connect_timeout_ns,
+    )
+    core.told(config.known, ListKind.CACHED)
+    if before is not None:
+        listing = before.listing()
+        if listing is not None and listing.lines:
+            core.told(listing, ListKind.FULL)
+        before.take_in(core.gatekeeper)
+    fd = before.peers_fd if before is not None else None
+    await core.meet(config.peer_listen, config.peers, fd, patient=inherited is not None)
+    front = Platform(config.settings, core.gatekeeper, clock, auth)
+    return core, listen(config.name, config.listen, clock, most_clients, front.make, lot, inherited)
+
+
+def listen(
+    name: str,
+    address: Address,
+    clock: Clock,
+    most: int,
+    make: Callable[[Listener], asyncio.BufferedProtocol],
+    lot: Lot | None = None,
+    inherited: socket.socket | None = None,
+) -> Listener:
+    """A front at its address."""
+    if lot is None:
+        listener = Listener(asyncio.get_running_loop(), clock, most, make)
+    else:
+        from pepperrun.parking.listener import ParkingListener
+
+        listener = ParkingListener(asyncio.get_running_loop(), clock, lot, make)
+    listener.open(address, inherited)
+    say(name, f"{name} listens at {listener.address[0]}:{listener.address[1]}")
+    return listener
+
+
+async def open_admin(address: Address, core: Core, listener: Listener) -> AdminServer:
+    """The second address: it says yes while clients are taken."""
+
+    calls = Calls(listener.taking, lambda: figures(core.gatekeeper, core.servers, core.directory))
+    server = AdminServer(asyncio.get_running_loop(), calls)
+    await server.open(address)
+    return server
+
+
+def calls_of(config: Config) -> Backoff:
+    """When to call discovery, which the other gatekeepers call too."""
+    return Backoff(config.settings.gateways, random.Random(config.seed))
+
+
+class Watch:
+    """The watch on discovery, which a new configuration may move to another address."""
+
+    def __init__(self) -> None:
+        self.address: Address | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.discovery: Discovery | None = None
+
+    def move(
+        self,
+        address: Address | None,
+        told: Callable[[Listing], None],
+        backoff: Backoff,
+        known: int | None = None,
+        holds: bool = False,
+    ) -> None:
+        """Watches there from now on, `known` and `holds` as `Discovery` has them.
+
+        The last list stands until the new place has told one.
+        """
+        if address == self.address:
+            return
+        self.stop()
+        self.address = address
+        if address is not None:
+            self.discovery = Discovery(address, told, backoff, known, holds)
+            self.task = asyncio.get_running_loop().create_task(self.discovery.run())
+
+    def stop(self) -> None:
+        """Watches no more."""
+        if self.task is not None:
+            self.task.cancel()
+        self.address = self.task = self.discovery = None
+
+
+def inherited_socket(env: Mapping[str, str]) -> socket.socket | None:
+    """The clients' listening socket that the platform holds; UnusableError where what is named is none."""
+    text = env.get("NODE_INHERITED_FD")
+    if not text:
+        return None
+    if not text.isascii() or not text.isdigit() or len(text) > 6:
+        raise UnusableError(f"NODE_INHERITED_FD: {text!r} is no descriptor")
+    number = int(text)
+    try:
+        if not stat.S_ISSOCK(os.fstat(number).st_mode):
+            raise UnusableError(f"NODE_INHERITED_FD: descriptor {number} is no socket")
+    except OSError as error:
+        raise UnusableError(f"NODE_INHERITED_FD: descriptor {number}: {error.strerror}") from None
+    sock = socket.socket(fileno=number)
+    stream = sock.type == socket.SOCK_STREAM and sock.family in (socket.AF_INET, socket.AF_INET6)
+    if not stream or not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        sock.detach()
+        raise UnusableError(f"NODE_INHERITED_FD: descriptor {number} does not listen for clients")
+    os.set_inheritable(number, False)
+    return sock
+
+
+def meeting_place(name: str, env: Mapping[str, str]) -> Path | None:
+    """Where this gatekeeper's processes meet; None, with a line, where there is no such place."""
+    folder = env.get("TMPDIR")
+    if not folder:
+        say("hand-over", "no hand-over: TMPDIR is not set")
+        return None
+    try:
+        return path_of(folder, name)
+    except ValueError as error:
+        say("hand-over", f"no hand-over: {error}")
+        return None
+
+
+async def ask_before(place: Path | None) -> Successor | None:
+    """The process that serves until now, asked for what it knows."""
+    if place is None:
+        return None
+    before = Successor()
+    await before.ask(place)
+    return before
+
+
+def wait_for_next(place: Path, core: Core, listener: Listener, watch: Watch) -> Predecessor:
+    """Waits for the process that is to take this one's place."""
+
+    def table() -> dict[str, Any]:
+        version = watch.discovery.version if watch.discovery is not None else None
+        listing = {"version": version or 0, "full": True, "servers": core.directory.told()}
+        return {"list": listing, "known": version is not None, "peers": core.peers is not None}
+
+    return Predecessor(place, core.gatekeeper, core.servers, listener, lambda: core.peers, table)
--- a/pepperrun/config.py
+++ b/pepperrun/config.py
@@ -151,6 +151,7 @@
     "Terminating": io.BackendState.DRAINING,
     "Gone": io.BackendState.GONE,
 }
+STATE_NAMES = {state: name for name, state in _STATES.items()}
 
 
 def read_listing(table: Mapping[str, Any]) -> Listing:
--- a/pepperrun/fronts/http_client.py
+++ b/pepperrun/fronts/http_client.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from collections.abc import Callable
 from typing import Any
 
@@ -15,7 +16,7 @@
 from pepperrun.gatekeeper import Gatekeeper
 from pepperrun.net.buffer import Buffer, unread
 from pepperrun.net.http1 import ROOM, HttpError, Message, Request, RequestParser, write_response
-from pepperrun.net.listener import CROWDED_NS, Listener
+from pepperrun.net.listener import CROWDED_NS, Listener, Snapshot
 
 Fields = list[tuple[bytes, bytes]]
 Answer = tuple[int, Fields, bytes]
@@ -27,7 +28,6 @@
 GREEN_NS = SECOND // 4  # a new connection has this long to ask before it gives way to others
 SCRATCH = memoryview(bytearray(256 * 1024))  # takes what is dropped; never read
 MOST_HELD = 2048  # bytes of a part of a request with which a connection can be parked
-Snapshot = tuple[int, int, int, bytes, int]
 Step = tuple[Gatekeeper, Exchange[Any, Any]]  # an exchange and who is to take it
 TEXT = (b"Content-Type", b"text/plain; charset=utf-8")
 
@@ -152,14 +152,14 @@
 
     # For who parks connections.
 
-    def idle_since(self) -> int | None:
+    def idle_since(self, most_held: int = MOST_HELD) -> int | None:
         """Since when it has said nothing; None where parking would lose more."""
         transport = self.transport
         if transport is None or transport.is_closing() or self.step is not None or self.closing:
             return None
         if self.woken or self.paused or self.stuck is not None or self.parser.request is not None:
             return None
-        if self.unwritten() or len(self.buffer) > MOST_HELD:
+        if self.unwritten() or len(self.buffer) > most_held:
             return None
         return self.buffer.last_at if len(self.buffer) else self.since
 
@@ -176,6 +176,23 @@
         if transport is not None:
             transport.abort()
 
+    def give(self, most_held: int) -> tuple[Snapshot, int] | None:
+        """What it is and a copy of its descriptor, for another process; None while it owes an answer."""
+        if self.lingering or self.idle_since(most_held) is None or self.transport is None:
+            return None
+        try:
+            fd = os.dup(self.transport.get_extra_info("socket").fileno())
+        except OSError:
+            return None
+        snapshot = self.snapshot()
+        self.park()
+        return snapshot, fd
+
+    def go_on(self) -> None:
+        """Reads what came with it from another process."""
+        if len(self.buffer):
+            self._read()
+
     def revive(self, snapshot: Snapshot, woken: int) -> None:
         """Goes on as the connection was; it has spoken at `woken`."""
         self.answers, self.asked, self.since, held, held_at = snapshot
@@ -188,7 +205,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        if not self.woken:
+        if not self.made:
             self.made = self.since = self.clock()
         self.listener.add(self)
 
--- a/pepperrun/gatekeeper.py
+++ b/pepperrun/gatekeeper.py
@@ -99,6 +99,7 @@
         self._due: int | None = None  # the gateway's timer
         self._timer: asyncio.TimerHandle | None = None
         self._margin = 4 * settings.tick_ns
+        self.telling = True  # peers hear from this process
         self.observer: Callable[[AnyExchange], None] | None = None  # told of each exchange that is over
         self.by_class = [dict.fromkeys(End, 0) for _ in settings.classes]
         self.outcomes = {outcome: 0 for outcome in Outcome}
@@ -256,7 +257,8 @@
             case SetTimer():
                 self._arm(now + action.delay_ns)
             case TellPeer():
-                self.tell(action.peer, action.data)
+                if self.telling:
+                    self.tell(action.peer, action.data)
             case Cancel():
                 exchange = self.exchanges.get(action.request)
                 if exchange is not None and action.attempt in exchange.open and self.backends:
--- a/pepperrun/gateway.py
+++ b/pepperrun/gateway.py
@@ -164,6 +164,7 @@
         self.dirty: dict[int, None] = {}
         self.start = self.beat = 0
         self.counted = 0.0  # no account dropped so far had counted more
+        self.handed = False  # another process of this gatekeeper decides: no store fills, no peer is told
         intake = max(settings.peer_intake, 0.1) * INTAKE_USED
         self.period = max(2 * settings.tick_ns, int(max(1, settings.gateways - 1) / intake * SECOND))
         self.direct = self.period <= DIRECT_WITHIN or not settings.peer_messages
@@ -262,6 +263,8 @@
 
     def tell(self, now: int) -> None:
         """Each peer hears of the customers that it shares, when they are near and there is news."""
+        if self.handed:
+            return
         dirty, self.dirty = self.dirty, {}
         for customer in dirty:
             account = self.accounts.get(customer)
@@ -307,6 +310,8 @@
 
     def refresh(self, now: int) -> None:
         """Peers gone quiet count as their slice; accounts that forgetting does not change are dropped."""
+        if self.handed:
+            return
         quiet = {peer for peer, known in self.inbox.peers.items() if now - known[2] > HEARD_FOR}
         for account in list(self.accounts.values()):
             if quiet or account.whole.rate != account.plan.rate:
--- /dev/null
+++ b/pepperrun/handover/__init__.py
@@ -0,0 +1,1 @@
+"""Replacing the process while it serves: one gatekeeper, two processes, one of which decides at a time."""
--- /dev/null
+++ b/pepperrun/handover/predecessor.py
@@ -0,0 +1,205 @@
+"""The process that serves: it waits for a successor, gives it what it knows and the connections, and ends.
+
+What it had taken it answers itself. If the successor goes away first, it serves on with what it kept back.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import os
+import socket
+from collections.abc import Callable
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from pepperrun.handover import state, wire
+from pepperrun.handover.channel import Channel, door, same_user
+from pepperrun.handover.wire import Kind
+from pepperrun.log import say
+
+if TYPE_CHECKING:
+    from pepperrun.gatekeeper import Gatekeeper
+    from pepperrun.net.listener import Listener
+    from pepperrun.net.peers import Peers
+    from pepperrun.net.server_side import ServerSide
+
+PASS_S = 0.02  # between looks for connections that have come to owe nothing
+YES_S = 8.0  # for the successor to say yes; the platform gives it 6
+AHEAD = 64  # messages to the successor that wait; it may be slow to take them
+
+
+class Phase(enum.Enum):
+    """Who decides."""
+
+    SERVING = "serving"
+    GIVING = "giving"  # the successor has the state and has not said yes
+    GIVEN = "given"  # it takes clients
+
+
+class Predecessor:
+    """Waits at the door for the process that is to take this one's place."""
+
+    def __init__(
+        self,
+        path: Path,
+        gatekeeper: Gatekeeper,
+        servers: ServerSide,
+        listener: Listener,
+        peers: Callable[[], Peers | None],
+        table: Callable[[], dict[str, Any]],
+    ) -> None:
+        self.path, self.gatekeeper, self.servers, self.listener = path, gatekeeper, servers, listener
+        self.peers, self.table = peers, table
+        self.loop = gatekeeper.loop
+        self.phase = Phase.SERVING
+        self.channel: Channel | None = None
+        self.kept: list[state.Kept] = []
+        self.passed = 0
+        self.ending = False
+        self.door: socket.socket | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self.open()
+
+    def open(self) -> None:
+        """Listens for a successor; where that can't be, a line: a replacement then starts from nothing."""
+        try:
+            self.door = door(self.path)
+        except OSError as error:
+            say("hand-over", f"no hand-over: {self.path}: {error.strerror or error}")
+            return
+        self.loop.add_reader(self.door, self._knock)
+
+    def _knock(self) -> None:
+        assert self.door is not None
+        try:
+            sock, _ = self.door.accept()
+        except OSError:
+            return
+        if self.channel is not None or self.ending or not same_user(sock):
+            sock.close()
+            return
+        self.channel = Channel(self.loop, sock, self._heard, self._lost)
+
+    def _heard(self, data: bytes, fd: int | None) -> None:
+        if fd is not None:
+            os.close(fd)  # a successor has none to give
+        try:
+            kind, body = wire.read(data)
+        except ValueError as error:
+            say("hand-over", f"a successor that can't be understood: {error}")
+            self._end_channel()
+            return
+        if kind is Kind.TAKE and self.phase is Phase.SERVING:
+            self._give()
+        elif kind is Kind.YES and self.phase is Phase.GIVING:
+            self._given()
+        elif kind is Kind.HEARD and self.phase is not Phase.SERVING and len(body) > 4:
+            self.gatekeeper.heard(int.from_bytes(body[:4], "little"), body[4:])
+
+    def _give(self) -> None:
+        """From here on the successor decides, once it can."""
+        assert self.channel is not None
+        self.phase = Phase.GIVING
+        self.listener.hold()
+        peers, now = self.peers(), self.gatekeeper.clock()
+        table, self.kept = state.export(self.gatekeeper.gateway, now)
+        self.gatekeeper.telling = False
+        for message in wire.state({"gateway": table} | self.table()):
+            self.channel.send(message)
+        if peers is not None and (fd := peers.give()) is not None:
+            self.channel.send(wire.plain(Kind.PEERS), fd)
+        say("hand-over", f"gave the state to a successor: {len(self.kept)} customers")
+        self._timer = self.loop.call_later(YES_S, self._no_yes)
+
+    def _no_yes(self) -> None:
+        if self.phase is Phase.GIVING:
+            say("hand-over", "the successor did not say yes in time")
+            self._end_channel()
+
+    def _given(self) -> None:
+        self.phase = Phase.GIVEN
+        if self._timer is not None:
+            self._timer.cancel()
+        if self.door is not None:  # the successor has its own at the same path
+            self.loop.remove_reader(self.door)
+            self.door.close()
+            self.door = None
+        say("hand-over", f"the successor serves; {len(self.listener.clients)} connections are passed on")
+        self.servers.retire(True)
+        self._pass()
+
+    def _pass(self) -> None:
+        """Passes on the connections that owe nothing; the others once they have their answer."""
+        self._timer = None
+        if self.phase is not Phase.GIVEN or self.channel is None:
+            return
+        for client in list(self.listener.clients):
+            if len(self.channel.queue) >= AHEAD:
+                break
+            given = client.give(wire.MOST_HELD)
+            if given is not None:
+                self.passed += 1
+                self.channel.send(wire.client(given[0]), given[1])
+        self._timer = self.loop.call_later(PASS_S, self._pass)
+
+    def _end_channel(self) -> None:
+        if self.channel is not None:
+            self.channel.close()
+
+    def _lost(self) -> None:
+        """The successor is gone. While this process is not told to end, it serves on."""
+        self.channel = None
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        phase, self.phase = self.phase, Phase.SERVING
+        if phase is Phase.SERVING or self.ending:
+            return
+        say("hand-over", "the successor is gone: serving on")
+        state.take_back(self.gatekeeper.gateway, self.kept, self.gatekeeper.clock())
+        self.kept = []
+        self.gatekeeper.telling = True
+        if (peers := self.peers()) is not None:
+            peers.take_back()
+        self.servers.retire(False)
+        self.listener.go_on()
+        if self.door is None:
+            self.open()
+
+    async def finish(self, longest_s: float) -> bool:
+        """At SIGTERM: until what was taken has its answer and the connections are passed on.
+
+        False where nobody has taken over: the caller drains as at any planned stop.
+        """
+        self.ending = True
+        if self.phase is not Phase.GIVEN:
+            self.close()
+            return False
+        try:
+            async with asyncio.timeout(longest_s):
+                while self.listener.clients and self.channel is not None:
+                    await self.listener.changed()
+        except TimeoutError:
+            say("hand-over", "connections could not be passed on in time")
+        if self.channel is None:
+            return not self.listener.clients
+        rows = state.left(self.kept, self.gatekeeper.clock())
+        for at in range(0, len(rows), 200):
+            self.channel.send(wire.plain(Kind.LEFT, wire.packed(rows[at : at + 200])))
+        try:
+            async with asyncio.timeout(0.2):
+                await self.channel.flushed()
+        except TimeoutError:
+            pass
+        say("hand-over", f"passed on {self.passed} connections")
+        self._end_channel()
+        return True
+
+    def close(self) -> None:
+        """Takes no successor any more."""
+        if self.door is not None:
+            self.loop.remove_reader(self.door)
+            self.door.close()
+            self.door = None
+        self._end_channel()
--- a/pepperrun/net/directory.py
+++ b/pepperrun/net/directory.py
@@ -4,8 +4,9 @@
 
 import hashlib
 from collections.abc import Callable
+from typing import Any
 
-from pepperrun.config import Address, Line, Listing
+from pepperrun.config import STATE_NAMES, Address, Line, Listing
 from pepperrun.interface import Backend, BackendList, BackendState, ListKind
 
 
@@ -58,6 +59,20 @@
         if (name := self.names.pop(number, None)) is not None:
             del self.ids[name]
 
+    def told(self) -> list[dict[str, Any]]:
+        """The list in discovery's form."""
+        return [
+            {
+                "id": line.name,
+                "addr": f"{line.addr[0]}:{line.addr[1]}" if line.addr is not None else "",
+                "zone": line.zone,
+                "cell": line.cell,
+                "state": STATE_NAMES[line.state],
+                "started_ms": line.started_ms,
+            }
+            for line in self.lines.values()
+        ]
+
     def address(self, backend: int) -> Address | None:
         """Where a worker that is ready listens; None for one that is draining, gone or unknown."""
         line = self.lines.get(backend)
--- a/pepperrun/net/listener.py
+++ b/pepperrun/net/listener.py
@@ -42,6 +42,10 @@
 PLATFORM_TIMES = Times()
 
 
+# What outlasts a connection's object: answers, exchanges, last use, a part of a request and when it began.
+Snapshot = tuple[int, int, int, bytes, int]
+
+
 class Client(Protocol):
     """A client's connection, as the listener sees it.
 
@@ -59,6 +63,8 @@
 
     def expire(self) -> None: ...
 
+    def give(self, most_held: int) -> tuple[Snapshot, int] | None: ...
+
     def close(self) -> None: ...
 
 
@@ -77,6 +83,7 @@
         self.leaving: set[Client] = set()  # closed to give way, and not yet gone
         self.accepting = 0
         self.draining = False
+        self.held = False  # another process of this gatekeeper accepts
         self.socket: socket.socket | None = None
         self.backlog = BACKLOG
         self.on = False  # connections are being accepted
@@ -94,8 +101,14 @@
         """Connections that are up."""
         return len(self.clients)
 
-    def open(self, address: Address) -> None:
-        """Listens at an address."""
+    def open(self, address: Address, inherited: socket.socket | None = None) -> None:
+        """Listens at an address, or by a socket that does so already and may be another process's too."""
+        if inherited is not None:
+            inherited.setblocking(False)
+            self.socket, self.address = inherited, inherited.getsockname()[:2]
+            self._resume()
+            self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
+            return
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.socket = sock = socket.socket(family, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -111,7 +124,7 @@
         self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
     def _resume(self) -> None:
-        if self.socket is not None and not self.on:
+        if self.socket is not None and not self.on and not self.held:
             self.on = True
             self.loop.add_reader(self.socket, self._accept)
 
@@ -120,6 +133,34 @@
             self.on = False
             self.loop.remove_reader(self.socket)
 
+    def hold(self) -> None:
+        """Accepts no more until `go_on`: what connects waits for whoever else has the socket."""
+        self.held = True
+        self._pause()
+
+    def go_on(self) -> None:
+        """Accepts again."""
+        self.held = False
+        self._resume()
+
+    def taking(self) -> bool:
+        """Does it take clients?"""
+        return self.socket is not None and not self.draining and not self.held
+
+    async def adopt(self, sock: socket.socket, given: Snapshot) -> None:
+        """Takes a connection from another process of this gatekeeper, as it was there."""
+        try:
+            _, client = await self.loop.connect_accepted_socket(lambda: self._adopted(given), sock)
+        except OSError:
+            sock.close()
+            return
+        client.go_on()  # type: ignore[attr-defined]
+
+    def _adopted(self, given: Snapshot) -> asyncio.BufferedProtocol:
+        client = self.make(self)
+        client.revive(given, 0)  # type: ignore[attr-defined]
+        return client
+
     def _accept(self) -> None:
         assert self.socket is not None
         for _ in range(BACKLOG):
--- a/pepperrun/net/peers.py
+++ b/pepperrun/net/peers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import socket
 from collections.abc import Callable
 from typing import cast
 
@@ -19,6 +21,9 @@
         self.peers, self.me, self.hear = peers, me, hear
         self.numbers = {address: number for number, address in enumerate(peers) if number != me}
         self.transport: asyncio.DatagramTransport | None = None
+        self.also: Callable[[int, bytes], None] | None = None  # told too while another process ends
+        self._given: socket.socket | None = None  # a copy, while another process has the socket
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # Not asserted: the transport that CPython 3.11 makes is none by its class, only by what it does.
@@ -33,6 +38,30 @@
             say("peers", f"dropped a datagram of {len(data)} bytes from {addr[0]}:{addr[1]}")
             return
         self.hear(number, data)
+        if self.also is not None:
+            self.also(number, data)
+
+    def give(self) -> int | None:
+        """A copy of the socket's descriptor, for the process that hears and tells from now on."""
+        if self.transport is None:
+            return None
+        sock = self.transport.get_extra_info("socket")
+        self._given = socket.socket(sock.family, sock.type, fileno=os.dup(sock.fileno()))
+        self.transport.close()
+        return os.dup(self._given.fileno())
+
+    def take_back(self) -> None:
+        """Hears and tells again."""
+        given, self._given = self._given, None
+        if given is None:
+            return
+
+        async def again() -> None:
+            await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, sock=given)
+
+        task = asyncio.get_running_loop().create_task(again())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def error_received(self, exc: Exception) -> None:
         pass  # a peer that is down refuses; the gossip takes losses as they come
@@ -46,9 +75,18 @@
 
 
 async def open_peers(
-    listen: Address, peers: tuple[Address, ...], me: int, hear: Callable[[int, bytes], None]
+    listen: Address,
+    peers: tuple[Address, ...],
+    me: int,
+    hear: Callable[[int, bytes], None],
+    fd: int | None = None,
 ) -> Peers:
-    """Listens at `listen`."""
+    """Listens at `listen`, or by the socket that another process of this gatekeeper has there."""
     loop = asyncio.get_running_loop()
+    if fd is not None:
+        sock = socket.socket(fileno=fd)
+        sock.setblocking(False)
+        _, given = await loop.create_datagram_endpoint(lambda: Peers(peers, me, hear), sock=sock)
+        return given
     _, protocol = await loop.create_datagram_endpoint(lambda: Peers(peers, me, hear), local_addr=listen)
     return protocol
--- a/pepperrun/net/server_side.py
+++ b/pepperrun/net/server_side.py
@@ -295,6 +295,7 @@
         self.opening: set[asyncio.Task[None]] = set()
         self.opened = self.written = 0  # connections, and attempts written whole
         self.wear = Wear()
+        self.retired = False  # another process of this gatekeeper has connections of its own
         self.sweeper = loop.call_later(SWEEP_S, self._sweep)
 
     # What the gatekeeper asks for.
@@ -339,6 +340,12 @@
                 connection.close()
             pool.idle.clear()
 
+    def retire(self, on: bool) -> None:
+        """Keeps no idle connection from now on, or again."""
+        self.retired = on
+        for backend in list(self.pools) if on else ():
+            self.close_idle(backend)
+
     def listed(self) -> None:
         """The list has changed: what waits for a backend no longer wanted ends."""
         for backend, pool in list(self.pools.items()):
@@ -414,7 +421,7 @@
                 connection.start(attempt, now)
                 return
             self.end(attempt, Outcome.CONNECT_FAILED)
-        if self.directory.address(pool.backend) != pool.address:
+        if self.retired or self.directory.address(pool.backend) != pool.address:
             connection.close()
             return
         pool.idle.append(connection)
--- a/pepperrun/parking/listener.py
+++ b/pepperrun/parking/listener.py
@@ -11,8 +11,8 @@
 
 from pepperrun.config import Address
 from pepperrun.log import say
-from pepperrun.net.listener import ACCEPT_S, LINGER_S, Client, Listener, Times
-from pepperrun.parking.lot import SHORT_S, Lot, Snapshot
+from pepperrun.net.listener import ACCEPT_S, LINGER_S, Client, Listener, Snapshot, Times
+from pepperrun.parking.lot import SHORT_S, Lot
 
 
 def readable(sock: socket.socket) -> bool:
@@ -47,8 +47,8 @@
             config.first_byte_ns, config.request_ns, config.idle_ns, config.idle_ns, whole_from_made=False
         )
 
-    def open(self, address: Address) -> None:
-        super().open(address)
+    def open(self, address: Address, inherited: socket.socket | None = None) -> None:
+        super().open(address, inherited)
         assert self.socket is not None
         self.family = self.socket.family
 
--- a/pepperrun/parking/lot.py
+++ b/pepperrun/parking/lot.py
@@ -18,6 +18,7 @@
 
 from pepperrun.clock import SECOND
 from pepperrun.log import say
+from pepperrun.net.listener import Snapshot
 from pepperrun.parking import wire
 from pepperrun.parking.config import ClientsConfig
 from pepperrun.parking.holders import SPARE, Holders
@@ -32,10 +33,6 @@
 SHORT_S = 0.1  # when the system has no descriptor or memory for a connection
 
 
-# Answers, exchanges, last use, a part of a request and when its first byte came.
-Snapshot = tuple[int, int, int, bytes, int]
-
-
 def record_of(front: int, snapshot: Snapshot) -> Record:
     """What is kept of a connection."""
     answers, asked, since, held, held_at = snapshot
--- a/tests/test_forward_auth.py
+++ b/tests/test_forward_auth.py
@@ -24,7 +24,7 @@
     wait_then,
 )
 
-from pepperrun.__main__ import start_auth
+from pepperrun.assembly import start_auth
 from pepperrun.config import read_auth
 from pepperrun.exchange import End
 from pepperrun.gatekeeper import Clock
