--- a/pepperrun/fronts/http_client.py
+++ b/pepperrun/fronts/http_client.py
@@ -60,6 +60,7 @@
         self.made = self.since = 0  # when it was connected, when it was last used
         self.stuck: int | None = None  # since when the client has not taken what was written
         self.answers = self.asked = self.dropped = 0  # `asked`: requests that became exchanges
+        self.held = False  # what comes is not read now: another process is to take the connection
         self.paused = self.closing = self.lingering = False
         self.parked = False  # another keeps its connection
         self.fd = -1  # for who keeps connections by descriptor
@@ -176,6 +177,18 @@
         if transport is not None:
             transport.abort()
 
+    def hold(self, on: bool) -> None:
+        """Reads no next request until another process has the connection, or reads on."""
+        transport = self.transport
+        if transport is None or transport.is_closing() or on == self.held or on and self.step is not None:
+            return
+        self.held = on
+        if on:
+            transport.pause_reading()
+        elif not self.paused:
+            transport.resume_reading()
+            self.go_on()
+
     def give(self, most_held: int) -> tuple[Snapshot, int] | None:
         """What it is and a copy of its descriptor, for another process; None while it owes an answer."""
         if self.lingering or self.idle_since(most_held) is None or self.transport is None:
@@ -190,7 +203,7 @@
 
     def go_on(self) -> None:
         """Reads what came with it from another process."""
-        if len(self.buffer):
+        if len(self.buffer) and self.step is None:
             self._read()
 
     def revive(self, snapshot: Snapshot, woken: int) -> None:
@@ -304,7 +317,7 @@
         """The exchange's final answer."""
         self.step = None
         self._proceed(self.follow(final))
-        if self.step is None and len(self.buffer):
+        if self.step is None and len(self.buffer) and not self.held:
             if self.paused and self.transport is not None and not self.closing:
                 self.paused = False
                 self.transport.resume_reading()
--- a/pepperrun/gatekeeper.py
+++ b/pepperrun/gatekeeper.py
@@ -162,6 +162,14 @@
         """How many requests have no answer yet."""
         return sum(exchange.end is None for exchange in self.exchanges.values())
 
+    def catch_up(self) -> None:
+        """Tells the gateway now what it is not told yet; not from within a turn."""
+        if self._events and not self._turning:
+            if self._flush is not None:
+                self._flush.cancel()
+            self._last = -self.settings.tick_ns
+            self._turn_or_wait()
+
     # Time.
 
     def _event(self, event: Event | AnyExchange) -> None:
--- a/pepperrun/handover/predecessor.py
+++ b/pepperrun/handover/predecessor.py
@@ -20,12 +20,12 @@
 
 if TYPE_CHECKING:
     from pepperrun.gatekeeper import Gatekeeper
-    from pepperrun.net.listener import Listener
+    from pepperrun.net.listener import Client, Listener
     from pepperrun.net.peers import Peers
     from pepperrun.net.server_side import ServerSide
 
 PASS_S = 0.02  # between looks for connections that have come to owe nothing
-YES_S = 8.0  # for the successor to say yes; the platform gives it 6
+YES_S = 1.0  # for the successor to say yes once it has the state: clients wait meanwhile
 AHEAD = 64  # messages to the successor that wait; it may be slow to take them
 
 
@@ -102,6 +102,10 @@
         assert self.channel is not None
         self.phase = Phase.GIVING
         self.listener.hold()
+        self.listener.passing = self._pass_one
+        for client in list(self.listener.clients):
+            client.hold(True)
+        self.gatekeeper.catch_up()  # what has been taken needs its part of the stores
         peers, now = self.peers(), self.gatekeeper.clock()
         table, self.kept = state.export(self.gatekeeper.gateway, now)
         self.gatekeeper.telling = False
@@ -109,7 +113,7 @@
             self.channel.send(message)
         if peers is not None and (fd := peers.give()) is not None:
             self.channel.send(wire.plain(Kind.PEERS), fd)
-        say("hand-over", f"gave the state to a successor: {len(self.kept)} customers")
+        say("hand-over: given", f"gave the state to a successor: {len(self.kept)} customers")
         self._timer = self.loop.call_later(YES_S, self._no_yes)
 
     def _no_yes(self) -> None:
@@ -125,7 +129,7 @@
             self.loop.remove_reader(self.door)
             self.door.close()
             self.door = None
-        say("hand-over", f"the successor serves; {len(self.listener.clients)} connections are passed on")
+        say("hand-over: yes", f"the successor serves; {len(self.listener.clients)} connections are passed on")
         self.servers.retire(True)
         self._pass()
 
@@ -135,14 +139,19 @@
         if self.phase is not Phase.GIVEN or self.channel is None:
             return
         for client in list(self.listener.clients):
-            if len(self.channel.queue) >= AHEAD:
-                break
-            given = client.give(wire.MOST_HELD)
-            if given is not None:
-                self.passed += 1
-                self.channel.send(wire.client(given[0]), given[1])
+            self._pass_one(client)
         self._timer = self.loop.call_later(PASS_S, self._pass)
 
+    def _pass_one(self, client: Client) -> None:
+        if self.phase is Phase.GIVING:
+            client.hold(True)
+        if self.phase is not Phase.GIVEN or self.channel is None or len(self.channel.queue) >= AHEAD:
+            return
+        given = client.give(wire.MOST_HELD)
+        if given is not None:
+            self.passed += 1
+            self.channel.send(wire.client(given[0]), given[1])
+
     def _end_channel(self) -> None:
         if self.channel is not None:
             self.channel.close()
@@ -156,13 +165,16 @@
         phase, self.phase = self.phase, Phase.SERVING
         if phase is Phase.SERVING or self.ending:
             return
-        say("hand-over", "the successor is gone: serving on")
+        say("hand-over: gone", "the successor is gone: serving on")
         state.take_back(self.gatekeeper.gateway, self.kept, self.gatekeeper.clock())
         self.kept = []
         self.gatekeeper.telling = True
         if (peers := self.peers()) is not None:
             peers.take_back()
         self.servers.retire(False)
+        self.listener.passing = None
+        for client in list(self.listener.clients):
+            client.hold(False)
         self.listener.go_on()
         if self.door is None:
             self.open()
@@ -192,7 +204,7 @@
                 await self.channel.flushed()
         except TimeoutError:
             pass
-        say("hand-over", f"passed on {self.passed} connections")
+        say("hand-over: passed on", f"passed on {self.passed} connections")
         self._end_channel()
         return True
 
--- a/pepperrun/handover/state.py
+++ b/pepperrun/handover/state.py
@@ -273,6 +273,13 @@
     return apply
 
 
+def forget(gateway: Gateway, now: int) -> None:
+    """As after a start from nothing: whoever gave the state decides again."""
+    gateway.quotas.accounts.clear()
+    gateway.quotas.start = now
+    gateway.quotas.outbox.incarnation = now // gossip.TENTH % (2**32 - 1) + 1
+
+
 def take_left(gateway: Gateway, rows: Any, now: int) -> None:
     """What the predecessor gives back at its end; ValueError where that is no good."""
     read, accounts = _Reader(now), gateway.quotas.accounts
--- a/pepperrun/handover/successor.py
+++ b/pepperrun/handover/successor.py
@@ -113,7 +113,12 @@
     def yes(self, listener: Listener, peers: Peers | None) -> None:
         """Clients are taken here now."""
         self.listener = listener
-        if self.channel is None or self.channel.sock is None:
+        if self.channel is None:
+            return
+        if self.channel.sock is None:
+            if self.table is not None and self.gatekeeper is not None:
+                say("hand-over", "the process that served decides again: going on without its state")
+                state.forget(self.gatekeeper.gateway, self.gatekeeper.clock())
             return
         self.channel.send(wire.plain(Kind.YES))
         if peers is not None:
--- a/pepperrun/net/listener.py
+++ b/pepperrun/net/listener.py
@@ -63,6 +63,8 @@
 
     def expire(self) -> None: ...
 
+    def hold(self, on: bool) -> None: ...
+
     def give(self, most_held: int) -> tuple[Snapshot, int] | None: ...
 
     def close(self) -> None: ...
@@ -83,6 +85,7 @@
         self.leaving: set[Client] = set()  # closed to give way, and not yet gone
         self.accepting = 0
         self.draining = False
+        self.passing: Callable[[Client], None] | None = None  # told of each that has had an answer
         self.held = False  # another process of this gatekeeper accepts
         self.socket: socket.socket | None = None
         self.backlog = BACKLOG
@@ -229,6 +232,8 @@
 
     def answered(self, client: Client) -> None:
         """A connection has had an answer and may be idle: it could give way."""
+        if self.passing is not None:  # before its next request is read
+            self.loop.call_soon(self.passing, client)
         self.free()
 
     def free(self) -> None:
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,511 @@
+"""One gatekeeper, two processes: what passes on, what is never spent twice, and who goes away when."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+from helpers import CEILED, FREE, MS, RATE, SECOND, Driver, only
+from hypothesis import given
+from hypothesis import strategies as st
+from standins import HOST, Client, StandIn, going, line, ok
+from test_main import ROOT, SETTINGS, built, config
+
+from pepperrun.handover import state, wire
+from pepperrun.handover.channel import Channel, door, knock, path_of
+from pepperrun.interface import Outcome, Refuse, Send
+
+__all__ = ["built"]  # the fixture that runs the deploy file's build
+
+# The state, without I/O.
+
+
+def pair(**changes: Any) -> tuple[Driver, Driver]:
+    return Driver(**changes), Driver(seed=2, **changes)
+
+
+def passed(old: Driver, new: Driver) -> list[state.Kept]:
+    """What travels does so as JSON."""
+    new.now = old.now
+    table, kept = state.export(old.gateway, old.now)
+    state.take_in(new.gateway, wire.unpacked(wire.packed(table)), new.now)
+    return kept
+
+
+def sent(driver: Driver, count: int, **more: Any) -> int:
+    """How many of so many requests at once are sent on; each is answered at once."""
+    gone = 0
+    for _ in range(count):
+        for send in only(driver.ask(**more), Send):
+            gone += 1
+            driver.end(send, Outcome.OK)
+    return gone
+
+
+@pytest.mark.parametrize("spread", [1, 3])
+def test_a_quota_that_is_spent_stays_spent(spread):
+    # With the stores copied or new, both processes together would let twice the burst go.
+    old, new = pair(peer_intake=1000.0)
+    alone = Driver(peer_intake=1000.0)
+    most = sent(alone, 40, plan=RATE, spread=spread)
+    first = sent(old, 5, plan=RATE, spread=spread)
+    kept = passed(old, new)
+    assert kept
+    rest = sent(new, 40, plan=RATE, spread=spread) + sent(old, 40, plan=RATE, spread=spread)
+    assert 0 < first + rest <= most
+
+
+def test_a_ceiling_holds_over_the_two_and_after_it():
+    old, new = pair(gateways=1, peer_messages=False)
+    old.run(10 * SECOND)
+    first = sent(old, 3, plan=CEILED)
+    passed(old, new)
+    gone = first + sent(new, 60, plan=CEILED) + sent(old, 60, plan=CEILED)
+    plan = old.settings.plans[CEILED]
+    assert gone <= plan.ceiling_depth
+    new.run(2 * SECOND)
+    old.run(2 * SECOND)
+    more = sent(new, 60, plan=CEILED) + sent(old, 60, plan=CEILED)
+    assert gone + more <= plan.ceiling_depth + 2.1 * plan.ceiling_rate + plan.ceiling_slack
+
+
+def test_what_the_old_process_did_not_use_comes_back_once():
+    old, new = pair(gateways=1, peer_messages=False)
+    old.ask(plan=RATE)
+    kept = passed(old, new)
+    before = new.gateway.quotas.accounts[1].whole.fill(new.now)
+    state.take_left(new.gateway, json.loads(json.dumps(state.left(kept, old.now))), new.now)
+    account = new.gateway.quotas.accounts[1]
+    assert account.whole.level == pytest.approx(old.settings.plans[RATE].burst - 1)
+    assert account.whole.level > before
+
+
+def test_peers_take_the_new_process_for_the_same_gatekeeper():
+    old, new = pair()
+    old.run(3 * SECOND)
+    passed(old, new)
+    assert new.gateway.quotas.outbox.incarnation == old.gateway.quotas.outbox.incarnation
+    assert new.gateway.quotas.outbox.sequence >= old.gateway.quotas.outbox.sequence > 0
+    old_rates = [a.whole.rate for a in old.gateway.quotas.accounts.values()]
+    assert not any(old_rates)
+
+
+def test_requests_that_wait_in_the_old_process_still_go_out():
+    old, new = pair(backends=1, gateways=1, peer_messages=False)
+    actions = [action for _ in range(20) for action in old.ask(plan=FREE)]
+    sends = only(actions, Send)
+    assert len(sends) < 20
+    passed(old, new)
+    while sends:
+        sends = only(old.end(sends.pop(0), Outcome.OK) + old.run(5 * MS), Send) + sends
+    assert not old.gateway.turns.waiting and not only(old.actions, Refuse)
+
+
+def test_a_process_whose_successor_is_gone_fills_again_and_takes_a_new_incarnation():
+    old, new = pair(gateways=1, peer_messages=False)
+    sent(old, 40, plan=RATE)
+    kept = passed(old, new)
+    old.run(2 * SECOND)
+    assert sent(old, 5, plan=RATE) == 0  # nothing fills while another decides
+    state.take_back(old.gateway, kept, old.now)
+    old.run(SECOND)
+    assert 1 <= sent(old, 40, plan=RATE) <= 11
+    assert old.gateway.quotas.outbox.incarnation > new.gateway.quotas.outbox.incarnation
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("form", 2),
+        ("at", 0),
+        ("at", "now"),
+        ("start", True),
+        ("counted", float("nan")),
+        ("typical", [1.0]),
+        ("tail", 0.1),
+        ("depth", 1e9),
+        ("accounts", [{}]),
+        ("accounts", {"1": 1}),
+        ("backends", [[1, 2]]),
+        ("news", [[1, 99, 0.5, 0]]),
+        ("incarnation", -1),
+        ("peers", [[77, 1, 1, 0]]),
+    ],
+)
+def test_a_state_that_is_no_good_changes_nothing(key, value):
+    old, new = pair()
+    old.ask(plan=RATE)
+    new.now = old.now
+    table, _ = state.export(old.gateway, old.now)
+    before = (new.gateway.quotas.start, new.gateway.bound.depth, new.gateway.quotas.outbox.incarnation)
+    with pytest.raises(ValueError):
+        state.take_in(new.gateway, table | {key: value}, new.now)
+    with pytest.raises(ValueError):
+        state.take_in(new.gateway, {name: part for name, part in table.items() if name != key}, new.now)
+    after = (new.gateway.quotas.start, new.gateway.bound.depth, new.gateway.quotas.outbox.incarnation)
+    assert before == after and not new.gateway.quotas.accounts
+
+
+def test_a_state_that_lies_grants_no_more_than_full_stores():
+    old, new = pair(gateways=1, peer_messages=False)
+    old.ask(plan=CEILED)
+    table, _ = state.export(old.gateway, old.now)
+    table["accounts"][0]["stores"] = [1e9, 1e9, 1e9]
+    new.now = old.now
+    state.take_in(new.gateway, table, new.now)
+    assert sent(new, 60, plan=CEILED) <= old.settings.plans[CEILED].ceiling_depth
+
+
+# Messages.
+
+
+@given(st.binary(max_size=200))
+def test_garbage_is_refused_by_each_reader(data):
+    for reader in (wire.read, wire.read_client, wire.unpacked):
+        try:
+            reader(data)
+        except ValueError:
+            continue
+        assert reader is not wire.unpacked
+
+
+@given(st.integers(0, 2**40), st.binary(max_size=500))
+def test_a_connections_state_survives_the_way(since, held):
+    kind, body = wire.read(wire.client((3, 2, since, held, since if held else 0)))
+    assert kind is wire.Kind.CLIENT
+    assert wire.read_client(body) == (3, 2, since, held, since if held else 0)
+
+
+@given(st.integers(0, 200_000), st.integers(0, 2**32))
+def test_a_state_is_put_together_whole_or_not_at_all(size, seed):
+    table = {"text": random.Random(seed).randbytes(size).hex()}
+    messages = [wire.read(message) for message in wire.state(table)]
+    assembly = wire.Assembly()
+    for _, body in messages[:-1]:
+        assembly.add(body)
+    assert assembly.whole(messages[-1][1]) == table
+    torn = wire.Assembly()
+    for _, body in messages[:-2]:
+        torn.add(body)
+    with pytest.raises(ValueError):
+        torn.whole(messages[-1][1])
+
+
+def test_a_channel_carries_descriptors_and_closes_what_it_can_not_send(tmp_path):
+    async def test():
+        loop = asyncio.get_running_loop()
+        near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        heard: asyncio.Queue[tuple[bytes, int | None]] = asyncio.Queue()
+        lost = asyncio.Event()
+        one = Channel(loop, near, lambda *what: None, lambda: None)
+        other = Channel(loop, far, lambda data, fd: heard.put_nowait((data, fd)), lost.set)
+        reader, writer = os.pipe()
+        one.send(b"here", os.dup(writer))
+        data, fd = await heard.get()
+        assert data == b"here" and fd is not None
+        os.write(fd, b"x")
+        assert os.read(reader, 1) == b"x"
+        os.close(fd)
+        one.close()
+        await lost.wait()
+        spare = os.dup(writer)
+        one.send(b"late", spare)
+        with pytest.raises(OSError):
+            os.fstat(spare)
+        other.close()
+        os.close(reader)
+        os.close(writer)
+
+    going(test)
+
+
+def test_a_door_left_by_a_process_that_was_killed_is_replaced(tmp_path):
+    path = path_of(str(tmp_path), "n/../0")
+    assert path.parent == tmp_path
+    door(path).close()  # the file stays, as after SIGKILL
+    assert knock(path) is None
+    sock = door(path)
+    link = knock(path)
+    assert link is not None and (path.stat().st_mode & 0o777) == 0o600
+    link.close()
+    sock.close()
+    with pytest.raises(ValueError, match="too long"):
+        path_of("/" + "x" * 100, "n0")
+
+
+# The real program.
+
+TIGHT = SETTINGS | {"Tariffs": [{"Name": "wide", "Refill": 0.001, "StoreSize": 10.0}]}
+AMPLE = SETTINGS | {"Tariffs": [{"Name": "wide", "Refill": 1e6, "StoreSize": 1e6}]}
+
+
+class Node:
+    """Processes of one gatekeeper that share the clients' socket and a folder."""
+
+    def __init__(self, folder: Path, **changes: Any) -> None:
+        self.folder, self.changes = folder, changes
+        self.sock = socket.create_server((HOST, 0), backlog=128)
+        self.port = self.sock.getsockname()[1]
+        peers = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        peers.bind((HOST, 0))
+        self.peers = f"{HOST}:{peers.getsockname()[1]}"
+        peers.close()
+        self.count = 0
+        self.logs: dict[int, list[str]] = {}
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def start(self, fd: str | None = None) -> tuple[asyncio.subprocess.Process, int]:
+        """One more process, and the port at which operators call it."""
+        run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+        self.count += 1
+        path = self.folder / f"{self.count}.json"
+        mine = {"listen": f"{HOST}:{self.port}", "admin": f"{HOST}:0", "peer_listen": self.peers}
+        path.write_text(json.dumps(config(**(mine | {"peers": [self.peers]} | self.changes))))
+        number = self.sock.fileno()
+        env = os.environ | {"NODE_CONFIG": str(path), "TMPDIR": str(self.folder)}
+        env["NODE_INHERITED_FD"] = str(number) if fd is None else fd
+        process = await asyncio.create_subprocess_exec(
+            *("/bin/sh", "-c", run), cwd=ROOT, env=env, stderr=subprocess.PIPE, pass_fds=[number]
+        )
+        lines = self.logs[process.pid] = []
+        found: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+
+        async def read() -> None:
+            assert process.stderr is not None
+            while text := (await process.stderr.readline()).decode():
+                lines.append(text)
+                if "operators may call at" in text and not found.done():
+                    found.set_result(int(text.rsplit(":", 1)[1]))
+            if not found.done():
+                found.set_result(0)
+
+        self.tasks.append(asyncio.create_task(read()))
+        return process, await found
+
+    def said(self, process: asyncio.subprocess.Process, text: str) -> bool:
+        return any(text in one for one in self.logs[process.pid])
+
+    async def until(self, process: asyncio.subprocess.Process, text: str) -> None:
+        while not self.said(process, text):
+            await asyncio.sleep(0.01)
+
+
+async def readyz(port: int) -> bytes:
+    reader, writer = await asyncio.open_connection(HOST, port)
+    writer.write(b"readyz\n")
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+def echoing(count: dict[bytes, int]) -> Any:
+    """A worker that counts how often each id arrives and answers with it."""
+
+    async def step(server: StandIn, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = server.heads[-1]
+        name = next(x for x in head.split(b"\r\n") if x.lower().startswith(b"x-call-id")).split(b": ")[1]
+        count[name] = count.get(name, 0) + 1
+        await asyncio.sleep(0.002)
+        writer.write(ok(name))
+
+    return step
+
+
+def test_a_replacement_under_load_refuses_resets_and_doubles_nothing(tmp_path):
+    # Kept connections go over with what was read of them; what is out is answered where it was taken.
+    async def test():
+        count: dict[bytes, int] = {}
+        worker = await StandIn(echoing(count)).start()
+        known = {"version": 3, "full": True, "servers": [line("w", worker.port)]}
+        node = Node(tmp_path, known=known, settings=AMPLE)
+        old, admin = await node.start()
+        assert await readyz(admin) == b"done\n"
+        stop, asked = asyncio.Event(), [0]
+
+        async def client(number: int) -> None:
+            link = await Client.to(node.port)
+            turn = 0
+            while not stop.is_set():
+                turn += 1
+                name = f"{number}-{turn}"
+                link.ask(X_Call_Id=name)
+                if turn % 5 == 0:  # a request that comes in two pieces, one of them before the change
+                    await asyncio.sleep(0.001)
+                status, fields, body = await link.answer()
+                assert (status, body) == (200, name.encode())
+                asked[0] += 1
+                if fields.get("connection") == "close":
+                    link = await Client.to(node.port)
+
+        clients = [asyncio.create_task(client(number)) for number in range(12)]
+        for _ in range(3):
+            await asyncio.sleep(0.3)
+            new, admin = await node.start()
+            assert await readyz(admin) == b"done\n"
+            old.send_signal(signal.SIGTERM)
+            assert await old.wait() == 0
+            assert node.said(new, "took over")
+            old = new
+        stop.set()
+        await asyncio.gather(*clients)
+        assert len(count) == asked[0] and set(count.values()) == {1}
+        old.send_signal(signal.SIGTERM)
+        assert await old.wait() == 0
+
+    going(test)
+
+
+def test_a_connection_goes_over_with_half_a_request(tmp_path):
+    async def test():
+        worker = await StandIn(ok(b"answer")).start()
+        node = Node(tmp_path, known={"version": 3, "full": True, "servers": [line("w", worker.port)]})
+        old, _ = await node.start()
+        half = await Client.to(node.port)
+        half.writer.write(b"GET /search?customer=0000000000000007 HTTP/1.1\r\nHost: h\r\nX-Call-")
+        idle = await Client.to(node.port)
+        idle.ask()
+        assert (await idle.answer())[0] == 200
+        new, _ = await node.start()
+        old.send_signal(signal.SIGTERM)
+        assert await old.wait() == 0
+        half.writer.write(b"Id: 7\r\nX-Plan: wide\r\n\r\n")
+        idle.ask()
+        for one in (half, idle):
+            assert (await one.answer())[::2] == (200, b"answer")
+        new.send_signal(signal.SIGTERM)
+        assert await new.wait() == 0
+
+    going(test)
+
+
+def test_a_customers_quota_is_not_passed_over_the_two_processes(tmp_path):
+    async def test():
+        worker = await StandIn(ok(b"answer")).start()
+        known = {"version": 3, "full": True, "servers": [line("w", worker.port)]}
+        node = Node(tmp_path, known=known, settings=TIGHT)
+        old, _ = await node.start()
+        statuses = []
+
+        async def ask(times: int) -> None:
+            for _ in range(times):
+                client = await Client.to(node.port)
+                client.ask()
+                statuses.append((await client.answer())[0])
+
+        await ask(6)
+        new, _ = await node.start()
+        await ask(8)
+        old.send_signal(signal.SIGTERM)
+        assert await old.wait() == 0
+        await ask(8)
+        assert statuses[:6] == [200] * 6 and 9 <= statuses.count(200) <= 10
+        new.send_signal(signal.SIGTERM)
+        assert await new.wait() == 0
+
+    going(test)
+
+
+def test_the_old_process_serves_on_when_the_new_one_is_killed_after_its_yes(tmp_path):
+    async def test():
+        worker = await StandIn(ok(b"answer")).start()
+        node = Node(tmp_path, known={"version": 3, "full": True, "servers": [line("w", worker.port)]})
+        old, admin = await node.start()
+        new, second = await node.start()
+        assert await readyz(second) == b"done\n" and (await readyz(admin)).startswith(b"error")
+        new.kill()
+        await new.wait()
+        await node.until(old, "serving on")
+        assert await readyz(admin) == b"done\n"
+        client = await Client.to(node.port)
+        client.ask()
+        assert (await client.answer())[0] == 200
+        third, _ = await node.start()  # and it can be replaced again
+        await node.until(third, "took over")
+        old.send_signal(signal.SIGTERM)
+        assert await old.wait() == 0
+        third.send_signal(signal.SIGTERM)
+        assert await third.wait() == 0
+
+    going(test)
+
+
+def test_the_old_process_serves_on_when_the_new_one_goes_before_its_yes(tmp_path):
+    async def test():
+        worker = await StandIn(ok(b"answer")).start()
+        node = Node(tmp_path, known={"version": 3, "full": True, "servers": [line("w", worker.port)]})
+        old, admin = await node.start()
+        link = knock(path_of(str(tmp_path), "n0"))
+        assert link is not None
+        link.send(wire.plain(wire.Kind.TAKE))
+        await node.until(old, "gave the state")
+        assert (await readyz(admin)).startswith(b"error")
+        client = await Client.to(node.port)  # waits in the socket that is shared
+        client.ask()
+        link.close()
+        assert (await client.answer())[0] == 200
+        assert await readyz(admin) == b"done\n"
+        old.send_signal(signal.SIGTERM)
+        assert await old.wait() == 0
+
+    going(test)
+
+
+def test_garbage_at_the_door_changes_nothing(tmp_path):
+    async def test():
+        node = Node(tmp_path)
+        old, admin = await node.start()
+        for message in (b"\x01", b"\x01\x63", b"\xff\x01", b"\x05\x01", b"\x07\x01abcdefgh"):
+            link = knock(path_of(str(tmp_path), "n0"))
+            assert link is not None
+            link.send(message)
+            link.close()
+            assert await readyz(admin) == b"done\n"
+        old.send_signal(signal.SIGTERM)
+        assert await old.wait() == 0
+
+    going(test)
+
+
+@pytest.mark.parametrize("answer", [None, b"\x03\x01" + bytes(32), b"\x02\x01garbage", b"\x02\x63x"])
+def test_a_predecessor_that_hangs_or_lies_does_not_keep_the_new_one_from_starting(tmp_path, answer):
+    async def test():
+        path = path_of(str(tmp_path), "n0")
+        sock = door(path)
+        node = Node(tmp_path)
+        loop = asyncio.get_running_loop()
+        other = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)  # it has the peers' address still
+        other.bind((HOST, int(node.peers.rsplit(":", 1)[1])))
+        task = asyncio.create_task(node.start())
+        link, _ = await loop.sock_accept(sock)
+        if answer is not None:
+            link.send(answer)
+        new, admin = await task
+        assert await readyz(admin) == b"done\n"
+        new.send_signal(signal.SIGTERM)
+        assert await new.wait() == 0
+        link.close()
+        sock.close()
+        other.close()
+
+    going(test)
+
+
+@pytest.mark.parametrize("fd", ["four", "-1", "99", "0x4", "2"])
+def test_a_socket_that_is_none_is_told_with_exit_code_2(tmp_path, fd):
+    async def test():
+        node = Node(tmp_path)
+        process, _ = await node.start(fd)
+        assert await process.wait() == 2
+        await asyncio.gather(*node.tasks)
+        assert node.logs[process.pid][-1].startswith("pepperrun: NODE_INHERITED_FD:")
+
+    going(test)
