--- a/pepperrun/__main__.py
+++ b/pepperrun/__main__.py
@@ -97,7 +97,7 @@
         config = replace(config, discovery=new.discovery)
         core = parts["platform"][0]
         # All gatekeepers are moved at once: with a list in hand none needs to be the first there.
-        watch.move(new.discovery, core.told, calls_of(config), holds=bool(core.directory.lines))
+        watch.move(new.discovery, core.told, calls_of(config), moved=bool(core.directory.lines))
     if auth_config is not None and new_auth is not None:
         later += [f"forward-auth {key}" for key in changed(auth_config, new_auth, "servers")]
         if new_auth.servers != auth_config.servers:
@@ -151,19 +151,17 @@
         shared = inherited_socket(os.environ)
         place = meeting_place(config.name, os.environ) if shared is not None else None
         before = await ask_before(place)
-        core, listener = await start_platform(config, clock, sockets, auth, lot, backends, shared, before)
+        core, listener = await start_platform(
+            config, clock, sockets, auth, lot, backends, shared, before, watch
+        )
         parts["platform"] = core, listener
-        if config.admin is not None:
-            admin = await open_admin(config.admin, core, listener)
         classes += config.settings.classes
-        known = config.known.version if config.known.lines else None
-        if before is not None and before.table is not None:
-            known = before.version()
-        watch.move(config.discovery, core.told, calls_of(config), known, holds=bool(core.directory.lines))
-        if before is not None:
-            before.yes(listener, core.peers)
         if place is not None:
             after = wait_for_next(place, core, listener, watch)
+        if before is not None:
+            before.yes(listener, core.peers)
+        if config.admin is not None:
+            admin = await open_admin(config.admin, core, listener)
     if metrics is not None:
         instance = config.name if config is not None else "auth"
         tasks += [loop.create_task(reporter.run()) for reporter in reporters(metrics, instance, parts)]
--- a/pepperrun/assembly.py
+++ b/pepperrun/assembly.py
@@ -16,6 +16,7 @@
 from pepperrun.admin.calls import Calls
 from pepperrun.admin.figures import figures
 from pepperrun.admin.server import Server as AdminServer
+from pepperrun.clock import SECOND
 from pepperrun.config import Address, AuthConfig, Config, Listing, UnusableError
 from pepperrun.fronts.forward_auth import AuthService, ForwardAuth, auth_judge
 from pepperrun.fronts.platform import Platform
@@ -175,6 +176,7 @@
     backends: int = 0,
     inherited: socket.socket | None = None,
     before: Successor | None = None,
+    watch: Watch | None = None,
 ) -> tuple[Core, Listener]:
     """The core before the workers and the platform's front."""
     most_clients, most = split_sockets(sockets) if lot is None else (0, backends)
@@ -196,6 +198,15 @@
         before.take_in(core.gatekeeper)
     fd = before.peers_fd if before is not None else None
     await core.meet(config.peer_listen, config.peers, fd, patient=inherited is not None)
+    if watch is not None:
+        # What the agent holds counts as told from the start on: nothing is sent before it is asked.
+        known = config.known.version if config.known.lines else None
+        if before is not None and before.table is not None:
+            known = before.version()
+        watch.move(config.discovery, core.told, calls_of(config), known)
+        if before is None or before.table is None:
+            # A drain is to be kept so long after it was told: waiting longer gains nothing and serves nobody.
+            await watch.first(config.settings.drain_grace_ns / SECOND)
     front = Platform(config.settings, core.gatekeeper, clock, auth)
     return core, listen(config.name, config.listen, clock, most_clients, front.make, lot, inherited)
 
@@ -249,9 +260,9 @@
         told: Callable[[Listing], None],
         backoff: Backoff,
         known: int | None = None,
-        holds: bool = False,
+        moved: bool = False,
     ) -> None:
-        """Watches there from now on, `known` and `holds` as `Discovery` has them.
+        """Watches there from now on, `known` and `moved` as `Discovery` has them.
 
         The last list stands until the new place has told one.
         """
@@ -260,9 +271,18 @@
         self.stop()
         self.address = address
         if address is not None:
-            self.discovery = Discovery(address, told, backoff, known, holds)
+            self.discovery = Discovery(address, told, backoff, known, moved)
             self.task = asyncio.get_running_loop().create_task(self.discovery.run())
 
+    async def first(self, most_s: float) -> None:
+        """Until the first call is answered or has failed, for so long at most."""
+        if self.discovery is not None:
+            try:
+                async with asyncio.timeout(most_s):
+                    await self.discovery.first.wait()
+            except TimeoutError:
+                pass
+
     def stop(self) -> None:
         """Watches no more."""
         if self.task is not None:
--- a/pepperrun/handover/predecessor.py
+++ b/pepperrun/handover/predecessor.py
@@ -125,10 +125,7 @@
         self.phase = Phase.GIVEN
         if self._timer is not None:
             self._timer.cancel()
-        if self.door is not None:  # the successor has its own at the same path
-            self.loop.remove_reader(self.door)
-            self.door.close()
-            self.door = None
+        self._shut_door()  # the successor has its own at the same path
         say("hand-over: yes", f"the successor serves; {len(self.listener.clients)} connections are passed on")
         self.servers.retire(True)
         self._pass()
@@ -176,8 +173,8 @@
         for client in list(self.listener.clients):
             client.hold(False)
         self.listener.go_on()
-        if self.door is None:
-            self.open()
+        self._shut_door()  # at its path there may be the successor's
+        self.open()
 
     async def finish(self, longest_s: float) -> bool:
         """At SIGTERM: until what was taken has its answer and the connections are passed on.
@@ -210,8 +207,11 @@
 
     def close(self) -> None:
         """Takes no successor any more."""
+        self._shut_door()
+        self._end_channel()
+
+    def _shut_door(self) -> None:
         if self.door is not None:
             self.loop.remove_reader(self.door)
             self.door.close()
             self.door = None
-        self._end_channel()
--- a/pepperrun/net/backoff.py
+++ b/pepperrun/net/backoff.py
@@ -12,6 +12,7 @@
 EACH_S = 0.025  # and more for each further one: all together make some 40 calls a second at the most
 GROWTH = 2.0  # a service that turns away has more to do than it can: halve what is asked of it
 DOUBLINGS = 3  # and no more: a list that is old by much costs more than a call
+MOVED_S = 2.0  # what a new place has to tell counts as told 4 s after the move: one more call must fit in
 MOST_S = 8.0  # however many there are; sends to workers that have gone go on meanwhile
 
 
@@ -22,9 +23,9 @@
         self.callers, self.rng = max(1, callers), rng
         self.failures = 0
 
-    def start(self) -> float:
-        """Seconds before the first call of one that can wait, as most others may start in the same moment."""
-        return self.rng.uniform(0, min(MOST_S, EACH_S * (self.callers - 1)))
+    def move(self) -> float:
+        """Seconds before the first call at a new place, as the others are moved in the same moment."""
+        return self.rng.uniform(0, min(MOVED_S, EACH_S * (self.callers - 1)))
 
     def failed(self) -> float:
         """Seconds before the next call after a failed one."""
--- a/pepperrun/net/discovery.py
+++ b/pepperrun/net/discovery.py
@@ -85,8 +85,9 @@
 class Discovery:
     """Calls `told` with each list; `full` ones replace all.
 
-    `holds`: a list with workers is held, so that the first call can wait; `known`: its version, where this
-    place has told it.
+    `known`: the version of the list that is held, where this place has told it. `moved`: the list is another
+    place's, and all callers come here at once: the first call waits its turn. Else it goes out at once, as
+    what an agent holds counts as told from the start on; `first` is set once it is answered or has failed.
     """
 
     def __init__(
@@ -95,23 +96,26 @@
         told: Callable[[Listing], None],
         backoff: Backoff | None = None,
         known: int | None = None,
-        holds: bool = False,
+        moved: bool = False,
     ):
         self.address, self.told = address, told
         self.backoff = backoff or Backoff(1, random.Random())
         self.version = known  # None: the whole list is asked for
-        self.holds = holds or known is not None
+        self.holds, self.moved = moved or known is not None, moved
+        self.first = asyncio.Event()
 
     async def run(self) -> None:
         """Watches until cancelled."""
-        if self.holds:
-            await asyncio.sleep(self.backoff.start())
+        if self.moved:
+            await asyncio.sleep(self.backoff.move())
         while True:
             try:
                 async for _ in self._watch():
+                    self.first.set()
                     self.backoff.succeeded()
             except (OSError, HttpError, ValueError, RecursionError) as error:
                 say("discovery", f"discovery: {error or type(error).__name__}; going on with the last list")
+            self.first.set()
             await asyncio.sleep(self.backoff.failed())
 
     async def _watch(self) -> AsyncIterator[Listing]:
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -32,6 +32,7 @@
     ],
     "Tariffs": [{"Name": "wide", "Refill": 100.0, "StoreSize": 100.0}],
     "Limits": {"MostTries": 3, "KeepaliveNs": 15 * 10**9},
+    "Rules": {"StopSendingWithinNs": 250_000_000},
     "Dcs": ["a"],
 }
 
@@ -99,6 +100,33 @@
     going(test)
 
 
+def test_nothing_is_sent_after_a_restart_before_discovery_has_been_asked(tmp_path):
+    # The list of the life before may name a worker that has begun to drain since.
+    async def test():
+        draining, ready = await StandIn(ok(b"draining")).start(), await StandIn(ok(b"ready")).start()
+        news = json.dumps(
+            {"version": 4, "full": False, "servers": [line("w", draining.port, "Terminating")]}
+        ).encode()
+
+        async def late(server: StandIn, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(0.1)
+            writer.write(ok(news))
+
+        agent = await StandIn(late, stall).start()
+        workers = [line("w", draining.port), line("v", ready.port)]
+        known = {"version": 3, "full": True, "servers": workers}
+        process, port = await start(tmp_path / "config.json", known=known, discovery=f"{HOST}:{agent.port}")
+        for _ in range(12):
+            client = await Client.to(port)
+            client.ask()
+            assert (await client.answer())[::2] == (200, b"ready")
+        assert draining.arrived.empty()
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+
+    going(test)
+
+
 @pytest.mark.parametrize(
     ("changes", "key"),
     [
