--- a/pepperrun/assembly.py
+++ b/pepperrun/assembly.py
@@ -31,6 +31,7 @@
 from pepperrun.net.discovery import Discovery
 from pepperrun.net.listener import Listener
 from pepperrun.net.peers import Peers, open_peers
+from pepperrun.net.stream import Budget
 from pepperrun.net.server_side import Judge, ServerSide, platform_judge
 
 if TYPE_CHECKING:
@@ -55,6 +56,7 @@
         most: int,
         keepalive_ns: int,
         connect_timeout_ns: int,
+        budget: Budget | None = None,
     ) -> None:
         loop = asyncio.get_running_loop()
         self.peers: Peers | None = None
@@ -64,7 +66,7 @@
         self.directory = Directory(zones, clock.of_unix_ms)
         ended = self.gatekeeper.ended
         self.servers = ServerSide(
-            loop, clock, self.directory, ended, judge, most, keepalive_ns, connect_timeout_ns
+            loop, clock, self.directory, ended, judge, most, keepalive_ns, connect_timeout_ns, budget
         )
         self.gatekeeper.backends = self.servers
 
@@ -180,6 +182,7 @@
 ) -> tuple[Core, Listener]:
     """The core before the workers and the platform's front."""
     most_clients, most = split_sockets(sockets) if lot is None else (0, backends)
+    budget = Budget.of_memory(config.memory_mb)
     core = Core(
         clock,
         config.settings,
@@ -189,6 +192,7 @@
         most,
         config.keepalive_ns,
         config.connect_timeout_ns,
+        budget,
     )
     core.told(config.known, ListKind.CACHED)
     if before is not None:
@@ -207,7 +211,7 @@
         if before is None or before.table is None:
             # A drain is to be kept so long after it was told: waiting longer gains nothing and serves nobody.
             await watch.first(config.settings.drain_grace_ns / SECOND)
-    front = Platform(config.settings, core.gatekeeper, clock, auth)
+    front = Platform(config.settings, core.gatekeeper, clock, auth, budget)
     return core, listen(config.name, config.listen, clock, most_clients, front.make, lot, inherited)
 
 
--- a/pepperrun/config.py
+++ b/pepperrun/config.py
@@ -205,6 +205,7 @@
     keepalive_ns: int
     connect_timeout_ns: int
     admin: Address | None = None  # where operators call
+    memory_mb: float = 192.0  # the limit on the process
 
 
 def read_config(text: str, env: Mapping[str, str]) -> Config:
@@ -224,6 +225,9 @@
     if not all(isinstance(peer, str) for peer in peers):
         raise ValueError("peers: not a list of host:port")
     sockets = get(get(table, "limits", dict, {}), "sockets", int, 1024)
+    memory: float = get(get(table, "limits", dict, {}), "memory_mb", float, 192.0)
+    if memory <= 0:
+        raise ValueError("limits.memory_mb: must be above 0")
     if sockets < 64:
         raise ValueError("limits.sockets: must be 64 or more")
     try:
@@ -243,6 +247,7 @@
         zones=tuple(str(zone) for zone in get(params, "Dcs", list, [])),
         keepalive_ns=_above_0(limits, "KeepaliveNs", 15_000_000_000),
         connect_timeout_ns=_above_0(limits, "ConnectTimeoutNs", 250_000_000),
+        memory_mb=memory,
         admin=address(table, "admin", env.get("NODE_ADMIN")) if calls else None,
     )
 
--- a/pepperrun/exchange.py
+++ b/pepperrun/exchange.py
@@ -43,7 +43,7 @@
 
     __slots__ = (
         *("asked", "attempts", "cls", "cost", "customer", "deadline", "end", "first", "id", "on_final"),
-        *("finished", "open", "plan", "spread", "started", "trace", "units"),
+        *("finished", "open", "passing", "patience", "plan", "spent", "spread", "started", "trace", "units"),
     )
 
     def __init__(
@@ -59,6 +59,7 @@
         units: float = 1.0,
         spread: int = 1,
         first: int = 0,
+        patience: int = 0,
     ) -> None:
         self.asked, self.on_final = asked, on_final
         self.cls, self.plan, self.customer = cls, plan, customer
@@ -69,6 +70,10 @@
         self.attempts: list[int] = []  # when each was sent
         self.open: set[int] = set()  # the numbers of those not ended
         self.cost = 0.0  # true units, as told with the first good answer
+        # A body that is longer than is held goes out as it comes: once. Its time counts from its last byte.
+        self.patience = patience  # how long the client waits after that; 0 for one that is held whole
+        self.spent = False  # some of it has gone out
+        self.passing = False  # the answer is on its way to the client; `Gatekeeper.passed` tells of its end
         self.finished = 0  # when the final answer was; 0 where nobody records that
         # For a recorder, of each attempt: backend, sent, outcome (None while it is out), ended (0 till then).
         self.trace: list[list[Any]] | None = None
--- a/pepperrun/fronts/http_client.py
+++ b/pepperrun/fronts/http_client.py
@@ -12,19 +12,36 @@
 from typing import Any
 
 from pepperrun.clock import SECOND
-from pepperrun.exchange import Exchange, Final
+from pepperrun.exchange import End, Exchange, Final
 from pepperrun.gatekeeper import Gatekeeper
 from pepperrun.net.buffer import Buffer, unread
-from pepperrun.net.http1 import ROOM, HttpError, Message, Request, RequestParser, write_response
+from pepperrun.net.http1 import (
+    LAST_CHUNK,
+    MAX_BODY,
+    MOST_BODY,
+    ROOM,
+    HttpError,
+    Message,
+    Request,
+    RequestParser,
+    chunk,
+    write_head,
+    write_response,
+)
 from pepperrun.net.listener import CROWDED_NS, Listener, Snapshot
+from pepperrun.net.stream import Budget, Stream
 
 Fields = list[tuple[bytes, bytes]]
-Answer = tuple[int, Fields, bytes]
+Answer = (
+    tuple[int, Fields, bytes] | tuple[int, Fields, bytes, Message]
+)  # the last one brings the rest of the body
 BAD = (400, 404, 405)  # a client that is answered so at once knows the protocol badly: the connection ends
 AHEAD = 16 * 1024  # of what is sent ahead of an answer, so much is held
 STUCK_NS = 10 * SECOND  # for taking an answer
 LINGER_NS = 4 * SECOND  # for reading why a request can't be read, beside sending the rest of it
 LINGER_BYTES = 96 * 1024 * 1024  # so much more is dropped
+MOVING_NS = SECOND  # a body of which nothing has come for so long is not under way
+SLOWEST = 32 * 1024  # bytes a second: half of what slow clients send at
 GREEN_NS = SECOND // 4  # a new connection has this long to ask before it gives way to others
 SCRATCH = memoryview(bytearray(256 * 1024))  # takes what is dropped; never read
 MOST_HELD = 2048  # bytes of a part of a request with which a connection can be parked
@@ -50,11 +67,21 @@
 class HttpClient(asyncio.BufferedProtocol):
     """A client's connection. Fronts derive from it."""
 
-    def __init__(self, listener: Listener, clock: Callable[[], int]) -> None:
-        self.listener, self.clock = listener, clock
+    def __init__(self, listener: Listener, clock: Callable[[], int], budget: Budget | None = None) -> None:
+        self.listener, self.clock, self.budget = listener, clock, budget
         self.transport: asyncio.Transport | None = None
         self.buffer = Buffer(ROOM)
-        self.parser = RequestParser(self.buffer)
+        if budget is None:
+            self.parser = RequestParser(self.buffer)
+        else:
+            self.parser = RequestParser(self.buffer, MOST_BODY, MAX_BODY)
+        self.upload: Stream | None = None  # the rest of a request's body, which its backend takes
+        self.download: Stream | None = None  # the rest of an answer's body
+        self.chunked = self.last_one = False  # how it goes out, and whether the connection ends after it
+        self.taking: Step | None = None  # whose answer it is
+        self.patience: asyncio.TimerHandle | None = None  # for a request whose time began with its last byte
+        self.paused_at = 0
+        self.head_at = 0  # when the head of a request whose body is coming was read
         self.step: Step | None = None  # the exchange that has no answer yet
         self.request: Request | None = None
         self.made = self.since = 0  # when it was connected, when it was last used
@@ -82,7 +109,8 @@
         """Is a request on it, whole or in part, or an answer not yet written?"""
         if self.lingering:
             return False
-        return self.step is not None or self.partial() or self.unwritten() or self.woken > 0
+        owes = self.step is not None or self.download is not None or self.unwritten()
+        return owes or self.partial() or self.woken > 0
 
     def fresh(self) -> bool:
         """Has it had no answer yet?"""
@@ -90,7 +118,7 @@
 
     def partial(self) -> bool:
         """Has a part of a request come?"""
-        return self.parser.request is not None or len(self.buffer) > 0
+        return self.parser.request is not None or self.upload is not None or len(self.buffer) > 0
 
     def due(self, crowded: bool) -> int | None:
         """When the connection ends if nothing more happens on it; None while an answer is owed."""
@@ -98,11 +126,16 @@
             return self.since + LINGER_NS
         if self.stuck is not None:
             return self.stuck + STUCK_NS
-        if self.step is not None:
+        if self.upload is not None and not self.paused:
+            return self._moving()
+        if self.step is not None or self.download is not None:
             return None
         if self.unwritten():
             return self.since + STUCK_NS
         times = self.listener.times
+        if self.parser.request is not None:  # its body is on its way
+            begun = self.made if self.fresh() and times.whole_from_made else self.buffer.first_at
+            return max(begun + times.whole_ns, self._moving())
         if self.fresh() and not self.partial():
             return self.made + times.silent_ns
         if self.fresh() and times.whole_from_made:
@@ -111,6 +144,12 @@
             return self.buffer.first_at + times.whole_ns
         return self.since + (times.crowded_ns if crowded else times.idle_ns)
 
+    def _moving(self) -> int:
+        """When a body that comes no further, or hardly, ends its connection."""
+        body = self.parser.body
+        got = body.got if body is not None else 0
+        return min(self.buffer.last_at + MOVING_NS, self.head_at + MOVING_NS + got * SECOND // SLOWEST)
+
     def spare(self, now: int) -> tuple[int, int] | None:
         """How readily it gives way to a new connection; None: not at all.
 
@@ -137,6 +176,11 @@
         """Its time is up: who has sent a part of a request is told so."""
         if self.transport is not None and not self.busy() and not self.lingering and unread(self.transport):
             return  # it has been used, and the loop is late
+        if self.partial() and self.transport is not None and not self.lingering and unread(self.transport):
+            return
+        if self.upload is not None:
+            self._cut(408, b"the request did not come whole in time\n")
+            return
         if self.partial() and not self.closing and not self.unwritten() and self.transport is not None:
             text = b"the request did not come whole in time\n"
             self.transport.write(write_response(408, [TEXT], text, close=True))
@@ -158,6 +202,8 @@
         transport = self.transport
         if transport is None or transport.is_closing() or self.step is not None or self.closing:
             return None
+        if self.download is not None or self.upload is not None:
+            return None
         if self.woken or self.paused or self.stuck is not None or self.parser.request is not None:
             return None
         if self.unwritten() or len(self.buffer) > most_held:
@@ -231,9 +277,13 @@
 
     def pause_writing(self) -> None:
         self.stuck = self.clock()
+        if self.download is not None:
+            self.download.hold(True)
 
     def resume_writing(self) -> None:
         self.stuck = None
+        if self.download is not None:
+            self.download.hold(False)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return SCRATCH if self.lingering else self.buffer.room()
@@ -244,9 +294,12 @@
             self.buffer.filled(nbytes, self.clock())
             if self.woken:
                 if first:  # its time runs from when it spoke, not from when it was taken up
-                    self.buffer.first_at = self.woken
+                    self.buffer.first_at = self.buffer.last_at = self.woken
                 self.woken = 0
-            self._read()
+            if self.upload is not None:
+                self._pass_on(self.upload)
+            else:
+                self._read()
             return
         self.dropped += nbytes
         if self.dropped > LINGER_BYTES and self.transport is not None:
@@ -257,6 +310,14 @@
         return False
 
     def _left(self) -> None:
+        if self.patience is not None:
+            self.patience.cancel()
+        if self.upload is not None:
+            self.upload.fail()
+            self.upload = None
+        if self.download is not None:
+            self.download.drop()
+            self._taken(End.LEFT)
         step, self.step = self.step, None
         if step is not None:
             step[0].left(step[1])
@@ -270,21 +331,88 @@
                 self._reject((error.status, [TEXT], f"{error}\n".encode()))
                 return
             if request is None:
+                if self.parser.request is not None:
+                    self.head_at = self.head_at or self.clock()
                 if self.parser.waits_for_continue() and self.parser.request is not None:
                     self.parser.request.names.pop(b"expect")
                     self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
                 return
             self.request = request
+            if request.whole:
+                self.head_at = 0
+            elif self.budget is not None:
+                self.head_at = self.head_at or self.clock()
+                request.stream = self.upload = Stream(self.budget, self._pause, self._nobody)
+                self.buffer.widen(self.budget.share())
             what = self.begin(request)
             if len(what) == 3 and what[0] in BAD:
                 self._reject(what)
             else:
                 self._proceed(what)
+        if self.upload is not None:
+            self._pass_on(self.upload)
+            return
         ahead = self.step is not None and len(self.buffer) >= AHEAD
         if ahead and self.transport is not None and not self.paused:
             self.paused = True  # more was sent ahead than is held for a client
             self.transport.pause_reading()
 
+    # A body that is longer than is held, on its way to a backend.
+
+    def _pass_on(self, upload: Stream) -> None:
+        try:
+            while self.upload is upload and (data := self.parser.pull()):
+                upload.feed(data)
+        except HttpError as error:
+            self._cut(error.status, f"{error}\n".encode())
+            return
+        if self.upload is not upload or not self.parser.complete():
+            return
+        self.upload, self.head_at = None, 0
+        self.buffer.widen(0)
+        self._pause(False)
+        step = self.step
+        if step is not None:
+            left_s = step[1].patience / SECOND
+            self.patience = self.listener.loop.call_later(left_s, self._out_of_time, step)
+        upload.finish()
+
+    def _out_of_time(self, step: Step) -> None:
+        self.patience = None
+        if self.step is step:
+            step[0].expire(step[1])
+
+    def _pause(self, on: bool) -> None:
+        """The backend can't take more now, or can again."""
+        transport = self.transport
+        if transport is None or transport.is_closing() or self.lingering or on == self.paused:
+            return
+        self.paused, now = on, self.clock()
+        if on:
+            self.paused_at = now
+            transport.pause_reading()
+            return
+        self.buffer.last_at = now  # time in which it was not read is not the client's
+        self.head_at += now - self.paused_at if self.head_at else 0
+        if not self.held:
+            transport.resume_reading()
+
+    def _nobody(self) -> None:
+        """The backend takes no more of it; the module says what follows. What comes meanwhile is dropped."""
+        if self.upload is not None:
+            self._pause(False)
+
+    def _cut(self, status: int, text: bytes) -> None:
+        """The rest of a body is not to be had: the backend gets no request, and the client hears why."""
+        upload, self.upload = self.upload, None
+        step, self.step = self.step, None
+        if upload is not None:
+            upload.fail()
+        if step is not None:
+            step[0].left(step[1])
+        if self.transport is not None and not self.transport.is_closing():
+            self._reject((status, [TEXT], text))
+
     def _reject(self, answer: Answer) -> None:
         """Answers and closes: where the next request begins is not known, or the next is as bad.
 
@@ -298,9 +426,12 @@
         self.buffer.forget()
         self.answers, self.since = self.answers + 1, self.clock()
         bodiless = request is not None and request.method == b"HEAD"
-        transport.write(write_response(*answer, close=True, bodiless=bodiless))
+        transport.write(write_response(*answer[:3], close=True, bodiless=bodiless))
         if not transport.is_closing():
             transport.write_eof()
+            if self.paused:  # what is left of it is read and dropped
+                self.paused = False
+                transport.resume_reading()
 
     def health(self, request: Request) -> Answer:
         """`/health`: the process runs. `/ready`: it also takes new clients."""
@@ -315,8 +446,30 @@
 
     def final(self, final: Final[Any]) -> None:
         """The exchange's final answer."""
-        self.step = None
-        self._proceed(self.follow(final))
+        if self.patience is not None:
+            self.patience.cancel()
+            self.patience = None
+        self.taking, self.step = self.step, None
+        what = self.follow(final)
+        upload = self.upload
+        if upload is not None and len(what) != 2:
+            # Answered before it was whole: where the next request begins is not known in time.
+            self.upload = None
+            upload.drop()
+            if len(what) == 4 and what[3].stream is not None:  # nor has the client room for a long answer yet
+                what[3].stream.drop()
+                self._taken(End.FAILED)
+                what = 502, [TEXT], b"answered before the request was whole\n"
+            if self.transport is not None:
+                self._reject(what)
+            return
+        self._proceed(what)
+        if self.download is not None:
+            return
+        self._next()
+
+    def _next(self) -> None:
+        """Reads on after an answer."""
         if self.step is None and len(self.buffer) and not self.held:
             if self.paused and self.transport is not None and not self.closing:
                 self.paused = False
@@ -340,8 +493,59 @@
         self.answers += 1
         self.since = self.clock()
         bodiless = request is not None and request.method == b"HEAD"
+        if len(answer) == 4:
+            self._begin_taking(answer[:3], answer[3], close, request is None or request.http11)
+            return
         self.transport.write(write_response(*answer, close, bodiless))
+        self._answered(close)
+
+    def _answered(self, close: bool) -> None:
+        if self.transport is None:
+            return
         if close:
             self.transport.close()
         else:
             self.listener.answered(self)
+
+    # An answer whose body is longer than is held, as it comes from a backend.
+
+    def _begin_taking(
+        self, answer: tuple[int, Fields, bytes], message: Message, close: bool, http11: bool
+    ) -> None:
+        transport, stream = self.transport, message.stream
+        assert transport is not None and stream is not None
+        status, fields, body = answer
+        self.chunked = message.length is None and http11
+        self.last_one = self.closing = close or message.length is None and not http11
+        transport.set_write_buffer_limits(high=stream.budget.share())
+        head = write_head(status, fields, message.length, self.last_one, self.chunked)
+        self.download = stream
+        transport.write(head + (chunk(body) if self.chunked else body))
+        stream.open(self)
+        if self.stuck is not None and self.download is not None:
+            stream.hold(True)
+
+    def more(self, data: bytes) -> None:
+        if self.transport is not None:
+            self.since = self.clock()
+            self.transport.write(chunk(data) if self.chunked else data)
+
+    def whole(self) -> None:
+        if self.chunked and self.transport is not None:
+            self.transport.write(LAST_CHUNK)
+        self._taken(End.SERVED)
+        self._answered(self.last_one)
+        if not self.last_one:
+            self._next()
+
+    def broken(self) -> None:
+        """No end is forged: the client must see that it is not whole."""
+        self._taken(End.FAILED)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _taken(self, end: End) -> None:
+        taking, self.taking, self.download = self.taking, None, None
+        self.since = self.clock()
+        if taking is not None:
+            taking[0].passed(taking[1], end)
--- a/pepperrun/fronts/platform.py
+++ b/pepperrun/fronts/platform.py
@@ -5,6 +5,7 @@
 import re
 from typing import Any
 
+from pepperrun.clock import SECOND
 from pepperrun.exchange import End, Exchange, Final
 from pepperrun.fronts.forward_auth import AuthService, Granted
 from pepperrun.fronts.http_client import TEXT, Answer, Fields, HttpClient, Step, passed_on
@@ -12,12 +13,14 @@
 from pepperrun.interface import Repeat, Settings
 from pepperrun.net.http1 import Request
 from pepperrun.net.listener import Listener
+from pepperrun.net.stream import Budget
 
 _BUDGET = re.compile(rb"([0-9]{1,15})([mu])\Z")
 _QUOTA = re.compile(rb"[ \t]*(?:units=([0-9]{1,9}(?:\.[0-9]{1,9})?)|(spread|first)=([0-9]{1,9}))[ \t]*\Z")
 _CALL_ID = re.compile(rb"[0-9A-Za-z_-]{1,64}\Z")
 _CUSTOMER = re.compile(rb"(?:\A|&)customer=([0-9a-fA-F]{1,16})(?:&|\Z)")
 MOST_CUSTOMER = 2**33
+UPLOAD_NS = 600 * SECOND  # for 32 MB at 64 kB a second; one that stands still ends within seconds
 
 
 def retry_after(wait_ns: int) -> Fields:
@@ -31,8 +34,14 @@
     """What all connections of this front share."""
 
     def __init__(
-        self, settings: Settings, gatekeeper: Gatekeeper, clock: Clock, auth: AuthService | None = None
+        self,
+        settings: Settings,
+        gatekeeper: Gatekeeper,
+        clock: Clock,
+        auth: AuthService | None = None,
+        budget: Budget | None = None,
     ) -> None:
+        self.budget = budget  # for bodies that are longer than is held; None: there are none
         self.settings, self.gatekeeper, self.clock, self.auth = settings, gatekeeper, clock, auth
         asking = auth.config.asking if auth is not None else ()
         self.asks = [kind.name in asking for kind in settings.classes]
@@ -82,12 +91,15 @@
         # Workers take a request without an id for none of theirs, and would look bad to the decisions.
         if _CALL_ID.match(names.get(b"x-call-id", b"")) is None:
             return "X-Call-Id: one is needed"
+        # One that is still coming has the time that it takes, and its client's from its last byte on.
+        more_ns = 0 if request.whole else UPLOAD_NS
         return {
             "cls": cls,
             "plan": plan,
             "customer": int(customer[1], 16),
             "started": request.arrived,
-            "deadline": request.arrived + left_ns,
+            "deadline": request.arrived + left_ns + more_ns,
+            "patience": left_ns if more_ns else 0,
             "units": units,
             "spread": spread,
             "first": first,
@@ -98,7 +110,7 @@
     """A client's connection."""
 
     def __init__(self, front: Platform, listener: Listener) -> None:
-        super().__init__(listener, front.clock)
+        super().__init__(listener, front.clock, front.budget)
         self.front = front
         self.parts: dict[str, Any] = {}
         self.asking = False
@@ -132,8 +144,10 @@
             return self._book(request, outcome.identity) if isinstance(outcome, Granted) else outcome
         match final.end:
             case End.SERVED if final.given is not None:
-                kind = final.given.names.get(b"content-type")
-                return 200, [(b"Content-Type", kind)] if kind else [], final.given.body
+                given = final.given
+                kind = given.names.get(b"content-type")
+                fields = [(b"Content-Type", kind)] if kind else []
+                return (200, fields, given.body) if given.whole else (200, fields, given.body, given)
             case End.REFUSED:
                 return 429, [TEXT, *retry_after(final.wait_ns)], b"refused: trying again is harmless\n"
             case End.OUT_OF_TIME:
--- a/pepperrun/gatekeeper.py
+++ b/pepperrun/gatekeeper.py
@@ -99,6 +99,7 @@
         self._due: int | None = None  # the gateway's timer
         self._timer: asyncio.TimerHandle | None = None
         self._margin = 4 * settings.tick_ns
+        self.under_way = 0  # answers that clients are taking
         self.telling = True  # peers hear from this process
         self.observer: Callable[[AnyExchange], None] | None = None  # told of each exchange that is over
         self.by_class = [dict.fromkeys(End, 0) for _ in settings.classes]
@@ -143,7 +144,19 @@
         done = exchange.end is not None
         if done:
             self._over.append(exchange)
-        self._event(AttemptEnded(exchange.id, attempt, backend, outcome, elapsed, done, units))
+        spent = exchange.spent
+        self._event(AttemptEnded(exchange.id, attempt, backend, outcome, elapsed, done, units, spent=spent))
+
+    def passed(self, exchange: AnyExchange, end: End) -> None:
+        """An answer that was on its way when it became the final one has arrived whole, or has not."""
+        self.under_way -= 1
+        self.by_class[exchange.cls][end] += 1
+
+    def expire(self, exchange: AnyExchange) -> None:
+        """The client's time is up, which only its front knows."""
+        if self._finish(exchange, Final(End.OUT_OF_TIME, late=True)):
+            self._over.append(exchange)
+            self._event(ClientLeft(exchange.id))
 
     def listed(self, backends: BackendList) -> None:
         """Discovery has told something."""
@@ -160,7 +173,7 @@
 
     def waiting(self) -> int:
         """How many requests have no answer yet."""
-        return sum(exchange.end is None for exchange in self.exchanges.values())
+        return sum(exchange.end is None for exchange in self.exchanges.values()) + self.under_way
 
     def catch_up(self) -> None:
         """Tells the gateway now what it is not told yet; not from within a turn."""
@@ -230,6 +243,7 @@
             exchange.units,
             exchange.spread,
             exchange.first,
+            exchange.patience > 0,
         )
 
     def _arm(self, due: int) -> None:
@@ -311,7 +325,10 @@
 
     def _finish(self, exchange: AnyExchange, final: Final[Any]) -> bool:
         first = exchange.finish(final)
-        self.by_class[exchange.cls][final.end] += first
+        if first and exchange.passing and final.end is End.SERVED:
+            self.under_way += 1
+        else:
+            self.by_class[exchange.cls][final.end] += first
         if first and self.observer is not None:
             exchange.finished = self.clock()
         return first
--- a/pepperrun/gateway.py
+++ b/pepperrun/gateway.py
@@ -66,9 +66,9 @@
 
     def may_send(self, server: Server, now: int, settings: Settings) -> bool:
         """Rule 2 and the site's limits: may a further attempt go to this backend now?"""
-        if self.done or self.stream or len(self.attempts) >= settings.max_attempts:
+        if self.done or self.stream or self.spent or len(self.attempts) >= settings.max_attempts:
             return False
-        if self.out() and (not settings.second_copies or self.out() > 1):
+        if self.out() and (not settings.second_copies or self.once or self.out() > 1):
             return False
         ran = [attempt for attempt in self.attempts if attempt.may_have_run]
         if not ran or self.kind.repeat is Repeat.SAFE:
@@ -609,8 +609,10 @@
         held = Held(event, account, kind, self.now)
         self.held[event.id] = held
         # Less time left than others of its class had: it has waited, at the client or while this stood still.
-        self.most_left[event.cls] = max(self.most_left[event.cls], event.left_ns)
-        held.aim -= (age := self.most_left[event.cls] - event.left_ns)
+        # The time of one whose body is still coming has not begun.
+        most, left = self.most_left, 0 if held.once else event.left_ns
+        most[event.cls] = max(most[event.cls], left)
+        held.aim -= (age := 0 if held.once else most[event.cls] - left)
         pressed = self.bound.latency > PRESSURE_GOAL / 2
         # Answer a tick or two before the client gives up, so that the answer is no later than it.
         last = max(self.now, held.deadline - 2 * self.settings.tick_ns)
@@ -727,8 +729,11 @@
             self.further.level = min(self.further.depth, self.further.level + FURTHER_SHARE)
         held.attempts.append(Attempt(server, self.now))
         held.account.out += 1
-        self.fleet.out += 1
-        server.pending[held.id, len(held.attempts) - 1] = (self.now, max(1.0, self.fleet.expected(held)))
+        # A body that is still coming costs the backend nothing yet, and its client may be slow.
+        held.attempts[-1].counts = not held.once
+        self.fleet.out += not held.once
+        takes = held.deadline - self.now if held.once else self.fleet.expected(held)
+        server.pending[held.id, len(held.attempts) - 1] = (self.now, max(1.0, takes))
         self.actions.append(Send(held.id, server.id, max(1, held.deadline - self.now)))
         number = len(held.attempts) - 1
         after = int(self.fleet.tail * self.fleet.expected(held))
@@ -737,7 +742,8 @@
 
     def _overdue(self, held: Held, number: int) -> None:
         """An attempt past nearly all latencies seen: a second copy, or a new one where one may be out."""
-        if held.done or held.stream or not held.attempts[number].out or number != len(held.attempts) - 1:
+        last = number == len(held.attempts) - 1
+        if held.done or held.stream or held.once or not held.attempts[number].out or not last:
             return
         server = held.attempts[number].backend
         if self.bound.latency < PRESSURE_GOAL and held.attempts[number].counts:
@@ -781,6 +787,7 @@
             return
         attempt = held.attempts[event.attempt]
         attempt.out, attempt.may_have_run = False, not event.outcome.never_ran
+        held.spent = held.spent or event.spent
         held.account.out -= 1
         out = self.fleet.out
         self.fleet.ended(attempt.backend, held, event, self.now)
--- a/pepperrun/interface.py
+++ b/pepperrun/interface.py
@@ -196,7 +196,8 @@
     """A client's request. Its customer comes through `spread` gateways from number `first` on, counted round.
 
     `left_ns` is the time until the client gives up, `units` what it draws from the quota (a guess where the
-    settings say that units are settled by the answer).
+    settings say that units are settled by the answer). `once`: its body is longer than is held and still
+    coming; it can be sent one time, and the client's time counts from its last byte.
     """
 
     id: int
@@ -207,6 +208,7 @@
     units: float = 1.0
     spread: int = 1
     first: int = 0
+    once: bool = False
 
 
 @dataclass(slots=True)
@@ -220,7 +222,10 @@
 
 @dataclass(slots=True)
 class AttemptEnded:
-    """How an attempt ended. `complete`: the client has its final answer. `units`: the true ones, or 0."""
+    """How an attempt ended. `complete`: the client has its final answer. `units`: the true ones, or 0.
+
+    `spent`: some of the request's body, which is not held whole, has gone out: it can't be sent again.
+    """
 
     request: int
     attempt: int
@@ -230,6 +235,7 @@
     complete: bool = False
     units: float = 0.0
     report: tuple[float, ...] = ()
+    spent: bool = False
 
 
 @dataclass(slots=True)
--- a/pepperrun/net/buffer.py
+++ b/pepperrun/net/buffer.py
@@ -7,7 +7,7 @@
 
 FIRST = 4096
 LEAST_FREE = 1024
-KEPT = 64 * 1024  # what an empty buffer keeps at most: connections are many and large messages few
+KEPT = 16 * 1024  # what an empty buffer keeps at most: connections are many and large messages few
 
 
 def unread(transport: asyncio.Transport) -> bool:
@@ -20,10 +20,10 @@
 class Buffer:
     """Bytes come in at the end and are taken off the front. Never holds more than `most`."""
 
-    __slots__ = ("data", "end", "first_at", "last_at", "most", "start")
+    __slots__ = ("data", "end", "first_at", "kept", "last_at", "most", "start")
 
     def __init__(self, most: int) -> None:
-        self.most = most
+        self.most, self.kept = most, KEPT
         self.data = bytearray(min(FIRST, most))
         self.start = self.end = 0
         self.first_at = self.last_at = 0  # when the first byte held and the last ones came
@@ -46,6 +46,13 @@
             self.data = self.data + bytes(min(len(self.data), self.most - len(self.data)))
         return memoryview(self.data)[self.end :]
 
+    def widen(self, size: int) -> None:
+        """Takes up to so much at a time from now on, while a long body passes; 0: as before."""
+        self.kept = max(KEPT, size)
+        if self.start == self.end and (len(self.data) < size or not size and len(self.data) > KEPT):
+            self.data = bytearray(max(FIRST, min(size, self.most)))
+            self.start = self.end = 0
+
     def filled(self, count: int, now: int) -> None:
         """So many bytes were put in at `room`."""
         if self.start == self.end:
@@ -90,7 +97,7 @@
         self.start += min(count, len(self))
         if self.start == self.end:
             self.start = self.end = 0
-            if len(self.data) > KEPT:
+            if len(self.data) > self.kept:
                 self.data = bytearray(FIRST)
         else:
             self.first_at = self.last_at  # what is left came with the last ones
--- a/pepperrun/net/http1.py
+++ b/pepperrun/net/http1.py
@@ -1,20 +1,24 @@
 """Incremental parsers of HTTP/1.1 requests and responses, and how both are written.
 
-A parser reads from a `Buffer` and gives a whole message or None for not yet. What can't be read, or could be
-read in two ways, raises `HttpError` with the status that tells the peer; the connection ends after it.
+A parser reads from a `Buffer` and gives a whole message or None for not yet. Where it is told how much of a
+body to hold, it gives a longer message early, and the rest of its body in pieces. What can't be read, or
+could be read in two ways, raises `HttpError` with the status that tells the peer; the connection ends.
 """
 
 from __future__ import annotations
 
+import enum
 import re
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from pepperrun.net.buffer import Buffer
+from pepperrun.net.stream import Stream
 
 MAX_HEAD = 16 * 1024
 MAX_FIELDS = 100
 MAX_BODY = 64 * 1024  # of a request
-MAX_ANSWER = 1024 * 1024  # workers send more than they may, and their clients want it
+MAX_ANSWER = 1024 * 1024  # that is held whole
+MOST_BODY = 36 * 1024 * 1024  # of a message whose body passes through: 32 MB occur
 MAX_INTERIM = 64  # 1xx responses ahead of a final one
 MAX_LINE = 256  # of a chunk's size with its extensions
 ROOM = MAX_HEAD + MAX_BODY
@@ -68,6 +72,9 @@
     names: dict[bytes, bytes]
     http11: bool
     body: bytes = b""
+    whole: bool = True  # else `body` is its beginning, and the rest comes in pieces
+    length: int | None = None  # of the whole body, where the head tells
+    stream: Stream | None = None  # brings the rest
 
     def close(self) -> bool:
         """Does the connection end after this message?"""
@@ -94,22 +101,102 @@
     status: int = 200
 
 
-@dataclass(slots=True)
-class _Chunks:
-    """A chunked body on its way."""
+class Framing(enum.Enum):
+    """How a body's end is found."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    UNTIL_END = "until the connection ends"
+
+
+class Body:
+    """A body on its way: its framing is taken off piece by piece."""
+
+    __slots__ = ("done", "framing", "got", "left", "most", "trailer")
+
+    def __init__(self, framing: Framing, length: int, most: int) -> None:
+        self.framing, self.most = framing, most
+        self.left = length if framing is Framing.LENGTH else -1  # of the chunk; -1: its size comes next
+        self.got = self.trailer = 0
+        self.done = framing is Framing.LENGTH and length == 0
+
+    def pull(self, buffer: Buffer) -> bytes:
+        """What of it is there, taken off the buffer; b"" for nothing yet, or nothing more where `done`."""
+        if self.done:
+            return b""
+        if self.framing is Framing.CHUNKS:
+            return self._chunked(buffer)
+        if self.framing is Framing.UNTIL_END:
+            some = buffer.take(len(buffer))
+            self._count(len(some))
+            return some
+        some = buffer.take(self.left)
+        self.left -= len(some)
+        self.got += len(some)
+        self.done = self.left == 0
+        return some
+
+    def _count(self, more: int) -> None:
+        self.got += more
+        if self.got > self.most:
+            raise HttpError(413, "the body is too long")
+
+    @staticmethod
+    def _line(buffer: Buffer, most: int) -> bytes | None:
+        at = buffer.find(b"\r\n")
+        if (at if at >= 0 else len(buffer)) > most:
+            raise HttpError(400, "a line of the chunked body is too long")
+        if at < 0:
+            return None
+        line = buffer.take(at)
+        buffer.drop(2)
+        return line
 
-    body: bytearray = field(default_factory=bytearray)
-    left: int = -1  # of the chunk being read; -1: its size comes next
-    last: bool = False
-    trailer: int = 0
+    def _chunked(self, buffer: Buffer) -> bytes:
+        parts: list[bytes] = []
+        while not self.done:
+            if self.trailer:
+                line = self._line(buffer, MAX_HEAD)
+                if line is None:
+                    break
+                self.trailer += len(line)
+                if self.trailer > MAX_HEAD:
+                    raise HttpError(431, "the trailers are too long")
+                if line and _FIELDS.fullmatch(line + b"\r\n") is None:
+                    raise HttpError(400, "a trailer can't be read")
+                self.done = not line
+            elif self.left < 0:
+                line = self._line(buffer, MAX_LINE)
+                if line is None:
+                    break
+                match = _CHUNK.match(line)
+                if match is None:
+                    raise HttpError(400, "bad chunk size")
+                self.left = int(match[1], 16)
+                self.trailer = self.left == 0
+                self._count(self.left)
+            elif self.left > 0:
+                some = buffer.take(self.left)
+                if not some:
+                    break
+                parts.append(some)
+                self.left -= len(some)
+            else:
+                if len(buffer) < 2:
+                    break
+                if buffer.take(2) != b"\r\n":
+                    raise HttpError(400, "a chunk is longer than its size")
+                self.left = -1
+        return parts[0] if len(parts) == 1 else b"".join(parts)
 
 
 class _Parser:
-    def __init__(self, buffer: Buffer, most_body: int = MAX_BODY) -> None:
+    def __init__(self, buffer: Buffer, most_body: int = MAX_BODY, hold: int | None = None) -> None:
         self.buffer, self.most_body = buffer, most_body
+        self.hold = hold  # bytes of a body from which on the message is given early; None: never
         self.seen = 0  # bytes in which the end of the head was looked for
-        self.length = 0
-        self.chunks: _Chunks | None = None
+        self.body: Body | None = None  # of the message whose head has been read
+        self.parts: list[bytes] = []  # of it, while it is held
 
     def _head(self) -> tuple[bytes, list[tuple[bytes, bytes]], dict[bytes, bytes]] | None:
         """The start line and the fields, once all are there."""
@@ -136,9 +223,8 @@
             names[name] = names[name] + b", " + value if name in names else value
         return start, fields, names
 
-    def _framing(self, names: dict[bytes, bytes], http11: bool) -> bool:
-        """How the body is framed; False: by nothing."""
-        self.length, self.chunks = 0, None
+    def _framing(self, names: dict[bytes, bytes], http11: bool) -> int | None:
+        """How the body is framed, noted as `body`; its length where that is told, None where it is not."""
         coding, length = names.get(b"transfer-encoding"), names.get(b"content-length")
         if coding is not None:
             # Two lengths, or a coding that an HTTP/1.0 peer does not know, are how requests are smuggled.
@@ -146,79 +232,47 @@
                 raise HttpError(400, "ambiguous framing")
             if coding.lower() != b"chunked":
                 raise HttpError(501, "unknown transfer coding")
-            self.chunks = _Chunks()
-            return True
+            self.body = Body(Framing.CHUNKS, 0, self.most_body)
+            return None
         if length is None:
-            return False
+            self.body = Body(Framing.LENGTH, 0, self.most_body)
+            return None
         if not length.isdigit():
             raise HttpError(400, "bad Content-Length")
         if len(length) > 12 or int(length) > self.most_body:
             raise HttpError(413, "the body is too long")
-        self.length = int(length)
-        return True
+        self.body = Body(Framing.LENGTH, int(length), self.most_body)
+        return int(length)
 
-    def _body(self) -> bytes | None:
-        if self.chunks is not None:
-            return self._chunked(self.chunks)
-        return self.buffer.take(self.length) if len(self.buffer) >= self.length else None
+    def pull(self) -> bytes:
+        """More of the body of a message that was given early."""
+        return self.body.pull(self.buffer) if self.body is not None else b""
 
-    def _line(self, most: int) -> bytes | None:
-        at = self.buffer.find(b"\r\n")
-        if (at if at >= 0 else len(self.buffer)) > most:
-            raise HttpError(400, "a line of the chunked body is too long")
-        if at < 0:
-            return None
-        line = self.buffer.take(at)
-        self.buffer.drop(2)
-        return line
+    def complete(self) -> bool:
+        """Is there no more of that body to come?"""
+        return self.body is None or self.body.done
 
-    def _chunked(self, chunks: _Chunks) -> bytes | None:
-        while True:
-            if chunks.last:
-                line = self._line(MAX_HEAD)
-                if line is None:
-                    return None
-                chunks.trailer += len(line)
-                if chunks.trailer > MAX_HEAD:
-                    raise HttpError(431, "the trailers are too long")
-                if not line:
-                    return bytes(chunks.body)
-                if _FIELDS.fullmatch(line + b"\r\n") is None:
-                    raise HttpError(400, "a trailer can't be read")
-            elif chunks.left < 0:
-                line = self._line(MAX_LINE)
-                if line is None:
-                    return None
-                match = _CHUNK.match(line)
-                if match is None:
-                    raise HttpError(400, "bad chunk size")
-                chunks.left = int(match[1], 16)
-                chunks.last = chunks.left == 0
-                if len(chunks.body) + chunks.left > self.most_body:
-                    raise HttpError(413, "the body is too long")
-            elif chunks.left > 0:
-                if not len(self.buffer):
-                    return None
-                some = self.buffer.take(chunks.left)
-                chunks.body += some
-                chunks.left -= len(some)
-            else:
-                if len(self.buffer) < 2:
-                    return None
-                if self.buffer.take(2) != b"\r\n":
-                    raise HttpError(400, "a chunk is longer than its size")
-                chunks.left = -1
+    def _gather(self, body: Body) -> bool:
+        """Holds what has come of a body; False while there is more to wait for."""
+        some = body.pull(self.buffer)
+        if some:
+            self.parts.append(some)
+        return body.done or self.hold is not None and body.got > self.hold
+
+    def _held(self) -> bytes:
+        parts, self.parts = self.parts, []
+        return parts[0] if len(parts) == 1 else b"".join(parts)
 
 
 class RequestParser(_Parser):
     """Reads requests off a buffer, one after another."""
 
-    def __init__(self, buffer: Buffer, most_body: int = MAX_BODY) -> None:
-        super().__init__(buffer, most_body)
+    def __init__(self, buffer: Buffer, most_body: int = MAX_BODY, hold: int | None = None) -> None:
+        super().__init__(buffer, most_body, hold)
         self.request: Request | None = None  # its head has been read
 
     def next(self) -> Request | None:
-        """The next whole request, or None until more has come."""
+        """The next request, whole or longer than is held, or None until more has come."""
         if self.request is None:
             while self.buffer.peek(2) == b"\r\n":  # some clients end a body with an empty line
                 self.buffer.drop(2)
@@ -228,11 +282,13 @@
                 return None
             self.request = self._start(*parts)
             self.request.arrived = arrived
-        body = self._body()
-        if body is None:
+        if self.buffer.last_at:
+            self.request.arrived = self.buffer.last_at  # a request counts from its last byte
+        assert self.body is not None
+        if not self._gather(self.body):
             return None
         request, self.request = self.request, None
-        request.body = body
+        request.body, request.whole = self._held(), self.body.done
         return request
 
     def _start(self, start: bytes, fields: list[tuple[bytes, bytes]], names: dict[bytes, bytes]) -> Request:
@@ -243,8 +299,8 @@
         hosts = names.get(b"host")
         if http11 and hosts is None or hosts is not None and b"," in hosts:
             raise HttpError(400, "one Host is needed")
-        self._framing(names, http11)
-        return Request(fields, names, http11, method=match[1], target=match[2])
+        length = self._framing(names, http11)
+        return Request(fields, names, http11, length=length, method=match[1], target=match[2])
 
     def waits_for_continue(self) -> bool:
         """Does the client wait to be told to send the body?"""
@@ -259,14 +315,16 @@
 class ResponseParser(_Parser):
     """Reads responses off a buffer."""
 
-    def __init__(self, buffer: Buffer, most_body: int = MAX_ANSWER) -> None:
-        super().__init__(buffer, most_body)
+    def __init__(self, buffer: Buffer, most_body: int = MAX_ANSWER, hold: int | None = None) -> None:
+        super().__init__(buffer, most_body, hold)
         self.response: Response | None = None
-        self.until_end = False
         self.interim = 0
 
     def next(self) -> Response | None:
-        """The next whole response, or None until more has come. Interim ones are passed over."""
+        """The next response, whole or longer than is held, or None until more has come.
+
+        Interim ones are passed over.
+        """
         while self.response is None:
             parts = self._head()
             if parts is None:
@@ -282,29 +340,30 @@
                     raise HttpError(502, "no end of interim responses")
                 continue
             self.interim = 0
-            self.response = Response(fields, names, http11, status=status)
+            response = Response(fields, names, http11, status=status)
             if status in (204, 304):
-                self.length, self.chunks = 0, None
+                self.body = Body(Framing.LENGTH, 0, 0)
             else:
-                self.until_end = not self._framing(names, http11)
-        if self.until_end:
-            if len(self.buffer) > self.most_body:
-                raise HttpError(413, "the body is too long")
-            return None
-        body = self._body()
-        return None if body is None else self._whole(body)
+                response.length = self._framing(names, http11)
+                if response.length is None and b"transfer-encoding" not in names:
+                    self.body = Body(Framing.UNTIL_END, 0, self.most_body)
+            self.response = response
+        assert self.body is not None
+        return self.give() if self._gather(self.body) else None
+
+    def give(self) -> Response | None:
+        """The response whose head has been read, with what has come of its body."""
+        response, self.response = self.response, None
+        if response is not None and self.body is not None:
+            response.body, response.whole = self._held(), self.body.done
+        return response
 
     def end(self) -> Response | None:
         """The connection has ended: the response whose body lasts until then, if there is one."""
-        if self.response is None or not self.until_end:
+        if self.body is None or self.body.framing is not Framing.UNTIL_END:
             return None
-        return self._whole(self.buffer.take(len(self.buffer)))
-
-    def _whole(self, body: bytes) -> Response | None:
-        response, self.response, self.until_end = self.response, None, False
-        if response is not None:
-            response.body = body
-        return response
+        self.body.done = True
+        return self.give()
 
 
 def write_fields(fields: list[tuple[bytes, bytes]]) -> bytes:
@@ -312,12 +371,29 @@
     return b"".join([b"%b: %b\r\n" % pair for pair in fields])
 
 
+def write_head(
+    status: int, fields: list[tuple[bytes, bytes]], length: int | None, close: bool, chunked: bool = False
+) -> bytes:
+    """A response's head; without a length and not chunked, its body lasts until the connection ends."""
+    reason = REASONS.get(status, "Unknown").encode()
+    ending = b"Connection: close\r\n\r\n" if close else b"\r\n"
+    framing = b"Transfer-Encoding: chunked\r\n" if chunked else b""
+    if length is not None and status not in (204, 304):
+        framing = b"Content-Length: %d\r\n" % length
+    return b"HTTP/1.1 %d %b\r\n%b%b%b" % (status, reason, write_fields(fields), framing, ending)
+
+
+def chunk(data: bytes) -> bytes:
+    """A chunk; b"" gives none, as that would be the last one."""
+    return b"%x\r\n%b\r\n" % (len(data), data) if data else b""
+
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+
 def write_response(
     status: int, fields: list[tuple[bytes, bytes]], body: bytes, close: bool, bodiless: bool = False
 ) -> bytes:
     """A response with its length; `bodiless` (to HEAD) leaves the body itself out."""
-    reason = REASONS.get(status, "Unknown").encode()
-    ending = b"Connection: close\r\n\r\n" if close else b"\r\n"
-    framing = b"" if status in (204, 304) else b"Content-Length: %d\r\n" % len(body)
-    head = b"HTTP/1.1 %d %b\r\n%b%b%b" % (status, reason, write_fields(fields), framing, ending)
+    head = write_head(status, fields, len(body), close)
     return head if bodiless or status in (204, 304) else head + body
--- a/pepperrun/net/server_side.py
+++ b/pepperrun/net/server_side.py
@@ -1,7 +1,8 @@
 """Connections to backends: pools, attempts and their outcomes.
 
 An attempt goes out once on one connection and is never sent again from here, not even when a kept connection
-turns out stale. One request at a time travels on a connection.
+turns out stale. One request at a time travels on a connection. Long bodies pass through in pieces, both ways:
+a request's is spent once its first attempt has a connection, an answer's is the answer once it has begun.
 """
 
 from __future__ import annotations
@@ -19,7 +20,19 @@
 from pepperrun.log import say
 from pepperrun.net.buffer import Buffer, unread
 from pepperrun.net.directory import Directory
-from pepperrun.net.http1 import ANSWER_ROOM, HttpError, Request, Response, ResponseParser, write_fields
+from pepperrun.net.http1 import (
+    ANSWER_ROOM,
+    LAST_CHUNK,
+    MAX_HEAD,
+    MOST_BODY,
+    HttpError,
+    Request,
+    Response,
+    ResponseParser,
+    chunk,
+    write_fields,
+)
+from pepperrun.net.stream import MOST, Budget, Stream
 
 SILENT_NS = SECOND  # a backend that has been asked and said nothing for so long may have been cut off
 STALE_NS = SECOND // 100  # a kept connection that was no longer one breaks this soon under a request
@@ -29,6 +42,9 @@
 FADE = 0.97  # in each sweep: what was learnt is tried again
 IDLE_PART = 0.8  # of the time after which the other side closes an idle connection: closed here before
 SWEEP_S = 1.0
+HELD = 64 * 1024  # bytes of an answer up to which it is held whole, so that a break can be made good
+PIECES_ROOM = MAX_HEAD + MOST
+HOLD_NS = SECOND // 2  # a longer one that comes slowly is not held for more than this
 SAFE = (b"GET", b"HEAD")  # to send again, by HTTP's own word
 
 Ended = Callable[[Exchange[Any, Any], int, int, Outcome, object, float], None]
@@ -60,16 +76,21 @@
 
 def write_request(request: Request, timeout_ns: int) -> bytes:
     """The request as a backend reads it, with the time that this attempt will be waited for."""
-    length = b"Content-Length: %d\r\n" % len(request.body) if request.body else b""
-    if not length and request.method not in (b"GET", b"HEAD"):
-        length = b"Content-Length: 0\r\n"
+    if request.whole:
+        length = b"Content-Length: %d\r\n" % len(request.body) if request.body else b""
+        if not length and request.method not in (b"GET", b"HEAD"):
+            length = b"Content-Length: 0\r\n"
+    elif request.length is None:
+        length = b"Transfer-Encoding: chunked\r\n"
+    else:
+        length = b"Content-Length: %d\r\n" % request.length
     return b"%b %b HTTP/1.1\r\n%bX-Budget: %du\r\n%b\r\n%b" % (
         request.method,
         request.target,
         write_fields(request.fields),
         max(1, timeout_ns // 1000),
         length,
-        request.body,
+        request.body if request.whole or request.length is not None else chunk(request.body),
     )
 
 
@@ -140,9 +161,19 @@
     def __init__(self, side: ServerSide, pool: Pool) -> None:
         self.side, self.pool = side, pool
         self.transport: asyncio.Transport | None = None
-        self.buffer = Buffer(ANSWER_ROOM)
-        self.parser = ResponseParser(self.buffer)
+        budget = side.budget
+        if budget is None:
+            self.buffer = Buffer(ANSWER_ROOM)
+            self.parser = ResponseParser(self.buffer)
+        else:
+            self.buffer = Buffer(PIECES_ROOM)
+            self.parser = ResponseParser(self.buffer, MOST_BODY, HELD)
         self.attempt: Attempt | None = None
+        self.upload: Stream | None = None  # the rest of the request's body
+        self.chunked = False  # it goes out in chunks
+        self.download: Stream | None = None  # the rest of the answer's body, which its client takes
+        self.last: Response | None = None  # the answer that passes through
+        self.head_at = 0  # when the answer's first byte came
         self.unsent = False  # the last byte of the request is not yet written
         self.idle_since = self.heard_at = self.started_at = 0
         self.served = 0  # answers so far
@@ -162,18 +193,62 @@
         self.attempt, attempt.connection = attempt, self
         self.started_at = now
         self.pool.asked_at = self.pool.asked_at or now
-        self.transport.write(write_request(attempt.exchange.asked, attempt.deadline - now))
+        asked = attempt.exchange.asked
+        self.unsent = not asked.whole
+        left_ns = attempt.deadline - now if asked.whole else attempt.exchange.patience
+        self.transport.write(write_request(asked, left_ns))
         if self.transport.is_closing():
             self.unsent = True  # the write itself failed: nothing has gone out
-        elif not self.unsent:
+        elif asked.stream is not None and not asked.whole:
+            self.upload, self.chunked = asked.stream, asked.length is None
+            attempt.exchange.spent = True
+            asked.stream.open(self)
+            if self.blocked and self.upload is not None:
+                self.upload.hold(True)
+        elif not self.blocked:
             self.side.written += 1
 
+    @property
+    def blocked(self) -> bool:
+        """Has the system not taken all that was written?"""
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
     def pause_writing(self) -> None:
         self.unsent = True
+        if self.upload is not None:
+            self.upload.hold(True)
 
     def resume_writing(self) -> None:
-        self.unsent = False
-        self.side.written += 1
+        if self.upload is not None:
+            self.upload.hold(False)
+        elif self.attempt is not None and self.attempt.exchange.asked.whole:
+            self.unsent = False
+            self.side.written += 1
+
+    # The rest of a request's body, as its client sends it.
+
+    def more(self, data: bytes) -> None:
+        if self.transport is not None:
+            self.transport.write(chunk(data) if self.chunked else data)
+
+    def whole(self) -> None:
+        """All of it is there: from here on the backend's time counts, and the client's."""
+        self.upload = None
+        attempt, transport = self.attempt, self.transport
+        if attempt is None or transport is None:
+            return
+        if self.chunked:
+            transport.write(LAST_CHUNK)
+        attempt.exchange.asked.whole = True  # for this connection's own questions; the body is spent
+        if not self.blocked:
+            self.unsent = False
+            self.side.written += 1
+        self.side.sent_whole(attempt)
+
+    def broken(self) -> None:
+        """The client has gone, or sends what can't be read: what the backend has is no request."""
+        self.upload = None
+        self.close()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return self.buffer.room()
@@ -188,17 +263,27 @@
             else:
                 self.side.wear.saw_new(False)
         self.heard_at = now
+        if self.download is not None:
+            self._pass_on(self.download)
+            return
         attempt = self.attempt
         if attempt is None:  # nothing was asked
             self.close()
             return
+        self.head_at = self.head_at or now
         try:
             response = self.parser.next()
+            if response is None and self.side.budget is not None and self.parser.response is not None:
+                long = self.parser.body is not None and self.parser.body.got > 0
+                if long and now - self.head_at > HOLD_NS:  # it comes slowly: its client need not wait for all
+                    response = self.parser.give()
         except HttpError as error:
             self._spoilt(attempt, str(error))
             return
-        if response is not None:
+        if response is not None and response.whole:
             self._answered(attempt, response)
+        elif response is not None:
+            self._begun(attempt, response)
         elif self.watched is None:
             self.watched = self.side.loop.call_later(self.side.connect_s, self._stalled, attempt)
 
@@ -223,12 +308,69 @@
         else:
             self._spoilt(attempt, "it stops short")
 
-    def _answered(self, attempt: Attempt, response: Response) -> None:
-        self.attempt = None
-        self.served += 1
+    def _begun(self, attempt: Attempt, response: Response) -> None:
+        """An answer that is longer than is held: its client gets it as it comes, and it is the answer."""
+        assert self.side.budget is not None
+        outcome, units = self.side.judge(response)
+        if outcome is not Outcome.OK:  # nobody is given its body
+            self.attempt = None
+            self.close()
+            self.side.end(attempt, outcome, response, units)
+            return
+        self._unwatch()
+        self.attempt, self.last = None, response
+        self.download = stream = Stream(self.side.budget, self._pause, self.close)
+        response.stream, attempt.exchange.passing = stream, True
+        self.buffer.widen(self.side.budget.share())
+        self.side.end(attempt, outcome, response, units)
+        if not stream.opened:
+            stream.drop()  # its client has gone, or has another answer
+        elif self.download is stream:
+            self._pass_on(stream)
+
+    def _unwatch(self) -> None:
         if self.watched is not None:
             self.watched.cancel()
             self.watched = None
+
+    def _pause(self, on: bool) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            (self.transport.pause_reading if on else self.transport.resume_reading)()
+
+    def _pass_on(self, stream: Stream) -> None:
+        try:
+            while data := self.parser.pull():
+                stream.feed(data)
+        except HttpError as error:
+            say("backend", f"an answer that can't be read: {error}")
+            self.close()
+            return
+        if self.parser.complete() and self.download is stream:
+            self._passed(stream)
+
+    def _passed(self, stream: Stream) -> None:
+        """All of it has come."""
+        response, self.last, self.download = self.last, None, None
+        self.buffer.widen(0)
+        assert response is not None
+        self._release(response)
+        stream.finish()
+
+    def _answered(self, attempt: Attempt, response: Response) -> None:
+        self.attempt = None
+        self._unwatch()
+        self._release(response)
+        outcome, units = self.side.judge(response)
+        self.side.end(attempt, outcome, response, units)
+
+    def _release(self, response: Response) -> None:
+        """The connection has brought its answer and may take the next request."""
+        self.served += 1
+        self.head_at = 0
+        if self.upload is not None:  # it was answered before it was whole
+            self.upload.drop()
+            self.upload = None
+            self.unsent = True
         if response.close() or len(self.buffer) or self.unsent:
             self.close()
         elif self.transport is not None and not self.transport.is_closing():
@@ -237,21 +379,29 @@
                 self.close()
             else:
                 self.side.free(self)  # first: what the answer brings about may use it
-        outcome, units = self.side.judge(response)
-        self.side.end(attempt, outcome, response, units)
 
     def eof_received(self) -> bool:
-        if self.attempt is not None and (response := self.parser.end()) is not None:
+        response = self.parser.end()
+        if self.download is not None:
+            if self.parser.complete():
+                self.close()
+                self._passed(self.download)
+        elif self.attempt is not None and response is not None:
             self.close()
             self._answered(self.attempt, response)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
-        if self.watched is not None:
-            self.watched.cancel()
+        self._unwatch()
         attempt, self.attempt = self.attempt, None
         self.side.lost(self)
+        if self.upload is not None:
+            self.upload.drop()
+            self.upload = None
+        if self.download is not None:
+            self.download.fail()  # its client must see that it is not whole
+            self.download = None
         if attempt is not None:
             self.side.end(attempt, Outcome.CONNECT_FAILED if self.unsent else self._broke())
 
@@ -285,7 +435,9 @@
         most: int,
         keepalive_ns: int,
         connect_timeout_ns: int,
+        budget: Budget | None = None,
     ) -> None:
+        self.budget = budget  # for long answers; None: all are held whole
         self.loop, self.clock, self.directory = loop, clock, directory
         self.ended, self.judge, self.most = ended, judge, most
         self.idle_ns, self.connect_s = int(keepalive_ns * IDLE_PART), connect_timeout_ns / SECOND
@@ -371,6 +523,15 @@
             pool.waiting.remove(attempt)
         self.ended(attempt.exchange, attempt.number, attempt.backend, outcome, given, units)
 
+    def sent_whole(self, attempt: Attempt) -> None:
+        """The last byte of a long request has gone out: its attempt began now, and has the client's time."""
+        now, exchange = self.clock(), attempt.exchange
+        exchange.attempts[attempt.number] = now
+        attempt.deadline = min(attempt.deadline, now + exchange.patience)
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        attempt.timer = self.loop.call_later((attempt.deadline - now) / SECOND, self._late, attempt)
+
     def _late(self, attempt: Attempt) -> None:
         early = attempt.deadline - self.clock()
         if early > 0:
--- a/pepperrun/state.py
+++ b/pepperrun/state.py
@@ -77,6 +77,7 @@
         self.id, self.cls, self.units, self.kind = event.id, event.cls, event.units, kind
         self.deadline, self.aim = now + event.left_ns, now + min(kind.aim_ns, event.left_ns)
         self.attempts: list[Attempt] = []
+        self.once, self.spent = event.once, False  # a body that is not held whole; some of it has gone out
         self.asking = self.waiting = self.done = self.stream = False
         self.asks = self.asked_at = 0  # asks sent to keepers since the last answer, and when the last one
 
