A late yes still takes over; a shared socket's drain closes nothing before its next answer

Read from that: a successor that took over 1 s from the state to its yes was given up, both processes accepted, and at SIGTERM the first closed its idle connections at once. Ruled out: the module (refused, tries and copies as in the others). Change: after 0.7 s the predecessor serves on and a later yes gets a new state; with an inherited socket a drain ends connections with their next answer; a request half read is not held. Two tests, each fails without its part.

--- a/pepperrun/fronts/http_client.py
+++ b/pepperrun/fronts/http_client.py
@@ -226,8 +226,10 @@
     def hold(self, on: bool) -> None:
         """Reads no next request until another process has the connection, or reads on."""
         transport = self.transport
-        if transport is None or transport.is_closing() or on == self.held or on and self.step is not None:
+        if transport is None or transport.is_closing() or on == self.held:
             return
+        if on and (self.step is not None or self.parser.request is not None or self.download is not None):
+            return  # what has begun goes on
         self.held = on
         if on:
             transport.pause_reading()
--- a/pepperrun/handover/predecessor.py
+++ b/pepperrun/handover/predecessor.py
@@ -25,7 +25,7 @@
     from pepperrun.net.server_side import ServerSide
 
 PASS_S = 0.02  # between looks for connections that have come to owe nothing
-YES_S = 1.0  # for the successor to say yes once it has the state: clients wait meanwhile
+YES_S = 0.7  # for the successor to say yes once it has the state: clients wait meanwhile
 AHEAD = 64  # messages to the successor that wait; it may be slow to take them
 
 
@@ -92,7 +92,9 @@
             return
         if kind is Kind.TAKE and self.phase is Phase.SERVING:
             self._give()
-        elif kind is Kind.YES and self.phase is Phase.GIVING:
+        elif kind is Kind.YES and self.phase is not Phase.GIVEN:
+            if self.phase is Phase.SERVING:  # it was late, and what it has been given is old
+                self._give()
             self._given()
         elif kind is Kind.HEARD and self.phase is not Phase.SERVING and len(body) > 4:
             self.gatekeeper.heard(int.from_bytes(body[:4], "little"), body[4:])
@@ -112,14 +114,15 @@
         for message in wire.state({"gateway": table} | self.table()):
             self.channel.send(message)
         if peers is not None and (fd := peers.give()) is not None:
-            self.channel.send(wire.plain(Kind.PEERS), fd)
+            self.channel.send(wire.plain(Kind.PEERS), fd)  # one that it has already is closed there
         say("hand-over: given", f"gave the state to a successor: {len(self.kept)} customers")
         self._timer = self.loop.call_later(YES_S, self._no_yes)
 
     def _no_yes(self) -> None:
+        self._timer = None
         if self.phase is Phase.GIVING:
-            say("hand-over", "the successor did not say yes in time")
-            self._end_channel()
+            say("hand-over", "the successor has not said yes yet: serving on until it does")
+            self._serve_on()
 
     def _given(self) -> None:
         self.phase = Phase.GIVEN
@@ -159,10 +162,17 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        phase, self.phase = self.phase, Phase.SERVING
-        if phase is Phase.SERVING or self.ending:
+        if self.phase is Phase.SERVING or self.ending:
+            self.phase = Phase.SERVING
             return
         say("hand-over: gone", "the successor is gone: serving on")
+        self._serve_on()
+        self._shut_door()  # at its path there may be the successor's
+        self.open()
+
+    def _serve_on(self) -> None:
+        """Decides again, with what it kept back."""
+        self.phase = Phase.SERVING
         state.take_back(self.gatekeeper.gateway, self.kept, self.gatekeeper.clock())
         self.kept = []
         self.gatekeeper.telling = True
@@ -173,8 +183,6 @@
         for client in list(self.listener.clients):
             client.hold(False)
         self.listener.go_on()
-        self._shut_door()  # at its path there may be the successor's
-        self.open()
 
     async def finish(self, longest_s: float) -> bool:
         """At SIGTERM: until what was taken has its answer and the connections are passed on.
--- a/pepperrun/handover/successor.py
+++ b/pepperrun/handover/successor.py
@@ -60,14 +60,17 @@
             if kind is Kind.CLIENT and fd is not None:
                 given, fd = fd, None
                 self._client(wire.read_client(body), given)
-            elif kind is Kind.STATE and self.table is None:
+            elif kind is Kind.STATE:
                 self.assembly.add(body)
-            elif kind is Kind.WHOLE and self.table is None:
-                table = self.assembly.whole(body)
+            elif kind is Kind.WHOLE:
+                assembly, self.assembly = self.assembly, wire.Assembly()
+                table = assembly.whole(body)
                 if not isinstance(table, dict):
                     raise ValueError("the state is no object")
                 self.table = table
                 self.whole.set()
+                if self.gatekeeper is not None:  # the yes was late, and the first one is old by now
+                    self.take_in(self.gatekeeper)
             elif kind is Kind.PEERS and fd is not None and self.peers_fd is None:
                 self.peers_fd, fd = fd, None
             elif kind is Kind.LEFT and self.gatekeeper is not None:
--- a/pepperrun/net/listener.py
+++ b/pepperrun/net/listener.py
@@ -19,6 +19,7 @@
 PART = 4  # this part gives way at a time: looking at them all for each new one takes long
 BACKLOG = 512
 ACCEPT_S = 0.5  # after SIGTERM new connections keep coming for up to 0.4 s
+SHARED_S = 2.5  # of the 3.7 s that a planned restart has at the least
 LINGER_S = 0.15  # and the last of them may still send their request this much later
 
 
@@ -86,6 +87,7 @@
         self.accepting = 0
         self.draining = False
         self.passing: Callable[[Client], None] | None = None  # told of each that has had an answer
+        self.shared = False  # the platform holds the listening socket, and may give it to others
         self.held = False  # another process of this gatekeeper accepts
         self.socket: socket.socket | None = None
         self.backlog = BACKLOG
@@ -108,6 +110,7 @@
         """Listens at an address, or by a socket that does so already and may be another process's too."""
         if inherited is not None:
             inherited.setblocking(False)
+            self.shared = True
             self.socket, self.address = inherited, inherited.getsockname()[:2]
             self._resume()
             self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
@@ -261,10 +264,21 @@
         comes again on a new connection, and new ones are still taken.
         """
         self.draining = True
-        for client in list(self.clients):
-            if not client.busy() and not client.fresh():
-                client.close()
-        await asyncio.sleep(accept_s)
+        if self.shared:
+            # Whoever else has the socket accepts. A closing that crosses a request is to be avoided: each
+            # connection ends with its next answer, and those that say nothing at the end.
+            self.shut()
+            try:
+                async with asyncio.timeout(SHARED_S):
+                    while self.clients:
+                        await self.changed()
+            except TimeoutError:
+                pass
+        else:
+            for client in list(self.clients):
+                if not client.busy() and not client.fresh():
+                    client.close()
+            await asyncio.sleep(accept_s)
         self.shut()
         await asyncio.sleep(linger_s)
         for client in list(self.clients):
@@ -274,7 +288,8 @@
     def shut(self) -> None:
         """Takes what has connected so far, and listens no more."""
         if self.socket is not None:
-            self._accept()
+            if not self.shared:
+                self._accept()
             self._pause()
             self.socket.close()
             self.socket = None
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -509,3 +509,71 @@
         assert node.logs[process.pid][-1].startswith("pepperrun: NODE_INHERITED_FD:")
 
     going(test)
+
+
+def test_a_yes_that_comes_late_still_takes_over_and_with_a_state_that_is_new(tmp_path):
+    # A start that is short of processor time: the clients are served meanwhile, and nobody is closed on.
+    async def test():
+        worker = await StandIn(ok(b"answer")).start()
+        known = {"version": 3, "full": True, "servers": [line("w", worker.port)]}
+        node = Node(tmp_path, known=known, settings=TIGHT)
+        old, admin = await node.start()
+        idle = await Client.to(node.port)
+        idle.ask()
+        assert (await idle.answer())[0] == 200
+        loop = asyncio.get_running_loop()
+        link = knock(path_of(str(tmp_path), "n0"))
+        assert link is not None
+        heard: asyncio.Queue[tuple[bytes, int | None]] = asyncio.Queue()
+        lost = asyncio.Event()
+        late = Channel(loop, link, lambda data, fd: heard.put_nowait((data, fd)), lost.set)
+
+        async def state_of() -> list[float]:
+            assembly = wire.Assembly()
+            while True:
+                data, fd = await heard.get()
+                if fd is not None:
+                    os.close(fd)
+                kind, body = wire.read(data)
+                if kind is wire.Kind.STATE:
+                    assembly.add(body)
+                elif kind is wire.Kind.WHOLE:
+                    return assembly.whole(body)["gateway"]["accounts"][0]["stores"]
+
+        late.send(wire.plain(wire.Kind.TAKE))
+        first = await state_of()
+        await node.until(old, "serving on until it does")
+        assert await readyz(admin) == b"done\n"
+        idle.ask()  # on the connection that was held
+        assert (await idle.answer())[0] == 200
+        late.send(wire.plain(wire.Kind.YES))
+        second = await state_of()
+        assert sum(first) > 0 and second[0] < first[0]
+        while wire.read((got := await heard.get())[0])[0] is not wire.Kind.CLIENT:
+            if got[1] is not None:
+                os.close(got[1])
+        assert got[1] is not None
+        os.close(got[1])
+        old.send_signal(signal.SIGTERM)
+        assert await old.wait() == 0
+        late.close()
+
+    going(test)
+
+
+def test_a_process_that_ends_without_a_successor_closes_no_connection_before_its_next_answer(tmp_path):
+    async def test():
+        worker = await StandIn(ok(b"answer")).start()
+        node = Node(tmp_path, known={"version": 3, "full": True, "servers": [line("w", worker.port)]})
+        old, _ = await node.start()
+        kept = await Client.to(node.port)
+        kept.ask()
+        assert (await kept.answer())[0] == 200
+        old.send_signal(signal.SIGTERM)
+        await node.until(old, "drains")
+        kept.ask()
+        status, fields, _ = await kept.answer()
+        assert (status, fields["connection"]) == (200, "close")
+        assert await old.wait() == 0
+
+    going(test)
