Long answers begin after 8 KiB, early refusals let a request's rest come; tests of bodies

Change: the rest of a refused request is read and dropped, its connection goes on; an answer whose length is told begins with 8 KiB, another one after 200 ms.

--- a/pepperrun/fronts/http_client.py
+++ b/pepperrun/fronts/http_client.py
@@ -378,6 +378,8 @@
             left_s = step[1].patience / SECOND
             self.patience = self.listener.loop.call_later(left_s, self._out_of_time, step)
         upload.finish()
+        if step is None:
+            self._next()
 
     def _out_of_time(self, step: Step) -> None:
         self.patience = None
@@ -408,10 +410,12 @@
         """The rest of a body is not to be had: the backend gets no request, and the client hears why."""
         upload, self.upload = self.upload, None
         step, self.step = self.step, None
+        if step is None:  # answered long ago
+            self.close()
+            return
         if upload is not None:
             upload.fail()
-        if step is not None:
-            step[0].left(step[1])
+        step[0].left(step[1])
         if self.transport is not None and not self.transport.is_closing():
             self._reject((status, [TEXT], text))
 
@@ -455,15 +459,18 @@
         what = self.follow(final)
         upload = self.upload
         if upload is not None and len(what) != 2:
-            # Answered before it was whole: where the next request begins is not known in time.
-            self.upload = None
+            # Answered before it was whole: the rest is read and dropped, as its client may read only then.
             upload.drop()
             if len(what) == 4 and what[3].stream is not None:  # nor has the client room for a long answer yet
                 what[3].stream.drop()
                 self._taken(End.FAILED)
                 what = 502, [TEXT], b"answered before the request was whole\n"
-            if self.transport is not None:
+            request = self.request
+            if self.listener.draining or request is not None and request.close():
+                self.upload = None
                 self._reject(what)
+            else:
+                self._proceed(what)
             return
         self._proceed(what)
         if self.download is not None:
--- a/pepperrun/net/server_side.py
+++ b/pepperrun/net/server_side.py
@@ -44,7 +44,8 @@
 SWEEP_S = 1.0
 HELD = 64 * 1024  # bytes of an answer up to which it is held whole, so that a break can be made good
 PIECES_ROOM = MAX_HEAD + MOST
-HOLD_NS = SECOND // 2  # a longer one that comes slowly is not held for more than this
+HOLD_NS = SECOND // 5  # one whose length is not told, and that comes slowly, is not held for more than this
+SURE = 8 * 1024  # bytes of a long answer that are awaited before it is the answer
 SAFE = (b"GET", b"HEAD")  # to send again, by HTTP's own word
 
 Ended = Callable[[Exchange[Any, Any], int, int, Outcome, object, float], None]
@@ -274,9 +275,7 @@
         try:
             response = self.parser.next()
             if response is None and self.side.budget is not None and self.parser.response is not None:
-                long = self.parser.body is not None and self.parser.body.got > 0
-                if long and now - self.head_at > HOLD_NS:  # it comes slowly: its client need not wait for all
-                    response = self.parser.give()
+                response = self._early(now)
         except HttpError as error:
             self._spoilt(attempt, str(error))
             return
@@ -308,6 +307,17 @@
         else:
             self._spoilt(attempt, "it stops short")
 
+    def _early(self, now: int) -> Response | None:
+        """A long answer's beginning, if its client need not wait for more of it.
+
+        Some bytes must be there: a spoilt one that says to be long mostly stops soon, and can be made good.
+        """
+        body, response = self.parser.body, self.parser.response
+        if body is None or response is None or body.got < SURE:
+            return None
+        long = response.length is not None and response.length > HELD
+        return self.parser.give() if long or now - self.head_at > HOLD_NS else None
+
     def _begun(self, attempt: Attempt, response: Response) -> None:
         """An answer that is longer than is held: its client gets it as it comes, and it is the answer."""
         assert self.side.budget is not None
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -16,6 +16,7 @@
 from pepperrun.net.directory import Directory
 from pepperrun.net.http1 import Request
 from pepperrun.net.listener import Listener
+from pepperrun.net.stream import Budget
 from pepperrun.net.server_side import ServerSide, platform_judge
 
 MS = 1_000_000
@@ -188,7 +189,11 @@
     """The whole gatekeeper behind the platform's front, on an ephemeral port."""
 
     def __init__(
-        self, settings: Settings = SETTINGS, most: int = 50, auth: AuthService | None = None
+        self,
+        settings: Settings = SETTINGS,
+        most: int = 50,
+        auth: AuthService | None = None,
+        budget: Budget | None = None,
     ) -> None:
         loop = asyncio.get_running_loop()
         self.clock = Clock()
@@ -203,9 +208,10 @@
             20,
             15 * SECOND,
             SECOND,
+            budget,
         )
         self.gatekeeper.backends = self.side
-        self.platform = Platform(settings, self.gatekeeper, self.clock, auth)
+        self.platform = Platform(settings, self.gatekeeper, self.clock, auth, budget)
         self.listener = Listener(loop, self.clock, most, self.platform.make)
         self.listener.open((HOST, 0))
 
--- /dev/null
+++ b/tests/test_bodies.py
@@ -0,0 +1,529 @@
+"""Bodies far larger than memory: pieces, pauses, breaks, repeats, and the memory of the real program."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import os
+import signal
+import socket
+import struct
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from standins import HOST, SECOND, Client, Front, StandIn, answer, going, line, ok
+from test_http1 import CUTS, chunked
+from test_main import SETTINGS, built, start
+
+from pepperrun.exchange import End
+from pepperrun.net.buffer import Buffer
+from pepperrun.net.http1 import (
+    ROOM,
+    HttpError,
+    RequestParser,
+    ResponseParser,
+)
+from pepperrun.net.stream import LEAST, MOST, Budget, Stream
+
+__all__ = ["built"]  # the fixture that runs the deploy file's build
+MB = 1024 * 1024
+RESET = struct.pack("ii", 1, 0)
+HEAD = (
+    b"POST /confirm?customer=7 HTTP/1.1\r\nHost: h\r\nX-Call-Id: 1\r\nX-Plan: wide\r\nIdempotency-Key: k\r\n"
+)
+
+
+# Parsers: the same body, held or in pieces, however it is cut.
+
+
+def pieces(parser: RequestParser | ResponseParser, data: bytes, cuts: list[int]) -> tuple[bytes, bool]:
+    """The body that comes of the data given in pieces, and whether it is whole."""
+    body, message, at = b"", None, 0
+    for cut in [*sorted({cut % (len(data) + 1) for cut in cuts}), len(data)]:
+        part, at = data[at:cut], cut
+        while part:
+            room = min(len(part), len(parser.buffer.room()))
+            assert room, "it is held in the buffer for good"
+            parser.buffer.add(part[:room])
+            part = part[room:]
+            if message is None:
+                message = parser.next()
+                body += message.body if message is not None else b""
+            while message is not None and (more := parser.pull()):
+                body += more
+    return body, message is not None and parser.complete()
+
+
+@given(st.integers(0, 300_000), st.integers(0, 50_000), st.integers(0, 99), CUTS, st.booleans())
+def test_a_body_is_the_same_in_pieces_however_it_is_cut(size, chunk, seed, cuts, answers):
+    body = hashlib.sha256(bytes([seed])).digest() * (size // 32)
+    framed = b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+    if chunk:
+        framed = b"Transfer-Encoding: chunked\r\n\r\n" + chunked(body, chunk)
+    if answers:
+        parser: Any = ResponseParser(Buffer(ROOM), 1 << 30, 64 * 1024)
+        data = b"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\n" + framed
+    else:
+        parser, data = RequestParser(Buffer(ROOM), 1 << 30, 64 * 1024), HEAD + framed
+    assert pieces(parser, data, cuts) == (body, True)
+
+
+@given(st.integers(70_000, 200_000), CUTS, st.binary(max_size=300), st.booleans())
+def test_garbage_within_a_long_body_is_never_its_end(size, cuts, garbage, answers):
+    kind: Any = ResponseParser if answers else RequestParser
+    parser = kind(Buffer(ROOM), 1 << 30, 64 * 1024)
+    head = b"HTTP/1.1 200 OK\r\n" if answers else HEAD
+    data = head + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % size + b"x" * (size // 2)
+    try:
+        body, whole = pieces(parser, data + garbage, cuts)
+    except HttpError:
+        return
+    assert not whole and len(body) <= size // 2 + len(garbage)
+
+
+def test_a_body_over_the_limit_is_refused_before_and_while_it_comes():
+    with pytest.raises(HttpError, match="too long"):
+        pieces(RequestParser(Buffer(ROOM), MB, 1000), HEAD + b"Content-Length: 1048577\r\n\r\n", [])
+    data = HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunked(bytes(2 * MB), 100_000)
+    with pytest.raises(HttpError, match="too long"):
+        pieces(RequestParser(Buffer(ROOM), MB, 1000), data, [])
+
+
+# Streams.
+
+
+class Taker:
+    def __init__(self) -> None:
+        self.got: list[bytes] = []
+        self.end = ""
+
+    def more(self, data: bytes) -> None:
+        self.got.append(data)
+
+    def whole(self) -> None:
+        self.end += "whole"
+
+    def broken(self) -> None:
+        self.end += "broken"
+
+
+@given(st.lists(st.sampled_from(["feed", "finish", "fail", "open", "hold", "on", "drop"]), max_size=12))
+def test_a_stream_ends_once_and_gives_its_memory_back(steps):
+    budget, paused, dropped, taker = Budget(MB), [], [], Taker()
+    stream = Stream(budget, paused.append, lambda: dropped.append(1))
+    fed = 0
+    for step in steps:
+        if step == "feed" and stream.ended is None:
+            stream.feed(b"x")
+            fed += 1
+        elif step == "open" and not stream.opened:
+            stream.open(taker)
+        elif step in ("finish", "fail", "drop"):
+            getattr(stream, step)()
+        elif step in ("hold", "on"):
+            stream.hold(step == "hold")
+    stream.drop()
+    assert budget.bodies == 0 and stream.closed
+    assert taker.end in ("", "whole", "broken") and len(dropped) <= 1
+    if taker.end == "whole":
+        assert len(taker.got) == fed or "drop" in steps
+
+
+def test_what_bodies_hold_together_stays_within_the_budget_however_many_there_are():
+    budget = Budget.of_memory(40)
+    assert budget.share() == MOST
+    for bodies in (1, 10, 100, 600):
+        budget.bodies = bodies
+        assert LEAST <= budget.share() <= MOST and 3 * bodies * budget.share() <= max(
+            budget.total, 12 * bodies * 1024
+        )
+
+
+# The whole gatekeeper, in this process.
+
+
+def long_front() -> Front:
+    return Front(budget=Budget(4 * MB))
+
+
+def test_a_long_answer_passes_as_it_comes_and_counts_once_it_is_whole():
+    # Its client has the beginning while its worker still writes.
+    async def test():
+        body = os.urandom(300_000)
+
+        async def slowly(server: StandIn, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + body[:100_000])
+            await server.go.wait()
+            writer.write(body[100_000:])
+
+        front, worker = long_front(), await StandIn(slowly).start()
+        front.list(line("w", worker.port))
+        client = await front.client()
+        client.ask()
+        head = await client.reader.readuntil(b"\r\n\r\n")
+        assert b"Content-Length: 300000" in head
+        first = await client.reader.readexactly(90_000)
+        assert front.gatekeeper.waiting() == 1 and front.gatekeeper.counts[End.SERVED] == 0
+        worker.go.set()
+        assert first + await client.reader.readexactly(210_000) == body
+        client.ask()  # the connection, and the worker's, are of use again
+        assert (await client.answer())[0] == 200
+        assert worker.connections == 1 and front.gatekeeper.counts[End.SERVED] >= 1
+        assert front.gatekeeper.waiting() <= 1
+
+    going(test)
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks", "end"])
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+def test_long_answers_of_every_framing_reach_clients_of_both_versions(framing, version):
+    async def test():
+        body = os.urandom(200_000)
+        data = {
+            "length": b"Content-Length: 200000\r\n\r\n" + body,
+            "chunks": b"Transfer-Encoding: chunked\r\n\r\n" + chunked(body, 7001),
+            "end": b"\r\n" + body,
+        }[framing]
+
+        async def step(server: StandIn, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\n" + data)
+            await writer.drain()
+            if framing == "end":
+                writer.close()
+
+        front, worker = long_front(), await StandIn(step).start()
+        front.list(line("w", worker.port))
+        client = await front.client()
+        client.writer.write(
+            b"GET /search?customer=7 HTTP/%b\r\nHost: h\r\nX-Call-Id: 1\r\nX-Plan: wide\r\n" % version
+            + b"Connection: close\r\n\r\n"
+        )
+        answered = await client.reader.read()
+        head, _, rest = answered.partition(b"\r\n\r\n")
+        if b"chunked" in head:
+            parser = ResponseParser(Buffer(MB))
+            parser.buffer.add(answered)
+            got = parser.next()
+            assert got is not None and got.whole
+            rest = got.body
+        assert rest == body and (version == b"1.1" or b"chunked" not in head)
+
+    going(test)
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks", "end"])
+def test_a_long_answer_that_breaks_ends_the_clients_connection_and_is_not_tried_again(framing):
+    async def test():
+        heads = {
+            "length": b"Content-Length: 200000\r\n",
+            "chunks": b"Transfer-Encoding: chunked\r\n",
+            "end": b"",
+        }
+        part = b"%x\r\n" % 150_000 if framing == "chunks" else b""
+
+        async def step(server: StandIn, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\n" + heads.get(framing, b"") + b"\r\n" + part + bytes(100_000))
+            await writer.drain()
+            await server.go.wait()
+            # A reset: without a length an orderly end is the body's.
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            writer.transport.abort()
+
+        front, worker = long_front(), await StandIn(step).start()
+        front.list(line("w", worker.port))
+        client = await front.client()
+        client.ask()
+        head = await client.reader.readuntil(b"\r\n\r\n")
+        worker.go.set()
+        with pytest.raises((ConnectionResetError, asyncio.IncompleteReadError)):
+            await client.reader.readexactly(400_000)
+        assert b"200" in head and worker.connections == 1 and len(worker.heads) == 1
+        assert front.gatekeeper.counts[End.FAILED] == 1 and front.gatekeeper.counts[End.SERVED] == 0
+        assert front.gatekeeper.waiting() == 0
+
+    going(test)
+
+
+def test_an_answer_within_what_is_held_is_still_made_good_elsewhere():
+    async def test():
+        async def short(server: StandIn, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + b"x" * 900)
+            writer.close()
+
+        front, worker = long_front(), await StandIn(short, ok(b"whole")).start()
+        front.list(line("w", worker.port))
+        client = await front.client()
+        client.ask()
+        assert (await client.answer())[::2] == (200, b"whole")
+
+    going(test)
+
+
+def test_a_client_that_leaves_in_the_middle_frees_the_worker_and_the_budget():
+    async def test():
+        async def endless(
+            server: StandIn, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n")
+            for _ in range(300):
+                writer.write(bytes(100_000))
+                await writer.drain()
+
+        front, worker = long_front(), await StandIn(endless).start()
+        front.list(line("w", worker.port))
+        client = await front.client()
+        client.ask()
+        await client.reader.readexactly(200_000)
+        client.writer.transport.abort()
+        await worker.closed.get()
+        while front.gatekeeper.waiting():
+            await asyncio.sleep(0.01)
+        budget = front.side.budget
+        assert budget is not None and budget.bodies == 0
+        assert front.gatekeeper.counts[End.SERVED] == 0
+
+    going(test)
+
+
+async def upload(client: Client, body: bytes, chunk: int = 0, pause: Callable[[], Any] | None = None) -> None:
+    framing = b"Transfer-Encoding: chunked\r\n\r\n" if chunk else b"Content-Length: %d\r\n\r\n" % len(body)
+    client.writer.write(HEAD + framing)
+    data = chunked(body, chunk) if chunk else body
+    for at in range(0, len(data), 50_000):
+        client.writer.write(data[at : at + 50_000])
+        await client.writer.drain()
+        if pause is not None:
+            await pause()
+
+
+def receiving(got: list[bytes]) -> Any:
+    """A worker that takes a request's body in whatever framing, and answers with its digest."""
+
+    async def step(server: StandIn, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        body = server.bodies if hasattr(server, "bodies") else b""
+        if b"chunked" in server.heads[-1].lower():
+            while size := int((await reader.readline()).split(b";")[0], 16):
+                body += await reader.readexactly(size)
+                await reader.readexactly(2)
+            await reader.readline()
+        got.append(body)
+        writer.write(ok(hashlib.sha256(body).hexdigest().encode()))
+
+    return step
+
+
+@pytest.mark.parametrize("chunk", [0, 9000])
+def test_a_long_request_passes_in_pieces_and_its_time_counts_from_its_last_byte(chunk):
+    async def test():
+        got: list[bytes] = []
+        front, worker = long_front(), await StandIn(receiving(got)).start()
+        front.list(line("w", worker.port))
+        client = await front.client()
+        body = os.urandom(300_000)
+        await upload(client, body, chunk, lambda: asyncio.sleep(0.01))
+        status, _, digest = await client.answer()
+        whole = got[0] if chunk else worker.arrived.get_nowait().split(b"\r\n\r\n", 1)[1]
+        assert status == 200 and whole == body
+        assert not chunk or digest.decode() == hashlib.sha256(body).hexdigest()
+        assert front.side.written == 1
+
+    going(test)
+
+
+def test_a_long_request_is_sent_once_whatever_becomes_of_it():
+    # Its body has gone out and is not there to be sent again.
+    async def test():
+        async def breaks(server: StandIn, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.transport.abort()
+
+        front = long_front()
+        workers = [await StandIn(breaks).start() for _ in range(3)]
+        front.list(*(line(f"w{number}", worker.port) for number, worker in enumerate(workers)))
+        client = await front.client()
+        await upload(client, bytes(200_000))
+        assert (await client.answer())[0] in (429, 502)
+        assert sum(len(worker.heads) for worker in workers) == 1
+
+    going(test)
+
+
+def test_a_worker_that_refuses_connections_has_not_spent_a_long_request():
+    async def test():
+        dead = await StandIn(ok()).start()
+        await dead.stop()
+        got: list[bytes] = []
+        front, worker = long_front(), await StandIn(receiving(got)).start()
+        front.list(line("d", dead.port), line("w", worker.port))
+        for _ in range(4):
+            client = await front.client()
+            await upload(client, bytes(100_000))
+            assert (await client.answer())[0] == 200
+        assert worker.arrived.qsize() == 4
+
+    going(test)
+
+
+def test_garbage_in_a_long_request_gets_400_and_its_worker_no_request():
+    async def test():
+        got: list[bytes] = []
+        front, worker = long_front(), await StandIn(receiving(got)).start()
+        front.list(line("w", worker.port))
+        client = await front.client()
+        client.writer.write(
+            HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"18000\r\n" + bytes(0x18000) + b"\r\nzz\r\n"
+        )
+        assert (await client.answer())[0] == 400
+        assert not got and front.side.written == 0
+
+    going(test)
+
+
+def test_a_refusal_does_not_wait_for_the_rest_of_a_long_request_nor_end_the_connection():
+    async def test():
+        front, worker = long_front(), await StandIn(ok(b"fine")).start()
+        front.list(line("w", worker.port))
+        client = await front.client()
+        head = HEAD.replace(b"wide", b"tight")
+        statuses = []
+        for _ in range(3):  # its plan lets one go
+            client.writer.write(head + b"Content-Length: 200000\r\n\r\n" + bytes(100_000))
+            if statuses:
+                statuses.append((await client.answer())[0])
+                client.writer.write(bytes(100_000))
+            else:
+                client.writer.write(bytes(100_000))
+                statuses.append((await client.answer())[0])
+        assert statuses == [200, 429, 429]
+        client.ask(plan="tight")
+        assert (await client.answer())[0] == 429
+
+    going(test)
+
+
+def test_one_that_reads_nothing_holds_up_nobody_else():
+    async def test():
+        big = answer(200, bytes(8 * MB))
+        front, worker = long_front(), await StandIn(big, big, ok(b"small")).start()
+        front.list(line("w", worker.port))
+        slow = [await front.client() for _ in range(2)]
+        for one in slow:
+            one.ask()
+            await one.reader.readexactly(1000)
+        client = await front.client()
+        for _ in range(5):
+            client.ask()
+            assert (await client.answer())[::2] == (200, b"small")
+        for one in slow:
+            one.writer.transport.abort()
+
+    going(test)
+
+
+def test_a_body_that_moves_slowly_is_not_cut_off_and_one_that_stands_still_is():
+    async def test():
+        front, worker = long_front(), await StandIn(ok(b"fine")).start()
+        front.list(line("w", worker.port))
+        moving, still = await front.client(), await front.client()
+        still.writer.write(HEAD + b"Content-Length: 200000\r\n\r\n" + bytes(70_000))
+        moving.writer.write(HEAD + b"Content-Length: 150000\r\n\r\n")
+        for _ in range(15):
+            moving.writer.write(bytes(10_000))
+            await asyncio.sleep(0.2)  # 50 kB a second, for longer than a request may take otherwise
+        assert (await moving.answer())[0] == 200
+        assert (await still.answer())[0] == 408
+
+    going(test)
+
+
+# The real program.
+
+
+def peak_kb(pid: int) -> int:
+    with open(f"/proc/{pid}/status") as file:
+        return next(int(text.split()[1]) for text in file if text.startswith("VmHWM"))
+
+
+BOTH = SETTINGS | {
+    "Classes": [
+        SETTINGS["Classes"][0] | {"DeadlineNs": 15 * SECOND},  # type: ignore[index]
+        {"Name": "confirm", "OnTimeNs": 2 * SECOND, "DeadlineNs": 15 * SECOND, "Semantics": "idempotency_key"}
+        | {"Group": "cell", "WindowNs": SECOND},
+    ],
+}
+SIZE = 32 * MB
+
+
+def test_32_megabytes_both_ways_stay_within_the_limit_on_memory(tmp_path):
+    # Six answers and three requests at once are nine times the limit.
+    async def test():
+        block = os.urandom(MB)
+        want = hashlib.sha256(block * 32).hexdigest()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            try:
+                head = await reader.readuntil(b"\r\n\r\n")
+                if head.startswith(b"POST"):
+                    digest, left = hashlib.sha256(), SIZE
+                    while left:
+                        some = await reader.read(min(left, 100_003))
+                        digest.update(some)
+                        left -= len(some)
+                    writer.write(ok(digest.hexdigest().encode()))
+                else:
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % SIZE)
+                    for _ in range(32):
+                        writer.write(block)
+                        await writer.drain()
+                await writer.drain()
+                await reader.read()
+            except (OSError, asyncio.IncompleteReadError):
+                pass
+            finally:
+                writer.close()
+
+        worker = await asyncio.start_server(serve, HOST, 0, limit=1 << 18)
+        port = worker.sockets[0].getsockname()[1]
+        limit_mb = 40
+        process, front = await start(
+            tmp_path / "c.json",
+            known={"version": 3, "full": True, "servers": [line("w", port)]},
+            settings=BOTH,
+            limits={"cores": 1.0, "memory_mb": limit_mb, "sockets": 256},
+        )
+        before = peak_kb(process.pid)
+
+        async def read(pace: float) -> None:
+            client = await Client.to(front)
+            client.ask(X_Budget="15000m")
+            await client.reader.readuntil(b"\r\n\r\n")
+            digest, left = hashlib.sha256(), SIZE
+            while left:
+                some = await client.reader.read(min(left, 77_777))
+                digest.update(some)
+                left -= len(some)
+                await asyncio.sleep(pace)
+            assert digest.hexdigest() == want
+
+        async def write() -> None:
+            client = await Client.to(front)
+            client.writer.write(HEAD + b"Content-Length: %d\r\n\r\n" % SIZE)
+            for _ in range(32):
+                client.writer.write(block)
+                await client.writer.drain()
+            status, _, digest = await client.answer()
+            assert (status, digest.decode()) == (200, want)
+
+        async with asyncio.timeout(60):
+            await asyncio.gather(
+                *(read(0.001 * (number % 2)) for number in range(6)), *(write() for _ in range(3))
+            )
+        peak = peak_kb(process.pid)
+        assert peak < limit_mb * 1024 and peak - before < 10 * 1024, (before, peak)
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+        worker.close()
+
+    asyncio.run(test())
