--- a/pepperrun/fronts/http_client.py
+++ b/pepperrun/fronts/http_client.py
@@ -7,29 +7,22 @@
 from __future__ import annotations
 
 import asyncio
-import os
-from collections.abc import Callable
 from typing import Any
 
 from pepperrun.clock import SECOND
-from pepperrun.exchange import End, Exchange, Final
-from pepperrun.gatekeeper import Gatekeeper
-from pepperrun.net.buffer import Buffer, unread
+from pepperrun.exchange import End, Final
+from pepperrun.net.buffer import unread
 from pepperrun.net.http1 import (
     LAST_CHUNK,
-    MAX_BODY,
-    MOST_BODY,
-    ROOM,
     HttpError,
     Message,
     Request,
-    RequestParser,
     chunk,
     write_head,
     write_response,
 )
-from pepperrun.net.listener import CROWDED_NS, Listener, Snapshot
-from pepperrun.net.stream import Budget, Stream
+from pepperrun.fronts.kept import KeptClient, Step
+from pepperrun.net.stream import Stream
 
 Fields = list[tuple[bytes, bytes]]
 Answer = (
@@ -37,15 +30,8 @@
 )  # the last one brings the rest of the body
 BAD = (400, 404, 405)  # a client that is answered so at once knows the protocol badly: the connection ends
 AHEAD = 16 * 1024  # of what is sent ahead of an answer, so much is held
-STUCK_NS = 10 * SECOND  # for taking an answer
-LINGER_NS = 4 * SECOND  # for reading why a request can't be read, beside sending the rest of it
 LINGER_BYTES = 96 * 1024 * 1024  # so much more is dropped
-MOVING_NS = SECOND  # a body of which nothing has come for so long is not under way
-SLOWEST = 32 * 1024  # bytes a second: half of what slow clients send at
-GREEN_NS = SECOND // 4  # a new connection has this long to ask before it gives way to others
 SCRATCH = memoryview(bytearray(256 * 1024))  # takes what is dropped; never read
-MOST_HELD = 2048  # bytes of a part of a request with which a connection can be parked
-Step = tuple[Gatekeeper, Exchange[Any, Any]]  # an exchange and who is to take it
 TEXT = (b"Content-Type", b"text/plain; charset=utf-8")
 
 # Between one connection and the next, or between client and gatekeeper: not the worker's.
@@ -64,35 +50,9 @@
     return [pair for pair in request.fields if pair[0].lower() not in dropped]
 
 
-class HttpClient(asyncio.BufferedProtocol):
+class HttpClient(KeptClient):
     """A client's connection. Fronts derive from it."""
 
-    def __init__(self, listener: Listener, clock: Callable[[], int], budget: Budget | None = None) -> None:
-        self.listener, self.clock, self.budget = listener, clock, budget
-        self.transport: asyncio.Transport | None = None
-        self.buffer = Buffer(ROOM)
-        if budget is None:
-            self.parser = RequestParser(self.buffer)
-        else:
-            self.parser = RequestParser(self.buffer, MOST_BODY, MAX_BODY)
-        self.upload: Stream | None = None  # the rest of a request's body, which its backend takes
-        self.download: Stream | None = None  # the rest of an answer's body
-        self.chunked = self.last_one = False  # how it goes out, and whether the connection ends after it
-        self.taking: Step | None = None  # whose answer it is
-        self.patience: asyncio.TimerHandle | None = None  # for a request whose time began with its last byte
-        self.paused_at = 0
-        self.head_at = 0  # when the head of a request whose body is coming was read
-        self.step: Step | None = None  # the exchange that has no answer yet
-        self.request: Request | None = None
-        self.made = self.since = 0  # when it was connected, when it was last used
-        self.stuck: int | None = None  # since when the client has not taken what was written
-        self.answers = self.asked = self.dropped = 0  # `asked`: requests that became exchanges
-        self.held = False  # what comes is not read now: another process is to take the connection
-        self.paused = self.closing = self.lingering = False
-        self.parked = False  # another keeps its connection
-        self.fd = -1  # for who keeps connections by descriptor
-        self.woken = 0  # when it spoke, for one that is taken up again; 0 once that is read
-
     # For fronts.
 
     def begin(self, request: Request) -> Step | Answer:
@@ -103,75 +63,6 @@
         """How a final answer reads, or the request's next exchange."""
         raise NotImplementedError
 
-    # For the listener.
-
-    def busy(self) -> bool:
-        """Is a request on it, whole or in part, or an answer not yet written?"""
-        if self.lingering:
-            return False
-        owes = self.step is not None or self.download is not None or self.unwritten()
-        return owes or self.partial() or self.woken > 0
-
-    def fresh(self) -> bool:
-        """Has it had no answer yet?"""
-        return self.answers == 0
-
-    def partial(self) -> bool:
-        """Has a part of a request come?"""
-        return self.parser.request is not None or self.upload is not None or len(self.buffer) > 0
-
-    def due(self, crowded: bool) -> int | None:
-        """When the connection ends if nothing more happens on it; None while an answer is owed."""
-        if self.lingering:
-            return self.since + LINGER_NS
-        if self.stuck is not None:
-            return self.stuck + STUCK_NS
-        if self.upload is not None and not self.paused:
-            return self._moving()
-        if self.step is not None or self.download is not None:
-            return None
-        if self.unwritten():
-            return self.since + STUCK_NS
-        times = self.listener.times
-        if self.parser.request is not None:  # its body is on its way
-            begun = self.made if self.fresh() and times.whole_from_made else self.buffer.first_at
-            return max(begun + times.whole_ns, self._moving())
-        if self.fresh() and not self.partial():
-            return self.made + times.silent_ns
-        if self.fresh() and times.whole_from_made:
-            return self.made + times.whole_ns
-        if self.partial():
-            return self.buffer.first_at + times.whole_ns
-        return self.since + (times.crowded_ns if crowded else times.idle_ns)
-
-    def _moving(self) -> int:
-        """When a body that comes no further, or hardly, ends its connection."""
-        body = self.parser.body
-        got = body.got if body is not None else 0
-        return min(self.buffer.last_at + MOVING_NS, self.head_at + MOVING_NS + got * SECOND // SLOWEST)
-
-    def spare(self, now: int) -> tuple[int, int] | None:
-        """How readily it gives way to a new connection; None: not at all.
-
-        Nobody misses one that has only asked whether this gatekeeper is ready, and stays. Of the others those
-        that have come back with a second request are the likeliest to come again.
-        """
-        transport = self.transport
-        if transport is None or transport.is_closing() or not self.lingering and self.busy():
-            return None
-        if self.fresh():  # a loop that is late has not read yet what has come long ago
-            silent = now - self.made >= GREEN_NS and not unread(transport)
-            return (0, self.made) if silent else None
-        if self.lingering:
-            return (0, self.since) if now - self.since >= GREEN_NS else None
-        if not self.asked or now - self.since >= CROWDED_NS:
-            return 0, self.since
-        return (1 if self.asked == 1 else 2), self.since
-
-    def unwritten(self) -> bool:
-        """Is a part of an answer not yet taken?"""
-        return self.transport is not None and self.transport.get_write_buffer_size() > 0
-
     def expire(self) -> None:
         """Its time is up: who has sent a part of a request is told so."""
         if self.transport is not None and not self.busy() and not self.lingering and unread(self.transport):
@@ -195,72 +86,11 @@
             else:
                 self.transport.close()
 
-    # For who parks connections.
-
-    def idle_since(self, most_held: int = MOST_HELD) -> int | None:
-        """Since when it has said nothing; None where parking would lose more."""
-        transport = self.transport
-        if transport is None or transport.is_closing() or self.step is not None or self.closing:
-            return None
-        if self.download is not None or self.upload is not None:
-            return None
-        if self.woken or self.paused or self.stuck is not None or self.parser.request is not None:
-            return None
-        if self.unwritten() or len(self.buffer) > most_held:
-            return None
-        return self.buffer.last_at if len(self.buffer) else self.since
-
-    def snapshot(self) -> Snapshot:
-        """What outlasts the object: answers, exchanges, last use, a part of a request and when it began."""
-        held = self.buffer.peek(len(self.buffer))
-        return self.answers, self.asked, self.since, held, self.buffer.first_at if held else 0
-
-    def park(self) -> None:
-        """Gives up the transport, whose connection lives on in a copy of its descriptor."""
-        transport, self.transport = self.transport, None
-        self.parked = True
-        self.listener.let_go(self)
-        if transport is not None:
-            transport.abort()
-
-    def hold(self, on: bool) -> None:
-        """Reads no next request until another process has the connection, or reads on."""
-        transport = self.transport
-        if transport is None or transport.is_closing() or on == self.held:
-            return
-        if on and (self.step is not None or self.parser.request is not None or self.download is not None):
-            return  # what has begun goes on
-        self.held = on
-        if on:
-            transport.pause_reading()
-        elif not self.paused:
-            transport.resume_reading()
-            self.go_on()
-
-    def give(self, most_held: int) -> tuple[Snapshot, int] | None:
-        """What it is and a copy of its descriptor, for another process; None while it owes an answer."""
-        if self.lingering or self.idle_since(most_held) is None or self.transport is None:
-            return None
-        try:
-            fd = os.dup(self.transport.get_extra_info("socket").fileno())
-        except OSError:
-            return None
-        snapshot = self.snapshot()
-        self.park()
-        return snapshot, fd
-
     def go_on(self) -> None:
         """Reads what came with it from another process."""
         if len(self.buffer) and self.step is None:
             self._read()
 
-    def revive(self, snapshot: Snapshot, woken: int) -> None:
-        """Goes on as the connection was; it has spoken at `woken`."""
-        self.answers, self.asked, self.since, held, held_at = snapshot
-        self.made, self.woken = self.since, woken
-        if held:
-            self.buffer.add(held, held_at)
-
     # For asyncio.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- /dev/null
+++ b/pepperrun/net/connection.py
@@ -0,0 +1,398 @@
+"""A connection to a backend: one request at a time, its answer, and long bodies in pieces, both ways.
+
+A long request body is spent once its first attempt has a connection; a long answer is the answer once it has
+begun.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING
+
+from pepperrun.clock import SECOND
+from pepperrun.config import Address
+from pepperrun.exchange import Exchange
+from pepperrun.interface import Outcome
+from pepperrun.log import say
+from pepperrun.net.buffer import Buffer, unread
+from pepperrun.net.http1 import (
+    ANSWER_ROOM,
+    LAST_CHUNK,
+    MAX_HEAD,
+    MOST_BODY,
+    HttpError,
+    Request,
+    Response,
+    ResponseParser,
+    chunk,
+    write_fields,
+)
+from pepperrun.net.stream import MOST, Stream
+
+if TYPE_CHECKING:
+    from pepperrun.net.server_side import ServerSide
+
+STALE_NS = SECOND // 100  # a kept connection that was no longer one breaks this soon under a request
+FADE = 0.97  # in each sweep: what was learnt is tried again
+HELD = 64 * 1024  # bytes of an answer up to which it is held whole, so that a break can be made good
+PIECES_ROOM = MAX_HEAD + MOST
+HOLD_NS = SECOND // 5  # one whose length is not told, and that comes slowly, is not held for more than this
+SURE = 8 * 1024  # bytes of a long answer that are awaited before it is the answer
+
+
+def write_request(request: Request, timeout_ns: int) -> bytes:
+    """The request as a backend reads it, with the time that this attempt will be waited for."""
+    if request.whole:
+        length = b"Content-Length: %d\r\n" % len(request.body) if request.body else b""
+        if not length and request.method not in (b"GET", b"HEAD"):
+            length = b"Content-Length: 0\r\n"
+    elif request.length is None:
+        length = b"Transfer-Encoding: chunked\r\n"
+    else:
+        length = b"Content-Length: %d\r\n" % request.length
+    return b"%b %b HTTP/1.1\r\n%bX-Budget: %du\r\n%b\r\n%b" % (
+        request.method,
+        request.target,
+        write_fields(request.fields),
+        max(1, timeout_ns // 1000),
+        length,
+        request.body if request.whole or request.length is not None else chunk(request.body),
+    )
+
+
+class Wear:
+    """How often kept connections turned out to be stale, by how long they had been idle.
+
+    Backends, and machines between, close idle connections earlier than they say, and may not tell of it.
+    """
+
+    UNIT = 8_000_000  # each step is twice as long as the one before
+
+    def __init__(self) -> None:
+        self.shares = [0.0] * 16
+        self.new = 0.0  # the same of new connections, under their first request
+
+    def _step(self, idle_ns: int) -> int:
+        return min(len(self.shares) - 1, (idle_ns // self.UNIT).bit_length())
+
+    def saw(self, idle_ns: int, stale: bool) -> None:
+        """One was used that had been idle for so long."""
+        step = self._step(idle_ns)
+        self.shares[step] += (stale - self.shares[step]) / 10
+
+    def saw_new(self, broke: bool) -> None:
+        """A new one was used."""
+        self.new += (broke - self.new) / 10
+
+    def trusted(self, idle_ns: int, most: float) -> bool:
+        """Is the share of stale ones among those idle for so long, or less, at most this?
+
+        Or no more than that of new ones that break: these would do no better.
+        """
+        return max(self.shares[: self._step(idle_ns) + 1]) <= max(most, self.new)
+
+    def fade(self) -> None:
+        """Forgets a little."""
+        self.shares, self.new = [share * FADE for share in self.shares], self.new * FADE
+
+
+class Attempt:
+    """One attempt that has not ended."""
+
+    __slots__ = ("backend", "connection", "connects", "deadline", "exchange", "number", "timer")
+
+    def __init__(self, exchange: Exchange[Request, Response], number: int, backend: int, deadline: int):
+        self.exchange, self.number, self.backend, self.deadline = exchange, number, backend, deadline
+        self.connection: Connection | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.connects = 0
+
+
+class Pool:
+    """The connections to one backend at one address, and the attempts that wait for one."""
+
+    __slots__ = ("address", "asked_at", "backend", "idle", "opening", "waiting")
+
+    def __init__(self, backend: int, address: Address) -> None:
+        self.backend, self.address = backend, address
+        self.idle: list[Connection] = []
+        self.waiting: deque[Attempt] = deque()
+        self.opening = 0
+        self.asked_at = 0  # when the first request went out that nothing has been heard since; 0: none
+
+
+class Connection(asyncio.BufferedProtocol):
+    """A connection to a backend."""
+
+    def __init__(self, side: ServerSide, pool: Pool) -> None:
+        self.side, self.pool = side, pool
+        self.transport: asyncio.Transport | None = None
+        budget = side.budget
+        if budget is None:
+            self.buffer = Buffer(ANSWER_ROOM)
+            self.parser = ResponseParser(self.buffer)
+        else:
+            self.buffer = Buffer(PIECES_ROOM)
+            self.parser = ResponseParser(self.buffer, MOST_BODY, HELD)
+        self.attempt: Attempt | None = None
+        self.upload: Stream | None = None  # the rest of the request's body
+        self.chunked = False  # it goes out in chunks
+        self.download: Stream | None = None  # the rest of the answer's body, which its client takes
+        self.last: Response | None = None  # the answer that passes through
+        self.head_at = 0  # when the answer's first byte came
+        self.unsent = False  # the last byte of the request is not yet written
+        self.idle_since = self.heard_at = self.started_at = 0
+        self.served = 0  # answers so far
+        self.watched: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        transport.set_write_buffer_limits(high=0)  # told at once whether all is written
+        self.side.connections.add(self)
+        self.pool.asked_at = 0
+        self.side.free(self)
+
+    def start(self, attempt: Attempt, now: int) -> None:
+        """Writes the attempt's request."""
+        assert self.transport is not None
+        self.attempt, attempt.connection = attempt, self
+        self.started_at = now
+        self.pool.asked_at = self.pool.asked_at or now
+        asked = attempt.exchange.asked
+        self.unsent = not asked.whole
+        left_ns = attempt.deadline - now if asked.whole else attempt.exchange.patience
+        self.transport.write(write_request(asked, left_ns))
+        if self.transport.is_closing():
+            self.unsent = True  # the write itself failed: nothing has gone out
+        elif asked.stream is not None and not asked.whole:
+            self.upload, self.chunked = asked.stream, asked.length is None
+            attempt.exchange.spent = True
+            asked.stream.open(self)
+            if self.blocked and self.upload is not None:
+                self.upload.hold(True)
+        elif not self.blocked:
+            self.side.written += 1
+
+    @property
+    def blocked(self) -> bool:
+        """Has the system not taken all that was written?"""
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
+    def pause_writing(self) -> None:
+        self.unsent = True
+        if self.upload is not None:
+            self.upload.hold(True)
+
+    def resume_writing(self) -> None:
+        if self.upload is not None:
+            self.upload.hold(False)
+        elif self.attempt is not None and self.attempt.exchange.asked.whole:
+            self.unsent = False
+            self.side.written += 1
+
+    # The rest of a request's body, as its client sends it.
+
+    def more(self, data: bytes) -> None:
+        if self.transport is not None:
+            self.transport.write(chunk(data) if self.chunked else data)
+
+    def whole(self) -> None:
+        """All of it is there: from here on the backend's time counts, and the client's."""
+        self.upload = None
+        attempt, transport = self.attempt, self.transport
+        if attempt is None or transport is None:
+            return
+        if self.chunked:
+            transport.write(LAST_CHUNK)
+        attempt.exchange.asked.whole = True  # for this connection's own questions; the body is spent
+        if not self.blocked:
+            self.unsent = False
+            self.side.written += 1
+        self.side.sent_whole(attempt)
+
+    def broken(self) -> None:
+        """The client has gone, or sends what can't be read: what the backend has is no request."""
+        self.upload = None
+        self.close()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.buffer.room()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.buffer.filled(nbytes, 0)
+        self.pool.asked_at = 0
+        now = self.side.clock()
+        if self.attempt is not None and self.heard_at < self.started_at:
+            if self.served:
+                self.side.wear.saw(self.started_at - self.idle_since, False)
+            else:
+                self.side.wear.saw_new(False)
+        self.heard_at = now
+        if self.download is not None:
+            self._pass_on(self.download)
+            return
+        attempt = self.attempt
+        if attempt is None:  # nothing was asked
+            self.close()
+            return
+        self.head_at = self.head_at or now
+        try:
+            response = self.parser.next()
+            if response is None and self.side.budget is not None and self.parser.response is not None:
+                response = self._early(now)
+        except HttpError as error:
+            self._spoilt(attempt, str(error))
+            return
+        if response is not None and response.whole:
+            self._answered(attempt, response)
+        elif response is not None:
+            self._begun(attempt, response)
+        elif self.watched is None:
+            self.watched = self.side.loop.call_later(self.side.connect_s, self._stalled, attempt)
+
+    def _spoilt(self, attempt: Attempt, why: str) -> None:
+        """It may have run. Where a next answer would begin is not known: the connection is of no use."""
+        say("backend", f"an answer that can't be read: {why}")
+        self.attempt = None
+        self.close()
+        self.side.end(attempt, Outcome.ERROR)
+
+    def _stalled(self, attempt: Attempt) -> None:
+        """An answer may say that it is longer than it is, and nothing ends then but the client's patience.
+
+        One that brings nothing more for as long as a connection may take to come up will not become whole.
+        """
+        self.watched = None
+        if self.attempt is not attempt or self.transport is None:
+            return
+        left_s = self.side.connect_s - (self.side.clock() - self.heard_at) / SECOND
+        if left_s > 0 or unread(self.transport):  # this side may be late, and not the backend
+            self.watched = self.side.loop.call_later(max(left_s, 0.01), self._stalled, attempt)
+        else:
+            self._spoilt(attempt, "it stops short")
+
+    def _early(self, now: int) -> Response | None:
+        """A long answer's beginning, if its client need not wait for more of it.
+
+        Some bytes must be there: a spoilt one that says to be long mostly stops soon, and can be made good.
+        """
+        body, response = self.parser.body, self.parser.response
+        if body is None or response is None or body.got < SURE:
+            return None
+        long = response.length is not None and response.length > HELD
+        return self.parser.give() if long or now - self.head_at > HOLD_NS else None
+
+    def _begun(self, attempt: Attempt, response: Response) -> None:
+        """An answer that is longer than is held: its client gets it as it comes, and it is the answer."""
+        assert self.side.budget is not None
+        outcome, units = self.side.judge(response)
+        if outcome is not Outcome.OK:  # nobody is given its body
+            self.attempt = None
+            self.close()
+            self.side.end(attempt, outcome, response, units)
+            return
+        self._unwatch()
+        self.attempt, self.last = None, response
+        self.download = stream = Stream(self.side.budget, self._pause, self.close)
+        response.stream, attempt.exchange.passing = stream, True
+        self.buffer.widen(self.side.budget.share())
+        self.side.end(attempt, outcome, response, units)
+        if not stream.opened:
+            stream.drop()  # its client has gone, or has another answer
+        elif self.download is stream:
+            self._pass_on(stream)
+
+    def _unwatch(self) -> None:
+        if self.watched is not None:
+            self.watched.cancel()
+            self.watched = None
+
+    def _pause(self, on: bool) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            (self.transport.pause_reading if on else self.transport.resume_reading)()
+
+    def _pass_on(self, stream: Stream) -> None:
+        try:
+            while data := self.parser.pull():
+                stream.feed(data)
+        except HttpError as error:
+            say("backend", f"an answer that can't be read: {error}")
+            self.close()
+            return
+        if self.parser.complete() and self.download is stream:
+            self._passed(stream)
+
+    def _passed(self, stream: Stream) -> None:
+        """All of it has come."""
+        response, self.last, self.download = self.last, None, None
+        self.buffer.widen(0)
+        assert response is not None
+        self._release(response)
+        stream.finish()
+
+    def _answered(self, attempt: Attempt, response: Response) -> None:
+        self.attempt = None
+        self._unwatch()
+        self._release(response)
+        outcome, units = self.side.judge(response)
+        self.side.end(attempt, outcome, response, units)
+
+    def _release(self, response: Response) -> None:
+        """The connection has brought its answer and may take the next request."""
+        self.served += 1
+        self.head_at = 0
+        if self.upload is not None:  # it was answered before it was whole
+            self.upload.drop()
+            self.upload = None
+            self.unsent = True
+        if response.close() or len(self.buffer) or self.unsent:
+            self.close()
+        elif self.transport is not None and not self.transport.is_closing():
+            # What comes behind an answer would be read as the next one: a request must not meet it.
+            if unread(self.transport):
+                self.close()
+            else:
+                self.side.free(self)  # first: what the answer brings about may use it
+
+    def eof_received(self) -> bool:
+        response = self.parser.end()
+        if self.download is not None:
+            if self.parser.complete():
+                self.close()
+                self._passed(self.download)
+        elif self.attempt is not None and response is not None:
+            self.close()
+            self._answered(self.attempt, response)
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self._unwatch()
+        attempt, self.attempt = self.attempt, None
+        self.side.lost(self)
+        if self.upload is not None:
+            self.upload.drop()
+            self.upload = None
+        if self.download is not None:
+            self.download.fail()  # its client must see that it is not whole
+            self.download = None
+        if attempt is not None:
+            self.side.end(attempt, Outcome.CONNECT_FAILED if self.unsent else self._broke())
+
+    def _broke(self) -> Outcome:
+        """How an attempt ended whose connection broke under it: a kept one that did so at once was stale."""
+        now = self.side.clock()
+        if self.heard_at >= self.started_at or now - self.started_at > STALE_NS:
+            return Outcome.RESET
+        if not self.served:
+            self.side.wear.saw_new(True)
+            return Outcome.RESET
+        self.side.wear.saw(self.started_at - self.idle_since, True)
+        return Outcome.STALE
+
+    def close(self) -> None:
+        """Closes at once: what is out on it is given up."""
+        if self.transport is not None:
+            self.transport.abort()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -23,7 +23,7 @@
 )
 
 from pepperrun.exchange import End
-from pepperrun.fronts import http_client
+from pepperrun.fronts import kept
 from pepperrun.interface import Request
 from pepperrun.net import listener as listener_module
 from pepperrun.net.http1 import ROOM
@@ -251,7 +251,7 @@
 
 
 def test_slow_requests_and_answers_that_are_not_taken_end(monkeypatch):
-    monkeypatch.setattr(http_client, "STUCK_NS", 10 * MS)
+    monkeypatch.setattr(kept, "STUCK_NS", 10 * MS)
     times = listener_module.Times(silent_ns=10 * MS, whole_ns=10 * MS)
     monkeypatch.setattr(listener_module, "PLATFORM_TIMES", times)
     monkeypatch.setattr(listener_module, "SWEEP_S", 0.01)
@@ -276,7 +276,7 @@
 
 def test_silent_connections_do_not_keep_others_out(monkeypatch):
     # New connections never gave way: silent ones by the hundred held every place, for 75 s.
-    monkeypatch.setattr(http_client, "GREEN_NS", 20 * MS)
+    monkeypatch.setattr(kept, "GREEN_NS", 20 * MS)
 
     async def test():
         front, worker = Front(most=4), await StandIn(ok()).start()
@@ -373,7 +373,7 @@
 
 def test_a_request_that_waits_unread_in_its_socket_is_not_taken_for_silence(monkeypatch):
     # A loop that is late finds new connections old before it has read from them.
-    monkeypatch.setattr(http_client, "GREEN_NS", 0)
+    monkeypatch.setattr(kept, "GREEN_NS", 0)
 
     async def test():
         front = Front(most=1)
--- a/tests/test_server_side.py
+++ b/tests/test_server_side.py
@@ -22,7 +22,7 @@
 
 from pepperrun.interface import Outcome
 from pepperrun.net.buffer import KEPT, unread
-from pepperrun.net.server_side import Wear
+from pepperrun.net.connection import Wear
 
 
 @pytest.mark.parametrize(
