Tests: scrapes under load, and a worker seen to restart stays cold over a replacement

Need: the issue asks for figures equal to a client's own counts while silent callers stay, and for a cold worker's budget over the two processes.

--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -159,6 +159,54 @@
     going(test)
 
 
+def test_scrapes_are_answered_while_clients_load_it_and_silent_callers_stay(tmp_path):
+    # Each answer is due within a second; figures only grow, and are the clients' own in the end.
+    async def test():
+        worker = await StandIn(ok(b"answer")).start()
+        known = {"version": 3, "full": True, "servers": [line("w", worker.port)]}
+        process, port = await start(tmp_path / "c.json", known=known, admin=f"{HOST}:0")
+        while "operators may call at" not in (text := (await process.stderr.readline()).decode()):
+            pass
+        admin, stop, seen = int(text.rsplit(":", 1)[1]), asyncio.Event(), {200: 0, 429: 0, 502: 0, 504: 0}
+        silent = [await asyncio.open_connection(HOST, admin) for _ in range(MOST)]
+        for _, writer in silent[::2]:
+            writer.write(b"tele")  # half a call
+
+        async def client() -> None:
+            link = await Client.to(port)
+            while not stop.is_set():
+                link.ask()
+                seen[(await link.answer())[0]] += 1
+
+        def told(answer: bytes) -> dict[str, int]:
+            assert answer.endswith(b"\nend\n")
+            lines = [
+                one.split("|")[0].removeprefix("node.").split(":") for one in answer.decode().split()[:-1]
+            ]
+            return {name: int(value) for name, value in lines}
+
+        clients = [asyncio.create_task(client()) for _ in range(8)]
+        last: dict[str, int] = {}
+        for _ in range(20):
+            figures = told(await asyncio.wait_for(call(admin, b"telemetry\n"), 5))
+            assert all(figures[name] >= last.get(name, 0) for name in figures if "." in name)
+            assert figures["open_requests"] <= 8
+            last = figures
+            await asyncio.sleep(0.02)
+        stop.set()
+        await asyncio.gather(*clients)
+        figures = told(await call(admin, b"telemetry\n"))
+        assert figures["fulfilled.search"] == seen[200] > 0
+        assert figures["throttled.search"] == seen[429]
+        assert figures["relayed"] == worker.arrived.qsize()
+        for _, writer in silent:
+            writer.close()
+        process.terminate()
+        assert await process.wait() == 0
+
+    going(test)
+
+
 @pytest.mark.parametrize("admin", ["nowhere", f"{HOST}:99999"])
 def test_an_address_that_is_none_is_told_with_its_key(admin):
     with pytest.raises(ValueError, match="admin"):
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -122,6 +122,33 @@
     assert old.gateway.quotas.outbox.incarnation > new.gateway.quotas.outbox.incarnation
 
 
+def to_backend(driver: Driver, count: int, backend: int) -> int:
+    """How many of so many requests, each answered at once, go to one backend."""
+    gone = 0
+    for _ in range(count):
+        for send in only(driver.ask(), Send):
+            gone += send.backend == backend
+            driver.end(send, Outcome.OK)
+    return gone
+
+
+def test_a_worker_that_was_seen_to_restart_is_as_cold_for_the_new_process():
+    # The list does not tell yet: what the old process saw of it is all there is.
+    old, new = pair(backends=3, gateways=1, peer_messages=False)
+    send = only(old.ask(), Send)[0]
+    old.end(send, Outcome.CONNECT_FAILED)
+    cold = send.backend
+    old.run(9 * SECOND)  # its badness fades, and it is tried
+    for _ in range(200):
+        for one in only(old.ask(), Send):
+            old.end(one, Outcome.OK)
+    assert old.gateway.fleet.warmth(old.gateway.fleet.servers[cold], old.now) < 1
+    kept = passed(old, new)
+    assert kept and new.gateway.fleet.warmth(new.gateway.fleet.servers[cold], new.now) < 1
+    fresh = Driver(seed=2, backends=3, gateways=1, peer_messages=False)
+    assert to_backend(new, 300, cold) < 0.9 * to_backend(fresh, 300, cold)
+
+
 @pytest.mark.parametrize(
     ("key", "value"),
     [
