--- a/pepperrun/net/http1.py
+++ b/pepperrun/net/http1.py
@@ -190,6 +190,9 @@
         return parts[0] if len(parts) == 1 else b"".join(parts)
 
 
+NO_BODY = Body(Framing.LENGTH, 0, 0)  # done, and never anything else
+
+
 class _Parser:
     def __init__(self, buffer: Buffer, most_body: int = MAX_BODY, hold: int | None = None) -> None:
         self.buffer, self.most_body = buffer, most_body
@@ -235,7 +238,7 @@
             self.body = Body(Framing.CHUNKS, 0, self.most_body)
             return None
         if length is None:
-            self.body = Body(Framing.LENGTH, 0, self.most_body)
+            self.body = NO_BODY
             return None
         if not length.isdigit():
             raise HttpError(400, "bad Content-Length")
@@ -254,12 +257,16 @@
 
     def _gather(self, body: Body) -> bool:
         """Holds what has come of a body; False while there is more to wait for."""
+        if body.done:
+            return True
         some = body.pull(self.buffer)
         if some:
             self.parts.append(some)
         return body.done or self.hold is not None and body.got > self.hold
 
     def _held(self) -> bytes:
+        if not self.parts:
+            return b""
         parts, self.parts = self.parts, []
         return parts[0] if len(parts) == 1 else b"".join(parts)
 
@@ -342,7 +349,7 @@
             self.interim = 0
             response = Response(fields, names, http11, status=status)
             if status in (204, 304):
-                self.body = Body(Framing.LENGTH, 0, 0)
+                self.body = NO_BODY
             else:
                 response.length = self._framing(names, http11)
                 if response.length is None and b"transfer-encoding" not in names:
