The tool writes a gatekeeper's second address; an old process ends though its successor dies

Read in the hand-over: at SIGTERM the old process waited for its successor up to the longest deadline though that had died (Predecessor.finish waits for a change of connections only); it is woken now. Test: the successor killed between the old one's SIGTERM and its last answer.

--- a/pepperrun/handover/predecessor.py
+++ b/pepperrun/handover/predecessor.py
@@ -164,6 +164,7 @@
             self._timer = None
         if self.phase is Phase.SERVING or self.ending:
             self.phase = Phase.SERVING
+            self.listener.wake()  # `finish` need not wait for it any longer
             return
         say("hand-over: gone", "the successor is gone: serving on")
         self._serve_on()
--- a/pepperrun/net/listener.py
+++ b/pepperrun/net/listener.py
@@ -230,6 +230,10 @@
         """A connection is no longer this listener's to look after."""
         self.clients.discard(client)
         self.leaving.discard(client)
+        self.wake()
+
+    def wake(self) -> None:
+        """Whoever waits for a change is to look again."""
         if self._changed is not None and not self._changed.done():
             self._changed.set_result(None)
 
--- a/pepperrun/tool/application.py
+++ b/pepperrun/tool/application.py
@@ -14,7 +14,7 @@
 _REPEATS = {"safe": "read_like", "keyed": "idempotency_key", "never": "non_idempotent"}
 KEYS = {
     "": {"name", "discovery", "gatekeeper", "class", "plan", "worker", "limits", "rules", "cold", "zones"},
-    "gatekeeper": {"name", "listen", "peer_listen", "zone"},
+    "gatekeeper": {"name", "listen", "admin", "peer_listen", "zone"},
     "class": {"name", "wanted", "deadline", "repeat", "group", "window", "worth", "late_worth"},
     "plan": {"name", "rate", "burst", "open", "price", "over_worth", "over_cost"}
     | {"ceiling_rate", "ceiling_burst", "ceiling_slack"},
@@ -178,6 +178,9 @@
         }
         if table.get("discovery"):
             out[item["name"]]["discovery"] = table["discovery"]
+        if item.get("admin"):
+            parse_address(get(item, "admin", str), f"gatekeeper.{item['name']}.admin")
+            out[item["name"]]["admin"] = item["admin"]
         if talking:
             out[item["name"]] |= {
                 "peer_listen": item["peer_listen"],
@@ -200,6 +203,8 @@
     """What a configuration that can be read may still have wrong; ValueError where it can't be read."""
     config = read_config(text, {})
     settings, out = config.settings, []
+    if config.admin is not None and config.admin == config.listen:
+        raise ValueError("admin: the same address as listen")
     if config.discovery is None and not config.known.lines:
         out.append("known.servers: empty, and without discovery no worker will ever be known")
     if settings.gateways > 1 and not (settings.peer_messages and config.peer_listen):
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -17,7 +17,7 @@
 from helpers import CEILED, FREE, MS, RATE, SECOND, Driver, only
 from hypothesis import given
 from hypothesis import strategies as st
-from standins import HOST, Client, StandIn, going, line, ok
+from standins import HOST, Client, StandIn, going, line, ok, wait_then
 from test_main import ROOT, SETTINGS, built, config
 
 from pepperrun.handover import state, wire
@@ -604,3 +604,25 @@
         assert await old.wait() == 0
 
     going(test)
+
+
+def test_the_old_process_ends_though_the_new_one_dies_while_it_waits_for_it(tmp_path):
+    async def test():
+        worker = await StandIn(wait_then(ok(b"answer"))).start()
+        node = Node(tmp_path, known={"version": 3, "full": True, "servers": [line("w", worker.port)]})
+        old, _ = await node.start()
+        client = await Client.to(node.port)
+        client.ask()
+        await worker.arrived.get()
+        new, _ = await node.start()
+        await node.until(old, "the successor serves")
+        old.send_signal(signal.SIGTERM)
+        await node.until(old, "drains")
+        new.kill()
+        await new.wait()
+        worker.go.set()
+        status, _, body = await client.answer()  # what it had taken, whoever is left
+        assert (status, body) == (200, b"answer")
+        assert await old.wait() == 0
+
+    going(test)
--- a/tests/test_tool.py
+++ b/tests/test_tool.py
@@ -45,6 +45,7 @@
         ("burst = 8", "burst = 2", "plan.small.burst"),
         ('name = "n1"', 'name = "n0"', "gatekeeper.name"),
         ('peer_listen = "127.0.0.1:7947"', "", "gatekeeper.peer_listen"),
+        ('admin = "127.0.0.1:9802"', 'admin = "9802"', "gatekeeper.n1.admin"),
         ('address = "127.0.0.1:9002"', 'address = "here"', "worker.w1.address"),
         ("[limits]", "[limit]", "limit"),
         ("[limits]", "[limits", "not TOML"),
