A worker that stands still in a long body ends it after 10 s

Need, from a read of the whole change: once a long answer had begun, its attempt had ended for the module and no timer was left; a machine that vanished then would hold its client for good. A long request whose worker reads no further had ten minutes. Two tests, each fails without it.

--- a/pepperrun/net/connection.py
+++ b/pepperrun/net/connection.py
@@ -38,6 +38,9 @@
 HELD = 64 * 1024  # bytes of an answer up to which it is held whole, so that a break can be made good
 PIECES_ROOM = MAX_HEAD + MOST
 HOLD_NS = SECOND // 5  # one whose length is not told, and that comes slowly, is not held for more than this
+STILL_NS = (
+    10 * SECOND
+)  # a body that a backend brings or takes no further for so long ends, as a client's does
 SURE = 8 * 1024  # bytes of a long answer that are awaited before it is the answer
 
 
@@ -141,6 +144,8 @@
         self.download: Stream | None = None  # the rest of the answer's body, which its client takes
         self.last: Response | None = None  # the answer that passes through
         self.head_at = 0  # when the answer's first byte came
+        self.moved_at = 0  # when a long body last came on
+        self.paused = False  # its client takes no more of the answer now
         self.unsent = False  # the last byte of the request is not yet written
         self.idle_since = self.heard_at = self.started_at = 0
         self.served = 0  # answers so far
@@ -167,7 +172,7 @@
         if self.transport.is_closing():
             self.unsent = True  # the write itself failed: nothing has gone out
         elif asked.stream is not None and not asked.whole:
-            self.upload, self.chunked = asked.stream, asked.length is None
+            self.upload, self.chunked, self.moved_at = asked.stream, asked.length is None, now
             attempt.exchange.spent = True
             asked.stream.open(self)
             if self.blocked and self.upload is not None:
@@ -186,6 +191,7 @@
             self.upload.hold(True)
 
     def resume_writing(self) -> None:
+        self.moved_at = self.side.clock()
         if self.upload is not None:
             self.upload.hold(False)
         elif self.attempt is not None and self.attempt.exchange.asked.whole:
@@ -231,6 +237,7 @@
                 self.side.wear.saw_new(False)
         self.heard_at = now
         if self.download is not None:
+            self.moved_at = now
             self._pass_on(self.download)
             return
         attempt = self.attempt
@@ -294,7 +301,7 @@
             self.side.end(attempt, outcome, response, units)
             return
         self._unwatch()
-        self.attempt, self.last = None, response
+        self.attempt, self.last, self.moved_at = None, response, self.side.clock()
         self.download = stream = Stream(self.side.budget, self._pause, self.close)
         response.stream, attempt.exchange.passing = stream, True
         self.buffer.widen(self.side.budget.share())
@@ -309,7 +316,13 @@
             self.watched.cancel()
             self.watched = None
 
+    def stands_still(self, now: int) -> bool:
+        """Is a long body on it that the backend, and not the client, brings or takes no further?"""
+        waits = self.download is not None and not self.paused or self.upload is not None and self.blocked
+        return waits and now - self.moved_at > STILL_NS
+
     def _pause(self, on: bool) -> None:
+        self.paused, self.moved_at = on, self.side.clock()
         if self.transport is not None and not self.transport.is_closing():
             (self.transport.pause_reading if on else self.transport.resume_reading)()
 
--- a/pepperrun/net/server_side.py
+++ b/pepperrun/net/server_side.py
@@ -283,6 +283,9 @@
     def _sweep(self) -> None:
         now = self.clock()
         self.wear.fade()
+        for connection in [one for one in self.connections if one.stands_still(now)]:
+            say("stands still", "a long body came no further: its connection ends")
+            connection.close()
         for pool in self.pools.values():
             for connection in [c for c in pool.idle if not self._fit(c, now)]:
                 pool.idle.remove(connection)
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -19,6 +19,7 @@
 from test_main import SETTINGS, built, start
 
 from pepperrun.exchange import End
+from pepperrun.net import connection, server_side
 from pepperrun.net.buffer import Buffer
 from pepperrun.net.http1 import (
     ROOM,
@@ -438,6 +439,45 @@
     going(test)
 
 
+@pytest.mark.parametrize("way", ["answer", "request"])
+def test_a_worker_that_stands_still_in_a_long_body_ends_it(monkeypatch, way):
+    # Its machine may have vanished: nothing else would ever tell.
+    monkeypatch.setattr(connection, "STILL_NS", SECOND // 5)
+    monkeypatch.setattr(server_side, "SWEEP_S", 0.05)
+
+    async def test():
+        async def still(server: StandIn, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            if way == "answer":
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + bytes(100_000))
+            await server.go.wait()
+
+        front = long_front()
+        if way == "answer":
+            worker = await StandIn(still).start()
+            port = worker.port
+        else:  # it reads the head, and nothing after that
+
+            async def deaf(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                writer.transport.pause_reading()
+
+            silent = await asyncio.start_server(deaf, HOST, 0, limit=1024)
+            port = silent.sockets[0].getsockname()[1]
+        front.list(line("w", port))
+        client = await front.client()
+        if way == "answer":
+            client.ask()
+            with pytest.raises((ConnectionResetError, asyncio.IncompleteReadError)):
+                await client.reader.readexactly(300_000)
+            assert front.gatekeeper.counts[End.FAILED] == 1
+        else:
+            sending = asyncio.create_task(upload(client, bytes(30 * MB)))
+            assert (await client.answer())[0] in (429, 502)
+            client.writer.transport.abort()
+            await asyncio.gather(sending, return_exceptions=True)
+
+    going(test)
+
+
 # The real program.
 
 
