--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -326,6 +326,13 @@
             await asyncio.sleep(0.01)
 
 
+async def before_a_worker(folder: Path, step: Any, **changes: Any) -> tuple[StandIn, Node]:
+    """A stand-in worker, and a gatekeeper whose list has it alone."""
+    worker = await StandIn(step).start()
+    known = {"version": 3, "full": True, "servers": [line("w", worker.port)]}
+    return worker, Node(folder, known=known, **changes)
+
+
 async def readyz(port: int) -> bytes:
     reader, writer = await asyncio.open_connection(HOST, port)
     writer.write(b"readyz\n")
@@ -351,9 +358,7 @@
     # Kept connections go over with what was read of them; what is out is answered where it was taken.
     async def test():
         count: dict[bytes, int] = {}
-        worker = await StandIn(echoing(count)).start()
-        known = {"version": 3, "full": True, "servers": [line("w", worker.port)]}
-        node = Node(tmp_path, known=known, settings=AMPLE)
+        _, node = await before_a_worker(tmp_path, echoing(count), settings=AMPLE)
         old, admin = await node.start()
         assert await readyz(admin) == b"done\n"
         stop, asked = asyncio.Event(), [0]
@@ -393,8 +398,7 @@
 
 def test_a_connection_goes_over_with_half_a_request(tmp_path):
     async def test():
-        worker = await StandIn(ok(b"answer")).start()
-        node = Node(tmp_path, known={"version": 3, "full": True, "servers": [line("w", worker.port)]})
+        _, node = await before_a_worker(tmp_path, ok(b"answer"))
         old, _ = await node.start()
         half = await Client.to(node.port)
         half.writer.write(b"GET /search?customer=0000000000000007 HTTP/1.1\r\nHost: h\r\nX-Call-")
@@ -416,9 +420,7 @@
 
 def test_a_customers_quota_is_not_passed_over_the_two_processes(tmp_path):
     async def test():
-        worker = await StandIn(ok(b"answer")).start()
-        known = {"version": 3, "full": True, "servers": [line("w", worker.port)]}
-        node = Node(tmp_path, known=known, settings=TIGHT)
+        _, node = await before_a_worker(tmp_path, ok(b"answer"), settings=TIGHT)
         old, _ = await node.start()
         statuses = []
 
@@ -443,8 +445,7 @@
 
 def test_the_old_process_serves_on_when_the_new_one_is_killed_after_its_yes(tmp_path):
     async def test():
-        worker = await StandIn(ok(b"answer")).start()
-        node = Node(tmp_path, known={"version": 3, "full": True, "servers": [line("w", worker.port)]})
+        _, node = await before_a_worker(tmp_path, ok(b"answer"))
         old, admin = await node.start()
         new, second = await node.start()
         assert await readyz(second) == b"done\n" and (await readyz(admin)).startswith(b"error")
@@ -467,8 +468,7 @@
 
 def test_the_old_process_serves_on_when_the_new_one_goes_before_its_yes(tmp_path):
     async def test():
-        worker = await StandIn(ok(b"answer")).start()
-        node = Node(tmp_path, known={"version": 3, "full": True, "servers": [line("w", worker.port)]})
+        _, node = await before_a_worker(tmp_path, ok(b"answer"))
         old, admin = await node.start()
         link = knock(path_of(str(tmp_path), "n0"))
         assert link is not None
@@ -541,9 +541,7 @@
 def test_a_yes_that_comes_late_still_takes_over_and_with_a_state_that_is_new(tmp_path):
     # A start that is short of processor time: the clients are served meanwhile, and nobody is closed on.
     async def test():
-        worker = await StandIn(ok(b"answer")).start()
-        known = {"version": 3, "full": True, "servers": [line("w", worker.port)]}
-        node = Node(tmp_path, known=known, settings=TIGHT)
+        _, node = await before_a_worker(tmp_path, ok(b"answer"), settings=TIGHT)
         old, admin = await node.start()
         idle = await Client.to(node.port)
         idle.ask()
@@ -590,8 +588,7 @@
 
 def test_a_process_that_ends_without_a_successor_closes_no_connection_before_its_next_answer(tmp_path):
     async def test():
-        worker = await StandIn(ok(b"answer")).start()
-        node = Node(tmp_path, known={"version": 3, "full": True, "servers": [line("w", worker.port)]})
+        _, node = await before_a_worker(tmp_path, ok(b"answer"))
         old, _ = await node.start()
         kept = await Client.to(node.port)
         kept.ask()
@@ -608,8 +605,7 @@
 
 def test_the_old_process_ends_though_the_new_one_dies_while_it_waits_for_it(tmp_path):
     async def test():
-        worker = await StandIn(wait_then(ok(b"answer"))).start()
-        node = Node(tmp_path, known={"version": 3, "full": True, "servers": [line("w", worker.port)]})
+        worker, node = await before_a_worker(tmp_path, wait_then(ok(b"answer")))
         old, _ = await node.start()
         client = await Client.to(node.port)
         client.ask()
