--- a/pepperrun/assembly.py
+++ b/pepperrun/assembly.py
@@ -16,12 +16,12 @@
 from pepperrun.admin.calls import Calls
 from pepperrun.admin.figures import figures
 from pepperrun.admin.server import Server as AdminServer
-from pepperrun.clock import SECOND
+from pepperrun.core.clock import SECOND
 from pepperrun.config import Address, AuthConfig, Config, Listing, UnusableError
 from pepperrun.fronts.forward_auth import AuthService, ForwardAuth, auth_judge
 from pepperrun.fronts.platform import Platform
 from pepperrun.gatekeeper import Clock, Gatekeeper
-from pepperrun.interface import ListKind, Settings
+from pepperrun.core.interface import ListKind, Settings
 from pepperrun.handover.channel import path_of
 from pepperrun.handover.predecessor import Predecessor
 from pepperrun.handover.successor import Successor
--- a/pepperrun/cli/main.py
+++ b/pepperrun/cli/main.py
@@ -39,7 +39,7 @@
 @click.argument("arguments", nargs=-1, type=click.UNPROCESSED)
 def run(arguments: tuple[str, ...]) -> int:
     """Run a gatekeeper, as without a sub-command."""
-    from pepperrun.__main__ import serve
+    from pepperrun.serve import serve
 
     return serve(list(arguments))
 
--- a/pepperrun/config.py
+++ b/pepperrun/config.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from pepperrun import interface as io
+from pepperrun.core import interface as io
 
 Address = tuple[str, int]
 
--- /dev/null
+++ b/pepperrun/core/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions and what they stand on: no wire, socket or clock of their own."""
--- a/pepperrun/gateway.py
+++ b/pepperrun/core/gateway.py
@@ -1,4 +1,4 @@
-"""All decisions of an admission gateway. Types, events and actions are in `pepperrun/interface.py`.
+"""All decisions of an admission gateway. Types, events and actions are in `pepperrun/core/interface.py`.
 
 An arriving request meets its customer's quota (`Quotas`), then goes straight out while the bound on attempts
 out (`Bound`) has room; else it waits in its customer's queue for a below-goal turn (`Turns`). Only then a
@@ -11,12 +11,12 @@
 from collections import deque
 from collections.abc import Callable
 
-from pepperrun import gossip
-from pepperrun.clock import SECOND, Bucket, Decayed, Seldom
-from pepperrun.interface import AttemptEnded, BackendList, BackendState, Cancel, ClientLeft, Fail, Group
-from pepperrun.interface import ListKind, Log, Outcome, PeerMessage, Refuse, Repeat, Request
-from pepperrun.interface import Send, Settings, StreamStarted, TellPeer, Watch
-from pepperrun.state import Attempt, Desk, HeldState, Queues, Roster, Server
+from pepperrun.core import gossip
+from pepperrun.core.clock import SECOND, Bucket, Decayed, Seldom
+from pepperrun.core.interface import AttemptEnded, BackendList, BackendState, Cancel, ClientLeft, Fail, Group
+from pepperrun.core.interface import ListKind, Log, Outcome, PeerMessage, Refuse, Repeat, Request
+from pepperrun.core.interface import Send, Settings, StreamStarted, TellPeer, Watch
+from pepperrun.core.state import Attempt, Desk, HeldState, Queues, Roster, Server
 
 SHARE_HALF_LIFE = 2 * SECOND  # U_i: long against a request, short against a spell of load
 HEARD_FOR = 5 * SECOND  # what a peer told of a customer stands this long; a restart takes a few seconds
--- a/pepperrun/gossip.py
+++ b/pepperrun/core/gossip.py
@@ -26,8 +26,8 @@
 from collections.abc import Container
 from dataclasses import dataclass, field
 
-from pepperrun.clock import SECOND, Decayed
-from pepperrun.interface import MOST_PLANS
+from pepperrun.core.clock import SECOND, Decayed
+from pepperrun.core.interface import MOST_PLANS
 
 USED_HALF_LIFE = SECOND
 USED_RATE = 0.69  # a second, of a sum that halves in one
--- a/pepperrun/state.py
+++ b/pepperrun/core/state.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from pepperrun.clock import Agenda
-from pepperrun.interface import (
+from pepperrun.core.clock import Agenda
+from pepperrun.core.interface import (
     Action,
     Backend,
     BackendList,
--- a/pepperrun/fronts/http_client.py
+++ b/pepperrun/fronts/http_client.py
@@ -9,7 +9,7 @@
 import asyncio
 from typing import Any
 
-from pepperrun.clock import SECOND
+from pepperrun.core.clock import SECOND
 from pepperrun.exchange import End, Final
 from pepperrun.net.buffer import unread
 from pepperrun.net.http1 import (
--- a/pepperrun/fronts/kept.py
+++ b/pepperrun/fronts/kept.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from pepperrun.clock import SECOND
+from pepperrun.core.clock import SECOND
 from pepperrun.exchange import Exchange
 from pepperrun.gatekeeper import Gatekeeper
 from pepperrun.net.buffer import Buffer, unread
--- a/pepperrun/gatekeeper.py
+++ b/pepperrun/gatekeeper.py
@@ -11,10 +11,10 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from pepperrun.clock import SECOND
+from pepperrun.core.clock import SECOND
 from pepperrun.exchange import End, Exchange, Final
-from pepperrun.gateway import Gateway
-from pepperrun.interface import (
+from pepperrun.core.gateway import Gateway
+from pepperrun.core.interface import (
     Action,
     AttemptEnded,
     BackendList,
--- a/pepperrun/handover/state.py
+++ b/pepperrun/handover/state.py
@@ -12,9 +12,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from pepperrun import gossip
-from pepperrun.clock import SECOND, Decayed
-from pepperrun.gateway import Account, Gateway
+from pepperrun.core import gossip
+from pepperrun.core.clock import SECOND, Decayed
+from pepperrun.core.gateway import Account, Gateway
 
 FORM = 1
 FRESH_NS = 3 * SECOND  # an older state is another time's
--- a/pepperrun/log.py
+++ b/pepperrun/log.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable
 
-from pepperrun.clock import SECOND, Seldom
+from pepperrun.core.clock import SECOND, Seldom
 
 EACH = SECOND
 
--- a/pepperrun/net/connection.py
+++ b/pepperrun/net/connection.py
@@ -8,12 +8,13 @@
 
 import asyncio
 from collections import deque
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import Protocol
 
-from pepperrun.clock import SECOND
+from pepperrun.core.clock import SECOND
 from pepperrun.config import Address
 from pepperrun.exchange import Exchange
-from pepperrun.interface import Outcome
+from pepperrun.core.interface import Outcome
 from pepperrun.log import say
 from pepperrun.net.buffer import Buffer, unread
 from pepperrun.net.http1 import (
@@ -28,10 +29,7 @@
     chunk,
     write_fields,
 )
-from pepperrun.net.stream import MOST, Stream
-
-if TYPE_CHECKING:
-    from pepperrun.net.server_side import ServerSide
+from pepperrun.net.stream import MOST, Budget, Stream
 
 STALE_NS = SECOND // 100  # a kept connection that was no longer one breaks this soon under a request
 FADE = 0.97  # in each sweep: what was learnt is tried again
@@ -125,10 +123,35 @@
         self.asked_at = 0  # when the first request went out that nothing has been heard since; 0: none
 
 
+class Side(Protocol):
+    """What a connection needs of those who use it: `ServerSide`, which knows connections, not they it."""
+
+    loop: asyncio.AbstractEventLoop
+    budget: Budget | None
+    connect_s: float
+    connections: set[Connection]
+    written: int
+    wear: Wear
+
+    @property
+    def clock(self) -> Callable[[], int]: ...
+
+    @property
+    def judge(self) -> Callable[[Response], tuple[Outcome, float]]: ...
+
+    def free(self, connection: Connection) -> None: ...
+
+    def lost(self, connection: Connection) -> None: ...
+
+    def sent_whole(self, attempt: Attempt) -> None: ...
+
+    def end(self, attempt: Attempt, outcome: Outcome, given: object = None, units: float = 0.0) -> None: ...
+
+
 class Connection(asyncio.BufferedProtocol):
     """A connection to a backend."""
 
-    def __init__(self, side: ServerSide, pool: Pool) -> None:
+    def __init__(self, side: Side, pool: Pool) -> None:
         self.side, self.pool = side, pool
         self.transport: asyncio.Transport | None = None
         budget = side.budget
--- a/pepperrun/net/directory.py
+++ b/pepperrun/net/directory.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from pepperrun.config import STATE_NAMES, Address, Line, Listing
-from pepperrun.interface import Backend, BackendList, BackendState, ListKind
+from pepperrun.core.interface import Backend, BackendList, BackendState, ListKind
 
 
 class Directory:
--- a/pepperrun/net/listener.py
+++ b/pepperrun/net/listener.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from pepperrun.clock import SECOND
+from pepperrun.core.clock import SECOND
 from pepperrun.config import Address
 from pepperrun.log import say
 
--- a/pepperrun/net/server_side.py
+++ b/pepperrun/net/server_side.py
@@ -11,9 +11,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from pepperrun.clock import SECOND
+from pepperrun.core.clock import SECOND
 from pepperrun.exchange import Exchange
-from pepperrun.interface import Outcome
+from pepperrun.core.interface import Outcome
 from pepperrun.log import say
 from pepperrun.net.buffer import unread
 from pepperrun.net.connection import Attempt, Connection, Pool, Wear
--- a/pepperrun/parking/config.py
+++ b/pepperrun/parking/config.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from pepperrun.clock import SECOND
+from pepperrun.core.clock import SECOND
 from pepperrun.config import get, known_keys
 
 KEYS = (
--- a/pepperrun/parking/lot.py
+++ b/pepperrun/parking/lot.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from pepperrun.clock import SECOND
+from pepperrun.core.clock import SECOND
 from pepperrun.log import say
 from pepperrun.net.listener import Snapshot
 from pepperrun.parking import wire
--- a/pepperrun/wirehost.py
+++ b/pepperrun/wirehost.py
@@ -9,9 +9,9 @@
 import sys
 from typing import BinaryIO
 
-from pepperrun import interface as io
+from pepperrun.core import interface as io
 from pepperrun.config import read_settings
-from pepperrun.gateway import Gateway
+from pepperrun.core.gateway import Gateway
 
 EVENT_SIZE = 48
 ACTION_SIZE = 32
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from pepperrun.gateway import Gateway
-from pepperrun.interface import (
+from pepperrun.core.gateway import Gateway
+from pepperrun.core.interface import (
     Action,
     AttemptEnded,
     Backend,
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -12,7 +12,7 @@
 from pepperrun.fronts.forward_auth import AuthService
 from pepperrun.fronts.platform import Platform
 from pepperrun.gatekeeper import Clock, Gatekeeper
-from pepperrun.interface import Group, ListKind, Outcome, Plan, Repeat, RequestClass, Settings
+from pepperrun.core.interface import Group, ListKind, Outcome, Plan, Repeat, RequestClass, Settings
 from pepperrun.net.directory import Directory
 from pepperrun.net.http1 import Request
 from pepperrun.net.listener import Listener
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,7 +12,7 @@
 from standins import HOST, Backends, StandIn, answer, cut_short, going, line, listing, ok, reset, stall
 
 from pepperrun.config import parse_address, read_listing
-from pepperrun.interface import BackendState, ListKind
+from pepperrun.core.interface import BackendState, ListKind
 from pepperrun.net import discovery
 from pepperrun.net.backoff import MOST_S, Backoff
 from pepperrun.net.directory import Directory
--- a/tests/test_gatekeeper.py
+++ b/tests/test_gatekeeper.py
@@ -12,7 +12,7 @@
 
 from pepperrun.exchange import End, Exchange, Final
 from pepperrun.gatekeeper import Gatekeeper
-from pepperrun.interface import (
+from pepperrun.core.interface import (
     Action,
     AttemptEnded,
     Cancel,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -19,9 +19,9 @@
     only,
 )
 
-from pepperrun import gossip
-from pepperrun.gateway import Account, Gateway, Held, Quotas, Turns
-from pepperrun.interface import (
+from pepperrun.core import gossip
+from pepperrun.core.gateway import Account, Gateway, Held, Quotas, Turns
+from pepperrun.core.interface import (
     AttemptEnded,
     Backend,
     BackendList,
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -22,7 +22,7 @@
 
 from pepperrun.handover import state, wire
 from pepperrun.handover.channel import Channel, door, knock, path_of
-from pepperrun.interface import Outcome, Refuse, Send
+from pepperrun.core.interface import Outcome, Refuse, Send
 
 __all__ = ["built"]  # the fixture that runs the deploy file's build
 
--- a/tests/test_long_running.py
+++ b/tests/test_long_running.py
@@ -5,9 +5,9 @@
 from helpers import MS, RATE, SECOND, START, Driver, make_settings, only
 from standins import line, listing
 
-from pepperrun import gossip
-from pepperrun.gateway import Account, Gateway, Quotas
-from pepperrun.interface import (
+from pepperrun.core import gossip
+from pepperrun.core.gateway import Account, Gateway, Quotas
+from pepperrun.core.interface import (
     AttemptEnded,
     Backend,
     BackendList,
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -8,8 +8,8 @@
 import pytest
 from helpers import CEILED, FREE, MS, PLANS, RATE, SECOND, START, Driver, only
 
-from pepperrun import gossip
-from pepperrun.interface import (
+from pepperrun.core import gossip
+from pepperrun.core.interface import (
     AttemptEnded,
     Backend,
     BackendList,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,9 +8,9 @@
 from hypothesis import strategies as st
 from standins import HOST, SETTINGS, going
 
-from pepperrun import gossip
-from pepperrun.gateway import Gateway
-from pepperrun.interface import PeerMessage
+from pepperrun.core import gossip
+from pepperrun.core.gateway import Gateway
+from pepperrun.core.interface import PeerMessage
 from pepperrun.net.peers import open_peers
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -24,7 +24,7 @@
 
 from pepperrun.exchange import End
 from pepperrun.fronts import kept
-from pepperrun.interface import Request
+from pepperrun.core.interface import Request
 from pepperrun.net import listener as listener_module
 from pepperrun.net.http1 import ROOM
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,8 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pepperrun.gateway import Gateway
-from pepperrun.interface import (
+from pepperrun.core.gateway import Gateway
+from pepperrun.core.interface import (
     AttemptEnded,
     Backend,
     BackendList,
--- a/tests/test_server_side.py
+++ b/tests/test_server_side.py
@@ -20,7 +20,7 @@
     wait_then,
 )
 
-from pepperrun.interface import Outcome
+from pepperrun.core.interface import Outcome
 from pepperrun.net.buffer import KEPT, unread
 from pepperrun.net.connection import Wear
 
--- a/tests/test_tool.py
+++ b/tests/test_tool.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from pepperrun.config import read_config
-from pepperrun.interface import Group, Repeat
+from pepperrun.core.interface import Group, Repeat
 from pepperrun.tool.__main__ import main
 from pepperrun.tool.application import configurations, remarks
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from pepperrun import interface as api
+from pepperrun.core import interface as api
 from pepperrun.config import read_settings
 from pepperrun.wirehost import FrameError, Host, _Reply, serve
 
