--- a/pepperrun/admin/calls.py
+++ b/pepperrun/admin/calls.py
@@ -31,8 +31,13 @@
 class Calls:
     """Answers calls with what the two sources say at that moment."""
 
-    def __init__(self, ready: Callable[[], bool], figures: Callable[[], Iterable[Figure]]) -> None:
-        self.ready, self.figures = ready, figures
+    def __init__(
+        self,
+        ready: Callable[[], bool],
+        figures: Callable[[], Iterable[Figure]],
+        more: Callable[[bytes], bytes | None] = lambda call: None,
+    ) -> None:
+        self.ready, self.figures, self.more = ready, figures, more
 
     def answer(self, line: bytes) -> bytes:
         """The answer to a line without its end; what can't be read gets one line that begins with `error`."""
@@ -43,7 +48,7 @@
                 return worded(self.figures())
             case b"":
                 return b"error empty call\n"
-        return b"error no such call: readyz and telemetry are known\n"
+        return self.more(line.strip(b" \t\r")) or b"error no such call: readyz and telemetry are known\n"
 
 
 def line_of(held: bytes) -> bytes | None:
--- a/pepperrun/assembly.py
+++ b/pepperrun/assembly.py
@@ -9,11 +9,11 @@
 import socket
 import stat
 import os
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-from pepperrun.admin.calls import Calls
+from pepperrun.admin.calls import Calls, Figure
 from pepperrun.admin.figures import figures
 from pepperrun.admin.server import Server as AdminServer
 from pepperrun.core.clock import SECOND
@@ -35,6 +35,8 @@
 from pepperrun.net.server_side import Judge, ServerSide, platform_judge
 
 if TYPE_CHECKING:
+    from pepperrun.members.config import MembersConfig
+    from pepperrun.members.service import Service
     from pepperrun.parking.config import ClientsConfig
     from pepperrun.parking.lot import Lot
 
@@ -60,6 +62,7 @@
     ) -> None:
         loop = asyncio.get_running_loop()
         self.peers: Peers | None = None
+        self.members: Service | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         self.settings = settings
         self.gatekeeper = Gatekeeper(settings, seed, clock, loop, self._tell, log=self._log)
@@ -115,6 +118,8 @@
                 self.peers = await open_peers(listen, peers, self.settings.me, self.gatekeeper.heard)
             except OSError as error:
                 say("peers", f"peers can't be heard yet: {error}")
+        if self.members is not None:
+            self.peers.members = self.members.heard
 
     def told(self, listing: Listing, kind: ListKind | None = None) -> None:
         """Takes in a list of backends."""
@@ -236,10 +241,32 @@
     return listener
 
 
+def start_members(config: Config, members: MembersConfig, core: Core, before: Any = None) -> Service:
+    """Membership, over the socket of the ordinary messages; `before`: what a process before this one knew."""
+    from pepperrun.members.service import Service
+
+    names = members.names or [f"gatekeeper {number}" for number in range(config.settings.gateways)]
+    service = Service(members, config.name, names, core.gatekeeper, core._tell, config.seed, before)
+    core.members = service
+    if core.peers is not None:
+        core.peers.members = service.heard
+    return service
+
+
 async def open_admin(address: Address, core: Core, listener: Listener) -> AdminServer:
     """The second address: it says yes while clients are taken."""
 
-    calls = Calls(listener.taking, lambda: figures(core.gatekeeper, core.servers, core.directory))
+    def all_figures() -> Iterator[Figure]:
+        yield from figures(core.gatekeeper, core.servers, core.directory)
+        if core.members is not None:
+            yield from core.members.figures()
+
+    def more(call: bytes) -> bytes | None:
+        if core.members is not None:
+            return core.members.answer(call)
+        return b"error membership is off\n" if call.split()[:1] == [b"members"] else None
+
+    calls = Calls(listener.taking, all_figures, more)
     server = AdminServer(asyncio.get_running_loop(), calls)
     await server.open(address)
     return server
@@ -344,6 +371,7 @@
     def table() -> dict[str, Any]:
         version = watch.discovery.version if watch.discovery is not None else None
         listing = {"version": version or 0, "full": True, "servers": core.directory.told()}
-        return {"list": listing, "known": version is not None, "peers": core.peers is not None}
+        known = {"list": listing, "known": version is not None, "peers": core.peers is not None}
+        return known | ({"members": core.members.state()} if core.members is not None else {})
 
     return Predecessor(place, core.gatekeeper, core.servers, listener, lambda: core.peers, table)
--- a/pepperrun/cli/main.py
+++ b/pepperrun/cli/main.py
@@ -11,6 +11,7 @@
 from pepperrun.cli.bench import bench
 from pepperrun.cli.capture import capture
 from pepperrun.cli.config import config
+from pepperrun.cli.members import members
 from pepperrun.cli.plan import plan
 
 
@@ -29,7 +30,7 @@
 
     Without a sub-command it runs a gatekeeper of the file named by NODE_CONFIG:
     pepperrun [--forward-auth FILE] [--metrics FILE] [--clients FILE] [--capture DIR]
-    [--log-format text|json].
+    [--members FILE] [--log-format text|json].
     """
 
 
@@ -47,6 +48,7 @@
 command.add_command(config)
 command.add_command(bench)
 command.add_command(capture)
+command.add_command(members)
 command.add_command(plan)
 
 
--- a/pepperrun/config.py
+++ b/pepperrun/config.py
@@ -206,6 +206,7 @@
     connect_timeout_ns: int
     admin: Address | None = None  # where operators call
     memory_mb: float = 192.0  # the limit on the process
+    members: Mapping[str, Any] | None = None  # `pepperrun.members.config` reads it where it is there
 
 
 def read_config(text: str, env: Mapping[str, str]) -> Config:
@@ -249,6 +250,7 @@
         connect_timeout_ns=_above_0(limits, "ConnectTimeoutNs", 250_000_000),
         memory_mb=memory,
         admin=address(table, "admin", env.get("NODE_ADMIN")) if calls else None,
+        members=get(table, "members", dict),
     )
 
 
--- a/pepperrun/core/gateway.py
+++ b/pepperrun/core/gateway.py
@@ -13,6 +13,7 @@
 
 from pepperrun.core import gossip
 from pepperrun.core.clock import SECOND, Bucket, Decayed, Seldom
+from pepperrun.core.standing import NEUTRAL
 from pepperrun.core.interface import AttemptEnded, BackendList, BackendState, Cancel, ClientLeft, Fail, Group
 from pepperrun.core.interface import ListKind, Log, Outcome, PeerMessage, Refuse, Repeat, Request
 from pepperrun.core.interface import Send, Settings, StreamStarted, TellPeer, Watch
@@ -101,7 +102,9 @@
         small = max(plan.rate, quotas.settings.max_units) if me in self.keepers[1:] else plan.burst
         depth = min(plan.burst, small)
         # Full: most use a part of their quota, and a keeper that starts knows of nobody that did more.
-        self.whole = Bucket(plan.rate, depth, depth, now)
+        # One that does not know the others yet has its part of that.
+        full = depth / spread if quotas.standing.slices else depth
+        self.whole = Bucket(plan.rate, depth, full, now)
         self.slice = Bucket(plan.rate / spread, plan.burst / spread, plan.burst / spread, now)
         # The hard slice starts empty when this gateway starts: the one before it may have spent it (rule 5).
         self.ceiling = Bucket(plan.ceiling_rate * hard, plan.ceiling_depth * hard, 0.0, quotas.start)
@@ -111,7 +114,7 @@
         self.granted: dict[tuple[int, int], int] = {}  # as keeper: peer and request, when granted
         # Not from 0: peers remember the count of an account that was dropped, and a lower one gives back.
         self.total, self.untold = quotas.counted, 0.0
-        self.out, self.seen, self.period = 0, now, quotas.period
+        self.out, self.seen, self.period, self.quotas = 0, now, quotas.period, quotas
         self.told_at = self.asked_at = quotas.start - HEARD_FOR
         self.told = gossip.Heard()
         self.used = Decayed(SHARE_HALF_LIFE, now)
@@ -126,7 +129,7 @@
         """Units that this gateway may send on before it hears more."""
         answered = self.asked_at + 2 * self.period <= now and now - self.told_at < HEARD_FOR
         heard = self.told.since(now - HEARD_FOR)
-        if self.spread > 1 and not answered and not heard:
+        if self.spread > 1 and (self.quotas.standing.slices or not answered and not heard):
             # A full slice may be smaller than one request; it pays for one all the same and owes the rest.
             return self.slice.fill(now) if self.slice.level < self.slice.depth else self.plan.burst
         room = self.whole.fill(now)
@@ -171,11 +174,13 @@
         self.missed: dict[int, tuple[int, int]] = {}  # keeper: asks unanswered in a row, the last one at
         self.unit_ns = 0.0  # how long an attempt takes for each unit, as seen by the fleet
         self.inbox, self.outbox = gossip.Inbox(), gossip.Outbox()
+        self.standing = NEUTRAL  # what membership, where it is on, knows of the others
 
     def keeper(self, account: Account, now: int) -> int:
-        """The first keeper that has not let two asks in a row go unanswered within the last second."""
-        missed = [self.missed.get(keeper, (0, 0)) for keeper in account.keepers]
+        """The first keeper that is there and has not let two asks go unanswered within the last second."""
+        missed, lost = [self.missed.get(keeper, (0, 0)) for keeper in account.keepers], self.standing.lost
         heard = [count < 2 or now - at > SECOND for count, at in missed]
+        heard = [here and keeper not in lost for here, keeper in zip(heard, account.keepers, strict=True)]
         return account.keepers[heard.index(True) if True in heard else 0]
 
     def ask(self, account: Account, keeper: int, request: int, units: float) -> None:
@@ -195,6 +200,8 @@
         wait_s, beyond = 0.0, False
         if plan.ceiling_rate <= 0 and (peer, request) in account.granted:
             pass  # the answer was lost; the units are charged already
+        elif not self.standing.grants:
+            wait_s = self.period / SECOND  # it stood still, or nobody hears it: another may keep the store
         elif plan.rate > 0 and level < units:
             beyond, wait_s = True, max(0.001, (1 - level) / plan.rate)
             if account.asked.value > max(RUSH, 1.4 * most):
@@ -312,11 +319,13 @@
         """Peers gone quiet count as their slice; accounts that forgetting does not change are dropped."""
         if self.handed:
             return
-        quiet = {peer for peer, known in self.inbox.peers.items() if now - known[2] > HEARD_FOR}
+        quiet = {p for p, known in self.inbox.peers.items() if self.direct and now - known[2] > HEARD_FOR}
+        if self.standing.known:  # the larger side has the whole, the smaller one its own slices
+            quiet = set(self.standing.lost) if self.standing.slices else set()
         for account in list(self.accounts.values()):
             if quiet or account.whole.rate != account.plan.rate:
                 account.whole.fill(now)
-                lost = sum(peer in quiet for peer in account.peers)
+                lost = sum((p - account.first) % self.settings.gateways < account.spread for p in quiet)
                 account.whole.rate = account.plan.rate * (1 - lost / account.spread)
             buckets = [account.whole, account.slice] + [account.ceiling] * (account.plan.ceiling_rate > 0)
             full = all(bucket.fill(now) >= bucket.depth for bucket in buckets)
--- a/pepperrun/gatekeeper.py
+++ b/pepperrun/gatekeeper.py
@@ -50,10 +50,18 @@
 
     def __init__(self) -> None:
         self.offset = time.time_ns() - time.monotonic_ns()
+        self.steps_at = self.steps_by = 0
 
     def __call__(self) -> int:
+        if self.steps_at and time.monotonic_ns() >= self.steps_at:
+            self.offset, self.steps_at = self.offset + self.steps_by, 0
         return time.monotonic_ns() + self.offset
 
+    def step(self, seconds: float, after_s: float) -> None:
+        """Goes wrong by so much, from then on: for tests."""
+        self.steps_by = int(seconds * SECOND)
+        self.steps_at = time.monotonic_ns() + int(after_s * SECOND)
+
     def of_unix_ms(self, unix_ms: int) -> int:
         """The reading at a moment given in Unix milliseconds; 0 stays 0 (long ago)."""
         return unix_ms * 1_000_000
--- /dev/null
+++ b/pepperrun/members/config.py
@@ -0,0 +1,70 @@
+"""What switches membership on: the key `members` of a gatekeeper's configuration, or a file like it."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from pepperrun.config import get, known_keys
+from pepperrun.members.keys import Keys, read_keys
+
+KEYS = "key_file region zone period_ms suspect_ms names"
+MS = 1_000_000
+
+
+@dataclass(slots=True, frozen=True)
+class MembersConfig:
+    """Where the keys are, where this gatekeeper stands, and the pace."""
+
+    key_file: Path
+    region: str
+    zone: str
+    period_ns: int
+    suspect_ns: int
+    names: tuple[str, ...] = ()  # of the gatekeepers, by their numbers
+
+    def keys(self) -> Keys:
+        """The keys as the file has them now; ValueError names the file, never what it holds."""
+        try:
+            return read_keys(self.key_file.read_text(encoding="utf-8"))
+        except (OSError, ValueError) as error:
+            why = error.strerror if isinstance(error, OSError) else error
+            raise ValueError(f"members.key_file: {self.key_file}: {why}") from None
+
+
+def members_of(table: Mapping[str, Any], folder: Path) -> MembersConfig:
+    """Reads the table; a key file's path counts from the folder of the file that names it."""
+    known_keys(table, KEYS, "members.")
+
+    def span(key: str, default: float, least: float, most: float) -> int:
+        value: float = get(table, key, float, default)
+        if not least <= value <= most:
+            raise ValueError(f"members.{key}: must be from {least:g} to {most:g}")
+        return int(value * MS)
+
+    try:
+        return MembersConfig(
+            folder / get(table, "key_file", str, required=True),
+            get(table, "region", str, ""),
+            get(table, "zone", str, ""),
+            span("period_ms", 200, 50, 10_000),
+            span("suspect_ms", 250, 50, 60_000),
+            tuple(str(name) for name in get(table, "names", list, [])),
+        )
+    except ValueError as error:
+        text = str(error)
+        raise ValueError(text if text.startswith("members.") else f"members.{text}") from None
+
+
+def read_members(text: str, folder: Path) -> MembersConfig:
+    """The operators' file; ValueError names a bad key."""
+    try:
+        table = json.loads(text)
+    except (ValueError, RecursionError) as error:
+        raise ValueError(f"not JSON: {error}") from None
+    if not isinstance(table, dict):
+        raise ValueError("not an object")
+    return members_of(table, folder)
--- /dev/null
+++ b/pepperrun/members/member.py
@@ -0,0 +1,687 @@
+"""One member: it joins, probes the others, denies what is untrue of it, and leaves. No socket, no clock.
+
+Its own state, and what moves it (this table is what the code goes by):
+
+| state | event | next |
+| --- | --- | --- |
+| JOINING | WELCOMED | MEMBER |
+| JOINING | UNANSWERED (nobody is there, for JOIN_ALONE_NS) | MEMBER |
+| JOINING, MEMBER | TAKEN (another live process has the name or number) | REFUSED |
+| REFUSED | AGAIN (after TRY_AGAIN_NS) | JOINING |
+| any | LEAVE | LEFT |
+
+Another member's: ALIVE, SUSPECT, DEAD or LEFT, as `records` has it. A suspicion is looked into by the members
+that watch the suspected one, and becomes a death once enough of them agree or none has spoken against it for
+long; a live member hears of it and denies it with a higher incarnation, after its burial too.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+from pepperrun.core.clock import SECOND, Bucket
+from pepperrun.members.keys import Keys
+from pepperrun.members.links import Links
+from pepperrun.members.probing import Probe, Prober
+from pepperrun.members.records import Book, Record
+from pepperrun.members.views import Side, Views, side_of
+from pepperrun.members.wire import (
+    INCARNATIONS,
+    LIVES,
+    NOBODY,
+    Datagram,
+    Kind,
+    Rumour,
+    State,
+    name_hash,
+    pack,
+    room,
+    rows_room,
+    unpack,
+)
+
+HELLO_EACH = SECOND // 10  # while nobody has answered
+JOIN_ALONE_NS = 2 * SECOND  # then this one is the first
+TRY_AGAIN_NS = 2 * SECOND
+KNOCK_EACH = SECOND // 2  # one of the buried is greeted so often: a cut heals, a machine comes back
+NEWS_EACH = 40_000_000  # what is new goes on at once, in one datagram for so long
+NEWS_TO = 2  # members that hear it then
+NEWS_RATE, NEWS_BURST = 20.0, 20.0  # datagrams of news a second at most: a storm must not fill the intakes
+WATCHERS = 4  # look for themselves whether a suspected member is there
+MOST_ASKED = 4  # at the same time, of those that remain when several are gone
+AGREE = 3  # of them, this one's own probe included, bury it at once
+LONGER = 6  # times as long where nobody agrees
+DOUBT_AFTER = 4  # probes in a row that came to nothing: it may be this one that is not heard
+STALL_NS = SECOND // 2  # a standstill of this process: it doubts itself, not the others
+REPEAT_EACH = SECOND // 5  # to one member the same remark
+WINDOW = 64  # datagrams may overtake each other by so many
+EVENTS = 512  # kept for whoever asks
+
+
+class Me(enum.Enum):
+    """This member's own state."""
+
+    JOINING = "joining"
+    MEMBER = "member"
+    REFUSED = "refused"
+    LEFT = "left"
+
+
+class On(enum.Enum):
+    """What moves it."""
+
+    WELCOMED = "welcomed"
+    UNANSWERED = "unanswered"
+    TAKEN = "taken"
+    AGAIN = "again"
+    LEAVE = "leave"
+
+
+MOVES = {
+    (Me.JOINING, On.WELCOMED): Me.MEMBER,
+    (Me.JOINING, On.UNANSWERED): Me.MEMBER,
+    (Me.JOINING, On.TAKEN): Me.REFUSED,
+    (Me.MEMBER, On.TAKEN): Me.REFUSED,
+    (Me.REFUSED, On.AGAIN): Me.JOINING,
+    **{(state, On.LEAVE): Me.LEFT for state in Me},
+}
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    """What a member is told: its number among so many, its name, the keys and the pace.
+
+    `period_ns`: between two probes of its own; `suspect_ns`: how long a suspicion stands at least.
+    """
+
+    me: int
+    count: int
+    name: str
+    keys: Keys
+    period_ns: int = SECOND // 5
+    suspect_ns: int = SECOND // 4
+
+
+@dataclass(slots=True, frozen=True)
+class Happened:
+    """Something for people and rigs to see."""
+
+    at: int
+    what: str
+    member: int
+    by: int
+    detail: str = ""
+
+
+class Window:
+    """The sequence numbers that were seen of one life of a member."""
+
+    def __init__(self) -> None:
+        self.last, self.bits = 0, 0
+
+    def new(self, sequence: int) -> bool:
+        """Was this one not seen, and is it not too old to tell? Then it counts as seen."""
+        if sequence > self.last:
+            self.bits = (self.bits << min(WINDOW, sequence - self.last) | 1) & ((1 << WINDOW) - 1)
+            self.last = sequence
+            return True
+        back = self.last - sequence
+        if back >= WINDOW or self.bits >> back & 1:
+            return False
+        self.bits |= 1 << back
+        return True
+
+
+class Member:
+    """Give it datagrams and the time; take what it wants sent (`out`) and what has happened (`events`)."""
+
+    def __init__(self, config: Config, life: int, seed: int, now: int) -> None:
+        self.config, self.me, self.count = config, config.me, config.count
+        self.rng = random.Random(seed)
+        self.life, self.incarnation, self.state = life % LIVES or 1, 0, Me.JOINING
+        self.book, self.links = Book(self.me, self.count), Links(self.me, self.count)
+        self.prober = Prober(self.book, self.links, self.rng, config.period_ns, self._post)
+        self.views = Views(now)
+        self.name = name_hash(config.name)
+        self.names: dict[int, int] = {}  # of the others
+        self.out: list[tuple[int, bytes]] = []
+        self.events: deque[Happened] = deque(maxlen=EVENTS)
+        self.windows: dict[tuple[int, int], Window] = {}  # by member and life
+        self.claims: dict[int, int] = {}  # member: the life that claims its name while the old one is asked
+        self.looked: dict[int, tuple[int, int]] = {}  # suspected members that this one has looked for
+        self.remarks: dict[tuple[int, Kind], int] = {}  # when the same was last said to a member
+        self.considered, self.candidate, self.suspected = -1, frozenset[tuple[int, int]](), False
+        self.news = Bucket(NEWS_RATE, NEWS_BURST, NEWS_BURST, now)
+        self.sequence = 0
+        self.started = self.seen_at = self.moved_at = now
+        self.denied_at = now - 60 * SECOND  # when it last found that it had been buried
+        self.hello_at = self.knock_at = now
+        self.news_at = 0  # when what is new goes on; 0: there is nothing
+        self.doubt = False  # after a standstill, until another member answers
+        self.counts = dict.fromkeys(
+            ("sent", "sent_bytes", "heard", "forged", "replayed", "foreign", "suspected", "buried", "denied"),
+            0,
+        )
+        self.told_of: Callable[[Happened], None] | None = None
+
+    # Own state.
+
+    def _move(self, event: On, now: int, detail: str = "", by: int = NOBODY) -> bool:
+        after = MOVES.get((self.state, event))
+        if after is None:
+            return False
+        self.state, self.moved_at = after, now
+        self._happened(now, after.value, self.me, by, detail)
+        if after is Me.MEMBER:
+            self._say(State.ALIVE, now)
+        elif after is Me.JOINING:
+            self.hello_at = now
+        elif after is Me.REFUSED:
+            self.prober.void()
+        return True
+
+    def _say(self, state: State, now: int) -> None:
+        """A word on itself."""
+        self.book.note(Rumour(self.me, self.life, self.incarnation, state, self.me), now)
+        self._soon(now)
+
+    def leave(self, now: int) -> None:
+        """Says that it goes: nobody has to find out."""
+        if self._move(On.LEAVE, now):
+            self._say(State.LEFT, now)
+            for member in self.book.pick(self.rng, 2 * NEWS_TO):
+                self._post(member, Kind.NEWS)
+
+    # Time.
+
+    def _look(self, now: int) -> None:
+        """A standstill says nothing of others: what was out is void, suspicions begin anew."""
+        stood, self.seen_at = now - self.seen_at, max(now, self.seen_at)
+        if stood < STALL_NS or self.state is not Me.MEMBER:
+            return
+        self.doubt = len(self.book.others(State.ALIVE, State.SUSPECT, State.DEAD)) > 0
+        self.prober.void()
+        self.claims.clear()
+        self.prober.worse()
+        for known in self.book.records.values():
+            if known.state is State.SUSPECT:
+                known.since = now
+        self._happened(now, "stood still", self.me, self.me, f"{stood / SECOND:.2f} s")
+        for member in self.book.pick(self.rng, WATCHERS):
+            self.prober.ask(member, now)
+
+    def tick(self, now: int) -> None:
+        """Does what is due."""
+        self._look(now)
+        if self.state is Me.LEFT:
+            return
+        if self.state is Me.REFUSED:
+            if now - self.moved_at >= TRY_AGAIN_NS:
+                self._move(On.AGAIN, now)
+            return
+        if self.state is Me.JOINING:
+            self._knock_at_doors(now)
+            return
+        for probe in self.prober.tick(now):
+            self._no_answer(probe, now)
+        for member in self.book.others(State.SUSPECT):
+            known = self.book.records[member]
+            if now >= self._burial(known):
+                self._bury(known, now)
+            else:  # of its watchers some may have been found dead themselves
+                self._watch(known, now)
+        if now >= self.knock_at:
+            self.knock_at = now + KNOCK_EACH
+            absent = [m for m in range(self.count) if m != self.me and not self._there(m)]
+            if absent:
+                self._post(self.rng.choice(absent), Kind.HELLO)
+        if self.news_at and now >= self.news_at:
+            self.news_at = 0
+            for member in self.book.pick(self.rng, NEWS_TO):
+                if self.news.fill(now) >= 1:
+                    self.news.level -= 1
+                    self._post(member, Kind.NEWS)
+            if self.book.fresh and any(key[1] != NOBODY for key in self.book.fresh):
+                self._soon(now)
+        self._consider(now)
+
+    def due(self) -> int:
+        """When `tick` is to be called at the latest, whatever is heard till then."""
+        if self.state is Me.LEFT:
+            return self.seen_at + SECOND
+        if self.state is Me.REFUSED:
+            return self.moved_at + TRY_AGAIN_NS
+        if self.state is Me.JOINING:
+            return self.hello_at
+        dues = [self.prober.due(), self.knock_at, self.seen_at + STALL_NS // 4]
+        dues += [self._burial(self.book.records[member]) for member in self.book.others(State.SUSPECT)]
+        if self.news_at:
+            dues.append(self.news_at)
+        if (view := self.views.due(self.seen_at)) is not None:
+            dues.append(view)
+        return min(dues)
+
+    def _there(self, member: int) -> bool:
+        known = self.book.get(member)
+        return known is not None and (known.there or known.state is State.LEFT)
+
+    def _soon(self, now: int) -> None:
+        self.news_at = self.news_at or now + NEWS_EACH
+
+    def _knock_at_doors(self, now: int) -> None:
+        """Joining: greets one configured member after the other until one answers."""
+        if now < self.hello_at:
+            return
+        if now - self.moved_at >= JOIN_ALONE_NS or self.count == 1:
+            self._move(On.UNANSWERED, now)
+            return
+        self.hello_at = now + int(HELLO_EACH * self.rng.uniform(0.7, 1.3))
+        self._post(self.rng.choice([m for m in range(self.count) if m != self.me]), Kind.HELLO)
+
+    # Suspicion.
+
+    def _no_answer(self, probe: Probe, now: int) -> None:
+        if probe.for_whom is not None:
+            self._post(probe.for_whom[0], Kind.NACK, probe=probe.for_whom[1], subject=probe.target)
+            return
+        if probe.claim:
+            self._claim_holds(probe.target, now)
+            return
+        self.prober.failed_in_row += 1
+        if self.prober.failed_in_row >= DOUBT_AFTER and not self.doubt:
+            self.doubt = True
+            self._happened(now, "hears nobody", self.me, self.me, f"{self.prober.failed_in_row} probes")
+        if probe.silent and len(probe.silent) == len(probe.helpers):
+            self.prober.worse()  # all helpers keep silent: it may be this one that does not hear
+        known = self.book.get(probe.target)
+        if known is None or known.life != probe.life or not known.there:
+            return
+        if known.state is State.ALIVE:
+            self.counts["suspected"] += 1
+        self._note(Rumour(known.member, known.life, known.incarnation, State.SUSPECT, self.me), now)
+
+    def _needed(self) -> int:
+        """So many besides the first have to agree that a suspected member is gone."""
+        return max(0, min(AGREE, len(self.book.others(State.ALIVE)) + 1) - 1)
+
+    def _burial(self, known: Record) -> int:
+        """When a suspicion becomes a death: the sooner the more have looked and agree."""
+        least, agreed, needed = self.config.suspect_ns, len(known.witnesses) - 1, self._needed()
+        if known.sure:
+            return known.since + least
+        part = math.log(agreed + 1) / math.log(needed + 1) if needed else 1.0
+        span = max(least, LONGER * least - (LONGER - 1) * least * part)
+        # Enough agree: who is patient because it fares badly itself does not hold them up.
+        patience = 1 if agreed >= needed and needed else 1 + self.prober.health
+        return known.since + int(span * patience)
+
+    def _bury(self, known: Record, now: int) -> None:
+        self.counts["buried"] += 1
+        self._note(Rumour(known.member, known.life, known.incarnation, State.DEAD, self.me), now)
+
+    def _note(self, rumour: Rumour, now: int) -> None:
+        """Takes in a word on another member or on this one."""
+        if rumour.member == self.me:
+            self._of_me(rumour, now)
+            return
+        before = self.book.get(rumour.member)
+        was, life = (before.state, before.life) if before is not None else (None, 0)
+        hearsay = rumour.state is State.DEAD and rumour.witness != self.me and was is State.ALIVE
+        if (
+            hearsay
+            and before is not None
+            and rumour.life == life
+            and rumour.incarnation == before.incarnation
+        ):
+            # Nobody is buried on hearsay whom nothing was said against: it has the time to deny that.
+            rumour = replace(rumour, state=State.SUSPECT)
+        if not self.book.note(rumour, now):
+            return
+        if hearsay and rumour.state is State.SUSPECT:
+            self.book.records[rumour.member].sure = True
+        self._soon(now)
+        if life != rumour.life:
+            self.links.forget(rumour.member)
+            self.prober.heard.pop(rumour.member, None)
+        if was is not rumour.state or life != rumour.life:
+            words = {State.ALIVE: "there", State.SUSPECT: "suspected", State.DEAD: "dead", State.LEFT: "left"}
+            self._happened(now, words[rumour.state], rumour.member, rumour.witness, f"life {rumour.life}")
+        if rumour.state is State.SUSPECT and was is not State.SUSPECT:
+            self._watch(self.book.records[rumour.member], now)
+
+    def _watch(self, known: Record, now: int) -> None:
+        """Looks for itself, once, whether a suspected member is there, if it is among those to do so."""
+        looked = self.looked.get(known.member) == (known.life, known.incarnation)
+        if looked or self.me in known.witnesses or self.prober.asking(known.member):
+            return
+        if self.me in self.book.watchers(known.member, WATCHERS):
+            self.looked[known.member] = known.life, known.incarnation
+            self.prober.ask(known.member, now)
+
+    def _of_me(self, rumour: Rumour, now: int) -> None:
+        """What others say of this one: what is untrue is denied, with a higher incarnation."""
+        if rumour.life > self.life:
+            if self.state is Me.JOINING:  # the life before had a clock that was ahead of this one's
+                self.life = rumour.life + 1
+                self.hello_at = now
+            else:
+                self._move(On.TAKEN, now, f"life {rumour.life} has the name", rumour.witness)
+            return
+        if rumour.life < self.life or self.state is not Me.MEMBER:
+            return
+        if rumour.state is not State.ALIVE and rumour.incarnation >= self.incarnation:
+            self.incarnation = (rumour.incarnation + 1) % INCARNATIONS
+            self.counts["denied"] += 1
+            self.prober.worse()
+            if rumour.state is State.DEAD:
+                self.denied_at = now
+            self._happened(now, "denied", self.me, rumour.witness, rumour.state.name.lower())
+            self._say(State.ALIVE, now)
+
+    # Datagrams.
+
+    def heard(self, member: int, at: int) -> None:
+        """A sign of life on the ordinary path. It saves a probe and proves nothing: it is not signed."""
+        if at > self.prober.heard.get(member, 0):
+            self.prober.heard[member] = at
+
+    def receive(self, sender: int, data: bytes, now: int) -> None:
+        """Takes in a datagram from the address of a configured member."""
+        self._look(now)
+        if self.state in (Me.LEFT, Me.REFUSED):
+            return
+        datagram = unpack(data, self.count, self.config.keys)
+        if datagram is None or sender == self.me:
+            self.counts["forged"] += 1
+            return
+        if datagram.sender != sender:
+            self.counts["foreign"] += 1
+            return
+        if not self._in_order(datagram, now):
+            return
+        self.counts["heard"] += 1
+        handlers = {
+            Kind.PING: self._ping,
+            Kind.ACK: self._ack,
+            Kind.ASK: self._asked,
+            Kind.NACK: lambda one, at: self.prober.nack(one.probe, one.sender),
+            Kind.HELLO: self._hello,
+            Kind.WELCOME: self._welcome,
+            Kind.NEWS: lambda one, at: None,
+            Kind.TAKEN: self._taken,
+        }
+        if datagram.kind not in (Kind.HELLO, Kind.TAKEN) and not self._current(datagram, now):
+            return
+        denied = self.counts["denied"]
+        if datagram.kind not in (Kind.HELLO, Kind.TAKEN) and self.names.get(sender) != datagram.name:
+            self._named(sender, datagram, now)
+        handlers[datagram.kind](datagram, now)
+        if datagram.kind is not Kind.TAKEN:
+            self._take_in(datagram, now)
+        if self.counts["denied"] > denied:  # whoever said it is the first to hear that it is untrue
+            self._post(sender, Kind.NEWS)
+        self._consider(now)
+
+    def _in_order(self, datagram: Datagram, now: int) -> bool:
+        """No replay: a new number of its life, and for this life of the receiver where that matters."""
+        known = self.book.get(datagram.sender)
+        if known is not None and known.life == datagram.life:
+            window = self.windows.setdefault((datagram.sender, datagram.life), Window())
+            if not window.new(datagram.sequence):
+                self.counts["replayed"] += 1
+                return False
+        if datagram.to_life != self.life and datagram.kind is not Kind.HELLO:
+            if datagram.kind is Kind.PING:
+                # The life that is asked for has ended: whoever answers here says which one this is.
+                self._post(datagram.sender, Kind.ACK, probe=datagram.probe, to_life=datagram.life)
+            else:
+                self.counts["replayed"] += 1
+            return False
+        return True
+
+    def _current(self, datagram: Datagram, now: int) -> bool:
+        """Is it from the life that is known here? A later one is taken in, an earlier one told of that."""
+        sender, known = datagram.sender, self.book.get(datagram.sender)
+        if known is not None and datagram.life < known.life:
+            self._remark(sender, Kind.TAKEN, now, subject=sender, to_life=datagram.life)
+            return False
+        if known is not None and datagram.life == known.life and datagram.incarnation <= known.incarnation:
+            if known.there:
+                return True
+            # It lives, and does not know what is said of it: told, it denies that. It may say the same of
+            # this one, which is denied in the answer.
+            for rumour in datagram.rumours:
+                if rumour.member == self.me:
+                    self._of_me(rumour, now)
+            self._remark(sender, Kind.NEWS, now, rumours=[known.rumour()])
+            return False
+        if self.claims.get(sender) == datagram.life:
+            return datagram.kind is Kind.ACK  # the answer to the question whether the old life is there
+        was_there = known is not None and known.there
+        self._note(Rumour(sender, datagram.life, datagram.incarnation, State.ALIVE, self.me), now)
+        if known is not None and not was_there:
+            self._post(sender, Kind.HELLO)  # back from behind a cut: what it knows is wanted
+        return True
+
+    def _named(self, sender: int, datagram: Datagram, now: int) -> None:
+        """Two that joined at the same time may have one name: the later one gives way."""
+        self.names[sender] = datagram.name
+        for other, name in self.names.items():
+            held = self.book.get(other)
+            if name != datagram.name or other == sender or held is None or not held.there:
+                continue
+            later = max((datagram.life, sender), (held.life, other))[1]
+            holder, life = (other, datagram.life) if later == sender else (sender, held.life)
+            self._refuse(later, holder, now, life)
+
+    def _take_in(self, datagram: Datagram, now: int) -> None:
+        known = self.book.get(datagram.sender)
+        if known is None or known.life != datagram.life or not known.there:
+            return  # who is buried here says nothing of others until it has denied that
+        self.prober.heard[datagram.sender] = now
+        for rumour in datagram.rumours:
+            self._note(rumour, now)
+        for row in datagram.rows:
+            self.links.note(row)
+        self.views.hear(datagram.sender, datagram.view, datagram.digest)
+
+    def _ping(self, datagram: Datagram, now: int) -> None:
+        self._post(datagram.sender, Kind.ACK, probe=datagram.probe)
+
+    def _ack(self, datagram: Datagram, now: int) -> None:
+        probe = self.prober.answered(datagram.probe, datagram.sender, datagram.subject, now)
+        if probe is None:
+            return
+        if self.doubt:
+            self.doubt = False
+            self._happened(now, "is answered", self.me, datagram.sender)
+        if probe.for_whom is not None:
+            self._post(probe.for_whom[0], Kind.ACK, probe=probe.for_whom[1], subject=probe.target)
+        elif probe.claim:
+            if datagram.sender == probe.target and datagram.life == probe.life:
+                self._refuse(probe.target, probe.target, now)
+            else:
+                self._claim_holds(probe.target, now)
+
+    def _asked(self, datagram: Datagram, now: int) -> None:
+        if datagram.subject < self.count and datagram.subject != self.me:
+            self.prober.ask(datagram.subject, now, for_whom=(datagram.sender, datagram.probe))
+
+    # Joining, and names.
+
+    def _hello(self, datagram: Datagram, now: int) -> None:
+        """Someone asks for all that is known here. A name that another holds is refused."""
+        sender = datagram.sender
+        for other, name in self.names.items():
+            held = self.book.get(other)
+            if name == datagram.name and other != sender and held is not None and held.there:
+                self._refuse(sender, other, now, datagram.life)
+                return
+        if datagram.name == self.name and self.state is Me.MEMBER:
+            self._refuse(sender, self.me, now, datagram.life)
+            return
+        known = self.book.get(sender)
+        self.names[sender] = datagram.name
+        if known is not None and known.there and datagram.life > known.life:
+            # The life before may still be there: it is asked before the new one counts.
+            if sender not in self.claims:
+                self.claims[sender] = datagram.life
+                self.prober.ask(sender, now, claim=True)
+            return
+        if known is not None and datagram.life < known.life:
+            self._remark(sender, Kind.WELCOME, now, rumours=[known.rumour()], to_life=datagram.life)
+            return
+        if known is None or datagram.life > known.life:
+            self._note(Rumour(sender, datagram.life, datagram.incarnation, State.ALIVE, self.me), now)
+        self._tell_all(sender, datagram.life)
+
+    def _claim_holds(self, member: int, now: int) -> None:
+        """The old life does not answer: the new one has the name."""
+        life = self.claims.pop(member, 0)
+        known = self.book.get(member)
+        if life and (known is None or life > known.life):
+            self._note(Rumour(member, life, 0, State.ALIVE, self.me), now)
+            self._tell_all(member, life)
+
+    def _refuse(self, member: int, holder: int, now: int, life: int = 0) -> None:
+        life = life or self.claims.pop(member, 0)
+        self._happened(now, "refused a name", member, self.me, f"held by member {holder}")
+        self._remark(member, Kind.TAKEN, now, subject=holder, to_life=life)
+
+    def _taken(self, datagram: Datagram, now: int) -> None:
+        self._move(On.TAKEN, now, f"member {datagram.subject} has the name", datagram.sender)
+
+    def _tell_all(self, member: int, life: int) -> None:
+        """All records, in as many datagrams as it takes."""
+        every = [known.rumour() for known in self.book.records.values()] or [
+            Rumour(self.me, self.life, self.incarnation, State.ALIVE, self.me)
+        ]
+        page = room(self.count, 1)
+        for at in range(0, len(every), page):
+            self._post(member, Kind.WELCOME, rumours=every[at : at + page], to_life=life)
+
+    def _welcome(self, datagram: Datagram, now: int) -> None:
+        if self.state is Me.JOINING and not any(
+            one.member == self.me and one.life > self.life for one in datagram.rumours
+        ):
+            self._move(On.WELCOMED, now, by=datagram.sender)
+
+    # Views.
+
+    def _consider(self, now: int) -> None:
+        if self.state is not Me.MEMBER:
+            return
+        if self.book.changes != self.considered:
+            self.considered = self.book.changes
+            self.candidate = frozenset(
+                (m, known.life) for m, known in self.book.records.items() if known.there
+            )
+            self.suspected = any(known.state is State.SUSPECT for known in self.book.records.values())
+            self.views.note(self.candidate, now)
+        view = self.views.consider(self.candidate, self.suspected or bool(self._unheard(now)), now)
+        if view is not None:
+            self._happened(
+                now, "view", self.me, self.me, f"{view.number} {view.digest:08x} {len(view.members)}"
+            )
+
+    def _unheard(self, now: int) -> list[int]:
+        """Where several are gone others may be too: each that remains is heard first, and asked for that."""
+        gone = self.views.view.numbers() - {member for member, _ in self.candidate}
+        if len(gone) < 2:
+            return []
+        since = self.views.differs_since
+        unheard = [m for m, _ in self.candidate if m != self.me and self.prober.heard.get(m, 0) < since]
+        free = MOST_ASKED - len(self.prober.probes)
+        for member in unheard:
+            if free <= 0:
+                break
+            if not self.prober.asking(member):
+                self.prober.ask(member, now)
+                free -= 1
+        return unheard
+
+    def configured(self) -> frozenset[int]:
+        """All members but those that left in order."""
+        left = {m for m, known in self.book.records.items() if known.state is State.LEFT}
+        return frozenset(range(self.count)) - left
+
+    def side(self) -> Side:
+        """Where this one stands, by its view."""
+        return side_of(self.views.view.numbers() | {self.me}, self.configured(), self.me)
+
+    # Sending.
+
+    def _remark(self, member: int, kind: Kind, now: int, **fields: Any) -> None:
+        """Says something to a member that it may ask for with each datagram, once in a while."""
+        if now - self.remarks.get((member, kind), -REPEAT_EACH) >= REPEAT_EACH:
+            self.remarks[member, kind] = now
+            self._post(member, kind, **fields)
+
+    def _post(
+        self,
+        member: int,
+        kind: Kind,
+        *,
+        probe: int = 0,
+        subject: int = NOBODY,
+        rumours: list[Rumour] | None = None,
+        to_life: int | None = None,
+    ) -> None:
+        known = self.book.get(member)
+        if to_life is None:
+            to_life = known.life if known is not None and kind is not Kind.HELLO else 0
+        given = rumours is not None
+        told = rumours if rumours is not None else []
+        if not given and self.state in (Me.MEMBER, Me.LEFT):
+            # What is said of the receiver comes first: if it is untrue, it has to know.
+            if known is not None and known.state is not State.ALIVE:
+                told = [known.rumour()]
+            told = told + [one for one in self.book.some(room(self.count, 1) - 1, member) if one not in told]
+        rows = [self.links.row()] if self.state is Me.MEMBER else []
+        if rows and not given:
+            spare = rows_room(self.count, len(told)) - 1
+            others = [row for row in self.links.rows.values() if row.member != member]
+            rows += self.rng.sample(others, max(0, min(len(others), spare, 2)))
+        self.sequence += 1
+        data = pack(
+            Datagram(
+                *(
+                    kind,
+                    self.me,
+                    self.life,
+                    to_life,
+                    self.sequence,
+                    subject,
+                    probe,
+                    self.incarnation,
+                    self.name,
+                ),
+                *(self.views.view.number, self.views.view.digest, self.prober.health, told, rows),
+            ),
+            self.count,
+            self.config.keys,
+        )
+        self.counts["sent"] += 1
+        self.counts["sent_bytes"] += len(data)
+        self.out.append((member, data))
+
+    def note_step(self, step: str, now: int) -> None:
+        """For the record: what is done with quotas from now on."""
+        self._happened(now, "step", self.me, self.me, step)
+
+    def take_out(self) -> list[tuple[int, bytes]]:
+        """What is to be sent, with the receivers."""
+        out, self.out = self.out, []
+        return out
+
+    def _happened(self, now: int, what: str, member: int, by: int, detail: str = "") -> None:
+        happened = Happened(now, what, member, by, detail)
+        self.events.append(happened)
+        if self.told_of is not None:
+            self.told_of(happened)
--- /dev/null
+++ b/pepperrun/members/probing.py
@@ -0,0 +1,195 @@
+"""Probes: one member at a time is asked whether it is there, by itself and then through others. Does no I/O.
+
+| stage | what happens | next |
+| --- | --- | --- |
+| DIRECT | its answer comes | over: it is there and reached |
+| DIRECT | none in the patience learnt for it | INDIRECT: three others ask it, and it is asked twice more |
+| INDIRECT | an answer through another | over: it is there, and not reached from here |
+| INDIRECT | none to the end | over: suspected; if no helper spoke, this member doubts itself too |
+
+Every second probe goes to the next live member on the ring, so that each member is asked about twice in four
+periods whatever their number; the others go to all in turn, the order shuffled each time round. A probe is
+saved where the member was heard within the period anyway and its way here was tried not long ago.
+"""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from pepperrun.core.clock import SECOND
+from pepperrun.members.links import Links
+from pepperrun.members.records import Book
+from pepperrun.members.wire import Kind, State
+
+HELPERS = 3  # that ask for this member: with one word in five lost, one way in three through them holds
+TRIED_FOR = 30 * SECOND  # a way that came back so lately need not be tried where its member is heard
+HEALTH_MOST = 8  # a member in trouble is at most nine times as patient
+STORM = 3  # so many times the pace while several are suspected: many have failed, and are found sooner
+PROBES = 2**16
+
+
+class Stage(enum.Enum):
+    """How far a probe has come."""
+
+    DIRECT = "direct"
+    INDIRECT = "indirect"
+
+
+@dataclass(slots=True)
+class Probe:
+    """A question that is out. `for_whom`: another member's, and its number there."""
+
+    target: int
+    life: int
+    sent: int
+    due: int
+    stage: Stage = Stage.DIRECT
+    helpers: set[int] = field(default_factory=set)
+    silent: set[int] = field(default_factory=set)  # helpers that have said nothing yet
+    again: int = 0  # when it is asked once more, in the second stage
+    for_whom: tuple[int, int] | None = None
+    claim: bool = False  # is the old life of a name still there?
+
+
+Post = Callable[..., None]
+
+
+class Prober:
+    """Asks one member each period, and whoever is suspected where this one is among its watchers."""
+
+    def __init__(self, book: Book, links: Links, rng: random.Random, period_ns: int, post: Post) -> None:
+        self.book, self.links, self.rng, self.period_ns, self.post = book, links, rng, period_ns, post
+        self.probes: dict[int, Probe] = {}
+        self.heard: dict[int, int] = {}  # when anything was last heard of a member, by any path
+        self.next_at = 0
+        self.round: list[int] = []
+        self.turn = 0
+        self.number = rng.randrange(PROBES)
+        self.failed_in_row = 0  # own probes that came to nothing since the last answer
+        self.health = 0  # the worse this member fares itself, the more patient it is with others
+
+    def patience(self, member: int) -> int:
+        """How long an answer may take, ns."""
+        return self.links.delay(member).patience(self.period_ns) * (1 + self.health)
+
+    def ask(self, member: int, now: int, **more: object) -> None:
+        """Asks a member itself."""
+        known = self.book.get(member)
+        self.number = (self.number + 1) % PROBES
+        while self.number in self.probes:
+            self.number = (self.number + 1) % PROBES
+        life = known.life if known is not None else 0
+        probe = Probe(member, life, now, now + self.patience(member))
+        for key, value in more.items():
+            setattr(probe, key, value)
+        self.probes[self.number] = probe
+        self.post(member, Kind.PING, probe=self.number)
+
+    def asking(self, member: int) -> bool:
+        """Is a question of this one's own to it out?"""
+        return any(probe.target == member and probe.for_whom is None for probe in self.probes.values())
+
+    def tick(self, now: int) -> list[Probe]:
+        """Does what is due; the probes that have come to nothing."""
+        if now >= self.next_at:
+            suspects = len(self.book.others(State.SUSPECT))
+            pace = self.period_ns // STORM if suspects > 1 else self.period_ns
+            self.next_at = now + int(pace * self.rng.uniform(0.9, 1.1))
+            self._next(now)
+        failed = []
+        for number, probe in list(self.probes.items()):
+            if probe.again and now >= probe.again:
+                probe.again = 0
+                self.post(probe.target, Kind.PING, probe=number)
+            if now < probe.due:
+                continue
+            if probe.stage is Stage.INDIRECT or probe.for_whom is not None or probe.claim:
+                del self.probes[number]
+                failed.append(probe)
+            else:
+                self._indirect(number, probe, now)
+        return failed
+
+    def _indirect(self, number: int, probe: Probe, now: int) -> None:
+        self.links.silent(probe.target)
+        probe.stage = Stage.INDIRECT
+        span = self.patience(probe.target)
+        # Who is known not to reach it is of no help.
+        barred = [m for m in self.links.rows if not self.links.reaches(m, probe.target)]
+        helpers = self.book.pick(self.rng, HELPERS, probe.target, *barred)
+        probe.helpers, probe.silent = set(helpers), set(helpers)
+        for helper in helpers:
+            self.post(helper, Kind.ASK, probe=number, subject=probe.target)
+        self.post(probe.target, Kind.PING, probe=number)
+        slowest = max((self.patience(helper) for helper in helpers), default=0)
+        probe.due = now + span + slowest  # a helper waits as long as this one does, and its word has to come
+        probe.again = now + slowest // 2
+
+    def _next(self, now: int) -> None:
+        self.turn += 1
+        target = next(iter(self.book.after(self.book.me)), None) if self.turn % 2 else self._in_turn()
+        if target is None or self.asking(target):
+            return
+        lately = now - self.heard.get(target, -self.period_ns) < self.period_ns
+        if (
+            lately
+            and now - self.links.tried.get(target, -TRIED_FOR) < TRIED_FOR
+            and target not in self.links.failed
+        ):
+            return
+        self.ask(target, now)
+
+    def _in_turn(self) -> int | None:
+        for _ in range(2):
+            while self.round:
+                known = self.book.get(member := self.round.pop())
+                if known is not None and known.there:
+                    return member
+            self.round = self.book.others(State.ALIVE, State.SUSPECT)
+            self.rng.shuffle(self.round)
+        return None
+
+    def answered(self, number: int, sender: int, subject: int, now: int) -> Probe | None:
+        """An answer to a question of this member; the probe where it is one."""
+        probe = self.probes.get(number)
+        if (
+            probe is None
+            or sender != probe.target
+            and (subject != probe.target or sender not in probe.helpers)
+        ):
+            return None
+        del self.probes[number]
+        if sender == probe.target:
+            # After a second question it can't be told which one was answered: no time is learnt of that.
+            took = (
+                now - probe.sent
+                if probe.stage is Stage.DIRECT
+                else self.links.delay(sender).patience(self.period_ns)
+            )
+            self.links.answered(sender, took, now)
+        self.failed_in_row = 0
+        if probe.for_whom is None:
+            self.health = max(0, self.health - 1)
+        return probe
+
+    def nack(self, number: int, sender: int) -> None:
+        """A helper says that it heard nothing either: the way between it and this one is fine."""
+        probe = self.probes.get(number)
+        if probe is not None:
+            probe.silent.discard(sender)
+
+    def worse(self, by: int = 1) -> None:
+        """Something says that this member itself fares badly."""
+        self.health = min(HEALTH_MOST, self.health + by)
+
+    def void(self) -> None:
+        """After a standstill of this member nothing that was out says anything."""
+        self.probes.clear()
+        self.next_at = 0
+
+    def due(self) -> int:
+        """When `tick` has something to do."""
+        return min([self.next_at, *(probe.again or probe.due for probe in self.probes.values())])
--- a/pepperrun/net/peers.py
+++ b/pepperrun/net/peers.py
@@ -12,6 +12,7 @@
 from pepperrun.log import say
 
 MOST = 256
+MEMBERS = b"\xb1"  # with it begins a datagram of membership (`pepperrun/members/wire.py`)
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -22,6 +23,7 @@
         self.numbers = {address: number for number, address in enumerate(peers) if number != me}
         self.transport: asyncio.DatagramTransport | None = None
         self.also: Callable[[int, bytes], None] | None = None  # told too while another process ends
+        self.members: Callable[[int, bytes], None] | None = None  # takes what is membership's
         self._given: socket.socket | None = None  # a copy, while another process has the socket
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -37,6 +39,10 @@
         if number is None or len(data) > MOST:
             say("peers", f"dropped a datagram of {len(data)} bytes from {addr[0]}:{addr[1]}")
             return
+        if data[:1] == MEMBERS:
+            if self.members is not None:
+                self.members(number, data)
+            return
         self.hear(number, data)
         if self.also is not None:
             self.also(number, data)
--- a/pepperrun/serve.py
+++ b/pepperrun/serve.py
@@ -28,6 +28,7 @@
     meeting_place,
     open_admin,
     start_auth,
+    start_members,
     start_platform,
     wait_for_next,
 )
@@ -40,14 +41,18 @@
 if TYPE_CHECKING:
     from pepperrun.handover.predecessor import Predecessor
     from pepperrun.capture.recorder import Recorder
+    from pepperrun.members.config import MembersConfig
     from pepperrun.metrics import MetricsConfig, Reporter, Sample
     from pepperrun.parking.config import ClientsConfig
     from pepperrun.parking.lot import Lot
 
-OPTIONS = ("--forward-auth", "--metrics", "--clients", "--log-format", "--capture")
+OPTIONS = ("--forward-auth", "--metrics", "--clients", "--log-format", "--capture", "--members")
+TEST_OPTIONS = (
+    "--clock-offset",
+)  # for the lab: a clock that is off, `S` or `S@T` for a step after T seconds
 USAGE = (
     "usage: pepperrun [--forward-auth FILE] [--metrics FILE] [--clients FILE] [--capture DIR]"
-    " [--log-format text|json], or pepperrun --help"
+    " [--members FILE] [--log-format text|json], or pepperrun --help"
 )
 MOST_CAPTURES = 100  # files of a gatekeeper that are kept
 OVERTIME_S = 1.0  # after the longest deadline: the last requests come a while after SIGTERM
@@ -102,6 +107,10 @@
         if new_auth.servers != auth_config.servers:
             parts["auth"][0].told(new_auth.servers, ListKind.FULL)
         auth_config = replace(auth_config, servers=new_auth.servers)
+    if config is not None and (service := parts["platform"][0].members) is not None:
+        membership = files.membership(config)
+        if membership is not None:
+            service.reload(membership)
     if lot is not None and clients is not None:
         later += [f"clients {key}" for key in lot.follow(clients)]
     rest = f"; at the next start: {', '.join(later)}" if later else ""
@@ -124,7 +133,7 @@
     """Serves until SIGTERM or SIGINT, then drains."""
     config, auth_config, metrics, clients = files.first
     loop = asyncio.get_running_loop()
-    clock, stop = Clock(), asyncio.Event()
+    clock, stop = files.clock, asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     parts: dict[str, Part] = {}
@@ -155,6 +164,9 @@
         )
         parts["platform"] = core, listener
         classes += config.settings.classes
+        if (membership := files.membership(config)) is not None:
+            known = before.table.get("members") if before is not None and before.table is not None else None
+            start_members(config, membership, core, known)
         if place is not None:
             after = wait_for_next(place, core, listener, watch)
         if before is not None:
@@ -187,6 +199,9 @@
     longest_s = max(kind.deadline_ns for kind in classes) / SECOND
     if after is not None and await after.finish(longest_s + OVERTIME_S):
         listeners.remove(listener)
+    for core, _ in parts.values():
+        if core.members is not None:
+            core.members.leave()
     try:
         async with asyncio.timeout(longest_s + OVERTIME_S):
             await asyncio.gather(*(listener.drain() for listener in listeners))
@@ -196,6 +211,9 @@
     except TimeoutError:
         say("stop", "connections were still open at the end")
     watch.stop()
+    for core, _ in parts.values():
+        if core.members is not None:
+            core.members.close()
     if admin is not None:
         admin.close()
     for task in tasks:
@@ -237,15 +255,30 @@
 Read = tuple["Config | None", "AuthConfig | None", "MetricsConfig | None", "ClientsConfig | None"]
 
 
+def clock_of(text: str | None) -> Clock:
+    """The clock, for the lab one that is off; ValueError on what is no offset."""
+    clock = Clock()
+    if text is not None:
+        offset, _, after = text.partition("@")
+        try:
+            clock.step(float(offset), float(after or 0))
+        except (ValueError, OverflowError):
+            raise ValueError(f"--clock-offset: {text!r} is not SECONDS or SECONDS@AFTER") from None
+    return clock
+
+
 class Files:
     """Where the configuration is, and what it said at the start; ValueError on bad arguments or files."""
 
     def __init__(self, arguments: list[str], env: Mapping[str, str]) -> None:
         options = dict(zip(arguments[::2], arguments[1::2], strict=False))
-        if len(arguments) != 2 * len(options) or not options.keys() <= set(OPTIONS):
+        if len(arguments) != 2 * len(options) or not options.keys() <= {*OPTIONS, *TEST_OPTIONS}:
             raise ValueError(USAGE)
         self.env, self.config = env, env.get("NODE_CONFIG")
-        self.auth, self.metrics, self.clients, log_format, self.capture = map(options.get, OPTIONS)
+        self.auth, self.metrics, self.clients, log_format, self.capture, self.members = map(
+            options.get, OPTIONS
+        )
+        self.clock = clock_of(options.get("--clock-offset"))
         if log_format not in (None, "text", "json"):
             raise ValueError(f"--log-format: {log_format!r} is neither text nor json")
         if log_format == "json":
@@ -276,12 +309,33 @@
             except ValueError as error:
                 raise ValueError(f"{self.clients}: {error}") from None
         config = read_config(text(self.config), self.env) if self.config else None
+        if config is not None:
+            self.membership(config)
         if config is None and auth is None:
             raise ValueError("NODE_CONFIG: not set")
         if config is None and auth is not None and auth.listen is None:
             raise ValueError("listen: missing, and NODE_CONFIG is not set")
         return config, auth, figures, clients
 
+    def membership(self, config: Config) -> MembersConfig | None:
+        """What switches membership on; None where it is off. ValueError where it can't be."""
+        if self.members is None and config.members is None:
+            return None
+        from pepperrun.members.config import members_of, read_members  # only where asked for
+
+        if self.members is not None:
+            path = Path(self.members)
+            try:
+                found = read_members(path.read_text(encoding="utf-8"), path.parent)
+            except ValueError as error:
+                raise ValueError(f"{path}: {error}") from None
+        else:
+            found = members_of(config.members or {}, Path(self.config or "").parent)
+        found.keys()
+        if config.peer_listen is None or not config.settings.peer_messages:
+            raise ValueError("members: peer_listen is missing, or the settings allow no messages")
+        return found
+
 
 def serve(arguments: list[str]) -> int:
     """Reads the configuration and runs a gatekeeper; the exit code."""
--- a/pepperrun/tool/application.py
+++ b/pepperrun/tool/application.py
@@ -5,20 +5,25 @@
 import re
 import tomllib
 from collections.abc import Mapping
+from pathlib import Path
 from typing import Any
 
 from pepperrun.config import get, parse_address, read_config
+from pepperrun.members.config import members_of
 
 _TIME = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s|us)\Z")
 _UNITS = {"s": 1_000_000_000, "ms": 1_000_000, "us": 1_000}
 _REPEATS = {"safe": "read_like", "keyed": "idempotency_key", "never": "non_idempotent"}
+KEY_FILE = "members.key"  # beside the gatekeepers' files; made where it is not there
 KEYS = {
-    "": {"name", "discovery", "gatekeeper", "class", "plan", "worker", "limits", "rules", "cold", "zones"},
+    "": {"name", "discovery", "gatekeeper", "class", "plan", "worker", "limits", "rules", "cold", "zones"}
+    | {"members"},
     "gatekeeper": {"name", "listen", "admin", "peer_listen", "zone"},
     "class": {"name", "wanted", "deadline", "repeat", "group", "window", "worth", "late_worth"},
     "plan": {"name", "rate", "burst", "open", "price", "over_worth", "over_cost"}
     | {"ceiling_rate", "ceiling_burst", "ceiling_slack"},
     "worker": {"name", "address", "zone", "cell", "weight"},
+    "members": {"key_file", "region", "zone", "period", "suspect"},
     "limits": {"attempts", "second_copies", "cancel", "retry_after", "max_retry_after", "keepalive"}
     | {"connect_timeout", "tick", "sockets", "memory_mb", "most_units", "settled", "messages_per_s"},
     "rules": {"answer_grace", "drain_grace"},
@@ -159,6 +164,9 @@
             "OverloadForNs": time_ns(cold, "tip_for", "1s"),
         },
     }
+    members = _members(table, [item["name"] for item in gatekeepers]) if "members" in table else None
+    if members is not None and not talking:
+        raise ValueError("members: gatekeeper.peer_listen is missing; members talk over these addresses")
     known = {"version": 0, "full": True, "servers": [_worker(item, zones) for item in workers]}
     out = {}
     for number, item in enumerate(gatekeepers):
@@ -186,9 +194,31 @@
                 "peer_listen": item["peer_listen"],
                 "peers": [other["peer_listen"] for other in gatekeepers],
             }
+        if members is not None:
+            out[item["name"]]["members"] = members | {"zone": members["zone"] or zone}
     return out
 
 
+def _members(table: Mapping[str, Any], names: list[str]) -> dict[str, Any]:
+    """What switches membership on; an empty table is enough."""
+    part = get(table, "members", dict, {})
+    _known(part, "members")
+    try:
+        found = {
+            "key_file": get(part, "key_file", str, KEY_FILE),
+            "region": get(part, "region", str, ""),
+            "zone": get(part, "zone", str, ""),
+            "period_ms": time_ns(part, "period", "200ms") / 1e6,
+            "suspect_ms": time_ns(part, "suspect", "250ms") / 1e6,
+            "names": names,
+        }
+        members_of(found, Path())
+    except ValueError as error:
+        text = str(error)
+        raise ValueError(text if text.startswith("members.") else f"members.{text}") from None
+    return found
+
+
 def _worker(item: Mapping[str, Any], zones: list[str]) -> dict[str, Any]:
     addr, zone = get(item, "address", str, required=True), get(item, "zone", str, zones[0])
     parse_address(addr, f"worker.{item['name']}.address")
--- a/pepperrun/tool/commands.py
+++ b/pepperrun/tool/commands.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import json
+import os
 import sys
 from collections.abc import Iterable
 from pathlib import Path
 
 from pepperrun.config import read_auth
+from pepperrun.members.config import members_of, read_members
+from pepperrun.members.keys import new_key_file
 from pepperrun.metrics import read_metrics
 from pepperrun.parking.config import KEYS as CLIENTS_KEYS
 from pepperrun.parking.config import read_clients
@@ -27,6 +30,8 @@
         return "gatekeeper"
     if "servers" in keys or "identity_headers" in keys:
         return "forward authentication"
+    if "key_file" in keys:
+        return "members"
     if "graphite" in keys or "collectd" in keys:
         return "metrics"
     return "clients" if any(key in CLIENTS_KEYS.split() for key in keys) else "gatekeeper"
@@ -51,6 +56,15 @@
     if kind == "clients":
         read_clients(text)
         return kind, []
+    if kind == "members":
+        found = read_members(text, path.parent)
+        if not found.key_file.exists():
+            return kind, [f"members.key_file: {found.key_file} is not there yet: `config write` makes one"]
+        found.keys()
+        return kind, []
+    members = json.loads(text).get("members")
+    if isinstance(members, dict):
+        members_of(members, path.parent).keys()
     return kind, remarks(text)
 
 
@@ -67,6 +81,16 @@
             raise ValueError(f"gatekeeper.name: {name!r} is no file name")
         target.write_text(json.dumps(config, indent=1) + "\n", encoding="utf-8")
         written.append(target)
+    members = next((config["members"] for config in configs.values() if "members" in config), None)
+    if members is not None:
+        key = out / members["key_file"]
+        if not key.exists():  # one that is there is in use
+            with open(
+                os.open(key, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600), "w", encoding="utf-8"
+            ) as file:
+                file.write(new_key_file())
+            written.append(key)
+        members_of(members, out).keys()
     return written
 
 
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,387 @@
+"""Membership in virtual time: failures, cuts, names, keys, and what the decisions make of it."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import pytest
+from helpers import make_settings as gateway_settings
+from hypothesis import given
+from hypothesis import settings as quickly
+from hypothesis import strategies as some
+
+from pepperrun.core.clock import SECOND
+from pepperrun.core.gateway import Account, Quotas
+from pepperrun.core.interface import Plan, Request
+from pepperrun.core.standing import Standing
+from pepperrun.lab.virtual import KEYS, Members, Path
+from pepperrun.members.keys import Keys, new_key_file, read_keys
+from pepperrun.members.member import Me, Window
+from pepperrun.members.resume import resume, state_of
+from pepperrun.members.steps import Quota, Step, quota_error, restart_error, standing_of, step_of
+from pepperrun.members.views import Side, side_of
+from pepperrun.members.wire import MOST, Datagram, Kind, Row, Rumour, State, pack, room, rows_room, unpack
+
+
+def group(count: int, seed: int = 1, loss: float = 0.0) -> Members:
+    """Members that know each other."""
+    world = Members(count, seed, Path(loss=loss))
+    world.start_all()
+    assert world.run(15, world.settled)
+    world.run(2)
+    return world
+
+
+def events(world: Members, what: str, since: int = 0) -> list[tuple[int, int]]:
+    """Who saw it of whom."""
+    return [(at, one.member) for at, one in world.happened if one.what == what and one.at >= since]
+
+
+# Datagrams.
+
+
+def test_largest_datagram_fits_and_comes_back() -> None:
+    for count in (2, 48, 256, 1024):
+        rows = rows_room(count, 2)
+        many = room(count, 1)
+        assert many >= 4 and rows >= 1
+        datagram = Datagram(Kind.NEWS, count - 1, 7, 8, 9, 1, 2, 3, 4, 5, 6, 1)
+        datagram.rumours = [Rumour(k % count, 2**32 - 1, 65535, State.DEAD, k % count) for k in range(many)]
+        datagram.rows = [Row(count - 1, 65535, (1 << count) - 1)]
+        data = pack(datagram, count, KEYS)
+        assert len(data) <= MOST and unpack(data, count, KEYS) == datagram
+        with pytest.raises(ValueError, match="bytes"):
+            datagram.rumours *= 2
+            pack(datagram, count, KEYS)
+
+
+@quickly(max_examples=200, deadline=None)
+@given(some.binary(max_size=300), some.integers(0, 255), some.integers(1, 255))
+def test_what_is_garbled_is_nothing(noise: bytes, where: int, flip: int) -> None:
+    good = pack(Datagram(Kind.PING, 3, 7, rumours=[Rumour(1, 2, 3, State.SUSPECT, 4)]), 8, KEYS)
+    assert unpack(noise, 8, KEYS) is None
+    bad = bytearray(good)
+    bad[where % len(good)] ^= flip
+    assert unpack(bytes(bad), 8, KEYS) is None
+    assert unpack(good[: where % len(good)], 8, KEYS) is None and unpack(good + noise[:1], 8, KEYS) in (
+        None,
+        unpack(good, 8, KEYS),
+    )
+    # Signed, and still no sense: a member that there is not.
+    assert (
+        unpack(pack(Datagram(Kind.PING, 3, 7, rumours=[Rumour(9, 2, 3, State.DEAD)]), 8, KEYS), 8, KEYS)
+        is None
+    )
+
+
+def test_keys_are_rotated_and_bad_files_told() -> None:
+    old, new = bytes(range(32)), bytes(range(1, 33))
+    text = f"1 {old.hex()}\n# next\n2 {new.hex()}  # signs soon\n"
+    keys = read_keys(text)
+    assert keys.signing == 1
+    datagram = Datagram(Kind.PING, 0, 5)
+    assert unpack(pack(datagram, 4, Keys({2: new})), 4, keys) == datagram
+    assert unpack(pack(datagram, 4, Keys({2: old})), 4, keys) is None
+    assert unpack(pack(datagram, 4, Keys({3: new})), 4, keys) is None
+    assert read_keys(new_key_file()).signing == 1
+    for bad in ("", "1 zz", "1 aabb", f"300 {old.hex()}", f"1 {old.hex()}\n1 {new.hex()}", "x " + old.hex()):
+        with pytest.raises(ValueError) as told:
+            read_keys(bad)
+        assert old.hex() not in str(told.value)
+    with pytest.raises(ValueError, match="3 keys"):
+        read_keys("\n".join(f"{n} {old.hex()}" for n in range(3)))
+
+
+def test_a_sequence_number_counts_once() -> None:
+    window = Window()
+    order = list(range(1, 200))
+    rng = random.Random(1)
+    for at in range(0, 199, 20):  # overtaking, within the window
+        part = order[at : at + 20]
+        rng.shuffle(part)
+        order[at : at + 20] = part
+    assert all(window.new(one) for one in order)
+    assert not any(window.new(one) for one in order)
+    assert window.new(2**32 - 1) and not window.new(5)
+
+
+# Failures.
+
+
+@pytest.mark.parametrize(("count", "loss"), [(2, 0.0), (3, 0.0), (8, 0.05), (24, 0.0), (24, 0.2)])
+def test_a_death_is_known_to_all_and_a_return_too(count: int, loss: float) -> None:
+    world = group(count, 3, loss)
+    start = world.now
+    world.kill(1)
+    assert world.run(3, lambda: world.all_know(1))
+    assert world.run(3, world.settled)
+    world.start(1)
+    assert world.run(3, world.settled)
+    if not loss:  # one change of view for each
+        assert max(world.member(n).views.passed for n in world.up() if n != 1) <= 2 + 2
+        assert {dead for _, dead in events(world, "dead", start)} == {1}
+
+
+def test_seven_in_ten_killed_at_once_are_one_change_of_view() -> None:
+    for seed in range(3):
+        world = group(20, seed)
+        dead = world.random.sample(range(20), 14)
+        before = {n: world.member(n).views.passed for n in world.up()}
+        for number in dead:
+            world.kill(number)
+        assert world.run(5, world.settled)
+        assert max(world.member(n).views.passed - before[n] for n in world.up()) == 1
+        assert all(world.member(n).side() is Side.MINORITY for n in world.up())
+        for number in dead:
+            world.start(number)
+        assert world.run(5, world.settled)
+        world.run(1.5)
+        assert {step_of(world.member(n), world.now) for n in world.up()} == {Step.WHOLE}
+
+
+def test_nobody_is_buried_for_lost_datagrams_alone() -> None:
+    world = group(8, 5, 0.05)
+    start = world.now
+    world.run(300)
+    assert events(world, "dead", start) == []
+
+
+@pytest.mark.parametrize("seconds", [0.3, 1.0, 3.0, 10.0])
+def test_who_stood_still_doubts_itself_and_comes_back(seconds: float) -> None:
+    world = group(6, 2)
+    start = world.now
+    world.pause(2, seconds)
+    world.run(seconds + 0.002)
+    member = world.member(2)
+    if seconds >= 0.5:
+        assert step_of(member, world.now) is Step.DOUBT
+        assert not standing_of(member, world.now).grants
+        assert [one for at, one in events(world, "dead", start) if at == 2] == []  # it buries nobody
+    assert world.run(3, world.settled)
+    assert member.life == world.member(2).life and member.state is Me.MEMBER
+    world.run(1.1)
+    assert step_of(member, world.now) is Step.WHOLE
+
+
+def test_halves_take_their_sides_and_heal() -> None:
+    for count in (6, 7):
+        world = group(count, 4)
+        some_, others = list(range(count // 2)), list(range(count // 2, count))
+        world.cut(some_, others)
+        assert world.run(4, lambda: world.agreed(some_) and world.agreed(others))  # noqa: B023
+        sides = [world.member(0).side(), world.member(count - 1).side()]
+        # Of two equal halves the one with the lowest number is the larger.
+        expected = [Side.MAJORITY, Side.MINORITY] if count == 6 else [Side.MINORITY, Side.MAJORITY]
+        assert sides == expected
+        world.cut(some_, others, on=False)
+        assert world.run(3, world.settled)
+        world.cut(some_, others)  # and at once again
+        assert world.run(4, lambda: world.agreed(some_) and world.agreed(others))  # noqa: B023
+        world.cut(some_, others, on=False)
+        assert world.run(3, world.settled)
+
+
+def test_one_way_cut_makes_the_one_that_is_not_heard_doubt_itself() -> None:
+    world = group(5, 1)
+    rest = [0, 1, 2, 4]
+    world.cut([3], rest, both=False)  # it hears all, nobody hears it
+    assert world.run(4, lambda: world.agreed(rest))
+    assert world.run(4, lambda: step_of(world.member(3), world.now) in (Step.DOUBT, Step.SLICES))
+    world.cut([3], rest, on=False, both=False)
+    assert world.run(4, world.settled)
+
+
+def test_partial_cut_buries_nobody_and_is_seen_by_a_third() -> None:
+    world = group(4, 1)
+    start = world.now
+    world.cut([0], [1])
+    world.run(20)
+    assert events(world, "dead", start) == []
+    assert set(world.member(2).links.cuts([0, 1, 2, 3])) == {(0, 1), (1, 0)}
+
+
+def test_flapping_link_settles() -> None:
+    world = group(5, 9)
+    for turn in range(12):
+        world.cut([0, 1], [2, 3, 4], on=turn % 2 == 0)
+        world.run(0.7)
+    assert world.run(4, world.settled)
+
+
+# Names, lives, replays.
+
+
+def test_a_name_that_is_held_is_refused_and_told() -> None:
+    world = group(4, 1)
+    world.kill(3)
+    assert world.run(4, world.settled)
+    world.start(3, name="n1")  # another machine with a copied file
+    world.run(3)
+    assert world.member(3).state is not Me.MEMBER
+    assert (3, 3) in events(world, "refused")
+    assert world.member(1).state is Me.MEMBER and 3 not in world.member(0).views.view.numbers()
+    world.start(3)  # mended
+    assert world.run(4, world.settled)
+
+
+def test_a_second_process_of_a_live_member_is_refused() -> None:
+    world = group(4, 1)
+    alive = world.member(1)
+    twin = replace(alive.config)
+    second = type(alive)(twin, alive.life + 50, 7, world.now)
+    # Its greeting reaches member 0; the old life, which is there, still answers.
+    second.tick(second.hello_at)
+    for _, data in second.take_out():
+        world.member(0).receive(1, data, world.now)
+    world._after(0)
+    world.run(1)
+    refusals = [one for at, one in world.happened if one.what == "refused a name" and at == 0]
+    assert refusals and world.member(0).book.records[1].life == alive.life
+    assert world.settled()
+
+
+def test_a_restart_with_a_clock_that_is_behind_joins() -> None:
+    world = group(3, 1)
+    old = world.member(2).life
+    world.kill(2)
+    world.start(2, life=max(1, old - 10_000))
+    assert world.run(5, world.settled)
+    assert world.member(2).life > old
+
+
+def test_replayed_and_foreign_datagrams_change_nothing() -> None:
+    world = group(3, 1)
+    sent: list[tuple[int, int, bytes]] = []
+    send = world._send
+
+    def recorded(sender: int, receiver: int, data: bytes) -> None:
+        sent.append((sender, receiver, data))
+        send(sender, receiver, data)
+
+    world._send = recorded  # type: ignore[method-assign]
+    world.kill(2)
+    assert world.run(5, world.settled)
+    world.start(2)
+    assert world.run(5, world.settled)
+    old = list(sent)
+    before = [(world.member(n).views.view.digest, world.member(n).counts["replayed"]) for n in range(3)]
+    for sender, receiver, data in old:
+        world.member(receiver).receive(sender, data, world.now)
+        world.member(receiver).receive((sender + 1) % 3, data, world.now)  # from another one's address
+    world.run(2)
+    assert world.settled()
+    for number, (digest, replayed) in enumerate(before):
+        assert world.member(number).views.view.digest == digest
+        assert world.member(number).counts["replayed"] > replayed
+
+
+def test_leaving_in_order_needs_no_burial() -> None:
+    world = group(5, 1)
+    start = world.now
+    world.member(4).leave(world.now)
+    world._after(4)
+    world.kill(4)
+    assert world.run(1.0, world.settled)
+    assert events(world, "dead", start) == [] == events(world, "suspected", start)
+    assert {world.member(n).side() for n in range(4)} == {Side.WHOLE}
+
+
+def test_one_seed_is_one_run_to_the_byte() -> None:
+    runs = []
+    for seed in (1, 1, 2):
+        world = Members(6, seed, Path(loss=0.1, twice=0.1))
+        world.start_all()
+        world.run(5)
+        world.kill(2)
+        world.run(5)
+        runs.append((world.datagrams, world.bytes, [(n, one.at, one.what) for n, one in world.happened]))
+    assert runs[0] == runs[1] != runs[2]
+
+
+def test_another_process_goes_on_as_the_same_member() -> None:
+    world = group(3, 1)
+    table, old = state_of(world.member(1)), world.member(1)
+    host = world.hosts[1]
+    host.member = type(old)(old.config, old.life + 9, 3, world.now)
+    resume(host.member, table, world.now)
+    start = world.now
+    world._wake(1)
+    world.run(5)
+    assert world.settled() and world.member(1).life == old.life
+    assert events(world, "dead", start) == [] == events(world, "suspected", start)
+    fresh = type(old)(old.config, old.life + 9, 3, world.now)
+    for bad in (
+        None,
+        {},
+        table | {"life": -1},
+        table | {"records": [[9, 1, 1, 0, 0]]},
+        table | {"view": [1]},
+    ):
+        with pytest.raises((KeyError, TypeError, ValueError)):
+            resume(fresh, bad, world.now)
+        assert fresh.state is Me.JOINING
+
+
+# What the decisions make of it.
+
+
+def quotas_of(standing: Standing, me: int = 0, gateways: int = 4, intake: float = 100.0) -> Quotas:
+    plan = Plan("p", 10.0, 20.0, 0, 20.0, 40.0, 4.0, over_cost=1.0)
+    quotas = Quotas(
+        replace(
+            gateway_settings(),
+            me=me,
+            gateways=gateways,
+            plans=(plan,),
+            peer_messages=True,
+            peer_intake=intake,
+        )
+    )
+    quotas.standing = standing
+    return quotas
+
+
+def test_smaller_side_has_its_slices_and_the_larger_one_the_whole() -> None:
+    asked = Request(1, 5, 0, 0, SECOND, 1.0, 4, 0)
+    alone = Account(asked, 0, quotas_of(Standing(True, frozenset({1, 2, 3}), True)))
+    assert alone.room(0) <= 20.0 and alone.slice.rate == 2.5
+    assert alone.whole.level == pytest.approx(5.0)  # a store that begins meanwhile begins with its part
+    larger = quotas_of(Standing(True, frozenset({3})))
+    account = larger.accounts[5] = Account(asked, 0, larger)
+    larger.inbox.peers = {3: (1, 1, -100 * SECOND)}
+    larger.refresh(SECOND)
+    assert account.whole.rate == 10.0  # without membership a quiet peer's part is left to it
+    larger.standing = Standing()
+    account.seen = account.out = 1
+    larger.refresh(SECOND)
+    assert account.whole.rate == 7.5
+
+
+def test_keepers_that_are_lost_are_replaced_in_one_order_and_doubt_grants_nothing() -> None:
+    asked = Request(1, 77, 0, 0, SECOND, 1.0, 8, 0)
+    members = [quotas_of(Standing(True), me, 8, 1.0) for me in range(8)]
+    accounts = [Account(asked, 0, one) for one in members]
+    first, second = accounts[0].keepers
+    assert {one.keeper(account, 0) for one, account in zip(members, accounts, strict=True)} == {first}
+    for one in members:
+        one.standing = Standing(True, frozenset({first}))
+    assert {one.keeper(account, 0) for one, account in zip(members, accounts, strict=True)} == {second}
+    keeper = members[first]
+    granted = keeper.grant(accounts[first], second, 1, 1.0, 4 * SECOND)
+    assert granted.units == 1.0
+    keeper.standing = Standing(True, grants=False)
+    assert keeper.grant(accounts[first], second, 2, 1.0, 4 * SECOND).units == 0.0
+
+
+def test_sides_and_stated_errors() -> None:
+    every = frozenset(range(4))
+    assert side_of(every, every, 0) is Side.WHOLE
+    assert side_of(frozenset({0, 1}), every, 1) is Side.MAJORITY
+    assert side_of(frozenset({2, 3}), every, 2) is Side.MINORITY
+    assert side_of(frozenset({2}), every, 2) is Side.ALONE
+    quota = Quota(10.0, 20.0, 4)
+    assert quota_error(quota, 0, 5.0, 1.0) == 0.0
+    assert quota_error(quota, 2, 5.0, 1.0) == 20.0 + 10.0 + 5.0 * 4.0
+    assert quota_error(quota, 2, 0.5, 1.0) == 25.0
+    assert restart_error(quota, 8) == 20.0
