The lab: up to 48 real gatekeepers, a relay that breaks what is between them, rules checked from outside

Need: no test started more than two processes and cut the talk between them; membership is to be proven where processes fail.

Only the old life's answer counts now, and later lives are asked about before anything of theirs does.

--- a/pepperrun/bench/fleet_process.py
+++ b/pepperrun/bench/fleet_process.py
@@ -14,6 +14,7 @@
 import re
 import sys
 import time
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -92,6 +93,8 @@
 class StandInNode:
     """A node of the model behind a port."""
 
+    make: Callable[[StandInNode], Connection] = Connection  # of each connection that is taken
+
     def __init__(self, name: str, zone: str, cell: int, node: Node) -> None:
         self.name, self.zone, self.cell, self.node = name, zone, cell, node
         self.connections: set[Connection] = set()
@@ -105,7 +108,7 @@
     async def open(self) -> None:
         """Listens, at the port that it had."""
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(lambda: Connection(self), HOST, self.port, backlog=512)
+        self.server = await loop.create_server(lambda: type(self).make(self), HOST, self.port, backlog=512)
         self.port = self.server.sockets[0].getsockname()[1]
 
     def arrive(self, connection: Connection, work: float) -> bool:
--- a/pepperrun/cli/bench.py
+++ b/pepperrun/cli/bench.py
@@ -6,10 +6,12 @@
 import sys
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import click
 
+Found = TypeVar("Found")
+
 
 def numbers(context: click.Context, parameter: click.Parameter, value: str) -> tuple[int, ...]:
     """Whole numbers with commas between them."""
@@ -31,7 +33,7 @@
     configure(log_format)
 
 
-def with_progress(what: Callable[[Callable[[str], None]], dict[str, Any]]) -> dict[str, Any]:
+def with_progress(what: Callable[[Callable[[str], None]], Found]) -> Found:
     """Runs an experiment; what it is at is shown on a terminal, and logged elsewhere."""
     if sys.stderr.isatty():
         from rich.console import Console
--- a/pepperrun/cli/main.py
+++ b/pepperrun/cli/main.py
@@ -11,6 +11,7 @@
 from pepperrun.cli.bench import bench
 from pepperrun.cli.capture import capture
 from pepperrun.cli.config import config
+from pepperrun.cli.lab import lab
 from pepperrun.cli.members import members
 from pepperrun.cli.plan import plan
 
@@ -48,6 +49,7 @@
 command.add_command(config)
 command.add_command(bench)
 command.add_command(capture)
+command.add_command(lab)
 command.add_command(members)
 command.add_command(plan)
 
--- /dev/null
+++ b/pepperrun/lab/clients.py
@@ -0,0 +1,145 @@
+"""The lab's clients: `python3 -m pepperrun.lab.clients`, JSON lines; they move on as real ones do.
+
+Open loop: a request is sent when it is due. One that is refused, breaks or finds nobody is tried again, at
+another of its customer's gatekeepers where that one was not there. Each try is written down with its end.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import sys
+import time
+from collections import deque
+from typing import Any
+
+from pepperrun.bench.players import Connection as PlayerConnection
+from pepperrun.net.http1 import Response
+
+HOST = "127.0.0.1"
+BROKEN, TIMED_OUT, NOBODY = 0, -1, -2  # in place of a status
+CONNECT_S = 0.5
+
+
+class Connection(PlayerConnection):
+    """Counts answers that nobody asked for."""
+
+    def answered(self, answer: Response) -> None:
+        super().answered(answer)
+        if self.intended is None:
+            self.owner.extra += 1  # type: ignore[attr-defined]
+
+
+class Clients:
+    """Plays a load."""
+
+    def __init__(self, given: dict[str, Any]) -> None:
+        self.ports: list[int] = given["ports"]
+        self.load: list[list[Any]] = given["load"]
+        self.classes, self.plans = given["classes"], given["plans"]
+        self.retries, self.moves_on_s = given["retries"], given["moves_on_s"]
+        self.budget_s: float = given["deadline_s"]
+        self.random = random.Random(given["seed"])
+        self.idle: list[deque[Connection]] = [deque() for _ in self.ports]
+        self.waiting: dict[int, asyncio.Future[tuple[int, float]]] = {}
+        self.tries: list[list[int]] = []  # call, try, gatekeeper, sent, ended, status
+        self.extra = self.number = 0
+        self.late = 0.0
+
+    def done(self, connection: Connection | None, intended: int, status: int) -> None:
+        """For connections: a request has ended."""
+        future = self.waiting.pop(intended, None)
+        if future is not None and not future.done():
+            future.set_result((status, connection.wait_s if connection is not None else 0.0))
+
+    async def _once(self, gatekeeper: int, data: bytes, patience_s: float) -> tuple[int, float]:
+        idle, loop, connection = self.idle[gatekeeper], asyncio.get_running_loop(), None
+        while idle and connection is None:
+            held = idle.pop()
+            connection = held if held.transport is not None and not held.transport.is_closing() else None
+        if connection is None:
+            try:
+                async with asyncio.timeout(CONNECT_S):
+                    _, connection = await loop.create_connection(
+                        lambda: Connection(self),  # type: ignore[arg-type]
+                        HOST,
+                        self.ports[gatekeeper],
+                    )
+            except (OSError, TimeoutError):
+                return NOBODY, 0.0
+        self.number += 1
+        number, future = self.number, loop.create_future()
+        self.waiting[number] = future
+        connection.intended = number
+        assert connection.transport is not None
+        connection.transport.write(data)
+        try:
+            answer: tuple[int, float] = await asyncio.wait_for(future, patience_s)
+        except TimeoutError:
+            self.waiting.pop(number, None)
+            connection.intended = None
+            if connection.transport is not None:
+                connection.transport.abort()
+            return TIMED_OUT, 0.0
+        if connection.transport is not None:
+            idle.append(connection)
+        return answer
+
+    async def _play(self, call: int, start: int) -> None:
+        at, gatekeeper, cls, plan, customer, spread, first, work = self.load[call]
+        give_up = start + at + int(self.budget_s * 1e9)
+        for number in range(self.retries + 1):
+            left_ns = give_up - time.monotonic_ns()
+            if left_ns <= 20_000_000:
+                return
+            method, body = ("POST", b"confirm") if cls else ("GET", b"")
+            key = f"Idempotency-Key: k{call}-{number}\r\nContent-Length: 7\r\n" if cls else ""
+            query = f"customer={customer:016x}&work={work}&true=1&call={call}-{number}&cls={cls}"
+            head = (
+                f"{method} /{self.classes[cls]}?{query} HTTP/1.1\r\nHost: lab\r\n"
+                f"X-Call-Id: c{call}-{number}\r\nX-Plan: {self.plans[plan]}\r\n"
+                f"X-Budget: {left_ns // 1000}u\r\n"
+                f"X-Quota: units=1,spread={spread},first={first}\r\n{key}\r\n"
+            )
+            sent = time.monotonic_ns()
+            row = [call, number, gatekeeper, sent, 0, TIMED_OUT]
+            self.tries.append(row)
+            status, wait_s = await self._once(gatekeeper, head.encode() + body, left_ns / 1e9 + 0.1)
+            row[4], row[5] = time.monotonic_ns(), status
+            if status == 200:
+                return
+            # A keyed one that may have run is not tried again by its client.
+            if cls and status not in (429, 503, NOBODY):
+                return
+            await asyncio.sleep(max(wait_s, self.moves_on_s * self.random.uniform(0.5, 1.5)))
+            if status in (NOBODY, BROKEN, TIMED_OUT):
+                others = [(first + step) % len(self.ports) for step in range(spread)]
+                gatekeeper = self.random.choice([one for one in others if one != gatekeeper] or others)
+
+    async def run(self, start: int) -> dict[str, Any]:
+        """Plays all."""
+        tasks = set()
+        for call, item in enumerate(self.load):
+            at = start + item[0]
+            while (left := at - time.monotonic_ns()) > 0:
+                await asyncio.sleep(left / 1e9)
+            self.late = max(self.late, -left / 1e6)
+            task = asyncio.create_task(self._play(call, start))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+        if tasks:
+            await asyncio.wait(tasks, timeout=30)
+        return {"tries": self.tries, "extra": self.extra, "late_ms": self.late, "left": len(tasks)}
+
+
+def main() -> None:
+    """One run."""
+    clients = Clients(json.loads(sys.stdin.readline()))
+    print(json.dumps({"ready": True}), flush=True)
+    start = json.loads(sys.stdin.readline())["start"]
+    print(json.dumps(asyncio.run(clients.run(start))), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/pepperrun/lab/measure.py
@@ -0,0 +1,288 @@
+"""How soon a failure is known to all: with real processes, and the same in virtual time. Shown side by side.
+
+A fault is over once all others have said that its member is dead; then the member comes back and all hold one
+view again. Times are the gatekeepers' own, on the machine's one monotonic clock.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any, Literal
+
+from pepperrun.bench.rig import RigError
+from pepperrun.core.clock import SECOND
+from pepperrun.lab.processes import Gatekeeper, Processes
+from pepperrun.lab.scenario import Fleet, Load, Scenario
+from pepperrun.lab.virtual import MS, Members, Path
+
+Kind = Literal["kill", "pause", "cut"]
+KINDS: tuple[Kind, ...] = ("kill", "pause", "cut")
+MOST_S = 12.0  # a failure that is not known to all by then counts as so late
+IDLE_S = 10.0
+Say = Callable[[str], None]
+# As a datagram's way over loopback, through the relay, and its turn in a busy process.
+LOOPBACK = Path(delay=MS // 2, jitter=MS)
+TURN_NS = MS
+
+
+def percentiles(values: list[float]) -> dict[str, float]:
+    """p50, p99 (the worst of less than 100) and the worst, in seconds."""
+    if not values:
+        return {"p50": 0.0, "p99": 0.0, "worst": 0.0}
+    ranked = sorted(values)
+    at = min(len(ranked) - 1, int(0.99 * len(ranked)))
+    return {
+        "p50": round(ranked[len(ranked) // 2], 3),
+        "p99": round(ranked[at], 3),
+        "worst": round(ranked[-1], 3),
+    }
+
+
+def found(
+    count: int, loss: float, times: dict[str, list[float]], views: list[float], more: dict[str, Any]
+) -> dict[str, Any]:
+    """A row: detection by kind of fault, and time until one view after a return."""
+    row: dict[str, Any] = {"members": count, "loss": loss, "faults": {k: len(v) for k, v in times.items()}}
+    row |= {f"{kind}_s": percentiles(values) for kind, values in times.items()}
+    return row | {"one_view_after_return_s": percentiles(views)} | more
+
+
+class Real:
+    """A group of real gatekeepers without load."""
+
+    def __init__(self, count: int, loss: float, seed: int) -> None:
+        fleet = Fleet(gatekeepers=count, workers=1)
+        self.scenario = Scenario("measure", "Detection without load.", 3600.0, fleet, Load(customers=0))
+        self.count, self.loss, self.seed = count, loss, seed
+        self.spans: list[tuple[int, int, int]] = []  # of the faults: whose, from, until
+
+    def measure(self, faults: int, kinds: tuple[Kind, ...], say: Say) -> dict[str, Any]:
+        """`faults` of each kind, one after the other."""
+        times: dict[str, list[float]] = {kind: [] for kind in kinds}
+        views: list[float] = []
+        with Processes(self.scenario, self.seed, shared=True) as lab:
+            self.lab, self.since = lab, dict.fromkeys(range(self.count), 0)
+            self.events: list[tuple[int, dict[str, Any]]] = []
+            if self.loss:
+                every = [[a, b] for a in range(self.count) for b in range(self.count) if a != b]
+                lab.relay.ask(do="set", pairs=every, links=[], what={"loss": self.loss})
+            self._one_view(30.0)
+            began = time.monotonic()
+            before = lab.relay.ask(do="counts")
+            time.sleep(IDLE_S)
+            after = lab.relay.ask(do="counts")
+            span = time.monotonic() - began
+            for turn in range(faults):
+                for kind in kinds:
+                    victim = lab.gatekeepers[(turn * 7 + KINDS.index(kind)) % self.count]
+                    took, view = self._fault(kind, victim)
+                    times[kind].append(took)
+                    views.append(view)
+                say(f"{self.count} members, loss {self.loss:g}: {turn + 1} of {faults}")
+            self._look()
+            seconds = time.monotonic() - began
+            false = [
+                event for _, event in self.events if event["what"] == "dead" and not self._explained(event)
+            ]
+        more = {
+            "datagrams_a_member_a_second": round(
+                (after["members"] - before["members"]) / self.count / span, 2
+            ),
+            "bytes_a_member_a_second": round(
+                (after["members_bytes"] - before["members_bytes"]) / self.count / span
+            ),
+            "false_burials": len(false),
+            "seconds": round(seconds),
+        }
+        return found(self.count, self.loss, times, views, more)
+
+    def _look(self) -> None:
+        for one in self.lab.gatekeepers:
+            table = one.ask(f"members since {self.since[one.number]}")
+            for event in (table or {}).get("events", []):
+                self.since[one.number] = max(self.since[one.number], event["at"])
+                self.events.append((one.number, event))
+
+    def _explained(self, event: dict[str, Any]) -> bool:
+        return any(
+            number == event["member"] and a <= event["at"] <= b + 2 * SECOND for number, a, b in self.spans
+        )
+
+    def _one_view(self, within_s: float) -> float:
+        """When the last one took the view that all hold; RigError where they come to none."""
+        limit = time.monotonic() + within_s
+        while time.monotonic() < limit:
+            tables = [one.ask("members") for one in self.lab.gatekeepers]
+            good = [t for t in tables if t is not None and len(t["view"]["members"]) == self.count]
+            if len(good) == self.count and len({t["view"]["digest"] for t in good}) == 1:
+                now = time.monotonic_ns()
+                return max(now - int(t["view"]["for_ms"] * MS) for t in good) / SECOND
+            time.sleep(0.1)
+        raise RigError(f"{self.count} members came to no common view in {within_s:g} s")
+
+    def _fault(self, kind: Kind, victim: Gatekeeper) -> tuple[float, float]:
+        number = victim.number
+        pairs = [
+            [a, b]
+            for other in range(self.count)
+            if other != number
+            for a, b in ((number, other), (other, number))
+        ]
+        start = time.monotonic_ns()
+        if kind == "kill":
+            victim.kill()
+        elif kind == "pause":
+            victim.pause(True)
+        else:
+            self.lab.relay.ask(do="set", pairs=pairs, links=[], what={"cut": 1.0})
+        took = self._until_dead(number, start)
+        back = time.monotonic_ns()
+        if kind == "kill":
+            victim.start()
+            if not victim.ready():
+                raise RigError(f"{victim.name} did not start again")
+            back = time.monotonic_ns()
+        elif kind == "pause":
+            victim.pause(False)
+        else:
+            self.lab.relay.ask(do="set", pairs=pairs, links=[], what={"cut": 0.0})
+        view = max(0.0, self._one_view(30.0) - back / SECOND)
+        self.spans.append((number, start, time.monotonic_ns()))
+        return took, view
+
+    def _until_dead(self, number: int, start: int) -> float:
+        """Until the last of the others has said that it is dead, in seconds."""
+        said: dict[int, int] = {}
+        limit = time.monotonic() + MOST_S
+        time.sleep(0.4)
+        while time.monotonic() < limit:
+            seen = len(self.events)
+            self._look()
+            for who, event in self.events[seen:]:
+                if (
+                    event["what"] == "dead"
+                    and event["member"] == number
+                    and event["at"] > start
+                    and who != number
+                ):
+                    said.setdefault(who, event["at"])
+            if len(said) == self.count - 1:
+                return (max(said.values()) - start) / SECOND
+            time.sleep(0.1)
+        return MOST_S
+
+
+def virtual(
+    count: int, loss: float, seed: int, faults: int, kinds: tuple[Kind, ...] = KINDS
+) -> dict[str, Any]:
+    """The same in virtual time."""
+    path = Path(loss=loss, delay=LOOPBACK.delay, jitter=LOOPBACK.jitter)
+    world = Members(count, seed, path, TURN_NS)
+    world.start_all()
+    if not world.run(30, world.settled):
+        raise RigError(f"{count} members came to no common view")
+    times: dict[str, list[float]] = {kind: [] for kind in kinds}
+    views: list[float] = []
+    datagrams, size, began = world.datagrams, world.bytes, world.now
+    world.run(IDLE_S)
+    idle = world.datagrams - datagrams, world.bytes - size
+    spans: list[tuple[int, int, int]] = []
+    for turn in range(faults):
+        for kind in kinds:
+            number, start = (turn * 7 + KINDS.index(kind)) % count, world.now
+            others = [other for other in range(count) if other != number]
+            if kind == "kill":
+                world.kill(number)
+            elif kind == "pause":
+                world.pause(number, 100.0)
+            else:
+                world.cut([number], others)
+
+            def known(number: int = number, others: list[int] = others) -> bool:
+                return all(world.holds_dead(other, number) for other in others)
+
+            world.run(MOST_S, known)
+            times[kind].append((world.now - start) / SECOND)
+            back = world.now
+            if kind == "kill":
+                world.start(number)
+            elif kind == "pause":
+                world.resume(number)
+            else:
+                world.cut([number], others, on=False)
+            world.run(30, world.settled)
+            views.append((world.now - back) / SECOND)
+            spans.append((number, start, world.now))
+            world.run(0.3)
+    false = [
+        one
+        for _, one in world.happened
+        if one.what == "dead"
+        and not any(n == one.member and a <= one.at <= b + 2 * SECOND for n, a, b in spans)
+    ]
+    more = {
+        "datagrams_a_member_a_second": round(idle[0] / count / IDLE_S, 2),
+        "bytes_a_member_a_second": round(idle[1] / count / IDLE_S),
+        "false_burials": len(false),
+        "seconds": round((world.now - began) / SECOND),
+    }
+    return found(count, loss, times, views, more)
+
+
+def table(rows: list[dict[str, Any]]) -> str:
+    """For people."""
+    lines = [
+        f"{'where':8} {'n':>4} {'loss':>5} {'faults':>6}"
+        + "".join(f" {kind + ' p50':>10} {'p99':>6} {'worst':>6}" for kind in KINDS)
+        + f" {'view p99':>9} {'msg/s':>6} {'B/s':>6} {'false':>5} {'s':>6}"
+    ]
+    for row in rows:
+        cells = ""
+        for kind in KINDS:
+            one = row.get(f"{kind}_s", {"p50": 0.0, "p99": 0.0, "worst": 0.0})
+            cells += f" {one['p50']:10.2f} {one['p99']:6.2f} {one['worst']:6.2f}"
+        lines.append(
+            f"{row['where']:8} {row['members']:4} {row['loss']:5.2f} {max(row['faults'].values()):6}{cells}"
+            f" {row['one_view_after_return_s']['p99']:9.2f} {row['datagrams_a_member_a_second']:6.1f}"
+            f" {row['bytes_a_member_a_second']:6} {row['false_burials']:5} {row['seconds']:6}"
+        )
+    return "\n".join(lines)
+
+
+def plot(rows: list[dict[str, Any]], path: str) -> None:
+    """Detection and datagrams by size, real and virtual."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, (left, right) = pyplot.subplots(1, 2, figsize=(11, 4.5))
+    for where, line in (("real", "o-"), ("virtual", "x--")):
+        for loss, colour in ((0.0, "tab:blue"), (0.05, "tab:orange"), (0.2, "tab:red")):
+            mine = sorted(
+                (r for r in rows if r["where"] == where and r["loss"] == loss),
+                key=lambda r: int(r["members"]),
+            )
+            if not mine:
+                continue
+            label = f"{where}, loss {loss:g}"
+            sizes = [row["members"] for row in mine]
+            left.plot(sizes, [row["kill_s"]["p50"] for row in mine], line, color=colour, label=label)
+            left.plot(sizes, [row["kill_s"]["p99"] for row in mine], line, color=colour, alpha=0.4)
+            right.plot(
+                sizes, [row["datagrams_a_member_a_second"] for row in mine], line, color=colour, label=label
+            )
+    for axis, title in (
+        (left, "a killed one is known to all, s (pale: p99)"),
+        (right, "datagrams a member a second"),
+    ):
+        axis.set_xscale("log", base=2)
+        axis.set_xlabel("members")
+        axis.set_title(title)
+        axis.set_ylim(bottom=0)
+        axis.grid(alpha=0.3)
+    left.legend(fontsize=8)
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
--- a/pepperrun/lab/virtual.py
+++ b/pepperrun/lab/virtual.py
@@ -109,7 +109,12 @@
         """It stands still; what comes meanwhile waits for it."""
         host = self.hosts[number]
         host.paused = True
-        self.at(self.now + int(seconds * SECOND), lambda: self._resume(number, host.starts))
+        starts = host.starts
+        self.at(self.now + int(seconds * SECOND), lambda: self._resume(number, starts))
+
+    def resume(self, number: int) -> None:
+        """It goes on now."""
+        self._resume(number, self.hosts[number].starts)
 
     def _resume(self, number: int, starts: int) -> None:
         host = self.hosts[number]
@@ -217,10 +222,11 @@
         """All are members and hold one view."""
         return all(self.member(n).state is Me.MEMBER for n in self.up()) and self.agreed()
 
+    def holds_dead(self, number: int, dead: int) -> bool:
+        """Does that one hold the other dead?"""
+        known = self.member(number).book.get(dead)
+        return known is not None and known.state is State.DEAD
+
     def all_know(self, dead: int) -> bool:
         """Do all that are up hold it dead?"""
-        for number in self.up():
-            known = self.member(number).book.get(dead)
-            if known is None or known.state is not State.DEAD:
-                return False
-        return True
+        return all(self.holds_dead(number, dead) for number in self.up())
--- a/pepperrun/members/member.py
+++ b/pepperrun/members/member.py
@@ -461,9 +461,11 @@
                     self._of_me(rumour, now)
             self._remark(sender, Kind.NEWS, now, rumours=[known.rumour()])
             return False
-        if self.claims.get(sender) == datagram.life:
-            return datagram.kind is Kind.ACK  # the answer to the question whether the old life is there
         was_there = known is not None and known.there
+        if known is not None and was_there and datagram.life > known.life:
+            # The life before may still be there: until it has been asked, nothing of the new one counts.
+            self._claim(sender, datagram.life, now)
+            return False
         self._note(Rumour(sender, datagram.life, datagram.incarnation, State.ALIVE, self.me), now)
         if known is not None and not was_there:
             self._post(sender, Kind.HELLO)  # back from behind a cut: what it knows is wanted
@@ -504,10 +506,7 @@
         if probe.for_whom is not None:
             self._post(probe.for_whom[0], Kind.ACK, probe=probe.for_whom[1], subject=probe.target)
         elif probe.claim:
-            if datagram.sender == probe.target and datagram.life == probe.life:
-                self._refuse(probe.target, probe.target, now)
-            else:
-                self._claim_holds(probe.target, now)
+            self._refuse(probe.target, probe.target, now)
 
     def _asked(self, datagram: Datagram, now: int) -> None:
         if datagram.subject < self.count and datagram.subject != self.me:
@@ -529,10 +528,7 @@
         known = self.book.get(sender)
         self.names[sender] = datagram.name
         if known is not None and known.there and datagram.life > known.life:
-            # The life before may still be there: it is asked before the new one counts.
-            if sender not in self.claims:
-                self.claims[sender] = datagram.life
-                self.prober.ask(sender, now, claim=True)
+            self._claim(sender, datagram.life, now)
             return
         if known is not None and datagram.life < known.life:
             self._remark(sender, Kind.WELCOME, now, rumours=[known.rumour()], to_life=datagram.life)
@@ -541,6 +537,13 @@
             self._note(Rumour(sender, datagram.life, datagram.incarnation, State.ALIVE, self.me), now)
         self._tell_all(sender, datagram.life)
 
+    def _claim(self, member: int, life: int, now: int) -> None:
+        """The old life is asked whether it is there, unless it has said so a moment ago."""
+        lately = now - self.remarks.get((member, Kind.TAKEN), -REPEAT_EACH) < REPEAT_EACH
+        if member not in self.claims and not lately:
+            self.claims[member] = life
+            self.prober.ask(member, now, claim=True)
+
     def _claim_holds(self, member: int, now: int) -> None:
         """The old life does not answer: the new one has the name."""
         life = self.claims.pop(member, 0)
