--- a/pepperrun/cli/members.py
+++ b/pepperrun/cli/members.py
@@ -40,9 +40,10 @@
 def worded(table: dict[str, Any]) -> str:
     """The answer for people."""
     view = table["view"]
+    place = "".join(f" ({table[key]})" for key in ("region", "zone") if table.get(key))
     names = {row["member"]: row["name"] or str(row["member"]) for row in table["members"]}
     lines = [
-        f"{names[table['me']]}: {table['state']}, step {table['step']}, side {table['side']}"
+        f"{names[table['me']]}{place}: {table['state']}, step {table['step']}, side {table['side']}"
         + (", doubts itself" if table["doubt"] else ""),
         f"view {view['number']} {view['digest']}, {len(view['members'])} of {len(table['members'])} members,"
         f" for {view['for_ms'] / 1000:.1f} s",
--- a/pepperrun/members/service.py
+++ b/pepperrun/members/service.py
@@ -153,7 +153,8 @@
             return None
         now = self.clock()
         if words == [b"members"]:
-            return line(report(self.member, self.names, now))
+            place = {"region": self.config.region, "zone": self.config.zone}
+            return line(report(self.member, self.names, now) | place)
         if len(words) == 3 and words[1] == b"since" and words[2].isdigit():
             return line({"now": now, "events": events_since(self.member, int(words[2]))})
         return b"error members, or members since NANOSECONDS\n"
