Back from a cut's smaller side without a dip: its part goes on until use is told; doubt asks first

Now only who comes back from a smaller side is fenced, and goes on with that side's pooled part for the second; who comes back from a standstill has its own slice.

--- a/benchmarks/members_options.py
+++ b/benchmarks/members_options.py
@@ -47,7 +47,7 @@
 def heartbeats(
     count: int, loss: float, accrual: bool, rng: random.Random
 ) -> tuple[float, float, float, float]:
-    """p50 and p99 of a death's being known to all; wrong verdicts an hour of the group; datagrams a member."""
+    """p50 and p99 until a death is known to all, wrong verdicts an hour of the group, datagrams a member."""
     recent = [gaps(rng, loss) for _ in range(1000)]
     limit = phi_limit(recent) if accrual else TIMEOUT_S
     times = []
@@ -85,11 +85,10 @@
                 p50, p99, wrong, rate = heartbeats(count, loss, accrual, rng)
                 print(f"{count:3} {loss:5.2f}  {name:12} {p50:6.2f} {p99:6.2f} {wrong:10.1f} {rate:6.1f}")
             row = virtual(count, loss, 1, given.faults, ("kill",))
-            found, wrong = row["kill_s"], row["false_burials"] / (row["seconds"] / 3600)
+            p50, p99 = row["kill_s"]["p50"], row["kill_s"]["p99"]
+            wrong = row["false_burials"] / (row["seconds"] / 3600)
             rate = row["datagrams_a_member_a_second"]
-            print(
-                f"{count:3} {loss:5.2f}  {'members':12} {found['p50']:6.2f} {found['p99']:6.2f} {wrong:10.1f} {rate:6.1f}"
-            )
+            print(f"{count:3} {loss:5.2f}  {'members':12} {p50:6.2f} {p99:6.2f} {wrong:10.1f} {rate:6.1f}")
 
 
 if __name__ == "__main__":
--- a/pepperrun/core/gateway.py
+++ b/pepperrun/core/gateway.py
@@ -320,7 +320,7 @@
             return
         quiet = {p for p, known in self.inbox.peers.items() if self.direct and now - known[2] > HEARD_FOR}
         if self.standing.known:  # the larger side has the whole, the smaller one its members' slices
-            quiet = set(self.standing.lost) if self.standing.smaller else set()
+            quiet = set(self.standing.missing)
         for account in list(self.accounts.values()):
             if quiet or account.whole.rate != account.plan.rate:
                 account.whole.fill(now)
--- a/pepperrun/core/standing.py
+++ b/pepperrun/core/standing.py
@@ -12,14 +12,13 @@
 class Standing:
     """`lost`: gatekeepers that are not there, or are suspected; they keep no customer's store.
 
-    `smaller`: those on its side together use, and its keepers grant, no more than their parts. `slices`:
-    this one uses its own part alone, and a store that begins meanwhile begins with that. `grants`: it may
-    grant as a keeper.
+    `missing`: gatekeepers whose parts of a quota those on this side leave alone. `slices`: this one uses its
+    own part alone, and a store that begins meanwhile begins with that. `grants`: it may grant as a keeper.
     """
 
     known: bool = False
     lost: frozenset[int] = frozenset()
-    smaller: bool = False
+    missing: frozenset[int] = frozenset()
     slices: bool = False
     grants: bool = True
 
--- a/pepperrun/members/member.py
+++ b/pepperrun/members/member.py
@@ -57,7 +57,7 @@
 MOST_ASKED = 4  # at the same time, of those that remain when several are gone
 AGREE = 3  # of them, this one's own probe included, bury it at once
 LONGER = 6  # times as long where nobody agrees
-DOUBT_AFTER = 4  # probes in a row that came to nothing: it may be this one that is not heard
+DOUBT_AFTER = 4  # probes in a row to nothing, over as many periods: it may be this one that is not heard
 STALL_NS = SECOND // 2  # a standstill of this process: it doubts itself, not the others
 REPEAT_EACH = SECOND // 5  # to one member the same remark
 WINDOW = 64  # datagrams may overtake each other by so many
@@ -161,7 +161,9 @@
         self.news = Bucket(NEWS_RATE, NEWS_BURST, NEWS_BURST, now)
         self.sequence = 0
         self.started = self.seen_at = self.moved_at = now
-        self.denied_at = now - 60 * SECOND  # when it last found that it had been buried
+        self.apart = frozenset[int]()  # who was missing when it last stood on a smaller side
+        self.smaller = False  # it stands on one
+        self.returned_at = now - 60 * SECOND  # when it last came back, from a smaller side or a standstill
         self.hello_at = self.knock_at = now
         self.news_at = 0  # when what is new goes on; 0: there is nothing
         self.doubt = False  # after a standstill, until another member answers
@@ -295,9 +297,7 @@
             self._claim_holds(probe.target, now)
             return
         self.prober.failed_in_row += 1
-        if self.prober.failed_in_row >= DOUBT_AFTER and not self.doubt:
-            self.doubt = True
-            self._happened(now, "hears nobody", self.me, self.me, f"{self.prober.failed_in_row} probes")
+        self._do_i_hear(now)
         if probe.silent and len(probe.silent) == len(probe.helpers):
             self.prober.worse()  # all helpers keep silent: it may be this one that does not hear
         known = self.book.get(probe.target)
@@ -307,6 +307,20 @@
             self.counts["suspected"] += 1
         self._note(Rumour(known.member, known.life, known.incarnation, State.SUSPECT, self.me), now)
 
+    def _do_i_hear(self, now: int) -> None:
+        """Many probes in a row came to nothing: those that seem well are asked before it doubts itself."""
+        failed = self.prober.failed_in_row
+        well = [m for m in self.book.others(State.ALIVE) if m not in self.links.failed]
+        if failed == DOUBT_AFTER:
+            for member in self.rng.sample(well, min(len(well), DOUBT_AFTER)):
+                if not self.prober.asking(member):
+                    self.prober.ask(member, now)
+        if self.doubt or failed < DOUBT_AFTER or well and failed < 2 * DOUBT_AFTER:
+            return
+        if now - self.prober.answered_at >= DOUBT_AFTER * self.config.period_ns:
+            self.doubt = True
+            self._happened(now, "hears nobody", self.me, self.me, f"{failed} probes")
+
     def _needed(self) -> int:
         """So many besides the first have to agree that a suspected member is gone."""
         return max(0, min(AGREE, len(self.book.others(State.ALIVE)) + 1) - 1)
@@ -386,9 +400,8 @@
             self.incarnation = (rumour.incarnation + 1) % INCARNATIONS
             self.counts["denied"] += 1
             self.prober.worse()
-            # On the larger side it had the whole all the time, and what it knows is not old.
-            if rumour.state is State.DEAD and (self.doubt or self.side() in (Side.MINORITY, Side.ALONE)):
-                self.denied_at = now
+            if rumour.state is State.DEAD and self.doubt:
+                self.returned_at, self.apart = now, frozenset()
             self._happened(now, "denied", self.me, rumour.witness, rumour.state.name.lower())
             self._say(State.ALIVE, now)
 
@@ -597,6 +610,12 @@
             self.views.note(self.candidate, now)
         view = self.views.consider(self.candidate, self.suspected or bool(self._unheard(now)), now)
         if view is not None:
+            smaller = self.side() in (Side.MINORITY, Side.ALONE)
+            if smaller:
+                self.apart = self.configured() - view.numbers()
+            elif self.smaller:
+                self.returned_at = now
+            self.smaller = smaller
             self._happened(
                 now, "view", self.me, self.me, f"{view.number} {view.digest:08x} {len(view.members)}"
             )
--- a/pepperrun/members/probing.py
+++ b/pepperrun/members/probing.py
@@ -72,6 +72,7 @@
         self.round: list[int] = []
         self.turn = 0
         self.number = rng.randrange(PROBES)
+        self.answered_at = 0  # when any question was last answered
         self.failed_in_row = 0  # own probes that came to nothing since the last answer
         self.health = 0  # the worse this member fares itself, the more patient it is with others
 
@@ -179,7 +180,7 @@
         if sender != probe.target and not through:
             return None
         self._over(probe)
-        self.failed_in_row = 0
+        self.failed_in_row, self.answered_at = 0, now
         if probe.for_whom is None:
             self.health = max(0, self.health - 1)
         return probe
--- a/pepperrun/members/service.py
+++ b/pepperrun/members/service.py
@@ -114,7 +114,7 @@
     def _stand(self, now: int) -> None:
         """Tells the decisions; where something has changed, their stores follow at once."""
         member, quotas = self.member, self.gatekeeper.gateway.quotas
-        changed_at = member.moved_at, member.denied_at
+        changed_at = member.moved_at, member.returned_at
         state = member.book.changes, member.views.passed, member.doubt, member.state, changed_at
         if state == self.stood and (self.changes_at is None or now < self.changes_at):
             return  # nothing that the steps go by is different
--- a/pepperrun/members/steps.py
+++ b/pepperrun/members/steps.py
@@ -5,7 +5,8 @@
 | WHOLE | all are there | whole, over all | yes |
 | WITHOUT | some are missing, this is the larger side | whole, over those there | yes, the first one there |
 | SLICES | the smaller side, or a side by itself | its members' slices, together | yes, at that rate |
-| NEW | joined or returned less than FENCE_NS ago, or not yet | its own slice | its side's slices |
+| NEW | joined less than FENCE_NS ago, or not yet | its own slice | yes |
+| NEW | back from the smaller side less than FENCE_NS ago | as on that side | at that rate |
 | DOUBT | stood still, or nobody answers it | its own slice | no |
 | GONE | left in order, or its name is refused | its own slice | no |
 
@@ -45,7 +46,7 @@
         return Step.GONE
     if member.doubt:
         return Step.DOUBT
-    if member.state is Me.JOINING or now - member.moved_at < FENCE_NS or now - member.denied_at < FENCE_NS:
+    if member.state is Me.JOINING or now - member.moved_at < FENCE_NS or now - member.returned_at < FENCE_NS:
         return Step.NEW
     side = member.side()
     if side is Side.WHOLE:
@@ -55,7 +56,7 @@
 
 def until(member: Member, now: int) -> int | None:
     """When the step changes by time alone; None where it does not."""
-    ends = [at + FENCE_NS for at in (member.moved_at, member.denied_at)]
+    ends = [at + FENCE_NS for at in (member.moved_at, member.returned_at)]
     ahead = [end for end in ends if end > now]
     return min(ahead) if ahead else None
 
@@ -69,9 +70,11 @@
     lost -= {member.me}
     if step is Step.NEW and not there:
         lost = frozenset()  # it knows of nobody yet: asking a keeper that is not there costs one ask
-    smaller = step not in (Step.WHOLE, Step.WITHOUT)
-    alone = step in (Step.NEW, Step.DOUBT, Step.GONE) or len(there) < 2
-    return Standing(True, lost, smaller, smaller and alone, step not in (Step.DOUBT, Step.GONE))
+    # Back from the smaller side it goes on as it did there: what was used on the other is on its way here.
+    back = step is Step.NEW and now - member.moved_at >= FENCE_NS and bool(member.apart)
+    missing = member.apart if back else lost if step is Step.SLICES else frozenset()
+    slices = step in (Step.NEW, Step.DOUBT, Step.GONE) and not back or step is Step.SLICES and len(there) < 2
+    return Standing(True, lost, missing, slices, step not in (Step.DOUBT, Step.GONE))
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -160,6 +160,8 @@
         assert [one for at, one in events(world, "dead", start) if at == 2] == []  # it buries nobody
     assert world.run(3, world.settled)
     assert member.life == world.member(2).life and member.state is Me.MEMBER
+    if seconds > 1:  # it had been buried: for a while its own slice
+        assert step_of(member, world.now) is Step.NEW and standing_of(member, world.now).slices
     world.run(1.1)
     assert step_of(member, world.now) is Step.WHOLE
 
@@ -174,8 +176,16 @@
         # Of two equal halves the one with the lowest number is the larger.
         expected = [Side.MAJORITY, Side.MINORITY] if count == 6 else [Side.MINORITY, Side.MAJORITY]
         assert sides == expected
+        back = world.member(count - 1 if count == 6 else 0)
+        assert standing_of(back, world.now).missing == frozenset(some_ if count == 6 else others)
         world.cut(some_, others, on=False)
         assert world.run(3, world.settled)
+        # For a while it goes on as on that side; the larger side had the whole all the time.
+        assert step_of(back, world.now) is Step.NEW and not standing_of(back, world.now).slices
+        assert standing_of(back, world.now).missing == frozenset(some_ if count == 6 else others)
+        assert step_of(world.member(0 if count == 6 else count - 1), world.now) is Step.WHOLE
+        world.run(1.1)
+        assert standing_of(back, world.now).missing == frozenset()
         world.cut(some_, others)  # and at once again
         assert world.run(4, lambda: world.agreed(some_) and world.agreed(others))  # noqa: B023
         world.cut(some_, others, on=False)
@@ -344,7 +354,7 @@
 
 def test_smaller_side_has_its_slices_and_the_larger_one_the_whole() -> None:
     asked = Request(1, 5, 0, 0, SECOND, 1.0, 4, 0)
-    alone = Account(asked, 0, quotas_of(Standing(True, frozenset({1, 2, 3}), True, True)))
+    alone = Account(asked, 0, quotas_of(Standing(True, frozenset({1, 2, 3}), frozenset({1, 2, 3}), True)))
     alone.slice.level = 3.0
     assert alone.room(0) == 3.0 and alone.slice.rate == 2.5
     assert alone.whole.level == pytest.approx(5.0)  # a store that begins meanwhile begins with its part
@@ -353,7 +363,7 @@
     larger.inbox.peers = {3: (1, 1, -100 * SECOND)}
     larger.refresh(SECOND)
     assert account.whole.rate == 10.0  # without membership a quiet peer's part is left to it
-    larger.standing = Standing(True, frozenset({2, 3}), True)  # on the smaller side it would be two of four
+    larger.standing = Standing(True, frozenset({2, 3}), frozenset({2, 3}))  # on the smaller side, of two
     larger.refresh(SECOND)
     assert account.whole.rate == 5.0 and account.room(SECOND) == 20.0
     larger.standing = Standing()
