--- a/pepperrun/members/member.py
+++ b/pepperrun/members/member.py
@@ -400,8 +400,6 @@
             self.incarnation = (rumour.incarnation + 1) % INCARNATIONS
             self.counts["denied"] += 1
             self.prober.worse()
-            if rumour.state is State.DEAD and self.doubt:
-                self.returned_at, self.apart = now, frozenset()
             self._happened(now, "denied", self.me, rumour.witness, rumour.state.name.lower())
             self._say(State.ALIVE, now)
 
@@ -522,7 +520,9 @@
         if probe is None:
             return
         if self.doubt:
-            self.doubt = False
+            self.doubt, self.returned_at = False, now
+            if not self.smaller:
+                self.apart = frozenset()
             self._happened(now, "is answered", self.me, datagram.sender)
         if probe.for_whom is not None:
             self._post(probe.for_whom[0], Kind.ACK, probe=probe.for_whom[1], subject=probe.target)
