--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 import pytest
+from helpers import RATE, Driver, only
 from helpers import make_settings as gateway_settings
 from hypothesis import given
 from hypothesis import settings as quickly
@@ -13,7 +14,7 @@
 
 from pepperrun.core.clock import SECOND
 from pepperrun.core.gateway import Account, Quotas
-from pepperrun.core.interface import Plan, Request
+from pepperrun.core.interface import Plan, Request, Send
 from pepperrun.core.standing import Standing
 from pepperrun.lab.virtual import KEYS, Members, Path
 from pepperrun.members.keys import Keys, new_key_file, read_keys
@@ -399,3 +400,17 @@
     assert quota_error(quota, 2, 5.0, 1.0) == 20.0 + 10.0 + 5.0 * 4.0
     assert quota_error(quota, 2, 0.5, 1.0) == 25.0
     assert restart_error(quota, 8) == 20.0
+
+
+def test_keepers_that_are_not_there_are_not_waited_for() -> None:
+    for lost, at_once in ((frozenset[int](), False), (frozenset(range(1, 8)), True)):
+        driver = Driver(gateways=8, peer_intake=1.0)
+        driver.gateway.quotas.standing = Standing(True, lost)
+        # A customer whose keepers are others.
+        asked = [Request(1, c, RATE, 0, 1, 1.0, 8, 0) for c in range(1, 99)]
+        customer = next(a.customer for a in asked if 0 not in Account(a, 0, driver.gateway.quotas).keepers)
+        sent = only(driver.ask(RATE, customer=customer, spread=8), Send)
+        assert bool(sent) is at_once
+        assert at_once or only(
+            driver.run(SECOND), Send
+        )  # else its slice decides once they were asked in vain
