--- a/pepperrun/lab/explore.py
+++ b/pepperrun/lab/explore.py
@@ -386,4 +386,4 @@
         self.seen_at = max(now, self.seen_at)
 
 
-MUTANTS: dict[str, Make] = {"meek": Meek, "proud": Proud}
+MUTANTS: dict[str, Make] = {"": Member, "meek": Meek, "proud": Proud}
