Detection mended where one fault follows another: late answers, health, and two busy loops

A member that was cut off stayed up to nine times as patient for seconds, as probes were saved and each answer took one of eight off: an answer halves it now, and no probe is saved meanwhile.

--- a/pepperrun/members/member.py
+++ b/pepperrun/members/member.py
@@ -30,7 +30,7 @@
 from pepperrun.members.links import Links
 from pepperrun.members.probing import Probe, Prober
 from pepperrun.members.records import Book, Record
-from pepperrun.members.views import Side, Views, side_of
+from pepperrun.members.views import LOOK_NS, Side, Views, side_of
 from pepperrun.members.wire import (
     INCARNATIONS,
     LIVES,
@@ -263,7 +263,10 @@
         if self.state is Me.JOINING:
             return self.hello_at
         dues = [self.prober.due(), self.knock_at, self.seen_at + STALL_NS // 4]
-        dues += [self._burial(self.book.records[member]) for member in self.book.others(State.SUSPECT)]
+        for member in self.book.others(State.SUSPECT):
+            burial = self._burial(self.book.records[member])
+            # Past it the suspected one is still heard: looked at again in a while.
+            dues.append(burial if burial > self.seen_at else self.seen_at + LOOK_NS)
         if self.news_at:
             dues.append(self.news_at)
         if (view := self.views.due(self.seen_at)) is not None:
--- a/pepperrun/members/probing.py
+++ b/pepperrun/members/probing.py
@@ -68,6 +68,7 @@
         self.probes: dict[int, Probe] = {}
         self.sent: dict[int, tuple[int, int]] = {}  # each question by its number: whom, when
         self.heard: dict[int, int] = {}  # when anything was last heard of a member, by any path
+        self.late: dict[int, int] = {}  # when a member last answered late
         self.next_at = 0
         self.round: list[int] = []
         self.turn = 0
@@ -86,6 +87,9 @@
         probe = Probe(member, known.life if known is not None else 0, now, now + self.patience(member))
         for key, value in more.items():
             setattr(probe, key, value)
+        if probe.for_whom is not None:
+            # Not longer because this one fares badly: the asker would take its silence for its own trouble.
+            probe.due = now + self.links.delay(member).patience(PATIENCE * self.period_ns)
         probe.number = self._ping(member, now)
         self.probes[probe.number] = probe
 
@@ -141,7 +145,7 @@
         self.probes[self._ping(probe.target, now)] = probe
         slowest = max((self.patience(helper) for helper in helpers), default=0)
         probe.due = now + span + slowest  # a helper waits as long as this one does, and its word has to come
-        probe.again = now + slowest // 2
+        probe.again = now + slowest // 2 if helpers else 0
 
     def _next(self, now: int) -> None:
         self.turn += 1
@@ -149,8 +153,10 @@
         if target is None or self.asking(target):
             return
         lately = now - self.heard.get(target, -self.period_ns) < self.period_ns
+        # One that fares badly itself asks on: only answers show that it is well again.
         if (
             lately
+            and not self.health
             and now - self.links.tried.get(target, -TRIED_FOR) < TRIED_FOR
             and target not in self.links.failed
         ):
@@ -172,7 +178,13 @@
         asked = self.sent.pop(number, None)
         if asked is not None and asked[0] == sender and subject in (sender, NOBODY):
             # Late or not: how long it takes is learnt, so that slow is not taken for dead the next time.
-            self.links.answered(sender, now - asked[1], now)
+            # One that stood still answers all at once, as late as it stood: patience at most doubles by that.
+            patience = self.links.delay(sender).patience(PATIENCE * self.period_ns)
+            took, late = now - asked[1], now - asked[1] > patience
+            if not late or now - self.late.get(sender, -self.period_ns) >= self.period_ns:
+                self.links.answered(sender, min(took, 2 * patience), now)
+            if late:
+                self.late[sender] = now
         probe = self.probes.get(number)
         if probe is None:
             return None
@@ -182,7 +194,7 @@
         self._over(probe)
         self.failed_in_row, self.answered_at = 0, now
         if probe.for_whom is None:
-            self.health = max(0, self.health - 1)
+            self.health //= 2  # an answer shows that this member hears and is heard now
         return probe
 
     def nack(self, number: int, sender: int) -> None:
--- a/pepperrun/members/views.py
+++ b/pepperrun/members/views.py
@@ -15,6 +15,7 @@
 from functools import cached_property
 
 SETTLE_NS = 150_000_000  # without a further word: one takes about so long to reach all
+LOOK_NS = 50_000_000
 HOLD_NS = 3_000_000_000  # an unsettled view stands so long at most: two of the longest suspicions
 
 Held = frozenset[tuple[int, int]]  # members with their lives
@@ -89,7 +90,9 @@
         """When to look again; None where nothing is to be installed."""
         if self.candidate == self.view.members:
             return None
-        return max(now + 1, min(self.changed_at + SETTLE_NS, self.differs_since + HOLD_NS))
+        settles = self.changed_at + SETTLE_NS
+        # Past it something else holds the view up: looked at now and then, and whenever anything is heard.
+        return max(now + 1, min(settles if settles > now else now + LOOK_NS, self.differs_since + HOLD_NS))
 
     def apart(self, members: list[int]) -> list[int]:
         """Those of the members who hold another view than this one."""
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -16,12 +16,12 @@
 from pepperrun.core.gateway import Account, Quotas
 from pepperrun.core.interface import Plan, Request, Send
 from pepperrun.core.standing import Standing
-from pepperrun.lab.virtual import KEYS, Members, Path
+from pepperrun.lab.virtual import KEYS, MS, Members, Path
 from pepperrun.members.keys import Keys, new_key_file, read_keys
 from pepperrun.members.member import Me, Window
 from pepperrun.members.resume import resume, state_of
 from pepperrun.members.steps import Quota, Step, quota_error, restart_error, standing_of, step_of
-from pepperrun.members.views import Side, side_of
+from pepperrun.members.views import HOLD_NS, LOOK_NS, SETTLE_NS, Side, Views, side_of
 from pepperrun.members.wire import MOST, Datagram, Kind, Row, Rumour, State, pack, room, rows_room, unpack
 
 
@@ -414,3 +414,49 @@
         assert at_once or only(
             driver.run(SECOND), Send
         )  # else its slice decides once they were asked in vain
+
+
+def test_a_view_that_is_held_up_does_not_keep_a_member_busy() -> None:
+    views = Views(0)
+    views.note(frozenset({(1, 1)}), SECOND)
+    assert views.due(SECOND) == SECOND + SETTLE_NS
+    for later in range(2, 30):  # somebody is suspected all the time
+        now = SECOND + later * SETTLE_NS // 2
+        assert views.consider(frozenset({(1, 1)}), True, now) is None or now >= SECOND + HOLD_NS
+        assert (due := views.due(now)) is None or due >= min(now + LOOK_NS, SECOND + HOLD_NS)
+
+
+def test_a_suspected_one_that_is_heard_does_not_keep_a_member_busy() -> None:
+    world = group(3, 1)
+    member = world.member(0)
+    known = member.book.records[1]
+    member._note(Rumour(1, known.life, known.incarnation, State.SUSPECT, 2), world.now)
+    for step in range(1, 40):
+        now = world.now + step * SECOND // 50
+        member.heard(1, now)
+        member.tick(now)
+        if member.book.records[1].state is State.DEAD:
+            break
+        assert member.due() > now
+    assert member.book.records[1].state is State.SUSPECT
+    # Who is heard and never denies hears nothing itself: it is buried all the same, later.
+    member.heard(1, world.now + 4 * SECOND)
+    member.seen_at = world.now + 4 * SECOND  # no standstill of this one's
+    member.tick(world.now + 4 * SECOND)
+    assert member.book.records[1].state is State.DEAD
+
+
+def test_a_standstill_of_another_teaches_no_patience_and_a_slow_link_does() -> None:
+    world = group(4, 1)
+    world.pause(2, 3.0)
+    world.run(3.5)
+    assert world.run(3, world.settled)
+    world.run(2)
+    assert max(world.member(n).prober.patience(2) for n in (0, 1, 3)) <= 100 * MS
+    for other in (0, 1, 3):  # 280 ms there and back: slower than the pace of the probes
+        for pair in ((2, other), (other, 2)):
+            world.way(*pair).delay, world.way(*pair).jitter = 120 * MS, 20 * MS
+    start = world.now
+    world.run(20)
+    assert events(world, "dead", start) == []
+    assert min(world.member(n).prober.patience(2) for n in (0, 1, 3)) > 200 * MS
