--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -237,16 +237,16 @@
 def broken_on_purpose() -> Scenario:
     """Six gatekeepers: a two-way and a one-way cut, a pause and a kill, one after the other's end."""
     faults = [
-        Fault("cut", 0.5, None, 2.5, from_=["n0", "n1"], to=["rest"]),
-        Fault("cut", 6.0, None, 2.5, from_=["n2"], to=["rest"], both=False),
-        Fault("pause", 11.5, None, 2.0, names=["n3"]),
-        Fault("kill", 16.0, None, 1.0, names=["n4"]),
+        Fault("cut", 0.5, None, 4.0, from_=["n0", "n1"], to=["rest"]),
+        Fault("cut", 7.5, None, 4.0, from_=["n2"], to=["rest"], both=False),
+        Fault("pause", 14.5, None, 3.0, names=["n3"]),
+        Fault("kill", 20.0, None, 3.0, names=["n4"]),
     ]
     plans = [Plan("plain", 20.0, 60.0), Plan("capped", 20.0, 60.0, 40.0, 90.0, 0.0)]
     load = Load(customers=4, calm=0.2, heavy=0.0, work_ms=5.0, deadline_s=4.0, wanted_s=4.0)
     must = Must(false_burials=0, quota_error=False)
     return Scenario(
-        "ci", "What CI breaks with real processes.", 20.0, Fleet(gatekeepers=6), load, plans, faults, must
+        "ci", "What CI breaks with real processes.", 25.0, Fleet(gatekeepers=6), load, plans, faults, must
     )
 
 
