--- a/pepperrun/members/member.py
+++ b/pepperrun/members/member.py
@@ -334,7 +334,8 @@
         least += self.prober.patience(known.member)  # its denial takes a while to come
         if known.sure:
             return known.since + least
-        part = math.log(agreed + 1) / math.log(needed + 1) if needed else 1.0
+        # Where nobody is left to agree, half of the longest time: this one may be wrong about all of them.
+        part = math.log(agreed + 1) / math.log(needed + 1) if needed else 0.5
         span = max(least, LONGER * least - (LONGER - 1) * least * part)
         # Enough agree: who is patient because it fares badly itself does not hold them up.
         patience = 1 if agreed >= needed and needed else 1 + self.prober.health
