--- a/pepperrun/lab/fuzz.py
+++ b/pepperrun/lab/fuzz.py
@@ -49,7 +49,8 @@
         fault = Fault("path", at, None, span, from_=left, to=right)
         return msgspec.structs.replace(fault, **{kind: part})
     if what in ("worker_kill", "worker_slow"):
-        return Fault(what, at, None, max(0.5, span), names=rng.sample(workers_of(fleet), 1), share=0.5)  # type: ignore[arg-type]
+        one = rng.sample(workers_of(fleet), 1)
+        return Fault(what, at, None, max(0.5, span), names=one, share=0.5)  # type: ignore[arg-type]
     if what == "lists_late":
         return Fault("lists_late", at, None, 2.0)
     if what == "rotate":
