--- a/pepperrun/core/interface.py
+++ b/pepperrun/core/interface.py
@@ -1,7 +1,7 @@
 """What goes into and comes out of a gateway: settings, events and actions.
 
 A gateway is told its `Settings` once and is then given events; it answers with actions. All times are
-integer nanoseconds. Nothing here decides anything: the decisions are in `pepperrun/core/gateway.py`.
+integer nanoseconds. Nothing here decides anything: the decisions are in `gateway` and `quotas`.
 """
 
 from __future__ import annotations
--- a/pepperrun/handover/state.py
+++ b/pepperrun/handover/state.py
@@ -14,7 +14,8 @@
 
 from pepperrun.core import gossip
 from pepperrun.core.clock import SECOND, Decayed
-from pepperrun.core.gateway import Account, Gateway
+from pepperrun.core.gateway import Gateway
+from pepperrun.core.quotas import Account
 
 FORM = 1
 FRESH_NS = 3 * SECOND  # an older state is another time's
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -20,7 +20,8 @@
 )
 
 from pepperrun.core import gossip
-from pepperrun.core.gateway import Account, Gateway, Held, Quotas, Turns
+from pepperrun.core.gateway import Gateway, Held, Turns
+from pepperrun.core.quotas import Account, Quotas
 from pepperrun.core.interface import (
     AttemptEnded,
     Backend,
--- a/tests/test_long_running.py
+++ b/tests/test_long_running.py
@@ -6,7 +6,8 @@
 from standins import line, listing
 
 from pepperrun.core import gossip
-from pepperrun.core.gateway import Account, Gateway, Quotas
+from pepperrun.core.gateway import Gateway
+from pepperrun.core.quotas import Account, Quotas
 from pepperrun.core.interface import (
     AttemptEnded,
     Backend,
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as some
 
 from pepperrun.core.clock import SECOND
-from pepperrun.core.gateway import Account, Quotas
+from pepperrun.core.quotas import Account, Quotas
 from pepperrun.core.interface import Plan, Request, Send
 from pepperrun.core.standing import Standing
 from pepperrun.lab.virtual import KEYS, MS, Members, Path
