--- a/pepperrun/lab/explore.py
+++ b/pepperrun/lab/explore.py
@@ -23,7 +23,8 @@
 
 from pepperrun.core.clock import SECOND
 from pepperrun.lab.virtual import KEYS, MS
-from pepperrun.members.member import STALL_NS, Config, Me, Member
+from pepperrun.members.member import STALL_NS, Member
+from pepperrun.members.states import Config, Me
 from pepperrun.members.steps import Step, standing_of, step_of
 from pepperrun.members.wire import State
 
--- a/pepperrun/lab/virtual.py
+++ b/pepperrun/lab/virtual.py
@@ -14,7 +14,8 @@
 
 from pepperrun.core.clock import SECOND
 from pepperrun.members.keys import Keys
-from pepperrun.members.member import Config, Happened, Me, Member
+from pepperrun.members.member import Member
+from pepperrun.members.states import Config, Happened, Me
 from pepperrun.members.wire import State
 
 MS = 1_000_000
--- a/pepperrun/members/member.py
+++ b/pepperrun/members/member.py
@@ -1,35 +1,25 @@
 """One member: it joins, probes the others, denies what is untrue of it, and leaves. No socket, no clock.
 
-Its own state, and what moves it (this table is what the code goes by):
-
-| state | event | next |
-| --- | --- | --- |
-| JOINING | WELCOMED | MEMBER |
-| JOINING | UNANSWERED (nobody is there, for JOIN_ALONE_NS) | MEMBER |
-| JOINING, MEMBER | TAKEN (another live process has the name or number) | REFUSED |
-| REFUSED | AGAIN (after TRY_AGAIN_NS) | JOINING |
-| any | LEAVE | LEFT |
-
-Another member's: ALIVE, SUSPECT, DEAD or LEFT, as `records` has it. A suspicion is looked into by the members
-that watch the suspected one, and becomes a death once enough of them agree or none has spoken against it for
-long; a live member hears of it and denies it with a higher incarnation, after its burial too.
+Its own state and what moves it are in `states`. Another member's is ALIVE, SUSPECT, DEAD or LEFT, by
+`records`. A suspicion is looked into by those that watch the suspected one, and becomes a death once
+enough of them agree or none has spoken against it for long; a live member hears of it and denies it with a
+higher incarnation, after its burial too.
 """
 
 from __future__ import annotations
 
-import enum
 import math
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Any
 
 from pepperrun.core.clock import SECOND, Bucket
-from pepperrun.members.keys import Keys
 from pepperrun.members.links import Links
 from pepperrun.members.probing import Probe, Prober
 from pepperrun.members.records import Book, Record
+from pepperrun.members.states import MOVES, Config, Happened, Me, On, Window
 from pepperrun.members.views import LOOK_NS, Side, Views, side_of
 from pepperrun.members.wire import (
     INCARNATIONS,
@@ -60,84 +50,9 @@
 DOUBT_AFTER = 4  # probes in a row to nothing, over as many periods: it may be this one that is not heard
 STALL_NS = SECOND // 2  # a standstill of this process: it doubts itself, not the others
 REPEAT_EACH = SECOND // 5  # to one member the same remark
-WINDOW = 64  # datagrams may overtake each other by so many
 EVENTS = 512  # kept for whoever asks
 
 
-class Me(enum.Enum):
-    """This member's own state."""
-
-    JOINING = "joining"
-    MEMBER = "member"
-    REFUSED = "refused"
-    LEFT = "left"
-
-
-class On(enum.Enum):
-    """What moves it."""
-
-    WELCOMED = "welcomed"
-    UNANSWERED = "unanswered"
-    TAKEN = "taken"
-    AGAIN = "again"
-    LEAVE = "leave"
-
-
-MOVES = {
-    (Me.JOINING, On.WELCOMED): Me.MEMBER,
-    (Me.JOINING, On.UNANSWERED): Me.MEMBER,
-    (Me.JOINING, On.TAKEN): Me.REFUSED,
-    (Me.MEMBER, On.TAKEN): Me.REFUSED,
-    (Me.REFUSED, On.AGAIN): Me.JOINING,
-    **{(state, On.LEAVE): Me.LEFT for state in Me},
-}
-
-
-@dataclass(slots=True, frozen=True)
-class Config:
-    """What a member is told: its number among so many, its name, the keys and the pace.
-
-    `period_ns`: between two probes of its own; `suspect_ns`: how long a suspicion stands at least.
-    """
-
-    me: int
-    count: int
-    name: str
-    keys: Keys
-    period_ns: int = SECOND // 5
-    suspect_ns: int = SECOND // 4
-
-
-@dataclass(slots=True, frozen=True)
-class Happened:
-    """Something for people and rigs to see."""
-
-    at: int
-    what: str
-    member: int
-    by: int
-    detail: str = ""
-
-
-class Window:
-    """The sequence numbers that were seen of one life of a member."""
-
-    def __init__(self) -> None:
-        self.last, self.bits = 0, 0
-
-    def new(self, sequence: int) -> bool:
-        """Was this one not seen, and is it not too old to tell? Then it counts as seen."""
-        if sequence > self.last:
-            self.bits = (self.bits << min(WINDOW, sequence - self.last) | 1) & ((1 << WINDOW) - 1)
-            self.last = sequence
-            return True
-        back = self.last - sequence
-        if back >= WINDOW or self.bits >> back & 1:
-            return False
-        self.bits |= 1 << back
-        return True
-
-
 class Member:
     """Give it datagrams and the time; take what it wants sent (`out`) and what has happened (`events`)."""
 
--- a/pepperrun/members/report.py
+++ b/pepperrun/members/report.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from pepperrun.admin.calls import Figure
-from pepperrun.members.member import Happened, Member
+from pepperrun.members.member import Member
+from pepperrun.members.states import Happened
 from pepperrun.members.steps import step_of
 from pepperrun.members.wire import NOBODY, State
 
--- a/pepperrun/members/resume.py
+++ b/pepperrun/members/resume.py
@@ -7,7 +7,8 @@
 
 from typing import Any
 
-from pepperrun.members.member import Me, Member
+from pepperrun.members.member import Member
+from pepperrun.members.states import Me
 from pepperrun.members.records import Record
 from pepperrun.members.views import View, digest_of
 from pepperrun.members.wire import INCARNATIONS, LIVES, State
--- a/pepperrun/members/service.py
+++ b/pepperrun/members/service.py
@@ -17,7 +17,8 @@
 from pepperrun.gatekeeper import Gatekeeper
 from pepperrun.log import say
 from pepperrun.members.config import MembersConfig
-from pepperrun.members.member import Config, Happened, Member
+from pepperrun.members.member import Member
+from pepperrun.members.states import Config, Happened
 from pepperrun.members.report import events_since, figures, line, report
 from pepperrun.members.resume import JUMP, resume, state_of
 from pepperrun.members.steps import Step, standing_of, step_of, until
--- a/pepperrun/members/steps.py
+++ b/pepperrun/members/steps.py
@@ -22,7 +22,8 @@
 
 from pepperrun.core.clock import SECOND
 from pepperrun.core.standing import Standing
-from pepperrun.members.member import Me, Member
+from pepperrun.members.member import Member
+from pepperrun.members.states import Me
 from pepperrun.members.views import Side
 from pepperrun.members.wire import State
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -18,7 +18,7 @@
 from pepperrun.core.standing import Standing
 from pepperrun.lab.virtual import KEYS, MS, Members, Path
 from pepperrun.members.keys import Keys, new_key_file, read_keys
-from pepperrun.members.member import Me, Window
+from pepperrun.members.states import Me, Window
 from pepperrun.members.resume import resume, state_of
 from pepperrun.members.steps import Quota, Step, quota_error, restart_error, standing_of, step_of
 from pepperrun.members.views import HOLD_NS, LOOK_NS, SETTLE_NS, Side, Views, side_of
