Suspicions have a module; own trouble lengthens one once, not three times

Seen in a read of the whole change: `Member._burial` added the patience for the suspected one, which own trouble multiplies by up to nine, before it multiplied by LONGER and by own trouble again: up to a minute for a member that had been cut off. That is how a kill in a group of three was not known to one of two within 12 s (`lab measure`). The time for an answer is added once now, without own trouble (`members/suspicion.py`, whose table is its documentation). Also from that read: handlers were built anew for each datagram; a life whose incarnations are used up denied nothing any more and is followed by another; windows of lives that are over are dropped; the words for states stood in three places.

--- a/pepperrun/bench/players.py
+++ b/pepperrun/bench/players.py
@@ -17,37 +17,35 @@
 from pepperrun.net.http1 import Response
 
 HOST = "127.0.0.1"
+BROKEN, TIMED_OUT, NOBODY = 0, -1, -2  # in place of a status
+CONNECT_S = 0.5
+IDLE_S = 1.0  # a gatekeeper ends an idle connection after 2 s: no request may cross that end
 
 
 class Connection(AskerConnection):
-    """Tells its player of answers, with what they advise."""
+    """Tells its caller of answers, with what they advise."""
 
     wait_s = 0.0
+    since = 0.0  # when it last became idle
+    extra = 0  # answers that nobody had asked for
 
     def answered(self, answer: Response) -> None:
+        self.extra += self.intended is None
         try:
             self.wait_s = float(answer.names.get(b"retry-after", b"0"))
         except ValueError:
             self.wait_s = 0.0
 
 
-class Player:
-    """Plays requests against gatekeepers by their numbers."""
+class Caller:
+    """Sends requests to gatekeepers by their numbers, over connections that are kept for a while."""
 
-    def __init__(self, given: dict[str, Any]) -> None:
-        self.ports: list[int] = given["ports"]
-        self.load: list[list[Any]] = given["load"]
-        self.methods: list[str] = given["methods"]
-        self.classes: list[str] = given["classes"]
-        self.plans: list[str] = given["plans"]
-        self.retries, self.backoff_s = given["retries"], given["backoff_ms"] / 1000
-        self.honour = given["honour"]
-        self.random = random.Random(given["seed"])
-        self.idle: list[deque[Connection]] = [deque() for _ in self.ports]
-        self.results: list[list[int | None]] = [[None, 0, 0] for _ in self.load]  # took, tries, last status
+    def __init__(self, ports: list[int]) -> None:
+        self.ports = ports
+        self.idle: list[deque[Connection]] = [deque() for _ in ports]
+        self.all: list[Connection] = []
         self.waiting: dict[int, asyncio.Future[tuple[int, float]]] = {}
-        self.calls = 0
-        self.late = 0.0
+        self.asked = 0
 
     def done(self, connection: Connection | None, intended: int, status: int) -> None:
         """For connections: a request has ended."""
@@ -55,24 +53,26 @@
         if future is not None and not future.done():
             future.set_result((status, connection.wait_s if connection is not None else 0.0))
 
-    async def _once(self, gatekeeper: int, data: bytes, patience_s: float) -> tuple[int, float]:
-        idle = self.idle[gatekeeper]
-        connection = None
+    async def once(self, gatekeeper: int, data: bytes, patience_s: float) -> tuple[int, float]:
+        """One request: its status, or what stands in place of one, and the advice that came with it."""
+        idle, loop, connection = self.idle[gatekeeper], asyncio.get_running_loop(), None
         while idle and connection is None:
             held = idle.pop()
-            connection = held if held.transport is not None and not held.transport.is_closing() else None
-        loop = asyncio.get_running_loop()
+            up = held.transport is not None and not held.transport.is_closing()
+            connection = held if up and time.monotonic() - held.since < IDLE_S else None
         if connection is None:
             try:
-                _, connection = await loop.create_connection(
-                    lambda: Connection(self),  # type: ignore[arg-type]
-                    HOST,
-                    self.ports[gatekeeper],
-                )
-            except OSError:
-                return 0, 0.0
-        self.calls += 1
-        number, future = self.calls, loop.create_future()
+                async with asyncio.timeout(CONNECT_S):
+                    _, connection = await loop.create_connection(
+                        lambda: Connection(self),  # type: ignore[arg-type]
+                        HOST,
+                        self.ports[gatekeeper],
+                    )
+            except (OSError, TimeoutError):
+                return NOBODY, 0.0
+            self.all.append(connection)
+        self.asked += 1
+        number, future = self.asked, loop.create_future()
         self.waiting[number] = future
         connection.intended = number
         assert connection.transport is not None
@@ -84,16 +84,36 @@
             connection.intended = None
             if connection.transport is not None:
                 connection.transport.abort()
-            return -1, 0.0
+            return TIMED_OUT, 0.0
         if connection.transport is not None:
+            connection.since = time.monotonic()
             idle.append(connection)
         return answer
 
+    def extra(self) -> int:
+        """Answers that nobody had asked for."""
+        return sum(connection.extra for connection in self.all)
+
+
+class Player(Caller):
+    """Plays requests of a captured day."""
+
+    def __init__(self, given: dict[str, Any]) -> None:
+        super().__init__(given["ports"])
+        self.load: list[list[Any]] = given["load"]
+        self.methods: list[str] = given["methods"]
+        self.classes: list[str] = given["classes"]
+        self.plans: list[str] = given["plans"]
+        self.retries, self.backoff_s = given["retries"], given["backoff_ms"] / 1000
+        self.honour = given["honour"]
+        self.random = random.Random(given["seed"])
+        self.results: list[list[int | None]] = [[None, 0, 0] for _ in self.load]  # took, tries, last status
+        self.late = 0.0
+
     async def _play(self, number: int, start: int) -> None:
         at, gatekeeper, cls, plan, customer, units, true, budget, spread, first, work = self.load[number]
         result = self.results[number]
         for attempt in range(self.retries + 1):
-            self.calls += 1
             method = self.methods[cls]
             body = b"confirm" if method == "POST" else b""
             key = f"Idempotency-Key: k{number}-{attempt}\r\nContent-Length: 7\r\n" if body else ""
@@ -104,7 +124,7 @@
                 f"X-Budget: {budget // 1000}u\r\n"
                 f"X-Quota: units={units:g},spread={spread},first={first}\r\n{key}\r\n"
             )
-            status, wait_s = await self._once(gatekeeper, head.encode() + body, budget / 1e9 + 0.1)
+            status, wait_s = await self.once(gatekeeper, head.encode() + body, budget / 1e9 + 0.1)
             result[1], result[2] = attempt + 1, status
             if status == 200:
                 result[0] = time.monotonic_ns() - start - at
--- a/pepperrun/bench/rig.py
+++ b/pepperrun/bench/rig.py
@@ -85,16 +85,27 @@
 class Child:
     """A process of the rig that answers each line of JSON with one."""
 
-    def __init__(self, module: str, *arguments: object, cpus: set[int]) -> None:
+    def __init__(
+        self,
+        module: str,
+        *arguments: object,
+        cpus: set[int],
+        package: str = "bench",
+        before: Callable[[], None] | None = None,
+        log: Path | None = None,
+    ) -> None:
+        """`before` is called in the child before its program starts, in place of pinning it to `cpus`."""
         self.module = module
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", f"pepperrun.bench.{module}", *map(str, arguments)],
-            stdin=subprocess.PIPE,
-            stdout=subprocess.PIPE,
-            text=True,
-            cwd=ROOT,
-            preexec_fn=pin(cpus),
-        )
+        with open(log, "wb") if log is not None else contextlib.nullcontext() as stderr:
+            self.process = subprocess.Popen(
+                [sys.executable, "-B", "-m", f"pepperrun.{package}.{module}", *map(str, arguments)],
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+                stderr=stderr,
+                text=True,
+                cwd=ROOT,
+                preexec_fn=before or pin(cpus),
+            )
 
     def line(self) -> str:
         """Its next line."""
--- a/pepperrun/lab/clients.py
+++ b/pepperrun/lab/clients.py
@@ -11,86 +11,24 @@
 import random
 import sys
 import time
-from collections import deque
 from typing import Any
 
-from pepperrun.bench.players import Connection as PlayerConnection
-from pepperrun.net.http1 import Response
+from pepperrun.bench.players import BROKEN, NOBODY, TIMED_OUT, Caller
 
-HOST = "127.0.0.1"
-BROKEN, TIMED_OUT, NOBODY = 0, -1, -2  # in place of a status
-CONNECT_S = 0.5
-IDLE_S = 1.0  # a gatekeeper ends an idle connection after 2 s: no request may cross that end
 
-
-class Connection(PlayerConnection):
-    """Counts answers that nobody asked for."""
-
-    since = 0.0  # when it last became idle
-
-    def answered(self, answer: Response) -> None:
-        super().answered(answer)
-        if self.intended is None:
-            self.owner.extra += 1  # type: ignore[attr-defined]
-
-
-class Clients:
+class Clients(Caller):
     """Plays a load."""
 
     def __init__(self, given: dict[str, Any]) -> None:
-        self.ports: list[int] = given["ports"]
+        super().__init__(given["ports"])
         self.load: list[list[Any]] = given["load"]
         self.classes, self.plans = given["classes"], given["plans"]
         self.retries, self.moves_on_s = given["retries"], given["moves_on_s"]
         self.budget_s: float = given["deadline_s"]
         self.random = random.Random(given["seed"])
-        self.idle: list[deque[Connection]] = [deque() for _ in self.ports]
-        self.waiting: dict[int, asyncio.Future[tuple[int, float]]] = {}
         self.tries: list[list[int]] = []  # call, try, gatekeeper, sent, ended, status
-        self.extra = self.number = 0
         self.late = 0.0
 
-    def done(self, connection: Connection | None, intended: int, status: int) -> None:
-        """For connections: a request has ended."""
-        future = self.waiting.pop(intended, None)
-        if future is not None and not future.done():
-            future.set_result((status, connection.wait_s if connection is not None else 0.0))
-
-    async def _once(self, gatekeeper: int, data: bytes, patience_s: float) -> tuple[int, float]:
-        idle, loop, connection = self.idle[gatekeeper], asyncio.get_running_loop(), None
-        while idle and connection is None:
-            held = idle.pop()
-            up = held.transport is not None and not held.transport.is_closing()
-            connection = held if up and time.monotonic() - held.since < IDLE_S else None
-        if connection is None:
-            try:
-                async with asyncio.timeout(CONNECT_S):
-                    _, connection = await loop.create_connection(
-                        lambda: Connection(self),  # type: ignore[arg-type]
-                        HOST,
-                        self.ports[gatekeeper],
-                    )
-            except (OSError, TimeoutError):
-                return NOBODY, 0.0
-        self.number += 1
-        number, future = self.number, loop.create_future()
-        self.waiting[number] = future
-        connection.intended = number
-        assert connection.transport is not None
-        connection.transport.write(data)
-        try:
-            answer: tuple[int, float] = await asyncio.wait_for(future, patience_s)
-        except TimeoutError:
-            self.waiting.pop(number, None)
-            connection.intended = None
-            if connection.transport is not None:
-                connection.transport.abort()
-            return TIMED_OUT, 0.0
-        if connection.transport is not None:
-            connection.since = time.monotonic()
-            idle.append(connection)
-        return answer
-
     async def _play(self, call: int, start: int) -> None:
         at, gatekeeper, cls, plan, customer, spread, first, work = self.load[call]
         give_up = start + at + int(self.budget_s * 1e9)
@@ -110,7 +48,7 @@
             sent = time.monotonic_ns()
             row = [call, number, gatekeeper, sent, 0, TIMED_OUT]
             self.tries.append(row)
-            status, wait_s = await self._once(gatekeeper, head.encode() + body, left_ns / 1e9 + 0.1)
+            status, wait_s = await self.once(gatekeeper, head.encode() + body, left_ns / 1e9 + 0.1)
             row[4], row[5] = time.monotonic_ns(), status
             if status == 200:
                 return
@@ -135,7 +73,7 @@
             task.add_done_callback(tasks.discard)
         if tasks:
             await asyncio.wait(tasks, timeout=30)
-        return {"tries": self.tries, "extra": self.extra, "late_ms": self.late, "left": len(tasks)}
+        return {"tries": self.tries, "extra": self.extra(), "late_ms": self.late, "left": len(tasks)}
 
 
 def main() -> None:
--- a/pepperrun/lab/processes.py
+++ b/pepperrun/lab/processes.py
@@ -18,9 +18,9 @@
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from types import TracebackType
-from typing import Any, BinaryIO
+from typing import Any
 
-from pepperrun.bench.rig import HOST, ROOT, RigError
+from pepperrun.bench.rig import HOST, ROOT, Child, RigError
 from pepperrun.cli.members import call
 from pepperrun.lab.load import CLASSES, application
 from pepperrun.lab.scenario import Scenario
@@ -46,61 +46,6 @@
     return before
 
 
-class Helper:
-    """A process that answers each line of JSON with one."""
-
-    def __init__(self, module: str, cpus: set[int] | None = None, folder: Path | None = None) -> None:
-        self.module = module
-        where = folder / f"{module}.log" if folder is not None else Path(os.devnull)
-        with open(where, "wb") as log:
-            self.process = self._start(module, cpus, log)
-
-    @staticmethod
-    def _start(module: str, cpus: set[int] | None, log: BinaryIO) -> subprocess.Popen[str]:
-        return subprocess.Popen(
-            [sys.executable, "-B", "-m", f"pepperrun.lab.{module}"],
-            stdin=subprocess.PIPE,
-            stdout=subprocess.PIPE,
-            stderr=log,
-            text=True,
-            cwd=ROOT,
-            preexec_fn=dies_with_us(cpus),
-        )
-
-    def say(self, **what: Any) -> None:
-        """Sends a line."""
-        assert self.process.stdin is not None
-        self.process.stdin.write(json.dumps(what) + "\n")
-        self.process.stdin.flush()
-
-    def answer(self) -> dict[str, Any]:
-        """The next answer."""
-        assert self.process.stdout is not None
-        got = self.process.stdout.readline()
-        if not got:
-            raise RigError(f"the lab's {self.module} has ended with {self.process.wait()}")
-        found: dict[str, Any] = json.loads(got)
-        return found
-
-    def ask(self, **what: Any) -> dict[str, Any]:
-        """Sends a line and waits for its answer."""
-        self.say(**what)
-        return self.answer()
-
-    def close(self) -> None:
-        """Ends it."""
-        with contextlib.suppress(OSError):
-            if self.process.stdin is not None:
-                self.process.stdin.close()
-        try:
-            self.process.wait(3)
-        except subprocess.TimeoutExpired:
-            self.process.kill()
-            self.process.wait()
-        if self.process.stdout is not None:
-            self.process.stdout.close()
-
-
 _given: set[int] = set()
 _giving = threading.Lock()
 
@@ -215,6 +160,11 @@
             self.old.append(self.process)
             self.process = None
 
+    def draining(self) -> bool:
+        """Is a process that was asked to end still there, with ports that the next one needs?"""
+        inherited = self.lab.scenario.fleet.inherit
+        return not inherited and any(process.poll() is None for process in self.old)
+
     def pause(self, on: bool) -> None:
         """Stands still, or goes on."""
         if self.process is not None and self.up() and on != self.paused:
@@ -275,7 +225,7 @@
             "admin": free_ports(fleet.gatekeepers, socket.SOCK_STREAM),
             "peer": free_ports(fleet.gatekeepers, socket.SOCK_DGRAM),
         }
-        self.helpers: list[Helper] = []
+        self.helpers: list[Child] = []
         self.gatekeepers: list[Gatekeeper] = []
         self.twins: list[Gatekeeper] = []
         # Gatekeepers share the cores that the relay, the workers and the clients leave.
@@ -297,9 +247,10 @@
             raise
         return self
 
-    def helper(self, module: str, place: int) -> Helper:
+    def helper(self, module: str, place: int) -> Child:
         """Starts one of the lab's own processes."""
-        found = Helper(module, self.own[place], self.folder)
+        before = dies_with_us(self.own[place])
+        found = Child(module, cpus=set(), package="lab", before=before, log=self.folder / f"{module}.log")
         self.helpers.append(found)
         return found
 
@@ -332,7 +283,7 @@
                 log = (self.folder / f"{one.name}.log").read_text()[-300:]
                 raise RigError(f"{one.name} did not start: {log.strip()}")
 
-    def clients(self, load: list[list[Any]]) -> Helper:
+    def clients(self, load: list[list[Any]]) -> Child:
         """The clients, ready to begin."""
         scenario = self.scenario
         found = self.helper("clients", 2)
@@ -402,6 +353,6 @@
         self._temporary.cleanup()
 
 
-def readable(helper: Helper, seconds: float) -> bool:
+def readable(helper: Child, seconds: float) -> bool:
     """Does a helper's answer come within that time?"""
     return bool(select.select([helper.process.stdout], [], [], seconds)[0])
--- a/pepperrun/lab/run.py
+++ b/pepperrun/lab/run.py
@@ -272,6 +272,9 @@
 
     def _start(self, name: str, called: str = "") -> None:
         one = self._one(name)
+        if one.draining():  # it still has the ports
+            self._at(self._now() + CONDITION_S, lambda: self._start(name, called))
+            return
         one.start(called)
 
         def wait() -> None:
--- a/pepperrun/lab/scenario.py
+++ b/pepperrun/lab/scenario.py
@@ -13,6 +13,8 @@
 import msgspec
 from msgspec import Meta
 
+from pepperrun.members.wire import WORDS
+
 Seconds = Annotated[float, Meta(ge=0, le=3600)]
 Share = Annotated[float, Meta(ge=0, le=1)]
 Positive = Annotated[float, Meta(gt=0, le=1e6)]
@@ -35,7 +37,7 @@
     "worker_slow",
     "lists_late",
 ]
-STATES = ("there", "suspected", "dead", "left")
+STATES = tuple(WORDS.values())
 NEEDS_NAMES = ("kill", "stop", "pause", "start", "starve", "clock", "twin", "rename", "replace")
 
 
--- a/pepperrun/members/member.py
+++ b/pepperrun/members/member.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 from collections import deque
 from collections.abc import Callable
@@ -20,11 +19,13 @@
 from pepperrun.members.probing import Probe, Prober
 from pepperrun.members.records import Book, Record
 from pepperrun.members.states import MOVES, Config, Happened, Me, On, Window
-from pepperrun.members.views import LOOK_NS, Side, Views, side_of
+from pepperrun.members.suspicion import WATCHERS, Suspicions
+from pepperrun.members.views import Side, Views, side_of
 from pepperrun.members.wire import (
     INCARNATIONS,
     LIVES,
     NOBODY,
+    WORDS,
     Datagram,
     Kind,
     Rumour,
@@ -43,10 +44,7 @@
 NEWS_EACH = 40_000_000  # what is new goes on at once, in one datagram for so long
 NEWS_TO = 2  # members that hear it then
 NEWS_RATE, NEWS_BURST = 20.0, 20.0  # datagrams of news a second at most: a storm must not fill the intakes
-WATCHERS = 4  # look for themselves whether a suspected member is there
 MOST_ASKED = 4  # at the same time, of those that remain when several are gone
-AGREE = 3  # of them, this one's own probe included, bury it at once
-LONGER = 6  # times as long where nobody agrees
 DOUBT_AFTER = 4  # probes in a row to nothing, over as many periods: it may be this one that is not heard
 STALL_NS = SECOND // 2  # a standstill of this process: it doubts itself, not the others
 REPEAT_EACH = SECOND // 5  # to one member the same remark
@@ -62,7 +60,18 @@
         self.life, self.incarnation, self.state = life % LIVES or 1, 0, Me.JOINING
         self.book, self.links = Book(self.me, self.count), Links(self.me, self.count)
         self.prober = Prober(self.book, self.links, self.rng, config.period_ns, self._post)
+        self.suspicions = Suspicions(self.book, self.prober, config.suspect_ns)
         self.views = Views(now)
+        self.handlers: dict[Kind, Callable[[Datagram, int], None]] = {
+            Kind.PING: self._ping,
+            Kind.ACK: self._ack,
+            Kind.ASK: self._asked,
+            Kind.NACK: lambda one, now: self.prober.nack(one.probe, one.sender),
+            Kind.HELLO: self._hello,
+            Kind.WELCOME: self._welcome,
+            Kind.NEWS: lambda one, now: None,
+            Kind.TAKEN: self._taken,
+        }
         self.name = name_hash(config.name)
         self.every = frozenset(range(self.count))
         self.names: dict[int, int] = {}  # of the others
@@ -70,7 +79,6 @@
         self.events: deque[Happened] = deque(maxlen=EVENTS)
         self.windows: dict[tuple[int, int], Window] = {}  # by member and life
         self.claims: dict[int, int] = {}  # member: the life that claims its name while the old one is asked
-        self.looked: dict[int, tuple[int, int]] = {}  # suspected members that this one has looked for
         self.remarks: dict[tuple[int, Kind], int] = {}  # when the same was last said to a member
         self.considered, self.candidate, self.suspected = -1, frozenset[tuple[int, int]](), False
         self.news = Bucket(NEWS_RATE, NEWS_BURST, NEWS_BURST, now)
@@ -150,10 +158,10 @@
             self._no_answer(probe, now)
         for member in self.book.others(State.SUSPECT):
             known = self.book.records[member]
-            if now >= self._burial(known) and not self._heard_since(known, now):
+            if self.suspicions.ripe(known, now):
                 self._bury(known, now)
             else:  # of its watchers some may have been found dead themselves
-                self._watch(known, now)
+                self.suspicions.watch(known, now)
         if now >= self.knock_at:
             self.knock_at = now + KNOCK_EACH
             absent = [m for m in range(self.count) if m != self.me and not self._there(m)]
@@ -178,10 +186,8 @@
         if self.state is Me.JOINING:
             return self.hello_at
         dues = [self.prober.due(), self.knock_at, self.seen_at + STALL_NS // 4]
-        for member in self.book.others(State.SUSPECT):
-            burial = self._burial(self.book.records[member])
-            # Past it the suspected one is still heard: looked at again in a while.
-            dues.append(burial if burial > self.seen_at else self.seen_at + LOOK_NS)
+        suspects = [self.book.records[member] for member in self.book.others(State.SUSPECT)]
+        dues += [self.suspicions.due(known, self.seen_at) for known in suspects]
         if self.news_at:
             dues.append(self.news_at)
         if (view := self.views.due(self.seen_at)) is not None:
@@ -239,28 +245,6 @@
             self.doubt = True
             self._happened(now, "hears nobody", self.me, self.me, f"{failed} probes")
 
-    def _needed(self) -> int:
-        """So many besides the first have to agree that a suspected member is gone."""
-        return max(0, min(AGREE, len(self.book.others(State.ALIVE)) + 1) - 1)
-
-    def _burial(self, known: Record) -> int:
-        """When a suspicion becomes a death: the sooner the more have looked and agree."""
-        least, agreed, needed = self.config.suspect_ns, len(known.witnesses) - 1, self._needed()
-        least += self.prober.patience(known.member)  # its denial takes a while to come
-        if known.sure:
-            return known.since + least
-        # Where nobody is left to agree, half of the longest time: this one may be wrong about all of them.
-        part = math.log(agreed + 1) / math.log(needed + 1) if needed else 0.5
-        span = max(least, LONGER * least - (LONGER - 1) * least * part)
-        # Enough agree: who is patient because it fares badly itself does not hold them up.
-        patience = 1 if agreed >= needed and needed else 1 + self.prober.health
-        return known.since + int(span * patience)
-
-    def _heard_since(self, known: Record, now: int) -> bool:
-        """Whom this one hears may be slow to deny; who does not at all, for long, hears nothing itself."""
-        heard = self.prober.heard.get(known.member, 0)
-        return heard > known.since and now - known.since < LONGER * self.config.suspect_ns
-
     def _bury(self, known: Record, now: int) -> None:
         self.counts["buried"] += 1
         self._note(Rumour(known.member, known.life, known.incarnation, State.DEAD, self.me), now)
@@ -288,21 +272,12 @@
         self._soon(now)
         if life != rumour.life:
             self.links.forget(rumour.member)
+            self.windows.pop((rumour.member, life), None)
             self.prober.heard.pop(rumour.member, None)
         if was is not rumour.state or life != rumour.life:
-            words = {State.ALIVE: "there", State.SUSPECT: "suspected", State.DEAD: "dead", State.LEFT: "left"}
-            self._happened(now, words[rumour.state], rumour.member, rumour.witness, f"life {rumour.life}")
+            self._happened(now, WORDS[rumour.state], rumour.member, rumour.witness, f"life {rumour.life}")
         if rumour.state is State.SUSPECT and was is not State.SUSPECT:
-            self._watch(self.book.records[rumour.member], now)
-
-    def _watch(self, known: Record, now: int) -> None:
-        """Looks for itself, once, whether a suspected member is there, if it is among those to do so."""
-        looked = self.looked.get(known.member) == (known.life, known.incarnation)
-        if looked or self.me in known.witnesses or self.prober.asking(known.member):
-            return
-        if self.me in self.book.watchers(known.member, WATCHERS):
-            self.looked[known.member] = known.life, known.incarnation
-            self.prober.ask(known.member, now)
+            self.suspicions.watch(self.book.records[rumour.member], now)
 
     def _of_me(self, rumour: Rumour, now: int) -> None:
         """What others say of this one: what is untrue is denied, with a higher incarnation."""
@@ -316,7 +291,9 @@
         if rumour.life < self.life or self.state is not Me.MEMBER:
             return
         if rumour.state is not State.ALIVE and rumour.incarnation >= self.incarnation:
-            self.incarnation = (rumour.incarnation + 1) % INCARNATIONS
+            self.incarnation = rumour.incarnation + 1
+            if self.incarnation >= INCARNATIONS:  # none is left of this life
+                self.life, self.incarnation = self.life + 1, 0
             self.counts["denied"] += 1
             self.prober.worse()
             self._happened(now, "denied", self.me, rumour.witness, rumour.state.name.lower())
@@ -344,22 +321,12 @@
         if not self._in_order(datagram, now):
             return
         self.counts["heard"] += 1
-        handlers = {
-            Kind.PING: self._ping,
-            Kind.ACK: self._ack,
-            Kind.ASK: self._asked,
-            Kind.NACK: lambda one, at: self.prober.nack(one.probe, one.sender),
-            Kind.HELLO: self._hello,
-            Kind.WELCOME: self._welcome,
-            Kind.NEWS: lambda one, at: None,
-            Kind.TAKEN: self._taken,
-        }
         if datagram.kind not in (Kind.HELLO, Kind.TAKEN) and not self._current(datagram, now):
             return
         denied = self.counts["denied"]
         if datagram.kind not in (Kind.HELLO, Kind.TAKEN) and self.names.get(sender) != datagram.name:
             self._named(sender, datagram, now)
-        handlers[datagram.kind](datagram, now)
+        self.handlers[datagram.kind](datagram, now)
         if datagram.kind is not Kind.TAKEN:
             self._take_in(datagram, now)
         if self.counts["denied"] > denied:  # whoever said it is the first to hear that it is untrue
--- a/pepperrun/members/probing.py
+++ b/pepperrun/members/probing.py
@@ -77,9 +77,13 @@
         self.failed_in_row = 0  # own probes that came to nothing since the last answer
         self.health = 0  # the worse this member fares itself, the more patient it is with others
 
+    def usual(self, member: int) -> int:
+        """How long an answer of it may take, ns."""
+        return self.links.delay(member).patience(PATIENCE * self.period_ns)
+
     def patience(self, member: int) -> int:
-        """How long an answer may take, ns."""
-        return self.links.delay(member).patience(PATIENCE * self.period_ns) * (1 + self.health)
+        """How long this one waits for it, as it fares now."""
+        return self.usual(member) * (1 + self.health)
 
     def ask(self, member: int, now: int, **more: object) -> None:
         """Asks a member itself."""
@@ -89,7 +93,7 @@
             setattr(probe, key, value)
         if probe.for_whom is not None:
             # Not longer because this one fares badly: the asker would take its silence for its own trouble.
-            probe.due = now + self.links.delay(member).patience(PATIENCE * self.period_ns)
+            probe.due = now + self.usual(member)
         probe.number = self._ping(member, now)
         self.probes[probe.number] = probe
 
@@ -179,7 +183,7 @@
         if asked is not None and asked[0] == sender and subject in (sender, NOBODY):
             # Late or not: how long it takes is learnt, so that slow is not taken for dead the next time.
             # One that stood still answers all at once, as late as it stood: patience at most doubles by that.
-            patience = self.links.delay(sender).patience(PATIENCE * self.period_ns)
+            patience = self.usual(sender)
             took, late = now - asked[1], now - asked[1] > patience
             if not late or now - self.late.get(sender, -self.period_ns) >= self.period_ns:
                 self.links.answered(sender, min(took, 2 * patience), now)
--- a/pepperrun/members/report.py
+++ b/pepperrun/members/report.py
@@ -10,9 +10,7 @@
 from pepperrun.members.member import Member
 from pepperrun.members.states import Happened
 from pepperrun.members.steps import step_of
-from pepperrun.members.wire import NOBODY, State
-
-STATES = {State.ALIVE: "there", State.SUSPECT: "suspected", State.DEAD: "dead", State.LEFT: "left"}
+from pepperrun.members.wire import NOBODY, WORDS, State
 
 
 def report(member: Member, names: Sequence[str], now: int) -> dict[str, Any]:
@@ -29,7 +27,7 @@
             row |= {"state": "unknown"}
         else:
             by = None if known.by == NOBODY else known.by
-            row |= {"state": STATES[known.state], "for_ms": _ms(now - known.since), "by": by}
+            row |= {"state": WORDS[known.state], "for_ms": _ms(now - known.since), "by": by}
             row |= {"life": known.life, "incarnation": known.incarnation, "witnesses": len(known.witnesses)}
             heard = member.prober.heard.get(number)
             row |= {"heard_ms": _ms(now - heard) if heard is not None else None}
--- a/pepperrun/members/wire.py
+++ b/pepperrun/members/wire.py
@@ -57,6 +57,7 @@
     LEFT = 3
 
 
+WORDS = {State.ALIVE: "there", State.SUSPECT: "suspected", State.DEAD: "dead", State.LEFT: "left"}
 _KINDS = {int(kind): kind for kind in Kind}
 _STATES = {int(state): state for state in State}
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -460,3 +460,32 @@
     world.run(20)
     assert events(world, "dead", start) == []
     assert min(world.member(n).prober.patience(2) for n in (0, 1, 3)) > 200 * MS
+
+
+def test_own_trouble_lengthens_a_suspicion_once() -> None:
+    member = group(4, 1).member(0)
+    member.prober.health = 8
+    known = member.book.records[1]
+    known.state, known.since, known.witnesses, known.sure = State.SUSPECT, 10 * SECOND, {0}, True
+    least, usual = member.config.suspect_ns, member.prober.usual(1)
+    assert usual < SECOND // 10
+    assert member.suspicions.burial(known) == known.since + least + usual
+    known.sure = False
+    assert member.suspicions.burial(known) == known.since + 6 * 9 * least + usual
+    known.witnesses = {0, 2, 3}  # all that are left agree: nothing is waited for
+    assert member.suspicions.burial(known) == known.since + least + usual
+
+
+def test_a_life_whose_denials_are_used_up_is_followed_by_another() -> None:
+    world = group(3, 1)
+    member = world.member(1)
+    life = member.life
+    for witness in (0, 2):  # said of its last incarnation
+        world.member(witness)._note(Rumour(1, life, 65535, State.DEAD, witness), world.now)
+    world._wake(0)
+
+    def known() -> bool:
+        lives = {world.member(0).book.records[1].life, world.member(1).life}
+        return len(lives) == 1 and life not in lives
+
+    assert world.run(8, known) and world.run(3, world.settled)
