Lab: a gatekeeper that two overlapping faults bring back is started once

Seen: fuzz-3 and fuzz-7 ended with 1, as two kills of one gatekeeper overlapped and each started it again, the second one on ports in use (run.Run._start): the lab's fault, not the program's.

--- a/pepperrun/lab/run.py
+++ b/pepperrun/lab/run.py
@@ -272,6 +272,8 @@
 
     def _start(self, name: str, called: str = "") -> None:
         one = self._one(name)
+        if one.up():  # two faults overlap, and the other one has brought it back
+            return
         if one.draining():  # it still has the ports
             self._at(self._now() + CONDITION_S, lambda: self._start(name, called))
             return
