--- a/pepperrun/cli/lab.py
+++ b/pepperrun/cli/lab.py
@@ -418,3 +418,36 @@
         raise click.ClickException(str(error)) from None
     click.echo(f"{played} runs, {len(failed)} failed, {kept} of them again")
     return 1 if kept else 0
+
+
+@lab.command()
+@click.option("--members", "sizes", default="8,24", show_default=True, callback=numbers)
+@click.option("--seed", "seeds", default="1-20", show_default=True, callback=seeds_of, help="1, 1,4 or 1-20.")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object on standard output.")
+def agree(sizes: list[float], seeds: list[int], as_json: bool) -> int:
+    """How soon all hold one view after a mass kill, a cut, a heal and a rolling restart, in virtual time."""
+    from concurrent.futures import ProcessPoolExecutor
+
+    from pepperrun.bench.rig import RigError
+    from pepperrun.lab.measure import agreement
+
+    rows: list[dict[str, Any]] = []
+    try:
+        with ProcessPoolExecutor() as pool:
+            for count in map(int, sizes):
+                found = list(pool.map(agreement, [count] * len(seeds), seeds))
+                for what in found[0]:
+                    times = sorted(one[what][0] for one in found)
+                    views = max(one[what][1] for one in found)
+                    row = {"members": count, "after": what, "median_s": times[len(times) // 2]}
+                    rows.append(row | {"worst_s": times[-1], "most_views": views, "seeds": len(seeds)})
+    except RigError as error:
+        raise click.ClickException(str(error)) from None
+    if as_json:
+        click.echo(json.dumps({"rows": rows}))
+        return 0
+    click.echo(f"{'n':>4} {'after':16} {'median s':>9} {'worst s':>8} {'views':>6}  of {len(seeds)} seeds")
+    for row in rows:
+        times = f"{row['median_s']:9.2f} {row['worst_s']:8.2f} {row['most_views']:6}"
+        click.echo(f"{row['members']:4} {row['after']:16} {times}")
+    return 0
--- a/pepperrun/lab/measure.py
+++ b/pepperrun/lab/measure.py
@@ -230,6 +230,54 @@
     return found(count, loss, times, views, more)
 
 
+def agreement(count: int, seed: int) -> dict[str, tuple[float, int]]:
+    """In virtual time: seconds until all that can hear each other hold one view, and the most views passed.
+
+    After seven in ten are killed at once, after they are back, after halves are cut apart, after the cut
+    heals, and after a rolling restart (each down for 0.4 s of a second).
+    """
+    world = Members(count, seed, Path(delay=LOOPBACK.delay, jitter=LOOPBACK.jitter), TURN_NS)
+    world.start_all()
+    if not world.run(30, world.settled):
+        raise RigError(f"{count} members came to no common view")
+    world.run(2)
+    found: dict[str, tuple[float, int]] = {}
+
+    def timed(name: str, holds: Callable[[], bool], since: int) -> None:
+        start = world.now
+        if not world.run(30, holds):
+            raise RigError(f"{count} members, seed {seed}: no common view after {name}")
+        seen: dict[int, int] = {}
+        for number, one in world.happened:
+            if one.what == "view" and one.at >= since:
+                seen[number] = seen.get(number, 0) + 1
+        found[name] = round((world.now - start) / SECOND, 3), max(seen.values(), default=0)
+        world.run(2)
+
+    dead = world.random.sample(range(count), count * 7 // 10)
+    for number in dead:
+        world.kill(number)
+    timed("mass kill", world.settled, world.now)
+    for number in dead:
+        world.start(number)
+    timed("all back", world.settled, world.now)
+    names = list(range(count))
+    world.random.shuffle(names)
+    some, others = names[: count // 2], names[count // 2 :]
+    world.cut(some, others)
+    timed("halves", lambda: world.agreed(some) and world.agreed(others), world.now)
+    world.cut(some, others, on=False)
+    timed("heal", world.settled, world.now)
+    since = world.now
+    for number in range(count):
+        world.kill(number)
+        world.run(0.4)
+        world.start(number)
+        world.run(0.6)
+    timed("rolling restart", world.settled, since)
+    return found
+
+
 def table(rows: list[dict[str, Any]]) -> str:
     """For people."""
     lines = [
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -16,7 +16,7 @@
 from pepperrun.lab import checkers, explore, fuzz
 from pepperrun.lab.checkers import Broken
 from pepperrun.lab.load import load_of
-from pepperrun.lab.measure import virtual
+from pepperrun.lab.measure import agreement, virtual
 from pepperrun.lab.report import Document, interval, result, schema, table
 from pepperrun.lab.run import Run, Seen
 from pepperrun.lab.scenario import Fault, Fleet, Load, Must, Plan, Scenario, read_scenario, write_scenario
@@ -231,6 +231,13 @@
     assert 0 < row["kill_s"]["worst"] < 1.5 and row == virtual(5, 0.0, 1, 2)
 
 
+def test_agreement_is_measured() -> None:
+    found = agreement(6, 1)
+    assert list(found) == ["mass kill", "all back", "halves", "heal", "rolling restart"]
+    assert found["mass kill"][1] >= 1 and found["rolling restart"][1] >= 6
+    assert found == agreement(6, 1)
+
+
 # Real processes.
 
 
