--- a/pepperrun/cli/lab.py
+++ b/pepperrun/cli/lab.py
@@ -448,6 +448,6 @@
         return 0
     click.echo(f"{'n':>4} {'after':16} {'median s':>9} {'worst s':>8} {'views':>6}  of {len(seeds)} seeds")
     for row in rows:
-        times = f"{row['median_s']:9.2f} {row['worst_s']:8.2f} {row['most_views']:6}"
-        click.echo(f"{row['members']:4} {row['after']:16} {times}")
+        figures = f"{row['median_s']:9.2f} {row['worst_s']:8.2f} {row['most_views']:6}"
+        click.echo(f"{row['members']:4} {row['after']:16} {figures}")
     return 0
