--- a/pepperrun/lab/processes.py
+++ b/pepperrun/lab/processes.py
@@ -20,8 +20,8 @@
 from types import TracebackType
 from typing import Any
 
+from pepperrun.admin.client import call
 from pepperrun.bench.rig import HOST, ROOT, Child, RigError
-from pepperrun.cli.members import call
 from pepperrun.lab.load import CLASSES, application
 from pepperrun.lab.scenario import Scenario
 from pepperrun.tool.commands import write
--- a/tests/test_running_members.py
+++ b/tests/test_running_members.py
@@ -17,8 +17,9 @@
 import pytest
 
 from pepperrun.__main__ import main
+from pepperrun.admin.client import ask
 from pepperrun.bench.rig import ROOT
-from pepperrun.cli.members import ask, worded
+from pepperrun.cli.members import worded
 from pepperrun.lab.processes import dies_with_us, free_ports
 from pepperrun.members.config import members_of, read_members
 from pepperrun.tool.application import configurations
