--- a/pepperrun/lab/explore.py
+++ b/pepperrun/lab/explore.py
@@ -101,7 +101,7 @@
 
     def _member(self, number: int, life: int) -> Member:
         member = self.make(Config(number, self.count, f"n{number}", KEYS), life, 1, self.now)
-        member.rng = member.prober.rng = First()
+        member.rng = member.prober.rng = member.outbox.rng = First()
         member.told_of = lambda what: self._told(number, what.what, what.member)
         return member
 
@@ -170,7 +170,7 @@
             if at <= self.now:
                 del self.paused[number]
                 member = self._of(number)
-                was = member.state
+                was = member.own.state
                 for sender, data in self.waiting.pop(number, []):
                     member.receive(sender, data, self.now)
                 member.tick(self.now)
@@ -190,7 +190,7 @@
             self._collect(receiver)
 
     def _collect(self, number: int) -> None:
-        for receiver, data in self._of(number).take_out():
+        for receiver, data in self._of(number).outbox.take_out():
             pair = min(number, receiver), max(number, receiver)
             if pair not in self.cuts:
                 self.way.append((self.now + WAY_NS, number, receiver, data))
@@ -268,7 +268,10 @@
                 for p in member.prober.probes.values()
             )
             fresh = sorted(member.book.fresh.items())
-            own = (member.state.value, member.life, member.incarnation, member.doubt, member.prober.health)
+            own = (
+                *(member.own.state.value, member.own.life, member.own.incarnation),
+                *(member.doubt, member.prober.health),
+            )
             timers = (
                 member.prober.next_at - now,
                 member.knock_at - now,
--- a/pepperrun/lab/virtual.py
+++ b/pepperrun/lab/virtual.py
@@ -201,7 +201,7 @@
     def _after(self, number: int) -> None:
         host = self.hosts[number]
         if host.member is not None:
-            for receiver, data in host.member.take_out():
+            for receiver, data in host.member.outbox.take_out():
                 self._send(number, receiver, data)
             self._wake(number)
 
@@ -221,7 +221,7 @@
 
     def settled(self) -> bool:
         """All are members and hold one view."""
-        return all(self.member(n).state is Me.MEMBER for n in self.up()) and self.agreed()
+        return all(self.member(n).own.state is Me.MEMBER for n in self.up()) and self.agreed()
 
     def holds_dead(self, number: int, dead: int) -> bool:
         """Does that one hold the other dead?"""
--- a/pepperrun/members/member.py
+++ b/pepperrun/members/member.py
@@ -12,13 +12,14 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
-from typing import Any
 
 from pepperrun.core.clock import SECOND, Bucket
 from pepperrun.members.links import Links
+from pepperrun.members.names import Names
+from pepperrun.members.outbox import Outbox
 from pepperrun.members.probing import Probe, Prober
 from pepperrun.members.records import Book, Record
-from pepperrun.members.states import MOVES, Config, Happened, Me, On, Window
+from pepperrun.members.states import MOVES, Config, Happened, Me, On, Own, Window
 from pepperrun.members.suspicion import WATCHERS, Suspicions
 from pepperrun.members.views import Side, Views, side_of
 from pepperrun.members.wire import (
@@ -31,9 +32,6 @@
     Rumour,
     State,
     name_hash,
-    pack,
-    room,
-    rows_room,
     unpack,
 )
 
@@ -47,42 +45,42 @@
 MOST_ASKED = 4  # at the same time, of those that remain when several are gone
 DOUBT_AFTER = 4  # probes in a row to nothing, over as many periods: it may be this one that is not heard
 STALL_NS = SECOND // 2  # a standstill of this process: it doubts itself, not the others
-REPEAT_EACH = SECOND // 5  # to one member the same remark
 EVENTS = 512  # kept for whoever asks
+COUNTS = ("sent", "sent_bytes", "heard", "forged", "replayed", "foreign", "suspected", "buried", "denied")
 
 
 class Member:
-    """Give it datagrams and the time; take what it wants sent (`out`) and what has happened (`events`)."""
+    """Give it datagrams and the time; take what it wants sent (`outbox`) and what has happened (`events`)."""
 
     def __init__(self, config: Config, life: int, seed: int, now: int) -> None:
         self.config, self.me, self.count = config, config.me, config.count
         self.rng = random.Random(seed)
-        self.life, self.incarnation, self.state = life % LIVES or 1, 0, Me.JOINING
+        self.own = Own(self.me, name_hash(config.name), life % LIVES or 1)
+        self.counts = dict.fromkeys(COUNTS, 0)
         self.book, self.links = Book(self.me, self.count), Links(self.me, self.count)
-        self.prober = Prober(self.book, self.links, self.rng, config.period_ns, self._post)
-        self.suspicions = Suspicions(self.book, self.prober, config.suspect_ns)
         self.views = Views(now)
+        self.outbox = Outbox(
+            *(config, self.own, self.book, self.links, self.views, self.rng, self.counts),
+            lambda: self.prober.health,
+        )
+        self.prober = Prober(self.book, self.links, self.rng, config.period_ns, self.outbox.post)
+        self.suspicions = Suspicions(self.book, self.prober, config.suspect_ns)
+        self.names = Names(self.own, self.book, self.prober, self.outbox, self._note, self._happened)
         self.handlers: dict[Kind, Callable[[Datagram, int], None]] = {
             Kind.PING: self._ping,
             Kind.ACK: self._ack,
             Kind.ASK: self._asked,
             Kind.NACK: lambda one, now: self.prober.nack(one.probe, one.sender),
-            Kind.HELLO: self._hello,
+            Kind.HELLO: self.names.hello,
             Kind.WELCOME: self._welcome,
             Kind.NEWS: lambda one, now: None,
             Kind.TAKEN: self._taken,
         }
-        self.name = name_hash(config.name)
         self.every = frozenset(range(self.count))
-        self.names: dict[int, int] = {}  # of the others
-        self.out: list[tuple[int, bytes]] = []
         self.events: deque[Happened] = deque(maxlen=EVENTS)
         self.windows: dict[tuple[int, int], Window] = {}  # by member and life
-        self.claims: dict[int, int] = {}  # member: the life that claims its name while the old one is asked
-        self.remarks: dict[tuple[int, Kind], int] = {}  # when the same was last said to a member
         self.considered, self.candidate, self.suspected = -1, frozenset[tuple[int, int]](), False
         self.news = Bucket(NEWS_RATE, NEWS_BURST, NEWS_BURST, now)
-        self.sequence = 0
         self.started = self.seen_at = self.moved_at = now
         self.apart = frozenset[int]()  # who was missing when it last stood on a smaller side
         self.smaller = False  # it stands on one
@@ -90,19 +88,15 @@
         self.hello_at = self.knock_at = now
         self.news_at = 0  # when what is new goes on; 0: there is nothing
         self.doubt = False  # after a standstill, until another member answers
-        self.counts = dict.fromkeys(
-            ("sent", "sent_bytes", "heard", "forged", "replayed", "foreign", "suspected", "buried", "denied"),
-            0,
-        )
         self.told_of: Callable[[Happened], None] | None = None
 
     # Own state.
 
     def _move(self, event: On, now: int, detail: str = "", by: int = NOBODY) -> bool:
-        after = MOVES.get((self.state, event))
+        after = MOVES.get((self.own.state, event))
         if after is None:
             return False
-        self.state, self.moved_at = after, now
+        self.own.state, self.moved_at = after, now
         self._happened(now, after.value, self.me, by, detail)
         if after is Me.MEMBER:
             self._say(State.ALIVE, now)
@@ -114,7 +108,7 @@
 
     def _say(self, state: State, now: int) -> None:
         """A word on itself."""
-        self.book.note(Rumour(self.me, self.life, self.incarnation, state, self.me), now)
+        self.book.note(Rumour(self.me, self.own.life, self.own.incarnation, state, self.me), now)
         self._soon(now)
 
     def leave(self, now: int) -> None:
@@ -122,18 +116,18 @@
         if self._move(On.LEAVE, now):
             self._say(State.LEFT, now)
             for member in self.book.pick(self.rng, 2 * NEWS_TO):
-                self._post(member, Kind.NEWS)
+                self.outbox.post(member, Kind.NEWS)
 
     # Time.
 
     def _look(self, now: int) -> None:
         """A standstill says nothing of others: what was out is void, suspicions begin anew."""
         stood, self.seen_at = now - self.seen_at, max(now, self.seen_at)
-        if stood < STALL_NS or self.state is not Me.MEMBER:
+        if stood < STALL_NS or self.own.state is not Me.MEMBER:
             return
         self.doubt = len(self.book.others(State.ALIVE, State.SUSPECT, State.DEAD)) > 0
         self.prober.void()
-        self.claims.clear()
+        self.names.claims.clear()
         self.prober.worse()
         for known in self.book.records.values():
             if known.state is State.SUSPECT:
@@ -145,13 +139,13 @@
     def tick(self, now: int) -> None:
         """Does what is due."""
         self._look(now)
-        if self.state is Me.LEFT:
+        if self.own.state is Me.LEFT:
             return
-        if self.state is Me.REFUSED:
+        if self.own.state is Me.REFUSED:
             if now - self.moved_at >= TRY_AGAIN_NS:
                 self._move(On.AGAIN, now)
             return
-        if self.state is Me.JOINING:
+        if self.own.state is Me.JOINING:
             self._knock_at_doors(now)
             return
         for probe in self.prober.tick(now):
@@ -166,24 +160,24 @@
             self.knock_at = now + KNOCK_EACH
             absent = [m for m in range(self.count) if m != self.me and not self._there(m)]
             if absent:
-                self._post(self.rng.choice(absent), Kind.HELLO)
+                self.outbox.post(self.rng.choice(absent), Kind.HELLO)
         if self.news_at and now >= self.news_at:
             self.news_at = 0
             for member in self.book.pick(self.rng, NEWS_TO):
                 if self.news.fill(now) >= 1:
                     self.news.level -= 1
-                    self._post(member, Kind.NEWS)
+                    self.outbox.post(member, Kind.NEWS)
             if self.book.fresh and any(key[1] != NOBODY for key in self.book.fresh):
                 self._soon(now)
         self._consider(now)
 
     def due(self) -> int:
         """When `tick` is to be called at the latest, whatever is heard till then."""
-        if self.state is Me.LEFT:
+        if self.own.state is Me.LEFT:
             return self.seen_at + SECOND
-        if self.state is Me.REFUSED:
+        if self.own.state is Me.REFUSED:
             return self.moved_at + TRY_AGAIN_NS
-        if self.state is Me.JOINING:
+        if self.own.state is Me.JOINING:
             return self.hello_at
         dues = [self.prober.due(), self.knock_at, self.seen_at + STALL_NS // 4]
         suspects = [self.book.records[member] for member in self.book.others(State.SUSPECT)]
@@ -209,16 +203,16 @@
             self._move(On.UNANSWERED, now)
             return
         self.hello_at = now + int(HELLO_EACH * self.rng.uniform(0.7, 1.3))
-        self._post(self.rng.choice([m for m in range(self.count) if m != self.me]), Kind.HELLO)
+        self.outbox.post(self.rng.choice([m for m in range(self.count) if m != self.me]), Kind.HELLO)
 
     # Suspicion.
 
     def _no_answer(self, probe: Probe, now: int) -> None:
         if probe.for_whom is not None:
-            self._post(probe.for_whom[0], Kind.NACK, probe=probe.for_whom[1], subject=probe.target)
+            self.outbox.post(probe.for_whom[0], Kind.NACK, probe=probe.for_whom[1], subject=probe.target)
             return
         if probe.claim:
-            self._claim_holds(probe.target, now)
+            self.names.claim_holds(probe.target, now)
             return
         self.prober.failed_in_row += 1
         self._do_i_hear(now)
@@ -281,19 +275,19 @@
 
     def _of_me(self, rumour: Rumour, now: int) -> None:
         """What others say of this one: what is untrue is denied, with a higher incarnation."""
-        if rumour.life > self.life:
-            if self.state is Me.JOINING:  # the life before had a clock that was ahead of this one's
-                self.life = rumour.life + 1
+        if rumour.life > self.own.life:
+            if self.own.state is Me.JOINING:  # the life before had a clock that was ahead of this one's
+                self.own.life = rumour.life + 1
                 self.hello_at = now
             else:
                 self._move(On.TAKEN, now, f"life {rumour.life} has the name", rumour.witness)
             return
-        if rumour.life < self.life or self.state is not Me.MEMBER:
+        if rumour.life < self.own.life or self.own.state is not Me.MEMBER:
             return
-        if rumour.state is not State.ALIVE and rumour.incarnation >= self.incarnation:
-            self.incarnation = rumour.incarnation + 1
-            if self.incarnation >= INCARNATIONS:  # none is left of this life
-                self.life, self.incarnation = self.life + 1, 0
+        if rumour.state is not State.ALIVE and rumour.incarnation >= self.own.incarnation:
+            self.own.incarnation = rumour.incarnation + 1
+            if self.own.incarnation >= INCARNATIONS:  # none is left of this life
+                self.own.life, self.own.incarnation = self.own.life + 1, 0
             self.counts["denied"] += 1
             self.prober.worse()
             self._happened(now, "denied", self.me, rumour.witness, rumour.state.name.lower())
@@ -309,9 +303,9 @@
     def receive(self, sender: int, data: bytes, now: int) -> None:
         """Takes in a datagram from the address of a configured member."""
         self._look(now)
-        if self.state in (Me.LEFT, Me.REFUSED):
+        if self.own.state in (Me.LEFT, Me.REFUSED):
             return
-        datagram = unpack(data, self.count, self.config.keys)
+        datagram = unpack(data, self.count, self.outbox.keys)
         if datagram is None or sender == self.me:
             self.counts["forged"] += 1
             return
@@ -324,13 +318,13 @@
         if datagram.kind not in (Kind.HELLO, Kind.TAKEN) and not self._current(datagram, now):
             return
         denied = self.counts["denied"]
-        if datagram.kind not in (Kind.HELLO, Kind.TAKEN) and self.names.get(sender) != datagram.name:
-            self._named(sender, datagram, now)
+        if datagram.kind not in (Kind.HELLO, Kind.TAKEN) and self.names.held.get(sender) != datagram.name:
+            self.names.named(sender, datagram, now)
         self.handlers[datagram.kind](datagram, now)
         if datagram.kind is not Kind.TAKEN:
             self._take_in(datagram, now)
         if self.counts["denied"] > denied:  # whoever said it is the first to hear that it is untrue
-            self._post(sender, Kind.NEWS)
+            self.outbox.post(sender, Kind.NEWS)
         self._consider(now)
 
     def _in_order(self, datagram: Datagram, now: int) -> bool:
@@ -341,10 +335,10 @@
             if not window.new(datagram.sequence):
                 self.counts["replayed"] += 1
                 return False
-        if datagram.to_life != self.life and datagram.kind is not Kind.HELLO:
+        if datagram.to_life != self.own.life and datagram.kind is not Kind.HELLO:
             if datagram.kind is Kind.PING:
                 # The life that is asked for has ended: whoever answers here says which one this is.
-                self._post(datagram.sender, Kind.ACK, probe=datagram.probe, to_life=datagram.life)
+                self.outbox.post(datagram.sender, Kind.ACK, probe=datagram.probe, to_life=datagram.life)
             else:
                 self.counts["replayed"] += 1
             return False
@@ -354,7 +348,7 @@
         """Is it from the life that is known here? A later one is taken in, an earlier one told of that."""
         sender, known = datagram.sender, self.book.get(datagram.sender)
         if known is not None and datagram.life < known.life:
-            self._remark(sender, Kind.TAKEN, now, subject=sender, to_life=datagram.life)
+            self.outbox.remark(sender, Kind.TAKEN, now, subject=sender, to_life=datagram.life)
             return False
         if known is not None and datagram.life == known.life and datagram.incarnation <= known.incarnation:
             if known.there:
@@ -364,29 +358,18 @@
             for rumour in datagram.rumours:
                 if rumour.member == self.me:
                     self._of_me(rumour, now)
-            self._remark(sender, Kind.NEWS, now, rumours=[known.rumour()])
+            self.outbox.remark(sender, Kind.NEWS, now, rumours=[known.rumour()])
             return False
         was_there = known is not None and known.there
         if known is not None and was_there and datagram.life > known.life:
             # The life before may still be there: until it has been asked, nothing of the new one counts.
-            self._claim(sender, datagram.life, now)
+            self.names.claim(sender, datagram.life, now)
             return False
         self._note(Rumour(sender, datagram.life, datagram.incarnation, State.ALIVE, self.me), now)
         if known is not None and not was_there:
-            self._post(sender, Kind.HELLO)  # back from behind a cut: what it knows is wanted
+            self.outbox.post(sender, Kind.HELLO)  # back from behind a cut: what it knows is wanted
         return True
 
-    def _named(self, sender: int, datagram: Datagram, now: int) -> None:
-        """Two that joined at the same time may have one name: the later one gives way."""
-        self.names[sender] = datagram.name
-        for other, name in self.names.items():
-            held = self.book.get(other)
-            if name != datagram.name or other == sender or held is None or not held.there:
-                continue
-            later = max((datagram.life, sender), (held.life, other))[1]
-            holder, life = (other, datagram.life) if later == sender else (sender, held.life)
-            self._refuse(later, holder, now, life)
-
     def _take_in(self, datagram: Datagram, now: int) -> None:
         known = self.book.get(datagram.sender)
         if known is None or known.life != datagram.life or not known.there:
@@ -399,7 +382,7 @@
         self.views.hear(datagram.sender, datagram.view, datagram.digest)
 
     def _ping(self, datagram: Datagram, now: int) -> None:
-        self._post(datagram.sender, Kind.ACK, probe=datagram.probe)
+        self.outbox.post(datagram.sender, Kind.ACK, probe=datagram.probe)
 
     def _ack(self, datagram: Datagram, now: int) -> None:
         probe = self.prober.answered(datagram.probe, datagram.sender, datagram.subject, now)
@@ -411,81 +394,29 @@
                 self.apart = frozenset()
             self._happened(now, "is answered", self.me, datagram.sender)
         if probe.for_whom is not None:
-            self._post(probe.for_whom[0], Kind.ACK, probe=probe.for_whom[1], subject=probe.target)
+            self.outbox.post(probe.for_whom[0], Kind.ACK, probe=probe.for_whom[1], subject=probe.target)
         elif probe.claim:
-            self._refuse(probe.target, probe.target, now)
+            self.names.refuse(probe.target, probe.target, now)
 
     def _asked(self, datagram: Datagram, now: int) -> None:
         if datagram.subject < self.count and datagram.subject != self.me:
             self.prober.ask(datagram.subject, now, for_whom=(datagram.sender, datagram.probe))
 
-    # Joining, and names.
-
-    def _hello(self, datagram: Datagram, now: int) -> None:
-        """Someone asks for all that is known here. A name that another holds is refused."""
-        sender = datagram.sender
-        for other, name in self.names.items():
-            held = self.book.get(other)
-            if name == datagram.name and other != sender and held is not None and held.there:
-                self._refuse(sender, other, now, datagram.life)
-                return
-        if datagram.name == self.name and self.state is Me.MEMBER:
-            self._refuse(sender, self.me, now, datagram.life)
-            return
-        known = self.book.get(sender)
-        self.names[sender] = datagram.name
-        if known is not None and known.there and datagram.life > known.life:
-            self._claim(sender, datagram.life, now)
-            return
-        if known is not None and datagram.life < known.life:
-            self._remark(sender, Kind.WELCOME, now, rumours=[known.rumour()], to_life=datagram.life)
-            return
-        if known is None or datagram.life > known.life:
-            self._note(Rumour(sender, datagram.life, datagram.incarnation, State.ALIVE, self.me), now)
-        self._tell_all(sender, datagram.life)
-
-    def _claim(self, member: int, life: int, now: int) -> None:
-        """The old life is asked whether it is there, unless it has said so a moment ago."""
-        lately = now - self.remarks.get((member, Kind.TAKEN), -REPEAT_EACH) < REPEAT_EACH
-        if member not in self.claims and not lately:
-            self.claims[member] = life
-            self.prober.ask(member, now, claim=True)
-
-    def _claim_holds(self, member: int, now: int) -> None:
-        """The old life does not answer: the new one has the name."""
-        life = self.claims.pop(member, 0)
-        known = self.book.get(member)
-        if life and (known is None or life > known.life):
-            self._note(Rumour(member, life, 0, State.ALIVE, self.me), now)
-            self._tell_all(member, life)
-
-    def _refuse(self, member: int, holder: int, now: int, life: int = 0) -> None:
-        life = life or self.claims.pop(member, 0)
-        self._happened(now, "refused a name", member, self.me, f"held by member {holder}")
-        self._remark(member, Kind.TAKEN, now, subject=holder, to_life=life)
+    # Joining.
 
     def _taken(self, datagram: Datagram, now: int) -> None:
         self._move(On.TAKEN, now, f"member {datagram.subject} has the name", datagram.sender)
 
-    def _tell_all(self, member: int, life: int) -> None:
-        """All records, in as many datagrams as it takes."""
-        every = [known.rumour() for known in self.book.records.values()] or [
-            Rumour(self.me, self.life, self.incarnation, State.ALIVE, self.me)
-        ]
-        page = room(self.count, 1)
-        for at in range(0, len(every), page):
-            self._post(member, Kind.WELCOME, rumours=every[at : at + page], to_life=life)
-
     def _welcome(self, datagram: Datagram, now: int) -> None:
-        if self.state is Me.JOINING and not any(
-            one.member == self.me and one.life > self.life for one in datagram.rumours
+        if self.own.state is Me.JOINING and not any(
+            one.member == self.me and one.life > self.own.life for one in datagram.rumours
         ):
             self._move(On.WELCOMED, now, by=datagram.sender)
 
     # Views.
 
     def _consider(self, now: int) -> None:
-        if self.state is not Me.MEMBER:
+        if self.own.state is not Me.MEMBER:
             return
         if self.book.changes != self.considered:
             self.considered = self.book.changes
@@ -532,71 +463,12 @@
         """Where this one stands, by its view."""
         return side_of(self.views.view.numbers() | {self.me}, self.configured(), self.me)
 
-    # Sending.
-
-    def _remark(self, member: int, kind: Kind, now: int, **fields: Any) -> None:
-        """Says something to a member that it may ask for with each datagram, once in a while."""
-        if now - self.remarks.get((member, kind), -REPEAT_EACH) >= REPEAT_EACH:
-            self.remarks[member, kind] = now
-            self._post(member, kind, **fields)
-
-    def _post(
-        self,
-        member: int,
-        kind: Kind,
-        *,
-        probe: int = 0,
-        subject: int = NOBODY,
-        rumours: list[Rumour] | None = None,
-        to_life: int | None = None,
-    ) -> None:
-        known = self.book.get(member)
-        if to_life is None:
-            to_life = known.life if known is not None and kind is not Kind.HELLO else 0
-        given = rumours is not None
-        told = rumours if rumours is not None else []
-        if not given and self.state in (Me.MEMBER, Me.LEFT):
-            # What is said of the receiver comes first: if it is untrue, it has to know.
-            if known is not None and known.state is not State.ALIVE:
-                told = [known.rumour()]
-            told = told + [one for one in self.book.some(room(self.count, 1) - 1, member) if one not in told]
-        rows = [self.links.row()] if self.state is Me.MEMBER else []
-        if rows and not given:
-            spare = rows_room(self.count, len(told)) - 1
-            others = [row for row in self.links.rows.values() if row.member != member]
-            rows += self.rng.sample(others, max(0, min(len(others), spare, 2)))
-        self.sequence += 1
-        data = pack(
-            Datagram(
-                *(
-                    kind,
-                    self.me,
-                    self.life,
-                    to_life,
-                    self.sequence,
-                    subject,
-                    probe,
-                    self.incarnation,
-                    self.name,
-                ),
-                *(self.views.view.number, self.views.view.digest, self.prober.health, told, rows),
-            ),
-            self.count,
-            self.config.keys,
-        )
-        self.counts["sent"] += 1
-        self.counts["sent_bytes"] += len(data)
-        self.out.append((member, data))
+    # For others to see.
 
     def note_step(self, step: str, now: int) -> None:
         """For the record: what is done with quotas from now on."""
         self._happened(now, "step", self.me, self.me, step)
 
-    def take_out(self) -> list[tuple[int, bytes]]:
-        """What is to be sent, with the receivers."""
-        out, self.out = self.out, []
-        return out
-
     def _happened(self, now: int, what: str, member: int, by: int, detail: str = "") -> None:
         happened = Happened(now, what, member, by, detail)
         self.events.append(happened)
--- a/pepperrun/members/report.py
+++ b/pepperrun/members/report.py
@@ -21,8 +21,8 @@
         known = member.book.get(number)
         row: dict[str, Any] = {"member": number, "name": names[number] if number < len(names) else ""}
         if number == member.me:
-            row |= {"state": member.state.value, "for_ms": _ms(now - member.moved_at)}
-            row |= {"life": member.life, "incarnation": member.incarnation}
+            row |= {"state": member.own.state.value, "for_ms": _ms(now - member.moved_at)}
+            row |= {"life": member.own.life, "incarnation": member.own.incarnation}
         elif known is None:
             row |= {"state": "unknown"}
         else:
@@ -39,7 +39,7 @@
     there = sorted(view.numbers())
     return {
         "me": member.me,
-        "state": member.state.value,
+        "state": member.own.state.value,
         "step": step_of(member, now).value,
         "side": member.side().value,
         "doubt": member.doubt,
--- a/pepperrun/members/resume.py
+++ b/pepperrun/members/resume.py
@@ -21,11 +21,11 @@
     view = member.views.view
     return {
         "count": member.count,
-        "state": member.state.value,
-        "life": member.life,
-        "incarnation": member.incarnation,
-        "sequence": member.sequence,
-        "names": sorted(member.names.items()),
+        "state": member.own.state.value,
+        "life": member.own.life,
+        "incarnation": member.own.incarnation,
+        "sequence": member.outbox.sequence,
+        "names": sorted(member.names.held.items()),
         "records": [
             [one.member, one.life, one.incarnation, int(one.state), one.by]
             for one in member.book.records.values()
@@ -64,8 +64,8 @@
     number, members = table["view"]
     held = frozenset((_whole(one, member.count), _whole(its_life, LIVES)) for one, its_life in members)
     view = View(_whole(number, LIVES), held, digest_of(held), now)
-    member.life, member.incarnation, member.sequence = life, incarnation, sequence + JUMP
-    member.state, member.names = state, names
+    member.own.life, member.own.incarnation, member.outbox.sequence = life, incarnation, sequence + JUMP
+    member.own.state, member.names.held = state, names
     member.book.records = records
     member.book.changes += 1
     member.views.view, member.views.candidate, member.views.most = view, held, view.number
--- a/pepperrun/members/service.py
+++ b/pepperrun/members/service.py
@@ -89,7 +89,7 @@
             self.silent = True
         elif self.silent:  # the successor never came: this process is the member again
             self.silent = False
-            self.member.sequence += 2 * JUMP
+            self.member.outbox.sequence += 2 * JUMP
         if not self.silent:
             now, ahead = self.clock(), self.gatekeeper.clock() - self.clock()
             for peer, known in self.gatekeeper.gateway.quotas.inbox.peers.items():
@@ -98,7 +98,7 @@
         self._after()
 
     def _after(self) -> None:
-        for peer, data in self.member.take_out():
+        for peer, data in self.member.outbox.take_out():
             self.tell(peer, data)
         now = self.clock()
         self._stand(now)
@@ -116,7 +116,7 @@
         """Tells the decisions; where something has changed, their stores follow at once."""
         member, quotas = self.member, self.gatekeeper.gateway.quotas
         changed_at = member.moved_at, member.returned_at
-        state = member.book.changes, member.views.passed, member.doubt, member.state, changed_at
+        state = member.book.changes, member.views.passed, member.doubt, member.own.state, changed_at
         if state == self.stood and (self.changes_at is None or now < self.changes_at):
             return  # nothing that the steps go by is different
         self.stood, self.changes_at = state, until(member, now)
@@ -137,10 +137,7 @@
 
     def reload(self, config: MembersConfig) -> None:
         """Another key file, or the same one with other keys: they hold at once."""
-        self.member.config = Config(
-            *(self.member.me, self.member.count, self.member.config.name, config.keys()),
-            *(self.member.config.period_ns, self.member.config.suspect_ns),
-        )
+        self.member.outbox.keys = config.keys()
         self.config = config
 
     def state(self) -> dict[str, Any]:
--- a/pepperrun/members/states.py
+++ b/pepperrun/members/states.py
@@ -66,6 +66,17 @@
     suspect_ns: int = SECOND // 4
 
 
+@dataclass(slots=True)
+class Own:
+    """What a member says of itself with each datagram, `name` as a hash, and its state."""
+
+    member: int
+    name: int
+    life: int
+    incarnation: int = 0
+    state: Me = Me.JOINING
+
+
 @dataclass(slots=True, frozen=True)
 class Happened:
     """Something for people and rigs to see."""
--- a/pepperrun/members/steps.py
+++ b/pepperrun/members/steps.py
@@ -43,11 +43,12 @@
 
 def step_of(member: Member, now: int) -> Step:
     """The step in force."""
-    if member.state in (Me.LEFT, Me.REFUSED):
+    if member.own.state in (Me.LEFT, Me.REFUSED):
         return Step.GONE
     if member.doubt:
         return Step.DOUBT
-    if member.state is Me.JOINING or now - member.moved_at < FENCE_NS or now - member.returned_at < FENCE_NS:
+    lately = min(now - member.moved_at, now - member.returned_at)
+    if member.own.state is Me.JOINING or lately < FENCE_NS:
         return Step.NEW
     side = member.side()
     if side is Side.WHOLE:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -160,7 +160,7 @@
         assert not standing_of(member, world.now).grants
         assert [one for at, one in events(world, "dead", start) if at == 2] == []  # it buries nobody
     assert world.run(3, world.settled)
-    assert member.life == world.member(2).life and member.state is Me.MEMBER
+    assert member.own.life == world.member(2).own.life and member.own.state is Me.MEMBER
     if seconds > 1:  # it had been buried: for a while its own slice
         assert step_of(member, world.now) is Step.NEW and standing_of(member, world.now).slices
     world.run(1.1)
@@ -229,9 +229,9 @@
     assert world.run(4, world.settled)
     world.start(3, name="n1")  # another machine with a copied file
     world.run(3)
-    assert world.member(3).state is not Me.MEMBER
+    assert world.member(3).own.state is not Me.MEMBER
     assert (3, 3) in events(world, "refused")
-    assert world.member(1).state is Me.MEMBER and 3 not in world.member(0).views.view.numbers()
+    assert world.member(1).own.state is Me.MEMBER and 3 not in world.member(0).views.view.numbers()
     world.start(3)  # mended
     assert world.run(4, world.settled)
 
@@ -240,25 +240,25 @@
     world = group(4, 1)
     alive = world.member(1)
     twin = replace(alive.config)
-    second = type(alive)(twin, alive.life + 50, 7, world.now)
+    second = type(alive)(twin, alive.own.life + 50, 7, world.now)
     # Its greeting reaches member 0; the old life, which is there, still answers.
     second.tick(second.hello_at)
-    for _, data in second.take_out():
+    for _, data in second.outbox.take_out():
         world.member(0).receive(1, data, world.now)
     world._after(0)
     world.run(1)
     refusals = [one for at, one in world.happened if one.what == "refused a name" and at == 0]
-    assert refusals and world.member(0).book.records[1].life == alive.life
+    assert refusals and world.member(0).book.records[1].life == alive.own.life
     assert world.settled()
 
 
 def test_a_restart_with_a_clock_that_is_behind_joins() -> None:
     world = group(3, 1)
-    old = world.member(2).life
+    old = world.member(2).own.life
     world.kill(2)
     world.start(2, life=max(1, old - 10_000))
     assert world.run(5, world.settled)
-    assert world.member(2).life > old
+    assert world.member(2).own.life > old
 
 
 def test_replayed_and_foreign_datagrams_change_nothing() -> None:
@@ -314,14 +314,14 @@
     world = group(3, 1)
     table, old = state_of(world.member(1)), world.member(1)
     host = world.hosts[1]
-    host.member = type(old)(old.config, old.life + 9, 3, world.now)
+    host.member = type(old)(old.config, old.own.life + 9, 3, world.now)
     resume(host.member, table, world.now)
     start = world.now
     world._wake(1)
     world.run(5)
-    assert world.settled() and world.member(1).life == old.life
+    assert world.settled() and world.member(1).own.life == old.own.life
     assert events(world, "dead", start) == [] == events(world, "suspected", start)
-    fresh = type(old)(old.config, old.life + 9, 3, world.now)
+    fresh = type(old)(old.config, old.own.life + 9, 3, world.now)
     for bad in (
         None,
         {},
@@ -331,7 +331,7 @@
     ):
         with pytest.raises((KeyError, TypeError, ValueError)):
             resume(fresh, bad, world.now)
-        assert fresh.state is Me.JOINING
+        assert fresh.own.state is Me.JOINING
 
 
 # What the decisions make of it.
@@ -479,13 +479,13 @@
 def test_a_life_whose_denials_are_used_up_is_followed_by_another() -> None:
     world = group(3, 1)
     member = world.member(1)
-    life = member.life
+    life = member.own.life
     for witness in (0, 2):  # said of its last incarnation
         world.member(witness)._note(Rumour(1, life, 65535, State.DEAD, witness), world.now)
     world._wake(0)
 
     def known() -> bool:
-        lives = {world.member(0).book.records[1].life, world.member(1).life}
+        lives = {world.member(0).book.records[1].life, world.member(1).own.life}
         return len(lives) == 1 and life not in lives
 
     assert world.run(8, known) and world.run(3, world.settled)
