Lab: ports come from blocks that one lab holds, so that labs side by side never take another's

Seen: four 'lab run' beside each other, and one 'n1 did not start: 127.0.0.1:12114 address already in use' in the first minute; 'lab measure' of 48 beside one of 3: one group came to no common view in 30 s. Cause: free_ports (lab/processes.py) remembered only what its own process had given, and a port is free until the gatekeeper binds it. Ruled out for the group of 48: its own start, 18 starts of 48 in pairs without another lab all came to one view within 0.71 s. The test takes 1,200 ports by two labs in turn: none twice.

--- a/pepperrun/lab/processes.py
+++ b/pepperrun/lab/processes.py
@@ -6,14 +6,12 @@
 import ctypes
 import json
 import os
-import random
 import select
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
-import threading
 import time
 from collections.abc import Callable, Sequence
 from pathlib import Path
@@ -23,11 +21,11 @@
 from pepperrun.admin.client import call
 from pepperrun.bench.rig import HOST, ROOT, Child, RigError
 from pepperrun.lab.load import CLASSES, application
+from pepperrun.lab.ports import free_ports, ports
 from pepperrun.lab.scenario import Scenario
 from pepperrun.tool.commands import write
 
 READY_S = 30.0
-PORTS = 12_000, 32_000
 _PR_SET_PDEATHSIG = 1
 
 
@@ -46,33 +44,6 @@
     return before
 
 
-_given: set[int] = set()
-_giving = threading.Lock()
-
-
-def free_ports(count: int, kind: socket.SocketKind) -> list[int]:
-    """Ports that are free now and that no connection takes by itself: below the system's ephemeral ones.
-
-    A gatekeeper that comes back needs its port again, and another run's outgoing connection may have it then.
-    """
-    found: list[int] = []
-    with _giving:
-        for _ in range(20_000):
-            port = random.randrange(*PORTS)
-            if port in _given:
-                continue
-            with socket.socket(socket.AF_INET, kind) as sock:
-                try:
-                    sock.bind((HOST, port))
-                except OSError:
-                    continue
-            _given.add(port)
-            found.append(port)
-            if len(found) == count:
-                return found
-    raise RigError("no free ports")
-
-
 class Gatekeeper:
     """One gatekeeper of the lab, over its lives."""
 
@@ -350,6 +321,8 @@
             one.end()
         for helper in self.helpers:
             helper.close()
+        for given in self.ports.values():
+            ports.give_back(given)
         self._temporary.cleanup()
 
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -17,6 +18,7 @@
 from pepperrun.lab.checkers import Broken
 from pepperrun.lab.load import load_of
 from pepperrun.lab.measure import agreement, virtual
+from pepperrun.lab.ports import Ports
 from pepperrun.lab.report import Document, interval, result, schema, table
 from pepperrun.lab.run import Run, Seen
 from pepperrun.lab.scenario import Fault, Fleet, Load, Must, Plan, Scenario, read_scenario, write_scenario
@@ -293,3 +295,19 @@
     while time.monotonic() < limit + 10 and any(Path(f"/proc/{pid}").exists() for pid in started):
         time.sleep(0.02)
     assert [pid for pid in started if Path(f"/proc/{pid}").exists()] == []
+
+
+def test_two_labs_beside_each_other_take_no_port_of_each_other() -> None:
+    one, other = Ports(), Ports()  # each holds its blocks as another process would
+    kinds = (socket.SOCK_STREAM, socket.SOCK_DGRAM)
+    taken = [set(lab.take(150, kind)) for lab in (one, other, one, other) for kind in kinds]
+    mine, others = set().union(*taken[0:2], *taken[4:6]), set().union(*taken[2:4], *taken[6:8])
+    assert len(mine) == len(others) == 600 and not mine & others
+    back = sorted(taken[0])[:3]
+    one.give_back(back)
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as held:
+        held.bind(("127.0.0.1", back[0]))
+        held.listen()
+        assert back[0] not in one.take(300, socket.SOCK_STREAM)
+    for guard in (*one.guards, *other.guards):
+        guard.close()
--- a/tests/test_running_members.py
+++ b/tests/test_running_members.py
@@ -20,7 +20,8 @@
 from pepperrun.admin.client import ask
 from pepperrun.bench.rig import ROOT
 from pepperrun.cli.members import worded
-from pepperrun.lab.processes import dies_with_us, free_ports
+from pepperrun.lab.ports import free_ports
+from pepperrun.lab.processes import dies_with_us
 from pepperrun.members.config import members_of, read_members
 from pepperrun.tool.application import configurations
 from pepperrun.tool.commands import check, write
