--- a/pepperrun/cli/lab.py
+++ b/pepperrun/cli/lab.py
@@ -353,6 +353,42 @@
     return 1 if total.broken else 0
 
 
+@lab.command()
+@click.option("--rounds", default=2, show_default=True, type=click.IntRange(1, 6), help="Begun in all.")
+@click.option("--restarts", default=1, show_default=True, type=click.IntRange(0, 4), help="In all.")
+@click.option("--depth", default=60, show_default=True, type=click.IntRange(1, 200), help="Steps at most.")
+@click.option("--most", default=100_000, show_default=True, type=click.IntRange(1), help="States, a seed.")
+@click.option("--seed", "seeds", default="1-4", show_default=True, callback=seeds_of, help="Of the order.")
+@click.option("--mutant", default="", help="hasty or deaf: a bug put in on purpose, which is to be found.")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object on standard output.")
+def ballots(
+    rounds: int, restarts: int, depth: int, most: int, seeds: list[int], mutant: str, as_json: bool
+) -> int:
+    """Search all that can befall three voters of a decision: orders of messages, late rounds, restarts.
+
+    Exits with 1 where two decisions were in force, or a state leads to no agreement, and tells how.
+    """
+    from concurrent.futures import ProcessPoolExecutor
+
+    from pepperrun.lab import ballots as of
+
+    if mutant not in of.MUTANTS:
+        raise click.ClickException(f"--mutant: {mutant!r} is not one of {', '.join(of.MUTANTS)}")
+    make = of.MUTANTS[mutant]
+    with ProcessPoolExecutor() as pool:
+        parts = [pool.submit(of.search, 3, rounds, restarts, depth, make, most, 500, seed) for seed in seeds]
+        found = [part.result() for part in parts]
+    if as_json:
+        click.echo(json.dumps([one.row(seed) for seed, one in zip(seeds, found, strict=True)]))
+    else:
+        for seed, one in zip(seeds, found, strict=True):
+            click.echo(
+                f"seed {seed}: " + ", ".join(f"{what} {value}" for what, value in one.row(seed).items())
+            )
+            click.echo("".join(f"  {of.worded(action)}\n" for action in one.trace), nl=False)
+    return 1 if any(one.broken for one in found) else 0
+
+
 @lab.command()
 @click.option("--minutes", default=5.0, show_default=True, type=click.FloatRange(0.1, 600))
 @click.option(
--- /dev/null
+++ b/pepperrun/lab/ballots.py
@@ -0,0 +1,280 @@
+"""Searches what can befall the register: every order of its messages, late rounds, restarts.
+
+A message that is lost is one that has not come yet, as is one that comes after its sender's
+restart, and a cut or a pause is a set of such messages: so each state is looked at with any of them
+still on its way. What is bounded is how many rounds are begun and how many voters restart.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from pepperrun.zones.register import (
+    BEGIN_NS,
+    FIRST,
+    Ballot,
+    Kind,
+    Message,
+    Phase,
+    Register,
+    Round,
+    Value,
+)
+
+Make = Callable[[int, int, int, int, int], Register]
+Sent = tuple[int, int, Message]  # by whom, to whom, what
+Action = tuple[Any, ...]
+LATER = BEGIN_NS // 2
+SETTLES_IN = 400  # steps of a fair run, from any state that was reached
+
+
+def clone(one: Register) -> Register:
+    """The same voter, going its own way from here on."""
+    new = object.__new__(type(one))
+    new.__dict__.update(one.__dict__)
+    new.knocks, new.out = dict(one.knocks), list(one.out)
+    was = one.round
+    new.round = Round(was.ballot, was.since, dict(was.promises), dict(was.blank), was.put, dict(was.taken))
+    return new
+
+
+def mark(voter: int, turn: int) -> Callable[[Any], Any]:
+    """A change that can be told from all others, and is made once."""
+
+    def change(body: Any) -> Any:
+        made = body or ()
+        return made if (voter, turn) in made else (*made, (voter, turn))
+
+    return change
+
+
+@dataclass(slots=True)
+class World:
+    """The voters, what is on its way between them, and what was chosen."""
+
+    voters: list[Register]
+    sent: set[Sent] = field(default_factory=set)
+    chosen: dict[Ballot, Value] = field(default_factory=dict)
+    rounds: int = 0
+    restarts: int = 0
+    now: int = 0
+
+    def fork(self) -> World:
+        """One more like it."""
+        voters = [clone(one) for one in self.voters]
+        return World(voters, set(self.sent), dict(self.chosen), self.rounds, self.restarts, self.now)
+
+    def key(self) -> Any:
+        """What makes a difference to what may still happen."""
+        voters = tuple(
+            (
+                *(one.life, one.promised, one.at, one.value, one.held_at, one.held, one.phase, one.latest),
+                *(one.round.ballot, tuple(sorted(one.round.promises.items(), key=lambda item: item[0]))),
+                *(tuple(sorted(one.round.blank)), one.round.put, tuple(sorted(one.round.taken.items()))),
+                *(tuple(sorted(one.knocks.items())), one.change is None),
+            )
+            for one in self.voters
+        )
+        return hash((voters, frozenset(self.sent), self.rounds, self.restarts))
+
+    def collect(self) -> str:
+        """Takes over what was sent; what is wrong with what was chosen, or nothing."""
+        for number, one in enumerate(self.voters):
+            for receiver, message in one.take_out():
+                # Once is enough: a second one that is the same changes nothing that the first has not.
+                self.sent.add((number, receiver, message))
+                if message.kind is Kind.CHOSEN and message.value is not None:
+                    held = self.chosen.setdefault(message.ballot, message.value)
+                    if held != message.value:
+                        return f"{message.ballot} chose both {held} and {message.value}"
+        self.sent = {one for one in self.sent if not self._void(*one)}
+        last = None
+        for ballot in sorted(self.chosen):
+            value = self.chosen[ballot]
+            if last is not None:
+                before = last.body or ()
+                if value.number < last.number or (value.body or ())[: len(before)] != before:
+                    return f"{value} was chosen after {last}, and has not all of it"
+                if value.number == last.number and value != last:
+                    return f"two with number {value.number}: {last} and {value}"
+            last = value
+        return ""
+
+    def _void(self, sender: int, receiver: int, message: Message) -> bool:
+        """Can it change nothing any more, whenever it arrives? Then it need not be on its way."""
+        one, kind = self.voters[receiver], message.kind
+        if kind is Kind.CHOSEN:
+            return message.ballot <= one.held_at
+        if kind in (Kind.ASK, Kind.PUT):
+            asker = self.voters[sender]
+            over = asker.round.ballot != message.ballot or asker.phase in (Phase.IDLE, Phase.WAITING)
+            return over and message.ballot < one.promised
+        if kind is Kind.KNOCK:
+            return message.life < self.voters[sender].life and message.life <= one.held.lives[sender]
+        wanted = {Kind.TAKEN: (Phase.PUTTING,), Kind.REFUSE: (Phase.ASKING, Phase.PUTTING)}
+        return one.round.ballot != message.ballot or one.phase not in wanted.get(kind, (Phase.ASKING,))
+
+
+def begun(count: int, make: Make = Register) -> World:
+    """All hold a first value, and nothing is on its way."""
+    voters = [make(number, count, 1, number, 0) for number in range(count)]
+    ballot, value = Ballot(1, 1, 0), Value(FIRST, (1,) * count, ())
+    for one in voters:
+        one.promised = one.at = one.held_at = one.latest = ballot
+        one.value = one.held = value
+    return World(voters)
+
+
+def actions(world: World, rounds: int, restarts: int) -> Iterator[Action]:
+    """What may happen next."""
+    for sent in world.sent:
+        yield ("deliver", sent)
+    for number, one in enumerate(world.voters):
+        if world.rounds < rounds and one.votes and one.phase is Phase.IDLE:
+            yield ("begin", number)
+        if world.rounds < rounds and one.phase in (Phase.ASKING, Phase.PUTTING):
+            yield ("late", number)
+    if world.restarts < restarts:
+        for number in range(len(world.voters)):
+            yield ("restart", number)
+
+
+def act(world: World, action: Action, make: Make) -> str:
+    """Does it; what is wrong after it."""
+    what, arg = action
+    if what == "deliver":
+        sender, receiver, message = arg
+        world.sent.discard(arg)
+        world.voters[receiver].receive(sender, message, world.now)
+    elif what == "begin":
+        world.rounds += 1
+        world.voters[arg].want(mark(arg, world.rounds), world.now)
+    elif what == "late":
+        world.rounds += 1
+        one = world.voters[arg]
+        one.tick(one.until)
+        one.tick(one.until)
+    else:
+        world.restarts += 1
+        life = world.voters[arg].life + 1
+        world.voters[arg] = make(arg, len(world.voters), life, arg, world.now)
+        world.voters[arg].tick(world.now)
+    return world.collect()
+
+
+@dataclass(slots=True)
+class Found:
+    """What the search came to. `broken`: what was wrong, after which actions."""
+
+    states: int = 0
+    again: int = 0
+    deepest: int = 0
+    settled: int = 0
+    broken: str = ""
+    trace: list[Action] = field(default_factory=list)
+    whole: bool = True
+
+    def row(self, seed: int) -> dict[str, Any]:
+        """For tables."""
+        row = {"seed": seed, "states": self.states, "reached again": self.again, "deepest": self.deepest}
+        return row | {"whole": self.whole, "settled": self.settled, "broken": self.broken}
+
+
+def worded(action: Action) -> str:
+    """For people."""
+    what, arg = action
+    if what != "deliver":
+        return f"{what} {arg}"
+    sender, receiver, message = arg
+    text = f"{sender} to {receiver}: {message.kind.name}, life {message.life}, ballot {tuple(message.ballot)}"
+    return text + (f", {message.value}" if message.value is not None else "")
+
+
+def search(
+    count: int,
+    rounds: int,
+    restarts: int,
+    depth: int,
+    make: Make = Register,
+    most: int = 200_000,
+    settle_each: int = 0,
+    seed: int = 1,
+) -> Found:
+    """Depth first over all that may happen, each state once. `most`: states to look at; then it is not whole.
+
+    With a `seed` the order is drawn: searches that are not whole look at other parts. From every
+    `settle_each`-th state a run without faults has to end with all in agreement.
+    """
+    found, seen, rng = Found(), dict[Any, int](), random.Random(seed)
+    stack: list[tuple[World, list[Action]]] = [(begun(count, make), [])]
+    while stack:
+        world, trace = stack.pop()
+        key = world.key()
+        if seen.get(key, depth + 1) <= len(trace):
+            found.again += 1
+            continue
+        seen[key] = len(trace)
+        found.states += 1
+        found.deepest = max(found.deepest, len(trace))
+        if settle_each and found.states % settle_each == 0:
+            found.settled += 1
+            if wrong := settle(world.fork(), make, rng):
+                found.broken, found.trace = wrong, trace
+                return found
+        if found.states >= most:
+            found.whole = False
+            return found
+        if len(trace) >= depth:
+            found.whole = False
+            continue
+        possible = sorted(actions(world, rounds, restarts), key=repr)
+        if seed:
+            rng.shuffle(possible)
+        for action in possible:
+            next_world = world.fork()
+            wrong = act(next_world, action, make)
+            if wrong:
+                found.broken, found.trace = wrong, [*trace, action]
+                return found
+            stack.append((next_world, [*trace, action]))
+    return found
+
+
+def settle(world: World, make: Make, rng: random.Random) -> str:
+    """All that is on its way arrives, and time goes on: do they all vote and hold the same in the end?"""
+    for _ in range(SETTLES_IN):
+        if world.sent:
+            wrong = act(world, ("deliver", rng.choice(sorted(world.sent, key=repr))), make)
+        else:
+            if len({one.held for one in world.voters}) == 1 and all(one.votes for one in world.voters):
+                return ""
+            world.now = max([world.now, *(due for one in world.voters if (due := one.due()) is not None)])
+            for one in world.voters:
+                one.tick(world.now)
+            wrong = world.collect()
+        if wrong:
+            return wrong
+    if 2 * sum(one.votes for one in world.voters) <= len(world.voters):
+        return ""  # a majority has forgotten everything: a beginning, which `search` does not look at
+    held = [(one.held.number, one.votes) for one in world.voters]
+    return f"no agreement after {SETTLES_IN} steps without a fault: {held}"
+
+
+class Hasty(Register):
+    """A bug put in on purpose: who is let in has a say in that at once."""
+
+    def _may_take(self, value: Value) -> bool:
+        return value.lives[self.me] == self.life
+
+
+class Deaf(Register):
+    """A bug put in on purpose: it changes what it holds, whatever others have taken meanwhile."""
+
+    def _latest(self, promises: dict[int, Message]) -> Message:
+        return promises[self.me]
+
+
+MUTANTS: dict[str, Make] = {"": Register, "hasty": Hasty, "deaf": Deaf}
--- /dev/null
+++ b/tests/test_zones.py
@@ -0,0 +1,151 @@
+"""Decisions in common: the register in order, under faults, and the search that looks at every order."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pepperrun.lab.ballots import MUTANTS, Make, Register, World, act, begun, mark, search, settle
+from pepperrun.zones.register import FIRST, NONE, Ballot, Kind, Message, Phase, Value
+
+
+def run(world: World, seconds: float, cut: frozenset[int] = frozenset()) -> None:
+    """All messages arrive at once, but those over the cut, and time goes on for so long."""
+    until = world.now + int(seconds * 1e9)
+    while world.now < until:
+        while world.sent:
+            sent = min(world.sent, key=repr)
+            if (sent[0] in cut) == (sent[1] in cut):
+                assert act(world, ("deliver", sent), Register) == ""
+            else:
+                world.sent.discard(sent)
+        dues = [due for one in world.voters if (due := one.due()) is not None]
+        world.now = min([until, *(max(world.now + 1, due) for due in dues)])
+        for one in world.voters:
+            one.tick(world.now)
+        assert world.collect() == ""
+
+
+def want(world: World, *voters: int) -> None:
+    """Each wants a change of its own."""
+    for number in voters:
+        world.voters[number].want(mark(number, 1), world.now)
+    assert world.collect() == ""
+
+
+def held(world: World) -> list[Value]:
+    return [one.held for one in world.voters]
+
+
+@pytest.mark.parametrize("count", [3, 5, 7])
+def test_those_that_start_together_begin_and_each_wish_is_decided_once(count: int) -> None:
+    world = World([Register(number, count, 10 + number, number, 0) for number in range(count)])
+    run(world, 10)
+    assert all(one.votes for one in world.voters) and len(set(held(world))) == 1
+    want(world, *range(count))
+    run(world, 10)
+    assert len(set(held(world))) == 1
+    assert sorted(held(world)[0].body) == [(number, 1) for number in range(count)]
+    assert all(one.phase is Phase.IDLE for one in world.voters)
+
+
+def test_a_smaller_side_decides_nothing_and_learns_of_what_was_decided() -> None:
+    world = begun(5)
+    want(world, 0, 4)
+    run(world, 3, frozenset({3, 4}))
+    assert [one.body for one in held(world)] == [((0, 1),)] * 3 + [()] * 2
+    run(world, 3)  # healed: its own wish is still there
+    assert set(held(world)) == {held(world)[0]} and set(held(world)[0].body) == {(0, 1), (4, 1)}
+
+
+def test_who_restarts_votes_again_only_once_a_round_has_let_it_in() -> None:
+    world = begun(3)
+    assert act(world, ("restart", 2), Register) == ""
+    assert not world.voters[2].votes
+    run(world, 3, frozenset({2}))
+    assert not world.voters[2].votes and world.voters[2].held.number == 0
+    run(world, 3)
+    assert world.voters[2].votes and held(world)[0].lives == (1, 1, 2)
+    assert act(world, ("restart", 0), Register) == "" and act(world, ("restart", 1), Register) == ""
+    run(world, 12)  # a majority has forgotten: one that remembers is asked, and may not decide for all
+    assert len(set(held(world))) == 1 or not any(one.votes for one in world.voters[:2])
+
+
+def test_a_majority_that_has_forgotten_begins_anew_and_is_followed() -> None:
+    world = begun(3)
+    want(world, 0)
+    run(world, 1)
+    for number in (0, 1, 2):
+        assert act(world, ("restart", number), Register) == ""
+    world.chosen.clear()  # what was held is void: nothing of it has to be in what follows
+    run(world, 12)
+    assert all(one.votes for one in world.voters) and len(set(held(world))) == 1
+    assert world.voters[0].held_at.epoch > 1 and held(world)[0].number >= FIRST
+
+
+def test_what_can_not_be_meant_is_dropped() -> None:
+    world = begun(3)
+    one, before = world.voters[0], world.key()
+    ballot = Ballot(1, 9, 1)
+    for sender, message in (
+        (0, Message(Kind.ASK, ballot, 1)),
+        (7, Message(Kind.ASK, ballot, 1)),
+        (1, Message(Kind.PUT, ballot, 1)),
+        (1, Message(Kind.CHOSEN, ballot, 1, NONE, Value(3, (1, 1), ()))),
+        (1, Message(Kind.TAKEN, NONE, 1)),
+        (1, Message(Kind.KNOCK, NONE, 1)),
+    ):
+        one.receive(sender, message, 0)
+        one.out.clear()
+        one.latest = Ballot(1, 1, 0)
+    assert world.key() == before
+
+
+@settings(max_examples=40, deadline=None)
+@given(st.integers(0, 10**6))
+def test_whatever_happens_there_is_one_line_of_decisions_and_all_agree_in_the_end(seed: int) -> None:
+    from pepperrun.lab.ballots import actions
+
+    rng, world = random.Random(seed), begun(3)
+    for _ in range(rng.randrange(60)):
+        action = rng.choice(sorted(actions(world, 4, 1), key=repr) or [("begin", 0)])
+        assert act(world, action, Register) == ""
+    assert settle(world, Register, rng) == ""
+
+
+# By one that is let in, a round is chosen that another, by an answer of the life before, is chosen beside.
+TRAP = """begin 0; ASK 0 1; begin 1; ASK 0 2; ASK 1 2; restart 2; KNOCK 2 0; PROMISE 2 1; PROMISE 1 0; PUT 1 0;
+PUT 0 2; TAKEN 0 1; TAKEN 2 0"""
+
+
+def played(make: Make) -> str:
+    world = begun(3, make)
+    for step in TRAP.split(";"):
+        what, *numbers = step.split()
+        if what in ("begin", "restart"):
+            assert act(world, (what, int(numbers[0])), make) == ""
+            continue
+        by, to = map(int, numbers)
+        for sent in sorted(world.sent, key=repr):
+            if (
+                sent[:2] == (by, to)
+                and sent[2].kind is Kind[what]
+                and (wrong := act(world, ("deliver", sent), make))
+            ):
+                return wrong
+    return ""
+
+
+def test_who_is_let_in_has_no_say_in_that() -> None:
+    assert "has not all of it" in played(MUTANTS["hasty"])
+    assert played(Register) == ""
+
+
+def test_the_search_finds_a_bug_put_in_on_purpose_and_none_without() -> None:
+    deaf = search(3, 2, 0, 60, MUTANTS["deaf"], most=5_000, seed=1)
+    assert "has not all of it" in deaf.broken and deaf.trace
+    found = search(3, 2, 1, 60, most=3_000, settle_each=100, seed=1)
+    assert not found.broken and found.states == 3_000 and found.settled == 30
