--- a/pepperrun/cli/lab.py
+++ b/pepperrun/cli/lab.py
@@ -382,9 +382,7 @@
         click.echo(json.dumps([one.row(seed) for seed, one in zip(seeds, found, strict=True)]))
     else:
         for seed, one in zip(seeds, found, strict=True):
-            click.echo(
-                f"seed {seed}: " + ", ".join(f"{what} {value}" for what, value in one.row(seed).items())
-            )
+            click.echo(", ".join(f"{what} {value}" for what, value in one.row(seed).items()))
             click.echo("".join(f"  {of.worded(action)}\n" for action in one.trace), nl=False)
     return 1 if any(one.broken for one in found) else 0
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -117,8 +117,8 @@
 
 
 # By one that is let in, a round is chosen that another, by an answer of the life before, is chosen beside.
-TRAP = """begin 0; ASK 0 1; begin 1; ASK 0 2; ASK 1 2; restart 2; KNOCK 2 0; PROMISE 2 1; PROMISE 1 0; PUT 1 0;
-PUT 0 2; TAKEN 0 1; TAKEN 2 0"""
+TRAP = """begin 0; ASK 0 1; begin 1; ASK 0 2; ASK 1 2; restart 2; KNOCK 2 0; PROMISE 2 1; PROMISE 1 0;
+PUT 1 0; PUT 0 2; TAKEN 0 1; TAKEN 2 0"""
 
 
 def played(make: Make) -> str:
