--- a/pepperrun/lab/workers.py
+++ b/pepperrun/lab/workers.py
@@ -84,6 +84,7 @@
         self.told: list[list[int]] = []  # when, gatekeeper, worker: that it drains or is gone
         self.knows: list[set[int]] = []
         self.version, self.told_version = 1, 1
+        self.tellings = self.told_turn = 0
         self.states = [node.state for node in self.nodes]
         self.births = [0] * len(self.nodes)
         self.changed = asyncio.Event()
@@ -144,7 +145,12 @@
         """Discovery tells what is so now, late."""
         states = [node.state for node in self.nodes]
         births = [node.started_ms for node in self.nodes]
+        self.tellings += 1
+        turn = self.tellings
         await asyncio.sleep(self.late_s)
+        if turn < self.told_turn:  # a later one was less late: what was so before it is no news
+            return
+        self.told_turn = turn
         self.states, self.births = states, births
         self.version += 1
         self.told_version = self.version
