Lab: a worker that was ready again before its late list said gone breaks no drain

The checker knew of starts only, and the start was before the late word. Now the agents note when they tell that a worker is ready again (workers.py), and checkers.drains ends there. The test fails without it.

--- a/pepperrun/lab/checkers.py
+++ b/pepperrun/lab/checkers.py
@@ -94,16 +94,18 @@
 def drains(seen: Seen) -> Iterator[Broken]:
     """Nothing new goes to a worker of which a gatekeeper was told that it drains or is gone."""
     told: dict[tuple[int, int], list[int]] = defaultdict(list)
-    for at, gatekeeper, worker in seen.told:
-        told[gatekeeper, worker].append(at)
+    ready: dict[tuple[int, int], list[int]] = defaultdict(list)
+    for at, gatekeeper, worker, again in seen.told:
+        (ready if again else told)[gatekeeper, worker].append(at)
     back = defaultdict(list)
     for at, worker in seen.starts:
         back[worker].append(at)
     for row in seen.arrivals:
         at, worker, gatekeeper = row[:3]
         for since in told.get((gatekeeper, worker), []):
-            again = min((one for one in back[worker] if one > since), default=None)
-            late = at > since + DRAIN_NS + SLACK_NS and (again is None or at < again)
+            # It has started again, or did before this was told: discovery may be later than that.
+            new = [one for one in (*back[worker], *ready[gatekeeper, worker]) if one > since]
+            late = at > since + DRAIN_NS + SLACK_NS and at < min(new, default=at + 1)
             if late and not excused(seen, gatekeeper, since, at):
                 told_ms = (at - since) / 1e6
                 text = f"call {row[3]}-{row[4]} from n{gatekeeper} at w{worker}, told {told_ms:.0f} ms before"
--- a/pepperrun/lab/workers.py
+++ b/pepperrun/lab/workers.py
@@ -81,7 +81,7 @@
         self.ports: list[list[int]] = []  # by gatekeeper and worker, the relay's
         self.arrivals: list[list[int]] = []
         self.starts: list[list[int]] = []  # a node that starts cold: when and which
-        self.told: list[list[int]] = []  # when, gatekeeper, worker: that it drains or is gone
+        self.told: list[list[int]] = []  # when, gatekeeper, worker: ready again, or drains or is gone
         self.knows: list[set[int]] = []
         self.version, self.told_version = 1, 1
         self.tellings = self.told_turn = 0
@@ -132,10 +132,12 @@
                 now = time.monotonic_ns()
                 for node, state in zip(self.nodes, self.states, strict=True):
                     if state == "Ready":
-                        self.knows[one].discard(node.number)
+                        if node.number in self.knows[one]:
+                            self.knows[one].discard(node.number)
+                            self.told.append([now, one, node.number, 1])
                     elif node.number not in self.knows[one]:
                         self.knows[one].add(node.number)
-                        self.told.append([now, one, node.number])
+                        self.told.append([now, one, node.number, 0])
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -130,11 +130,14 @@
     assert rules_of(seen_of(arrivals=[arrival(0.1, 0, cls=0), arrival(0.2, 2, cls=0)])) == set()
     assert rules_of(seen_of(arrivals=[arrival(0.1, 0)], tries=[[0, 0, 0, 0, S, 429]])) == {"repeats"}
     # Drains, with the protocol's 250 ms and 50 ms more; a worker that has started again is another.
-    assert rules_of(seen_of(told=[[S, 0, 0]], arrivals=[arrival(1.29, 0)])) == set()
-    assert rules_of(seen_of(told=[[S, 0, 0]], arrivals=[arrival(1.31, 0)])) == {"drains"}
+    assert rules_of(seen_of(told=[[S, 0, 0, 0]], arrivals=[arrival(1.29, 0)])) == set()
+    assert rules_of(seen_of(told=[[S, 0, 0, 0]], arrivals=[arrival(1.31, 0)])) == {"drains"}
     assert (
-        rules_of(seen_of(told=[[S, 0, 0]], starts=[[int(1.2 * S), 0]], arrivals=[arrival(1.31, 0)])) == set()
+        rules_of(seen_of(told=[[S, 0, 0, 0]], starts=[[int(1.2 * S), 0]], arrivals=[arrival(1.31, 0)]))
+        == set()
     )
+    again = [[S, 0, 0, 0], [int(1.2 * S), 0, 0, 1]]  # it was back before a late list said that it was gone
+    assert rules_of(seen_of(told=again, starts=[[S // 2, 0]], arrivals=[arrival(1.31, 0)])) == set()
     # Cold workers: 2.5 times what it can do, within 1.5 s.
     many = [[S + k, 0, 0, k, 0, 0, 1, 200_000_000, 1, 0] for k in range(40)]
     assert rules_of(seen_of(starts=[[S, 0]], arrivals=many, load=[[0, 0, 0, 0, 1, 3, 0, 1]] * 40)) == {
