lab measure: datagrams in virtual time are counted once a start is no news any more

Seen: virtual 256 came to 25.4 datagrams a member a second, 5,941 bytes, the same at 0 and 5% loss, against 9.6 to 17 at 16 and 64. Cause: the 10 s began with the first common view, while each still passes on the news of 256 starts, 20 a second at most (NEWS_RATE). By 5 s windows after the view, members of 64: 11.6, then 9.9, 9.9, 9.9; of 256: 29.9, 21.0.

--- a/pepperrun/lab/measure.py
+++ b/pepperrun/lab/measure.py
@@ -20,6 +20,7 @@
 KINDS: tuple[Kind, ...] = ("kill", "pause", "cut")
 MOST_S = 12.0  # a failure that is not known to all by then counts as so late
 IDLE_S = 10.0
+QUIET_S = 120.0  # at most, until a start is no news any more
 Say = Callable[[str], None]
 # As a datagram's way over loopback, through the relay, and its turn in a busy process.
 LOOPBACK = Path(delay=MS // 2, jitter=MS)
@@ -200,6 +201,8 @@
         raise RigError(f"{count} members came to no common view")
     times: dict[str, list[float]] = {kind: [] for kind in kinds}
     views: list[float] = []
+    # What each has to say of a start of hundreds goes on for seconds after all hold one view.
+    world.run(QUIET_S, lambda: not any(world.member(number).news_at for number in world.up()))
     datagrams, size, began = world.datagrams, world.bytes, world.now
     world.run(IDLE_S)
     idle = world.datagrams - datagrams, world.bytes - size
