lab ballots: states differ by what was chosen, a refused round tries again, nothing is excused

Seen on reading the whole change: World.key left out what had been chosen and what a voter that has forgotten had answered, so a state reached with other decisions before it counted as seen; actions let no voter out of WAITING; settle excused every state in which a majority had forgotten. The register passes its time on to its own answers, where it took that of the round's start.

--- a/pepperrun/lab/ballots.py
+++ b/pepperrun/lab/ballots.py
@@ -12,22 +12,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from pepperrun.zones.register import (
-    BEGIN_NS,
-    FIRST,
-    Ballot,
-    Kind,
-    Message,
-    Phase,
-    Register,
-    Round,
-    Value,
-)
+from pepperrun.zones.register import FIRST, Ballot, Kind, Message, Phase, Register, Round, Value
 
 Make = Callable[[int, int, int, int, int], Register]
 Sent = tuple[int, int, Message]  # by whom, to whom, what
 Action = tuple[Any, ...]
-LATER = BEGIN_NS // 2
 SETTLES_IN = 400  # steps of a fair run, from any state that was reached
 
 
@@ -37,7 +26,7 @@
     new.__dict__.update(one.__dict__)
     new.knocks, new.out = dict(one.knocks), list(one.out)
     was = one.round
-    new.round = Round(was.ballot, was.since, dict(was.promises), dict(was.blank), was.put, dict(was.taken))
+    new.round = Round(was.ballot, dict(was.promises), dict(was.blank), was.put, dict(was.taken))
     return new
 
 
@@ -68,17 +57,19 @@
         return World(voters, set(self.sent), dict(self.chosen), self.rounds, self.restarts, self.now)
 
     def key(self) -> Any:
-        """What makes a difference to what may still happen."""
+        """What makes a difference to what may still happen, or to what would be wrong then."""
         voters = tuple(
             (
                 *(one.life, one.promised, one.at, one.value, one.held_at, one.held, one.phase, one.latest),
                 *(one.round.ballot, tuple(sorted(one.round.promises.items(), key=lambda item: item[0]))),
-                *(tuple(sorted(one.round.blank)), one.round.put, tuple(sorted(one.round.taken.items()))),
+                *(tuple(sorted(one.round.blank.items(), key=lambda item: item[0])), one.round.put),
+                tuple(sorted(one.round.taken.items())),
                 *(tuple(sorted(one.knocks.items())), one.change is None),
             )
             for one in self.voters
         )
-        return hash((voters, frozenset(self.sent), self.rounds, self.restarts))
+        chosen = frozenset(self.chosen.items())
+        return hash((voters, frozenset(self.sent), chosen, self.rounds, self.restarts))
 
     def collect(self) -> str:
         """Takes over what was sent; what is wrong with what was chosen, or nothing."""
@@ -135,7 +126,7 @@
     for number, one in enumerate(world.voters):
         if world.rounds < rounds and one.votes and one.phase is Phase.IDLE:
             yield ("begin", number)
-        if world.rounds < rounds and one.phase in (Phase.ASKING, Phase.PUTTING):
+        elif world.rounds < rounds and one.phase is not Phase.IDLE:
             yield ("late", number)
     if world.restarts < restarts:
         for number in range(len(world.voters)):
@@ -155,7 +146,8 @@
     elif what == "late":
         world.rounds += 1
         one = world.voters[arg]
-        one.tick(one.until)
+        if one.phase is not Phase.WAITING:
+            one.tick(one.until)
         one.tick(one.until)
     else:
         world.restarts += 1
@@ -257,8 +249,6 @@
             wrong = world.collect()
         if wrong:
             return wrong
-    if 2 * sum(one.votes for one in world.voters) <= len(world.voters):
-        return ""  # a majority has forgotten everything: a beginning, which `search` does not look at
     held = [(one.held.number, one.votes) for one in world.voters]
     return f"no agreement after {SETTLES_IN} steps without a fault: {held}"
 
--- a/pepperrun/zones/register.py
+++ b/pepperrun/zones/register.py
@@ -100,7 +100,6 @@
     """One that this voter has begun."""
 
     ballot: Ballot
-    since: int
     promises: dict[int, Message] = field(default_factory=dict)
     blank: dict[int, Message] = field(default_factory=dict)
     put: Value | None = None
@@ -111,7 +110,7 @@
 
 
 class Register:
-    """One voter of `count`. Give it messages and the time; send what is in `out`; read `held`.
+    """One voter of `count`, in a life of 1 or more. Give it messages and the time; send `out`; read `held`.
 
     `change` is given the body that is held and returns the one that is wanted, the same one for no change. It
     must not depend on anything but what this voter knows: it is called once for each round.
@@ -123,7 +122,7 @@
         self.promised, self.at = NONE, NONE
         self.value: Value | None = None  # taken, maybe not chosen
         self.held_at, self.held = NONE, Value(0, (0,) * count)  # chosen
-        self.phase, self.round, self.until, self.refusals = Phase.IDLE, Round(NONE, now), now, 0
+        self.phase, self.round, self.until, self.refusals = Phase.IDLE, Round(NONE), now, 0
         self.knocks: dict[int, int] = {}  # who wants to be let in: its life
         self.knock_at, self.blank_since = now, now
         self.latest = NONE  # the latest ballot that was heard of
@@ -186,9 +185,9 @@
         kind, ballot = message.kind, message.ballot
         self.latest = max(self.latest, ballot, message.at)
         if kind is Kind.ASK:
-            self._asked(sender, ballot)
+            self._asked(sender, ballot, now)
         elif kind is Kind.PUT and message.value is not None:
-            self._put(sender, ballot, message.value)
+            self._put(sender, ballot, message.value, now)
         elif kind is Kind.CHOSEN and message.value is not None:
             self._chosen(ballot, message.value, now)
         elif kind is Kind.KNOCK:
@@ -210,23 +209,23 @@
             self.round.taken[sender] = message.life
             self._counted(now)
 
-    def _asked(self, sender: int, ballot: Ballot) -> None:
+    def _asked(self, sender: int, ballot: Ballot, now: int) -> None:
         if ballot < self.promised:
-            self._answer(sender, Message(Kind.REFUSE, ballot, self.life, self.promised))
+            self._answer(sender, Message(Kind.REFUSE, ballot, self.life, self.promised), now)
             return
         self.promised = ballot
         kind = Kind.PROMISE if self.votes else Kind.BLANK
-        self._answer(sender, Message(kind, ballot, self.life, self.at, self.value))
+        self._answer(sender, Message(kind, ballot, self.life, self.at, self.value), now)
 
-    def _put(self, sender: int, ballot: Ballot, value: Value) -> None:
+    def _put(self, sender: int, ballot: Ballot, value: Value, now: int) -> None:
         if not self._may_take(value):
             return
         if ballot < self.promised:
-            self._answer(sender, Message(Kind.REFUSE, ballot, self.life, self.promised))
+            self._answer(sender, Message(Kind.REFUSE, ballot, self.life, self.promised), now)
             return
         self.promised = self.at = ballot
         self.value = value
-        self._answer(sender, Message(Kind.TAKEN, ballot, self.life))
+        self._answer(sender, Message(Kind.TAKEN, ballot, self.life), now)
 
     def _chosen(self, ballot: Ballot, value: Value, now: int) -> None:
         if ballot <= self.held_at:
@@ -245,7 +244,7 @@
 
     def _knocked(self, sender: int, life: int, now: int) -> None:
         if self.held.lives[sender] == life:  # it was let in and has not heard of that
-            self._answer(sender, Message(Kind.CHOSEN, self.held_at, self.life, NONE, self.held))
+            self._answer(sender, Message(Kind.CHOSEN, self.held_at, self.life, NONE, self.held), now)
             return
         if life > max(self.held.lives[sender], self.knocks.get(sender, 0)):  # not a late one of a life before
             self.knocks[sender] = life
@@ -263,10 +262,10 @@
         ballot = Ballot(latest.epoch, latest.round + 1, self.me)
         if alone:  # after all that was heard of, and after all that has been forgotten
             ballot = Ballot(max(latest.epoch + 1, self.life), 1, self.me)
-        self.round = Round(ballot, now)
+        self.round = Round(ballot)
         self.phase, self.until = Phase.ASKING, now + ROUND_NS
         self._all(Message(Kind.ASK, self.round.ballot, self.life))
-        self._asked(self.me, self.round.ballot)
+        self._asked(self.me, self.round.ballot, now)
 
     def _promised(self, now: int) -> None:
         """Does a majority of those that vote by the latest value promise? Then that value is changed."""
@@ -318,7 +317,7 @@
         self.round.put = value
         self.phase, self.until = Phase.PUTTING, now + ROUND_NS
         self._all(Message(Kind.PUT, self.round.ballot, self.life, NONE, value))
-        self._put(self.me, self.round.ballot, value)
+        self._put(self.me, self.round.ballot, value, now)
 
     def _counted(self, now: int) -> None:
         value = self.round.put
@@ -344,9 +343,9 @@
 
     # Sending.
 
-    def _answer(self, receiver: int, message: Message) -> None:
+    def _answer(self, receiver: int, message: Message, now: int) -> None:
         if receiver == self.me:
-            self._take(self.me, message, self.round.since)
+            self._take(self.me, message, now)
         else:
             self.out.append((receiver, message))
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -144,8 +144,10 @@
     assert played(Register) == ""
 
 
-def test_the_search_finds_a_bug_put_in_on_purpose_and_none_without() -> None:
+def test_the_search_finds_both_bugs_put_in_on_purpose_and_none_without() -> None:
     deaf = search(3, 2, 0, 60, MUTANTS["deaf"], most=5_000, seed=1)
     assert "has not all of it" in deaf.broken and deaf.trace
+    hasty = search(3, 2, 1, 13, MUTANTS["hasty"], most=40_000, seed=3)
+    assert hasty.broken and ("restart", 0) in hasty.trace
     found = search(3, 2, 1, 60, most=3_000, settle_each=100, seed=1)
     assert not found.broken and found.states == 3_000 and found.settled == 30
