A member's keys are in one place, and a remark made lately is told by one rule

Seen on reading: since names and sending were split off, Member.config kept the keys of the start while outbox.keys was rotated, and Names.claim had the outbox's rule for repeated remarks a second time.

--- a/pepperrun/members/member.py
+++ b/pepperrun/members/member.py
@@ -14,6 +14,7 @@
 from dataclasses import replace
 
 from pepperrun.core.clock import SECOND, Bucket
+from pepperrun.members.keys import Keys
 from pepperrun.members.links import Links
 from pepperrun.members.names import Names
 from pepperrun.members.outbox import Outbox
@@ -53,7 +54,7 @@
     """Give it datagrams and the time; take what it wants sent (`outbox`) and what has happened (`events`)."""
 
     def __init__(self, config: Config, life: int, seed: int, now: int) -> None:
-        self.config, self.me, self.count = config, config.me, config.count
+        self.me, self.count = config.me, config.count
         self.rng = random.Random(seed)
         self.own = Own(self.me, name_hash(config.name), life % LIVES or 1)
         self.counts = dict.fromkeys(COUNTS, 0)
@@ -90,6 +91,15 @@
         self.doubt = False  # after a standstill, until another member answers
         self.told_of: Callable[[Happened], None] | None = None
 
+    @property
+    def config(self) -> Config:
+        """What it was told; the keys change while it runs."""
+        return self.outbox.config
+
+    def rekey(self, keys: Keys) -> None:
+        """Other keys hold at once, for what is sent and what is taken in."""
+        self.outbox.config = replace(self.config, keys=keys)
+
     # Own state.
 
     def _move(self, event: On, now: int, detail: str = "", by: int = NOBODY) -> bool:
@@ -305,7 +315,7 @@
         self._look(now)
         if self.own.state in (Me.LEFT, Me.REFUSED):
             return
-        datagram = unpack(data, self.count, self.outbox.keys)
+        datagram = unpack(data, self.count, self.config.keys)
         if datagram is None or sender == self.me:
             self.counts["forged"] += 1
             return
--- a/pepperrun/members/names.py
+++ b/pepperrun/members/names.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Callable
 
-from pepperrun.members.outbox import REPEAT_EACH, Outbox
+from pepperrun.members.outbox import Outbox
 from pepperrun.members.probing import Prober
 from pepperrun.members.records import Book
 from pepperrun.members.states import Me, Own
@@ -58,8 +58,7 @@
 
     def claim(self, member: int, life: int, now: int) -> None:
         """The old life is asked whether it is there, unless it has said so a moment ago."""
-        lately = now - self.outbox.remarks.get((member, Kind.TAKEN), -REPEAT_EACH) < REPEAT_EACH
-        if member not in self.claims and not lately:
+        if member not in self.claims and not self.outbox.lately(member, Kind.TAKEN, now):
             self.claims[member] = life
             self.prober.ask(member, now, claim=True)
 
--- a/pepperrun/members/outbox.py
+++ b/pepperrun/members/outbox.py
@@ -30,7 +30,7 @@
         counts: dict[str, int],
         health: Callable[[], int],
     ) -> None:
-        self.count, self.keys, self.own = config.count, config.keys, own
+        self.config, self.count, self.own = config, config.count, own
         self.book, self.links, self.views, self.rng, self.counts = book, links, views, rng, counts
         self.out: list[tuple[int, bytes]] = []
         self.remarks: dict[tuple[int, Kind], int] = {}  # when the same was last said to a member
@@ -39,10 +39,14 @@
 
     def remark(self, member: int, kind: Kind, now: int, **fields: Any) -> None:
         """Says something to a member that it may ask for with each datagram, once in a while."""
-        if now - self.remarks.get((member, kind), -REPEAT_EACH) >= REPEAT_EACH:
+        if not self.lately(member, kind, now):
             self.remarks[member, kind] = now
             self.post(member, kind, **fields)
 
+    def lately(self, member: int, kind: Kind, now: int) -> bool:
+        """Was such a remark made to that member a moment ago?"""
+        return now - self.remarks.get((member, kind), -REPEAT_EACH) < REPEAT_EACH
+
     def post(
         self,
         member: int,
@@ -85,7 +89,7 @@
                 *(self.views.view.number, self.views.view.digest, self.health(), told, rows),
             ),
             self.count,
-            self.keys,
+            self.config.keys,
         )
         self.counts["sent"] += 1
         self.counts["sent_bytes"] += len(data)
--- a/pepperrun/members/service.py
+++ b/pepperrun/members/service.py
@@ -137,7 +137,7 @@
 
     def reload(self, config: MembersConfig) -> None:
         """Another key file, or the same one with other keys: they hold at once."""
-        self.member.outbox.keys = config.keys()
+        self.member.rekey(config.keys())
         self.config = config
 
     def state(self) -> dict[str, Any]:
