--- a/benchmarks/start_time.py
+++ b/benchmarks/start_time.py
@@ -15,21 +15,20 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from pepperrun.bench.rig import ROOT
+from pepperrun.bench.rig import ROOT, usage
 from pepperrun.lab.processes import Processes
 from pepperrun.lab.scenario import Fleet, Load, Scenario
 
 
 def once(lab: Processes) -> tuple[float, int]:
-    """Milliseconds until it serves, and the memory that it holds then, in KB."""
+    """Milliseconds until it serves, and its own memory then, in KB."""
     one = lab.gatekeepers[0]
     one.kill()
     began = time.perf_counter()
     one.start()
     assert one.ready() and one.process is not None
     took = (time.perf_counter() - began) * 1000
-    status = Path(f"/proc/{one.process.pid}/status").read_text()
-    return took, int(status.split("VmRSS:")[1].split()[0])
+    return took, usage(one.process.pid).anonymous // 1024
 
 
 def main() -> None:
@@ -43,7 +42,7 @@
     )
     with Processes(scenario, 1, ROOT) as ours, Processes(scenario, 1, given.checkout.resolve()) as theirs:
         pairs = [(once(ours), once(theirs)) for _ in range(given.pairs)]
-    for what, at in (("ms until it serves", 0), ("KB of memory", 1)):
+    for what, at in (("ms until it serves", 0), ("KB of memory of its own", 1)):
         ratios = [ours[at] / theirs[at] for ours, theirs in pairs]
         medians = [statistics.median(pair[side][at] for pair in pairs) for side in (0, 1)]
         print(
--- a/pepperrun/lab/measure.py
+++ b/pepperrun/lab/measure.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from pepperrun.bench.rig import RigError
+from pepperrun.bench.rig import RigError, usage
 from pepperrun.core.clock import SECOND
 from pepperrun.lab.processes import Gatekeeper, Processes
 from pepperrun.lab.scenario import Fleet, Load, Scenario
@@ -79,6 +79,7 @@
     bytes_a_member_a_second: int
     false_burials: int
     seconds: int
+    cpu_ms_a_member_a_second: float | None = None  # of real ones
 
 
 class Rows(msgspec.Struct):
@@ -124,9 +125,9 @@
                 lab.relay.ask(do="set", pairs=every, links=[], what={"loss": self.loss})
             self._one_view(30.0)
             began = time.monotonic()
-            before = lab.relay.ask(do="counts")
+            before, cpu = lab.relay.ask(do="counts"), self._cpu_s()
             time.sleep(IDLE_S)
-            after = lab.relay.ask(do="counts")
+            after, cpu = lab.relay.ask(do="counts"), self._cpu_s() - cpu
             span = time.monotonic() - began
             for turn in range(faults):
                 for kind in kinds:
@@ -149,12 +150,16 @@
             "bytes_a_member_a_second": round(
                 (after["members_bytes"] - before["members_bytes"]) / self.count / span
             ),
+            "cpu_ms_a_member_a_second": round(1000 * cpu / self.count / span, 2),
             "false_burials": len(false),
             "first_false": sorted(false)[:MOST_TOLD],
             "seconds": round(seconds),
         }
         return found(self.count, self.loss, times, views, more)
 
+    def _cpu_s(self) -> float:
+        return sum(usage(one.process.pid).cpu_s for one in self.lab.gatekeepers if one.process is not None)
+
     def _look(self) -> None:
         for one in self.lab.gatekeepers:
             table = one.ask(f"members since {self.since[one.number]}")
@@ -343,17 +348,19 @@
     lines = [
         f"{'where':8} {'n':>4} {'loss':>5} {'faults':>6}"
         + "".join(f" {kind + ' p50':>10} {'p99':>6} {'worst':>6}" for kind in KINDS)
-        + f" {'view p99':>9} {'msg/s':>6} {'B/s':>6} {'false':>5} {'s':>6}"
+        + f" {'view p99':>9} {'msg/s':>6} {'B/s':>6} {'cpu ms':>6} {'false':>5} {'s':>6}"
     ]
     for row in rows:
         cells = ""
         for kind in KINDS:
             one = row.get(f"{kind}_s", {"p50": 0.0, "p99": 0.0, "worst": 0.0})
             cells += f" {one['p50']:10.2f} {one['p99']:6.2f} {one['worst']:6.2f}"
+        cpu = row.get("cpu_ms_a_member_a_second")
         lines.append(
             f"{row['where']:8} {row['members']:4} {row['loss']:5.2f} {max(row['faults'].values()):6}{cells}"
             f" {row['one_view_after_return_s']['p99']:9.2f} {row['datagrams_a_member_a_second']:6.1f}"
-            f" {row['bytes_a_member_a_second']:6} {row['false_burials']:5} {row['seconds']:6}"
+            f" {row['bytes_a_member_a_second']:6} {'' if cpu is None else f'{cpu:.1f}':>6}"
+            f" {row['false_burials']:5} {row['seconds']:6}"
         )
     return "\n".join(lines)
 
