--- /dev/null
+++ b/pepperrun/comb/__init__.py
@@ -0,0 +1,1 @@
+"""Comb (control state): records of workers and gatekeepers by zone, the configuration and its checks."""
--- /dev/null
+++ b/pepperrun/foundation/settings.py
@@ -0,0 +1,165 @@
+"""The settings file of a process, read and checked by dacite. Fields that are not known are ignored."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import dacite
+import yaml
+
+from pepperrun.foundation.errors import HiveError
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True)
+class Limits:
+    """What a machine gives a process; 0 for no limit told."""
+
+    cpu_share: float = 1.0
+    cores: int = 1
+    memory_mb: float = 0
+    file_handles: int = 0
+    link_mbps: float = 0.0
+    disk_mb: float = 0
+
+
+@dataclass(frozen=True)
+class Self:
+    """This process and its machine."""
+
+    station: str
+    role: str
+    ip: str
+    zone: str
+    region: str
+    carries: list[str] = field(default_factory=list)
+    counted: bool = False
+    first_run: bool = False
+    store_dir: str | None = None
+    limits: Limits = field(default_factory=Limits)
+
+
+@dataclass(frozen=True)
+class Network:
+    """Addresses: what is served here, what is free for own use, whom to ask first."""
+
+    sidings: list[int]
+    first_contacts: list[str]
+    postboxes: dict[str, str] = field(default_factory=dict)
+    zones: dict[str, str] = field(default_factory=dict)  # zone: its region
+
+
+@dataclass(frozen=True)
+class Carrier:
+    """How workers tell of themselves."""
+
+    beat_ms: float = 1500
+
+
+@dataclass(frozen=True)
+class Withstand:
+    """What may be lost at once."""
+
+    vehicles: int = 1
+    zones: int = 0
+    regions: int = 0
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """The figures of the rules; `_ms` in milliseconds, `_s` in seconds."""
+
+    contact_ms: float = 4000
+    receipt_ms: float = 6000
+    catch_up_s: float = 4
+    drain_ms: float = 3000
+    grace_s: float = 6
+    edition_ms: float = 3000
+    revert_slack_ms: float = 250
+    stretch_ms: float = 8000
+    revocation_total: bool = False
+    revoke_ms: float = 5000
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10
+    retry_slack: float = 0
+    quota_window_s: float = 5
+    quota_excess: float = 0.1
+    quota_slack: float = 0
+    cold_excess: float = 1.0
+    cold_slack: float = 0
+    evacuation_ms: float = 5000
+    ttl_max_s: float = 5
+    readdress_after_s: float = 2
+
+
+@dataclass(frozen=True)
+class Tariffs:
+    """The rules in force and their figures."""
+
+    terms_in_force: list[str] = field(default_factory=list)
+    withstand: Withstand = field(default_factory=Withstand)
+    bounds: Bounds = field(default_factory=Bounds)
+
+
+@dataclass(frozen=True)
+class Settings:
+    """All that a process is told. `station` and the like stand in `me`, the file's table `self`."""
+
+    me: Self
+    network: Network
+    carrier: Carrier = field(default_factory=Carrier)
+    tariffs: Tariffs = field(default_factory=Tariffs)
+
+    def postbox(self, name: str) -> Address | None:
+        """Where this process serves that, or None where it does not."""
+        text = self.network.postboxes.get(name)
+        return address(text) if text is not None else None
+
+    @property
+    def siding(self) -> Address:
+        """Where own processes reach this one, by TCP and by UDP."""
+        return self.me.ip, self.network.sidings[0]
+
+    def contacts(self) -> list[Address]:
+        """Own addresses of the core machines named first; all machines use the same ports."""
+        return [(address(text)[0], self.network.sidings[0]) for text in self.network.first_contacts]
+
+
+def address(text: str) -> Address:
+    """`host:port` as a pair; HiveError where it is none."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise HiveError("bad-address", "settings", f"{text!r} is no address")
+    return host, int(port)
+
+
+def parse(data: Any) -> Settings:
+    """Settings from the file's tables; HiveError names the field that is no good."""
+    if not isinstance(data, dict):
+        raise HiveError("bad-settings", "settings", "the file holds no tables")
+    tables = {("me" if key == "self" else key): value for key, value in data.items()}
+    config = dacite.Config(type_hooks={float: float})
+    try:
+        settings = dacite.from_dict(Settings, tables, config)
+    except (dacite.DaciteError, TypeError, ValueError) as error:
+        raise HiveError("bad-settings", "settings", str(error)) from None
+    if len(settings.network.sidings) != 2:
+        raise HiveError("bad-settings", "settings", "network.sidings: a first and a last port")
+    for text in [*settings.network.first_contacts, *settings.network.postboxes.values()]:
+        address(text)
+    return settings
+
+
+def load(path: str | None = None) -> Settings:
+    """Reads the file at `path`, else at the one that PEPPERRUN_NODE_FILE names."""
+    where = path or os.environ.get("PEPPERRUN_NODE_FILE", "/etc/pepperrun/node.yaml")
+    loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+    try:
+        data = yaml.load(Path(where).read_text(), loader)  # noqa: S506  (a safe loader, in C where there is one)
+    except (OSError, yaml.YAMLError) as error:
+        raise HiveError("bad-settings", "settings", f"{where}: {error}") from None
+    return parse(data)
