--- /dev/null
+++ b/pepperrun/waggle/book.py
@@ -0,0 +1,72 @@
+"""What a gatekeeper holds of the news, and how fresh that is. No number and no record ever goes back."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from pepperrun.comb.records import Guard, Worker
+from pepperrun.waggle.digests import Sums, newer
+
+State = dict[str, Any]  # the agreed state, see docs/SYSTEM.md
+Change = tuple[int, dict[str, Any]]  # the number it builds on, the operation
+
+
+class NewsBook:
+    """The news held by one process, for readers and for the relay.
+
+    `number`, `state`: agreed state (0 and None before the first). `workers` by id, `guards` by station; records
+    that are gone stay for a while. `fresh_at`: own steady clock, ns: all that was acknowledged before that
+    moment is in `state`; 0 for never. `cells_at`: likewise what the core machine asked knew of workers and
+    gatekeepers at that moment is held.
+
+    `on_agreed(number, state, change)`: `change` is (base, op) where it came as one on top of what was held, else
+    None. `on_workers(changed)`, `on_guards(changed)`: records taken over since, newest copies.
+    """
+
+    def __init__(self) -> None:
+        self.number, self.state = 0, None  # type: int, State | None
+        self.workers: dict[str, Worker] = {}
+        self.guards: dict[str, Guard] = {}
+        self.sums = Sums()
+        self.fresh_at = self.cells_at = 0
+        self.cores: list[list[str]] = []  # [ip, zone] of each core machine
+        self.on_agreed: list[Callable[[int, State, Change | None], None]] = []
+        self.on_workers: list[Callable[[list[Worker]], None]] = []
+        self.on_guards: list[Callable[[list[Guard]], None]] = []
+
+    def age_ms(self, now: int) -> float | None:
+        """How long ago what is held was known to be the newest; None if never."""
+        return (now - self.fresh_at) / 1e6 if self.fresh_at else None
+
+    def take_agreed(self, number: int, state: State, change: Change | None = None) -> bool:
+        """Takes a newer state; False where what is held is as new."""
+        if number <= self.number:
+            return False
+        self.number, self.state = number, state
+        for told in self.on_agreed:
+            told(number, state, change)
+        return True
+
+    def take_cells(self, workers: Iterable[Worker], guards: Iterable[Guard]) -> tuple[list[Worker], list[Guard]]:
+        """Takes the newer ones of these records and returns them."""
+        fresh_workers, fresh_guards = [], []
+        for worker in workers:
+            old = self.workers.get(worker.id)
+            if newer(old, worker):
+                self.workers[worker.id] = worker
+                self.sums.swap(old, worker)
+                fresh_workers.append(worker)
+        for guard in guards:
+            held = self.guards.get(guard.station)
+            if newer(held, guard):
+                self.guards[guard.station] = guard
+                self.sums.swap(held, guard)
+                fresh_guards.append(guard)
+        if fresh_workers:
+            for told in self.on_workers:
+                told(fresh_workers)
+        if fresh_guards:
+            for heard in self.on_guards:
+                heard(fresh_guards)
+        return fresh_workers, fresh_guards
