Decision module split by concern; several services, a gate and changing peers in one gateway

Ruled out: a gateway for each service with stores of its own (a tenant's quota spans services). A Gate has a say in where a request goes; a customer whose head no backend takes no longer stops the others' turns; refusals tell whether the quota is used up; the bound's goal may follow the best latency seen; further attempts by settings.

--- a/pepperrun/core/interface.py
+++ b/pepperrun/core/interface.py
@@ -8,6 +8,7 @@
 
 import enum
 from dataclasses import dataclass
+from typing import Protocol
 
 
 class Repeat(enum.Enum):
@@ -82,6 +83,7 @@
     window_ns: int = 0
     worth: float = 1.0
     late_worth: float = 0.0
+    tries: int = 0  # attempts of a request at most; 0: as the settings say
 
     def __post_init__(self) -> None:
         _require(self.aim_ns > 0, "classes.aim_ns", "above 0")
@@ -128,6 +130,12 @@
     `tick_ns` is the shortest time between two calls of `Gateway.handle`. A backend that has just started can
     do at least `cold_from` of its work and all of it after `cold_ns`; sent more than `tip_multiple` times its
     capacity for `tip_for_ns` it falls over. `peer_intake` is how many messages a second a gateway takes in.
+
+    `lines` is how many services there are, each with its own backends, queues and bound. A further attempt is
+    paid for by `further_share` of each first one and by `further_burst` saved up; with `strict_further` each
+    that may reach a backend costs a whole one. `follows_best`: the bound's goal rises above a part of the aim
+    where the best latencies seen are near it (work alone takes that long). `marks`: gateways number classes
+    alike, and tell each other of backends' failures.
     """
 
     me: int
@@ -155,6 +163,12 @@
     max_units: float = 1.0
     report_columns: tuple[str, ...] = ()
     cross_zone_price: float = 0.0
+    lines: int = 1
+    further_share: float = 0.1
+    further_burst: float = 10.0
+    strict_further: bool = False
+    follows_best: bool = False
+    marks: bool = True
 
     def __post_init__(self) -> None:
         _require(self.gateways >= 1, "gateways", "1 or more")
@@ -170,17 +184,39 @@
         _require(self.tip_multiple > 0, "tip_multiple", "above 0")
         _require(self.tip_for_ns > 0, "tip_for_ns", "above 0")
         _require(self.max_units > 0, "max_units", "above 0")
+        _require(self.lines >= 1, "lines", "1 or more")
+        _require(self.further_share >= 0, "further_share", "0 or more")
+        _require(self.further_burst >= 0, "further_burst", "0 or more")
+
+
+class Gate(Protocol):
+    """What else has a say in where a request goes; `lot` is what came with the request for it.
+
+    `open`: 0 where it may go out now, else it is refused, with this wait in nanoseconds. `may`: may it go to
+    this backend now? `sent`: it does. All are asked in the turn in which the attempt goes out.
+    """
+
+    def open(self, lot: object, now: int) -> int: ...
+
+    def may(self, lot: object, backend: int, now: int) -> bool: ...
+
+    def sent(self, lot: object, backend: int, now: int) -> None: ...
 
 
 @dataclass(slots=True, frozen=True)
 class Backend:
-    """A line of the list of backends. `born_ns` is when it last started, 0 for long ago."""
+    """A line of the list of backends. `born_ns` is when it last started, 0 for long ago.
+
+    `line`: its service. `far`: it counts as this much slower for its distance; 0: as the decisions have it.
+    """
 
     id: int
     zone: int
     cell: int = 0
     state: BackendState = BackendState.READY
     born_ns: int = 0
+    line: int = 0
+    far: float = 0.0
 
 
 @dataclass(slots=True)
@@ -197,7 +233,8 @@
 
     `left_ns` is the time until the client gives up, `units` what it draws from the quota (a guess where the
     settings say that units are settled by the answer). `once`: its body is longer than is held and still
-    coming; it can be sent one time, and the client's time counts from its last byte.
+    coming; it can be sent one time, and the client's time counts from its last byte. `line`: the service that
+    it is for; `lot`: what the gate goes by.
     """
 
     id: int
@@ -209,6 +246,8 @@
     spread: int = 1
     first: int = 0
     once: bool = False
+    line: int = 0
+    lot: object = None
 
 
 @dataclass(slots=True)
@@ -286,10 +325,14 @@
 
 @dataclass(slots=True)
 class Refuse:
-    """Final answer: not served, and trying again is harmless. `wait_ns`: advice to stay away, 0 for none."""
+    """Final answer: not served, and trying again is harmless. `wait_ns`: advice to stay away, 0 for none.
+
+    `beyond`: its customer's quota is used up.
+    """
 
     request: int
     wait_ns: int = 0
+    beyond: bool = False
 
 
 @dataclass(slots=True)
--- a/pepperrun/core/quotas.py
+++ b/pepperrun/core/quotas.py
@@ -5,57 +5,65 @@
 from pepperrun.core import gossip
 from pepperrun.core.clock import SECOND, Bucket, Decayed
 from pepperrun.core.interface import Request, Settings
+from pepperrun.core.keepers import HEARD_FOR, NEAR, Keepers, keepers_of, period_of
 from pepperrun.core.standing import NEUTRAL
 
 SHARE_HALF_LIFE = 2 * SECOND  # U_i: long against a request, short against a spell of load
-HEARD_FOR = 5 * SECOND  # what a peer told of a customer stands this long; a restart takes a few seconds
 TELL_EACH = SECOND  # heartbeats, answers to peers that ask, and how long use that grew counts as active
 OUT_FRESH = SECOND // 4  # told attempts out are old after about the time that an attempt takes
-NEAR = 0.75  # a customer is near its slice once less than this part of the slice is left
 NEWS = 1 / 8  # of the room left: use below it is told within TELL_EACH, not at once
-INTAKE_USED = 0.6  # part of a receiver's intake that all its peers together fill: room for bursts
 DIRECT_WITHIN = SECOND // 2  # peers tell each other directly if their messages fit the intake this often
-KEEPER_PARTS = (0.75, 0.25)  # of a hard ceiling: a customer's first keeper grants, the next while it is away
-HASH = 2654435761  # spreads customers over their sets; golden ratio of 32 bits
-RUSH = 4.0  # fewer asks than this in about a second say nothing of how much is asked
 
 
 class Account:
     """A customer's quota as this gateway sees it, and its queue."""
 
     def __init__(self, event: Request | gossip.Ask, now: int, quotas: Quotas) -> None:
-        count, me = quotas.settings.gateways, quotas.settings.me
-        self.customer, self.number, self.first = event.customer, event.plan, event.first
-        self.plan = plan = quotas.settings.plans[event.plan]
-        self.spread = spread = min(event.spread, count)
-        self.peers, self.keepers = list[int](), list[int]()
-        hard = 1 / spread
-        if quotas.direct:
-            members = [(event.first + step) % count for step in range(spread)]
-            self.peers = [peer for peer in members if peer != me]
-        elif spread > 1:
-            at = event.customer * HASH % 2**32 * spread >> 32
-            self.keepers = [(event.first + step % spread) % count for step in (at, at + (spread + 1) // 2)]
-            hard = KEEPER_PARTS[self.keepers.index(me)] if me in self.keepers else 0.0
-        # The second keeper's store stays small: no change of keepers grants another burst.
-        small = max(plan.rate, quotas.settings.max_units) if me in self.keepers[1:] else plan.burst
-        depth = min(plan.burst, small)
+        self.customer, self.number, self.first, self.quotas = event.customer, event.plan, event.first, quotas
+        self.spread = self.seats = event.spread  # of gateways that it comes through, as asked for
         # Full: most use a part of their quota. One that does not know the others yet has its part of that.
-        self.whole = Bucket(plan.rate, depth, depth / (spread if quotas.standing.slices else 1), now)
-        self.slice = Bucket(plan.rate / spread, plan.burst / spread, plan.burst / spread, now)
+        self.whole, self.slice = Bucket(0.0, 0.0, 0.0, now), Bucket(0.0, 0.0, 0.0, now)
+        self.ceiling = Bucket(0.0, 0.0, 0.0, now)
+        self.divide(now)
         # The hard slice starts empty when this gateway starts: the one before it may have spent it (rule 5).
-        self.ceiling = Bucket(plan.ceiling_rate * hard, plan.ceiling_depth * hard, 0.0, quotas.start)
+        self.ceiling.at = quotas.start
+        self.whole.level = self.whole.depth / (self.spread if quotas.standing.slices else 1)
+        self.slice.level = self.slice.depth
         self.owed = 0.0  # units used without asking a keeper, less those given back
         self.near_told, self.closed_until = False, now  # what a keeper last told of it
         self.asked = Decayed(SECOND, now)  # asks, where this gateway is keeper
         self.granted: dict[tuple[int, int], int] = {}  # as keeper: peer and request, when granted
         # Not from 0: peers remember the count of an account that was dropped, and a lower one gives back.
         self.total, self.untold = quotas.counted, 0.0
-        self.out, self.seen, self.period, self.quotas = 0, now, quotas.period, quotas
+        self.out, self.seen, self.period = 0, now, quotas.period
         self.told_at = self.asked_at = quotas.start - HEARD_FOR
         self.told = gossip.Heard()
         self.used = Decayed(SHARE_HALF_LIFE, now)
+
+    def divide(self, now: int) -> None:
+        """Its parts among the gateways that it comes through, anew where their number has changed."""
+        quotas, plan = self.quotas, self.quotas.settings.plans[self.number]
+        count, me = quotas.settings.gateways, quotas.settings.me
+        self.plan, self.spread = plan, min(self.seats, count) if quotas.members is None else count
         self.weight = plan.rate or plan.open_limit or 1.0  # no rate: the open limit stands in, else one
+        self.peers, self.keepers, hard = list[int](), list[int](), 1 / self.spread
+        if quotas.members is not None:
+            self.peers = list(quotas.members)
+        elif quotas.direct:
+            members = [(self.first + step) % count for step in range(self.spread)]
+            self.peers = [peer for peer in members if peer != me]
+        elif self.spread > 1:
+            self.keepers, hard = keepers_of(self.customer, self.first, self.spread, count, me)
+        # The second keeper's store stays small: no change of keepers grants another burst.
+        small = max(plan.rate, quotas.settings.max_units) if me in self.keepers[1:] else plan.burst
+        part = 1 / self.spread
+        for bucket, rate, depth in (
+            (self.whole, plan.rate, min(plan.burst, small)),
+            (self.slice, plan.rate * part, plan.burst * part),
+            (self.ceiling, plan.ceiling_rate * hard, plan.ceiling_depth * hard),
+        ):
+            bucket.fill(now)
+            bucket.rate, bucket.depth, bucket.level = rate, depth, min(depth, bucket.level)
 
     def near(self, now: int) -> bool:
         if self.plan.ceiling_rate > 0 and self.ceiling.fill(now) < NEAR * self.ceiling.depth:
@@ -103,93 +111,49 @@
         self.accounts: dict[int, Account] = {}
         self.dirty: dict[int, None] = {}
         self.start = self.beat = 0
+        self.members: tuple[int, ...] | None = None  # the peers that are there, where they come and go
         self.counted = 0.0  # no account dropped so far had counted more
         self.handed = False  # another process of this gatekeeper decides: no store fills, no peer is told
-        intake = max(settings.peer_intake, 0.1) * INTAKE_USED
-        self.period = max(2 * settings.tick_ns, int(max(1, settings.gateways - 1) / intake * SECOND))
+        self.period = period_of(settings)
         self.direct = self.period <= DIRECT_WITHIN or not settings.peer_messages
-        self.missed: dict[int, tuple[int, int]] = {}  # keeper: asks unanswered in a row, the last one at
         self.unit_ns = 0.0  # how long an attempt takes for each unit, as seen by the fleet
         self.inbox, self.outbox = gossip.Inbox(), gossip.Outbox()
         self.standing = NEUTRAL  # what membership, where it is on, knows of the others
+        self.keepers = Keepers(self)
 
-    def keeper(self, account: Account, now: int) -> int:
-        """The first keeper that is there and has not let two asks go unanswered within the last second."""
-        missed, lost = [self.missed.get(keeper, (0, 0)) for keeper in account.keepers], self.standing.lost
-        heard = [count < 2 or now - at > SECOND for count, at in missed]
-        heard = [here and keeper not in lost for here, keeper in zip(heard, account.keepers, strict=True)]
-        return account.keepers[heard.index(True) if True in heard else 0]
-
-    def ask(self, account: Account, keeper: int, request: int, units: float) -> None:
-        owed = gossip.owed_on_wire(account.owed)
-        account.owed -= owed
-        where = (account.number, account.first, account.spread)
-        ask = gossip.Ask(account.customer, request, units, owed, *where)
-        self.outbox.to(keeper).asks.append(ask)
+    def resettle(self, settings: Settings, now: int) -> None:
+        """Plans that came to those known, another number of gateways: each account's parts follow."""
+        self.settings, self.period = settings, period_of(settings)
+        for account in self.accounts.values():
+            account.divide(now)
 
-    def grant(self, account: Account, peer: int, request: int, units: float, now: int) -> gossip.Answer:
-        """As a keeper: units of the store and of this keeper's part of the ceiling, or how long to wait."""
-        plan, ceiling = account.plan, account.ceiling
-        most = min(self.settings.peer_intake * INTAKE_USED, 2 * plan.rate / max(units, 0.1))
-        level, took = account.whole.fill(now), self.unit_ns * units
-        account.asked.add(1.0, now)
-        account.granted = {key: at for key, at in account.granted.items() if now - at < SECOND}
-        wait_s, beyond = 0.0, False
-        if plan.ceiling_rate <= 0 and (peer, request) in account.granted:
-            pass  # the answer was lost; the units are charged already
-        elif not self.standing.grants:
-            wait_s = self.period / SECOND  # it stood still, or nobody hears it: another may keep the store
-        elif plan.rate > 0 and level < units:
-            beyond, wait_s = True, max(0.001, (1 - level) / plan.rate)
-            if account.asked.value > max(RUSH, 1.4 * most):
-                # Far more is asked than the store can give, or than the intake takes beside other customers.
-                wait_s = max(wait_s, min(HEARD_FOR / SECOND, account.spread / most))
-        elif plan.ceiling_rate > 0 and ceiling.fill(now) < units:
-            wait_s = (units - ceiling.level) / max(ceiling.rate, 1e-9)
-        elif 0 < plan.open_limit <= sum(now - at < took for at in account.granted.values()):
-            wait_s = max(0.001, took / SECOND)
-        else:
-            account.whole.level -= units
-            ceiling.level -= units
-            account.granted[peer, request] = now
-        near, given = level < NEAR * plan.burst, 0.0 if wait_s else units
-        return gossip.Answer(account.customer, request, given, int(min(wait_s, 60.0) * 1000), near, beyond)
+    def account(self, event: Request | gossip.Ask, now: int) -> Account:
+        """A new one for the customer of a request, or of a peer's ask."""
+        return Account(event, now, self)
 
     def settle(self, account: Account, units: float, now: int) -> None:
         """Units found used, or with a minus not used, after the grant: to the store here or to the keeper."""
         if not account.keepers:
             account.charge(units, now)
             self.dirty[account.customer] = None
-        elif (keeper := self.keeper(account, now)) == self.settings.me:
+        elif (keeper := self.keepers.of(account, now)) == self.settings.me:
             account.whole.level = min(account.whole.depth, account.whole.fill(now) - units)
         else:
             account.owed += units
             if account.near_told:
-                self.ask(account, keeper, 0, 0.0)
-
-    def _hear_asks(self, peer: int, message: gossip.Message, now: int) -> None:
-        count = self.settings.gateways
-        for ask in message.asks:
-            if ask.plan >= len(self.settings.plans) or not 0 < ask.spread <= count or ask.first >= count:
-                continue
-            account = self.accounts.get(ask.customer) or Account(ask, now, self)
-            if self.settings.me in account.keepers and (peer - account.first) % count < account.spread:
-                self.accounts[ask.customer] = account
-                account.seen = now
-                level = min(account.whole.depth, account.whole.fill(now) - ask.owed)
-                # A figure out of all range must not shut a customer out for long.
-                account.whole.level = max(level, min(account.whole.level, -account.whole.depth))
-                if ask.units > 0:
-                    answers = self.outbox.to(peer).answers
-                    answers.append(self.grant(account, peer, ask.request, ask.units, now))
+                self.keepers.ask(account, keeper, 0, 0.0)
 
     def hear(self, peer: int, data: bytes, now: int) -> gossip.Message | None:
         """Takes in a peer's message and gives it back, or None where it is not to be taken in."""
-        known = peer != self.settings.me and peer < self.settings.gateways
-        if not known or (message := self.inbox.accept(peer, data, now)) is None:
+        everybody = range(self.settings.gateways) if self.members is None else self.members
+        if (
+            peer == self.settings.me
+            or peer not in everybody
+            or (message := self.inbox.accept(peer, data, now)) is None
+        ):
             return None
-        self.missed.pop(peer, None)
-        self._hear_asks(peer, message, now)
+        self.keepers.missed.pop(peer, None)
+        self.keepers.hear(peer, message, now)
         for entry in message.entries:
             account = self.accounts.get(entry.customer)
             if account is None or peer not in account.peers:
@@ -233,7 +197,8 @@
                 self.outbox.to(peer).entries.append(entry)
         if now - self.beat >= TELL_EACH:
             self.beat = now
-            for peer in range(self.settings.gateways):
+            everybody = range(self.settings.gateways) if self.members is None else self.members
+            for peer in everybody:
                 if peer != self.settings.me:
                     self.outbox.to(peer)
 
@@ -257,6 +222,7 @@
         if self.handed:
             return
         late = {p for p, known in self.inbox.peers.items() if self.direct and now - known[2] > HEARD_FOR}
+        late &= late if self.members is None else set(self.members)
         # The larger side has the whole, the smaller one its members' slices.
         quiet = self.standing.missing if self.standing.known else late
         for account in list(self.accounts.values()):
--- a/pepperrun/core/state.py
+++ b/pepperrun/core/state.py
@@ -30,6 +30,7 @@
         self.pending: dict[tuple[int, int], tuple[int, float]] = {}  # attempt: sent at, expected to take
         self.down_at = 0  # when it last could not be reached
         self.slow, self.sampled = 1.0, now  # latency over expected, and when last seen
+        self.far = line.far
 
 
 class Roster:
@@ -46,7 +47,7 @@
             if line.born_ns > server.born:
                 server.born = line.born_ns
                 started.append(server)
-            server.zone, server.cell, server.state = line.zone, line.cell, line.state
+            server.zone, server.cell, server.state, server.far = line.zone, line.cell, line.state, line.far
         if event.kind is not ListKind.DELTA:
             listed = {line.id for line in event.backends}
             for server in self.servers.values():
@@ -72,8 +73,8 @@
 class HeldState:
     """A request taken and not yet ended, or ended with attempts still out."""
 
-    def __init__(self, event: Request, account: Any, kind: RequestClass, now: int) -> None:
-        self.account = account
+    def __init__(self, event: Request, account: Any, kind: RequestClass, lane: Any, now: int) -> None:
+        self.account, self.lane, self.lot = account, lane, event.lot
         self.id, self.cls, self.units, self.kind = event.id, event.cls, event.units, kind
         self.deadline, self.aim = now + event.left_ns, now + min(kind.aim_ns, event.left_ns)
         self.attempts: list[Attempt] = []
--- a/pepperrun/exchange.py
+++ b/pepperrun/exchange.py
@@ -29,13 +29,14 @@
 class Final(Generic[Given]):
     """The final answer: `given` if served, `wait_ns` the advice that comes with a refusal (0: none).
 
-    `late`: the time was up when the request was given up.
+    `late`: the time was up when the request was given up. `beyond`: the customer's quota is used up.
     """
 
     end: End
     given: Given | None = None
     wait_ns: int = 0
     late: bool = False
+    beyond: bool = False
 
 
 class Exchange(Generic[Asked, Given]):
@@ -44,6 +45,7 @@
     __slots__ = (
         *("asked", "attempts", "cls", "cost", "customer", "deadline", "end", "first", "id", "on_final"),
         *("finished", "open", "passing", "patience", "plan", "spent", "spread", "started", "trace", "units"),
+        *("line", "lot"),
     )
 
     def __init__(
@@ -60,11 +62,14 @@
         spread: int = 1,
         first: int = 0,
         patience: int = 0,
+        line: int = 0,
+        lot: object = None,
     ) -> None:
         self.asked, self.on_final = asked, on_final
         self.cls, self.plan, self.customer = cls, plan, customer
         self.started, self.deadline = started, deadline
         self.units, self.spread, self.first = units, spread, first
+        self.line, self.lot = line, lot  # its service, and what the gate goes by
         self.id = 0
         self.end: End | None = None
         self.attempts: list[int] = []  # when each was sent
--- a/pepperrun/gatekeeper.py
+++ b/pepperrun/gatekeeper.py
@@ -24,6 +24,7 @@
     Event,
     Fail,
     FetchList,
+    Gate,
     Log,
     Outcome,
     PeerMessage,
@@ -92,9 +93,10 @@
         tell: Callable[[int, bytes], None] = lambda peer, data: None,
         watch: Callable[[bool], None] = lambda on: None,
         log: Callable[[str], None] = lambda text: say("gateway", text),
+        gate: Gate | None = None,
     ) -> None:
         self.settings, self.clock, self.loop = settings, clock, loop
-        self.gateway = Gateway(settings, seed)
+        self.gateway = Gateway(settings, seed, gate)
         self.backends: Backends | None = None
         self.tell, self.watch, self.log = tell, watch, log
         self.exchanges: dict[int, AnyExchange] = {}
@@ -113,6 +115,13 @@
         self.by_class = [dict.fromkeys(End, 0) for _ in settings.classes]
         self.outcomes = {outcome: 0 for outcome in Outcome}
 
+    def resettle(self, settings: Settings) -> None:
+        """Classes, plans and services that came to those known, another number of gateways: hold at once."""
+        self.catch_up()
+        self.settings, self._margin = settings, 4 * settings.tick_ns
+        self.by_class += [dict.fromkeys(End, 0) for _ in settings.classes[len(self.by_class) :]]
+        self.gateway.resettle(settings)
+
     # Events.
 
     def take(self, exchange: AnyExchange) -> None:
@@ -252,6 +261,8 @@
             exchange.spread,
             exchange.first,
             exchange.patience > 0,
+            exchange.line,
+            exchange.lot,
         )
 
     def _arm(self, due: int) -> None:
@@ -280,7 +291,7 @@
                 self._send(action, now)
             case Refuse():
                 late = self._late(action.request, now)
-                self._give_up(action.request, Final(End.REFUSED, wait_ns=action.wait_ns, late=late))
+                self._give_up(action.request, Final(End.REFUSED, wait_ns=action.wait_ns, late=late, beyond=action.beyond))
             case Fail():
                 late = self._late(action.request, now)
                 self._give_up(action.request, Final(End.OUT_OF_TIME if late else End.FAILED, late=late))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -20,7 +20,8 @@
 )
 
 from pepperrun.core import gossip
-from pepperrun.core.gateway import Gateway, Held, Turns
+from pepperrun.core.gateway import Gateway
+from pepperrun.core.turns import Held, Turns
 from pepperrun.core.quotas import Account, Quotas
 from pepperrun.core.interface import (
     AttemptEnded,
@@ -176,7 +177,7 @@
 
 def held(account: Account, number: int) -> Held:
     event = Request(number, account.customer, 0, 0, SECOND)
-    return Held(event, account, make_settings().classes[0], START)
+    return Held(event, account, make_settings().classes[0], None, START)
 
 
 def accounts(*rates: float) -> list[Account]:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -378,15 +378,15 @@
     members = [quotas_of(Standing(True), me, 8, 1.0) for me in range(8)]
     accounts = [Account(asked, 0, one) for one in members]
     first, second = accounts[0].keepers
-    assert {one.keeper(account, 0) for one, account in zip(members, accounts, strict=True)} == {first}
+    assert {one.keepers.of(account, 0) for one, account in zip(members, accounts, strict=True)} == {first}
     for one in members:
         one.standing = Standing(True, frozenset({first}))
-    assert {one.keeper(account, 0) for one, account in zip(members, accounts, strict=True)} == {second}
+    assert {one.keepers.of(account, 0) for one, account in zip(members, accounts, strict=True)} == {second}
     keeper = members[first]
-    granted = keeper.grant(accounts[first], second, 1, 1.0, 4 * SECOND)
+    granted = keeper.keepers.grant(accounts[first], second, 1, 1.0, 4 * SECOND)
     assert granted.units == 1.0
     keeper.standing = Standing(True, grants=False)
-    assert keeper.grant(accounts[first], second, 2, 1.0, 4 * SECOND).units == 0.0
+    assert keeper.keepers.grant(accounts[first], second, 2, 1.0, 4 * SECOND).units == 0.0
 
 
 def test_sides_and_stated_errors() -> None:
