--- a/pepperrun/queen/__init__.py
+++ b/pepperrun/queen/__init__.py
@@ -1,1 +1,1 @@
-"""Queen (agreement): one register that a majority of the core's voters agrees on, and who these voters are."""
+"""Queen (agreement): one register that a majority of the core agrees on, and who of it votes."""
--- /dev/null
+++ b/pepperrun/swarm/queens.py
@@ -0,0 +1,357 @@
+"""A seeded world of core machines that agree: links, disks, kills, power, cuts, pauses; and what must hold.
+
+Time is virtual. What a machine's disk has synced is all that a loss of power leaves. A link keeps the order
+of its messages; a cut holds them up and, where it lasts, the link breaks and they are lost. The checker knows
+nothing of the agreement: it is fed by acknowledgements and by what machines say is the newest.
+"""
+
+from __future__ import annotations
+
+import heapq
+import json
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from pepperrun.queen.queen import Queen
+from pepperrun.queen.values import FIRST_LIFE, Body, Memory, Op, beginning, digest_of
+from pepperrun.queen.voter import MS
+
+BREAKS = 2000 * MS  # unacknowledged for so long: a link is over
+AGAIN = 100 * MS  # until a link that can be is up
+Pair = tuple[str, str]
+
+
+def judge(body: Body, op: Op) -> tuple[Body | None, Any]:
+    """Changes as operators make them: each names the edition that it builds on, and is taken once."""
+    taken = body.get("taken", [])
+    if op["mark"] in taken:
+        return None, 200
+    if op["on"] != body.get("edition", 0):
+        return None, 412
+    return {"edition": op["edition"], "taken": [*taken, op["mark"]], "fill": op.get("fill", "")}, 200
+
+
+class Disk:
+    """Keeps what was synced. `late`: a bug put in on purpose, it says so before it is."""
+
+    def __init__(self, late: bool = False) -> None:
+        self.synced: Memory | None = None
+        self.unsynced: Memory | None = None
+        self.late = late
+        self.saves = 0
+
+    def save(self, memory: Memory) -> None:
+        self.saves += 1
+        if self.late:
+            self.synced = self.unsynced or self.synced
+            self.unsynced = replace(memory)
+        else:
+            self.synced = replace(memory)
+
+
+@dataclass
+class Machine:
+    """One of the core. `queen` None: it is down."""
+
+    ip: str
+    zone: str
+    disk: Disk
+    queen: Queen | None = None
+    frozen: bool = False
+    waiting: list[tuple[str, Any]] = field(default_factory=list)
+    started: int = 0
+    lives: int = 0
+    tick_at: int = -1
+
+
+@dataclass
+class Try:
+    """An operator's change, sent to one machine after the other until it has a clear answer."""
+
+    op: Op
+    to: list[str]
+    answer: Any = None
+    answered_at: int = 0
+    token: tuple[str, int, int] | None = None  # machine, its start, token
+
+
+class World:
+    """Machines `10.0.Z.N`, one zone each `zZ`; two zones a region. The first three are the first contacts."""
+
+    def __init__(self, count: int, seed: int, most: int = 5, late_disks: bool = False) -> None:
+        self.rng, self.seed, self.most, self.late_disks = random.Random(seed), seed, most, late_disks
+        self.now = 0
+        self.events: list[tuple[int, int, tuple[Any, ...]]] = []
+        self.turn = 0
+        self.machines: dict[str, Machine] = {}
+        self.regions = {f"z{at}": f"r{at % 3}" for at in range(12)}
+        self.links: dict[Pair, int] = {}  # up, and since when nothing goes through (0: it does)
+        self.fifo: dict[Pair, int] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self.tries: list[Try] = []
+        self.bodies: dict[int, str] = {}
+        self.bytes = 0
+        self.wrong = ""
+        for _ in range(count):
+            self.add()
+        self.contacts = sorted(self.machines)[:3]
+        for ip in list(self.machines):
+            self.start(ip, first=True)
+
+    def add(self) -> str:
+        """One more machine, with an empty disk, not started."""
+        at = len(self.machines)
+        ip = f"10.0.{at}.1"
+        self.machines[ip] = Machine(ip, f"z{at % 12}", Disk(self.late_disks))
+        return ip
+
+    # Faults.
+
+    def start(self, ip: str, first: bool = False) -> None:
+        """A process starts on what its disk keeps."""
+        machine = self.machines[ip]
+        memory = replace(machine.disk.synced) if machine.disk.synced else None
+        if memory is None:
+            machine.lives += 1
+            begins = first and ip in self.contacts
+            memory = Memory(FIRST_LIFE if begins else f"{ip}#{machine.lives}", 0)
+            if begins:
+                memory.accepted = memory.chosen = beginning(self.contacts)
+        memory.starts += 1
+        machine.disk.save(memory)
+        machine.started += 1
+        machine.frozen, machine.waiting = False, []
+        seed = self.rng.randrange(1 << 30)
+        how: dict[str, Any] = {"zone": machine.zone, "regions": self.regions, "most": self.most}
+        machine.queen = Queen(ip, memory, machine.disk, judge, seed=seed, now=self.now, **how)
+        self._pump(machine)
+        self._later(AGAIN, ("connect", ip))
+
+    def kill(self, ip: str, power: bool = False) -> None:
+        """The process ends. `power`: with what was not synced, and nobody is told."""
+        machine = self.machines[ip]
+        machine.queen = None
+        if power:
+            machine.disk.unsynced = None
+        elif machine.disk.late and machine.disk.unsynced:
+            machine.disk.synced, machine.disk.unsynced = machine.disk.unsynced, None
+        for pair in [pair for pair in self.links if ip in pair]:
+            if power:
+                self.links[pair] = self.links[pair] or self.now
+            else:
+                self._break(pair)
+
+    def wipe(self, ip: str) -> None:
+        """Its disk is lost, with the power."""
+        self.kill(ip, power=True)
+        self.machines[ip].disk = Disk(self.late_disks)
+
+    def freeze(self, ip: str) -> None:
+        """The process stands still; its links hold."""
+        self.machines[ip].frozen = True
+
+    def thaw(self, ip: str) -> None:
+        """It goes on, with all that has come meanwhile."""
+        machine = self.machines[ip]
+        machine.frozen = False
+        waiting, machine.waiting = machine.waiting, []
+        for sender, message in waiting:
+            self._hand(machine, sender, message)
+        self._tick(machine)
+
+    def cut(self, side: Iterable[str], other: Iterable[str] | None = None) -> None:
+        """Nothing goes between these and the others (all others) any more."""
+        side = set(side)
+        for one in side:
+            for two in set(self.machines) - side if other is None else other:
+                self.cuts.add(frozenset((one, two)))
+                pair = self._pair(one, two)
+                if pair in self.links:
+                    self.links[pair] = self.links[pair] or self.now
+
+    def heal(self) -> None:
+        """All cuts end."""
+        self.cuts.clear()
+        for pair, since in list(self.links.items()):
+            if since and all(self.machines[ip].queen for ip in pair):
+                if self.now - since >= BREAKS:
+                    self._break(pair)
+                else:
+                    self.links[pair] = 0
+        for ip in self.machines:
+            self._later(AGAIN, ("connect", ip))
+
+    # Operators.
+
+    def change(self, on: int, edition: int, to: list[str], mark: str = "", fill: str = "") -> Try:
+        """An operator sends a change, to the first of `to`, then to the next."""
+        mark = mark or f"m{len(self.tries)}"
+        one = Try({"mark": mark, "on": on, "edition": edition, "fill": fill}, list(to))
+        self.tries.append(one)
+        self._send(one)
+        return one
+
+    def _send(self, one: Try) -> None:
+        ip = one.to[0]
+        one.to = [*one.to[1:], ip]
+        machine = self.machines[ip]
+        if machine.queen is None or machine.frozen:
+            self._later(1000 * MS, ("send", one))
+            return
+        token = machine.queen.propose(one.op, self.now)
+        one.token = (ip, machine.started, token)
+        self._later(2000 * MS, ("send", one, one.token))
+        self._pump(machine)
+
+    # Time.
+
+    def run(self, for_ms: float) -> None:
+        """Goes on; stops at what is wrong."""
+        end = self.now + int(for_ms * MS)
+        while self.events and self.events[0][0] <= end and not self.wrong:
+            self.now, _, event = heapq.heappop(self.events)
+            self._happens(event)
+        self.now = max(self.now, end)
+
+    def _later(self, ns: int, event: tuple[Any, ...]) -> None:
+        self.turn += 1
+        heapq.heappush(self.events, (self.now + ns, self.turn, event))
+
+    def _happens(self, event: tuple[Any, ...]) -> None:
+        kind = event[0]
+        if kind == "message":
+            self._arrives(*event[1:])
+        elif kind == "tick":
+            machine = self.machines[event[1]]
+            if machine.tick_at == self.now:
+                self._tick(machine)
+        elif kind == "connect":
+            self._connect(event[1])
+        elif kind == "broken":
+            pair, since = event[1:]
+            if self.links.get(pair) == since:
+                self._break(pair)
+        elif kind == "send":
+            one = event[1]
+            if one.answer is None and (len(event) == 2 or one.token == event[2]):
+                self._send(one)
+
+    @staticmethod
+    def _pair(one: str, two: str) -> Pair:
+        return (one, two) if one < two else (two, one)
+
+    def _connect(self, ip: str) -> None:
+        for other in self.machines:
+            pair = self._pair(ip, other)
+            ends = [self.machines[end] for end in pair]
+            if ip == other or pair in self.links or frozenset(pair) in self.cuts:
+                continue
+            if any(end.queen is None or end.frozen for end in ends):
+                continue
+            self.links[pair] = 0
+            for end, peer in zip(ends, reversed(ends), strict=True):
+                assert end.queen is not None
+                end.queen.connected(peer.ip, peer.zone, self.now)
+                self._pump(end)
+
+    def _break(self, pair: Pair) -> None:
+        del self.links[pair]
+        for ip, other in (pair, pair[::-1]):
+            self.fifo.pop((ip, other), None)
+            machine = self.machines[ip]
+            if machine.queen is not None:
+                machine.queen.disconnected(other, self.now)
+                self._pump(machine)
+                self._later(AGAIN, ("connect", ip))
+
+    def _arrives(self, sender: str, receiver: str, message: Any, starts: tuple[int, int]) -> None:
+        pair = self._pair(sender, receiver)
+        since = self.links.get(pair)
+        one, two = self.machines[sender], self.machines[receiver]
+        if since is None or starts != (one.started, two.started) or two.queen is None:
+            return
+        if since:  # held up, and lost if that lasts
+            self._later(BREAKS + since - self.now, ("broken", pair, since))
+            self._later(50 * MS, ("message", sender, receiver, message, starts))
+        elif two.frozen:
+            two.waiting.append((sender, message))
+        else:
+            self._hand(two, sender, message)
+
+    def _hand(self, machine: Machine, sender: str, message: Any) -> None:
+        if machine.queen is not None:
+            machine.queen.receive(sender, message, self.now)
+            self._pump(machine)
+
+    def _tick(self, machine: Machine) -> None:
+        if machine.queen is not None and not machine.frozen:
+            machine.queen.tick(self.now)
+            self._pump(machine)
+
+    def _pump(self, machine: Machine) -> None:
+        """Takes out what there is; looks whether it may be."""
+        queen = machine.queen
+        assert queen is not None
+        for ip, message in queen.take_out():
+            text = json.dumps(message)
+            self.bytes += len(text) + 20
+            pair = self._pair(machine.ip, ip)
+            if pair not in self.links:
+                continue
+            at = self.now + int(self.rng.uniform(0.5, 25) * MS)
+            at = self.fifo[machine.ip, ip] = max(at, self.fifo.get((machine.ip, ip), 0))
+            starts = (machine.started, self.machines[ip].started)
+            self._later(at - self.now, ("message", machine.ip, ip, json.loads(text), starts))
+        for result in queen.take_results():
+            for one in self.tries:
+                if one.token == (machine.ip, machine.started, result.token) and one.answer is None:
+                    self._told(one, result.verdict)
+        queen.take_changes()
+        self._look(machine)
+        due = max(queen.due(), self.now + MS)
+        if machine.tick_at != due and not machine.frozen:
+            machine.tick_at = due
+            self._later(due - self.now, ("tick", machine.ip))
+
+    # What must hold.
+
+    def _told(self, one: Try, verdict: Any) -> None:
+        if verdict is None:
+            self._later(300 * MS, ("send", one))
+            one.token = None
+            return
+        one.answer, one.answered_at = verdict, self.now
+        rivals = [two for two in self.tries if two.answer == 200 and two.op["on"] == one.op["on"]]
+        if len({two.op["mark"] for two in rivals}) > 1:
+            self.wrong = f"two were acknowledged on top of {one.op['on']}: {[two.op for two in rivals]}"
+
+    def _look(self, machine: Machine) -> None:
+        queen = machine.queen
+        assert queen is not None
+        if queen.number >= 0:
+            digest = digest_of(queen.body)
+            if self.bodies.setdefault(queen.number, digest) != digest:
+                self.wrong = f"two bodies of number {queen.number}, the second at {machine.ip}"
+        if queen.fresh_at is not None:
+            taken = queen.body.get("taken", [])
+            for one in self.tries:
+                if one.answer == 200 and one.answered_at < queen.fresh_at and one.op["mark"] not in taken:
+                    self.wrong = f"{machine.ip} says that {queen.body} was the newest, without {one.op}"
+                if one.answer == 412 and one.op["mark"] in taken:
+                    self.wrong = f"{one.op} was refused and is in force"
+
+    def settled(self) -> str:
+        """Do all that run hold the same, fresh, with all that was acknowledged? What is wrong, or nothing."""
+        if self.wrong:
+            return self.wrong
+        queens = [one.queen for one in self.machines.values() if one.queen is not None]
+        if len({queen.number for queen in queens}) != 1:
+            return f"numbers differ: {[(queen.me, queen.number) for queen in queens]}"
+        for queen in queens:
+            if queen.fresh_at is None or self.now - queen.fresh_at > 1000 * MS:
+                return f"{queen.me} is not fresh: {queen.fresh_at} at {self.now}"
+        taken = queens[0].body.get("taken", [])
+        lost = [one.op for one in self.tries if one.answer == 200 and one.op["mark"] not in taken]
+        return f"lost: {lost}" if lost else ""
