--- /dev/null
+++ b/pepperrun/comb/changes.py
@@ -0,0 +1,98 @@
+"""Operations on the agreed state: what each makes of it, and the verdict. Pure, the same on every machine.
+
+| operation | fields besides `on`, `edition`, `digest` | taken where |
+| --- | --- | --- |
+| `replace` | `routes`, `carrier_lines`, `senders`, `limits` | `on` is the current edition |
+| `amend` | `upsert`, `withdraw`, `limits` (if given) | likewise, and the result is valid |
+| `evacuate` | `zone`, `begin` (and none of these) | always |
+
+A state is never changed in place, and a new one shares what did not change with the old one. Operations come
+from `checks.read_replace` and `checks.read_amend`, which have checked each item for itself.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from pepperrun.comb.checks import KINDS, Op, check_lines, check_stamps, refusal, table
+from pepperrun.foundation.errors import HiveError
+
+State = dict[str, Any]
+Verdict = list[Any]  # HTTP status, a sentence
+
+EMPTY: State = {
+    "edition": 0,
+    **{"routes": {}, "carrier_lines": {}, "limits": {}, "senders": {}},
+    **{"evacuated": [], "taken": []},
+}
+KEPT = 64  # changes that are still known by their digests, so that a repeated call gets its 200
+
+
+def evacuation(zone: str, begin: bool) -> Op:
+    """The operation that empties a zone, or takes it back."""
+    return {"do": "evacuate", "zone": zone, "begin": begin}
+
+
+def apply(state: State | None, op: Op) -> tuple[State | None, Verdict]:
+    """The state after an operation, None where it stays as it is, and the verdict."""
+    state = state or EMPTY
+    if op["do"] == "evacuate":
+        return _evacuate(state, op)
+    if [op["edition"], op["digest"]] in state["taken"]:
+        return None, [200, f"Edition {op['edition']} has been taken already."]
+    if op["on"] != state["edition"]:
+        return None, [412, f"Edition {state['edition']} is current, not {op['on']}."]
+    try:
+        if op["edition"] <= state["edition"]:
+            raise refusal(
+                "old-edition", f"Edition {op['edition']} is not above the current {state['edition']}."
+            )
+        new = _replace(op) if op["do"] == "replace" else _amend(state, op)
+    except HiveError as error:
+        return None, [400, error.detail, error.code]
+    new["edition"], new["evacuated"] = op["edition"], state["evacuated"]
+    new["taken"] = [*state["taken"], [op["edition"], op["digest"]]][-KEPT:]
+    return new, [200, f"Edition {op['edition']} is taken."]
+
+
+def _evacuate(state: State, op: Op) -> tuple[State | None, Verdict]:
+    zone, held = op["zone"], state["evacuated"]
+    if (zone in held) == op["begin"]:
+        return None, [200, f"Zone {zone} is {'evacuated' if op['begin'] else 'in use'} already."]
+    zones = sorted([*held, zone]) if op["begin"] else [one for one in held if one != zone]
+    return state | {"evacuated": zones}, [
+        200,
+        f"Zone {zone} is {'evacuated' if op['begin'] else 'in use again'}.",
+    ]
+
+
+def _replace(op: Op) -> State:
+    return {key: op[key] for key in (*KINDS, "limits", "more") if key in op}
+
+
+def _amend(state: State, op: Op) -> State:
+    """Looks at what is changed, and at the rest only as far as the change may touch it."""
+    new = dict(state)
+    upsert, withdraw = op["upsert"], op["withdraw"]
+    for kind in KINDS:
+        if upsert.get(kind) or withdraw.get(kind):
+            rows = dict(state[kind])
+            for name in withdraw.get(kind, ()):
+                rows.pop(name, None)
+            new[kind] = rows | upsert.get(kind, {})
+    if "limits" in op:
+        new["limits"] = state["limits"] | op["limits"]
+    routes = upsert.get("routes", {})
+    if withdraw.get("carrier_lines"):
+        routes = new["routes"]  # any of them may have named what is gone
+    check_lines(routes.values(), new["carrier_lines"])
+    if upsert.get("senders"):
+        check_stamps(new["senders"])
+    return new
+
+
+def written(state: State | None) -> dict[str, Any]:
+    """The configuration as operators put it."""
+    state = state or EMPTY
+    tables = {kind: table(state[kind]) for kind in KINDS}
+    return {"edition": state["edition"], **tables, "limits": state["limits"], **state.get("more", {})}
--- /dev/null
+++ b/pepperrun/comb/hub.py
@@ -0,0 +1,350 @@
+"""One running core machine: its links, its part in the agreement, its cells, what it publishes, one timer.
+
+Thin I/O: each event goes to the part that it concerns, then `after` takes out and does what follows from it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Mapping
+from typing import Any
+
+from pepperrun.comb.cells import Cells
+from pepperrun.comb.changes import Verdict, apply
+from pepperrun.comb.checks import Op
+from pepperrun.comb.mesh import CORE, Mesh
+from pepperrun.comb.records import Guard, Worker
+from pepperrun.foundation.link import Link
+from pepperrun.foundation.logs import event
+from pepperrun.foundation.netstring import Message, encode
+from pepperrun.foundation.settings import Settings
+from pepperrun.queen.queen import Change, Queen
+from pepperrun.queen.values import Memory, Store
+from pepperrun.waggle.digests import Sums
+from pepperrun.waggle.publisher import Publisher
+
+MS = 1_000_000
+
+
+class Hub:
+    """`Core` for the control calls, `Source` for the publisher, `User` of all links."""
+
+    def __init__(self, settings: Settings, memory: Memory, store: Store, life: int) -> None:
+        self.settings, self.life = settings, life
+        me, now = settings.me, time.monotonic_ns()
+        self.loop = asyncio.get_running_loop()
+        self.cells = Cells(me.ip, settings.carrier.beat_ms, now)
+        self.queen = Queen(
+            *(me.ip, memory, store, apply),
+            zone=me.zone,
+            regions=settings.network.zones,
+            most=2 * _losses(settings) + 1,
+            seed=life,
+            now=now,
+        )
+        self.publisher = Publisher(self, self.alarm)
+        self.mesh = Mesh(me.ip, settings.network.sidings[0], self, self, self.hello)
+        self.retiring = False
+        self.orders: dict[int, asyncio.Future[Verdict | None]] = {}
+        self.waits: dict[int, asyncio.Future[None]] = {}
+        self.readers: list[tuple[int, asyncio.Future[None]]] = []
+        self.evacuated: set[str] = set(self.queen.body.get("evacuated", ()))
+        self.contacts = {ip for ip, _ in settings.contacts()}
+        self.alone: int | None = now
+        self.publish_at = 0
+        self.timer: asyncio.TimerHandle | None = None
+        self.timer_at = 0
+        self.inside = False
+
+    def start(self) -> None:
+        """Looks for the others."""
+        self.mesh.want(self.contacts | self.queen.voters, self.now())
+        self.after()
+
+    def resettle(self, settings: Settings) -> None:
+        """The settings file has changed."""
+        self.settings = settings
+        self.contacts = {ip for ip, _ in settings.contacts()}
+        self.mesh.want(self.contacts | self.queen.voters, self.now())
+
+    def hello(self) -> Message:
+        """How this machine begins a link."""
+        me = self.settings.me
+        cores = [[me.ip, me.zone], *self.mesh.cores()]
+        return {
+            **{"station": me.station, "ip": me.ip, "zone": me.zone, "class": CORE},
+            **{"life": self.life, "cores": cores},
+        }
+
+    # Links.
+
+    def opened(self, link: Link, hello: Message) -> None:
+        now = self.now()
+        if hello["class"] == CORE:
+            self.mesh.opened(link, hello, now)
+        else:
+            self.publisher.joined(link, hello, now)
+        self.after()
+
+    def heard(self, link: Link, message: Message) -> None:
+        now, ip = self.now(), self.mesh.ip_of(link)
+        if ip is None:
+            self.publisher.heard(link, message, now)
+        elif message["k"] == "queen":
+            self.queen.receive(ip, message["m"], now)
+        elif message["k"] == "peers":
+            self.mesh.learn([one[0] for one in message["cores"]], now)
+        elif message["k"] == "bye":
+            self.cells.peers.pop(ip, None)  # no beats are sent there any more
+        else:
+            self.cells.receive(ip, message, now)
+        self.after()
+
+    def closed(self, link: Link) -> None:
+        now = self.now()
+        if self.mesh.ip_of(link) is not None:
+            self.mesh.closed(link, now)
+        else:
+            self.publisher.left(link, now)
+        self.after()
+
+    def peer_up(self, ip: str, zone: str) -> None:
+        """Another core machine is linked: the others learn of it."""
+        now = self.now()
+        event("peer-up", ip=ip, zone=zone)
+        self.queen.connected(ip, zone, now)
+        self.cells.connected(ip, zone, now)
+        frame = encode({"k": "peers", "cores": [[ip, zone]]})
+        for other, _ in self.mesh.cores():
+            if other != ip:
+                self.mesh.write(other, frame)
+
+    def peer_down(self, ip: str) -> None:
+        """No link to it is left."""
+        now = self.now()
+        event("peer-down", ip=ip)
+        self.queen.disconnected(ip, now)
+        self.cells.disconnected(ip, now)
+
+    # Source of the publisher.
+
+    @property
+    def number(self) -> int:
+        return max(0, self.queen.number)
+
+    @property
+    def state(self) -> dict[str, Any] | None:
+        return self.queen.body or None
+
+    @property
+    def workers(self) -> Mapping[str, Worker]:
+        return self.cells.workers
+
+    @property
+    def guards(self) -> Mapping[str, Guard]:
+        return self.cells.guards
+
+    @property
+    def sums(self) -> Sums:
+        return self.cells.sums
+
+    @property
+    def cores(self) -> list[list[str]]:
+        return [[self.settings.me.ip, self.settings.me.zone], *self.mesh.cores()]
+
+    def age_ms(self, now: int) -> float | None:
+        at = self.queen.fresh_at
+        return None if at is None else max(0.0, (now - at) / MS)
+
+    def beat(self, guard: Guard, now: int) -> None:
+        self.cells.guard(guard, now)
+
+    def merge(self, workers: list[Worker], guards: list[Guard], now: int) -> None:
+        self.cells.merge(workers, guards, now)
+
+    # What calls need.
+
+    def now(self) -> int:
+        """Steady ns."""
+        return time.monotonic_ns()
+
+    def minority(self) -> bool:
+        """Is it not linked with a majority of those that decide?"""
+        return self.queen.minority
+
+    def voters(self) -> int:
+        """How many decide."""
+        return len(self.queen.voters)
+
+    def held(self, token: int) -> asyncio.Future[None]:
+        """Done once enough core machines hold what the cells gave this token for."""
+        future: asyncio.Future[None] = self.loop.create_future()
+        if token in self.cells.waits:
+            self.waits[token] = future
+            future.add_done_callback(lambda _: self.waits.pop(token, None))
+        else:
+            future.set_result(None)
+        return future
+
+    def order(self, op: Op, patience: int) -> asyncio.Future[Verdict | None]:
+        """An operator's change; None where nothing is certain."""
+        token = self.queen.propose(op, self.now(), patience)
+        future: asyncio.Future[Verdict | None] = self.loop.create_future()
+        self.orders[token] = future
+        self.after()
+        return future
+
+    def fresh(self) -> asyncio.Future[None]:
+        """Done once the held configuration is known to be at least as new as this call."""
+        future: asyncio.Future[None] = self.loop.create_future()
+        self.readers.append((self.now(), future))
+        self.after()
+        return future
+
+    def body(self) -> dict[str, Any] | None:
+        """The agreed state, None while none is known."""
+        return self.queen.body or None
+
+    def alone_since(self) -> int | None:
+        """Since when there has been no majority; None where there is one."""
+        return self.alone
+
+    def other(self) -> str | None:
+        """The control address of a linked core machine."""
+        ip = next(iter(self.cells.peers), None)
+        return self.control_of(ip) if ip is not None else None
+
+    def control_of(self, ip: str) -> str:
+        """The control address of a core machine: all machines use the same ports."""
+        box = self.settings.postbox("control_port")
+        return f"{ip}:{box[1]}" if box is not None else ip
+
+    # What follows.
+
+    def alarm(self, due: int) -> None:
+        """The publisher wants a turn then."""
+        self.publish_at = min(self.publish_at, due) if self.publish_at else due
+        if not self.inside:
+            self.set_timer()
+
+    def after(self) -> None:
+        """Takes out and does what follows from what has happened."""
+        if self.inside:
+            return
+        self.inside = True
+        try:
+            now = self.now()
+            self.watch(now)
+            self.send(self.queen.take_out(), "queen")
+            for change in self.queen.take_changes():
+                self.changed(change, now)
+            for result in self.queen.take_results():
+                future = self.orders.pop(result.token, None)
+                if future is not None and not future.done():
+                    future.set_result(result.verdict)
+            records = self.cells.take_changed()
+            if records:
+                self.publisher.changed(records, now)
+            self.send(self.cells.take_out(now), "")
+            for token in self.cells.take_held():
+                wait = self.waits.pop(token, None)
+                if wait is not None and not wait.done():
+                    wait.set_result(None)
+            if self.readers:
+                self.release(self.queen.fresh_at)
+        finally:
+            self.inside = False
+        self.set_timer()
+
+    def watch(self, now: int) -> None:
+        """Notes whether there is a majority."""
+        alone = self.queen.minority
+        if alone != (self.alone is not None):
+            self.alone = now if alone else None
+            event("majority", linked=int(not alone))
+        self.cells.majority(not alone, now)
+
+    def release(self, fresh_at: int | None) -> None:
+        """Readers whose call came before what is held was known to be the newest."""
+        if fresh_at is not None:
+            for at, future in self.readers:
+                if at <= fresh_at and not future.done():
+                    future.set_result(None)
+        self.readers = [one for one in self.readers if not one[1].done()]
+
+    def send(self, messages: list[tuple[str, Message]], kind: str) -> None:
+        """One message to several is encoded once."""
+        last, frame = None, b""
+        for ip, message in messages:
+            if message is not last:
+                last, frame = message, encode({"k": kind, "m": message} if kind else message)
+            self.mesh.write(ip, frame)
+
+    def changed(self, change: Change, now: int) -> None:
+        """The agreed state went on."""
+        held = set(self.queen.body.get("evacuated", ()))
+        for zone in self.evacuated - held:
+            self.cells.doubt(zone, now)
+        self.evacuated = held
+        known = (
+            (change.base, change.op) if change.op is not None and change.number == change.base + 1 else None
+        )
+        event("agreed", number=change.number, edition=self.queen.body.get("edition", 0))
+        self.publisher.agreed(known, now)
+        wanted = self.contacts | self.queen.voters
+        if wanted - {self.settings.me.ip} != self.mesh.wanted:
+            self.mesh.want(wanted, now)
+
+    def set_timer(self) -> None:
+        """One timer, for what is due first."""
+        due = min(self.queen.due(), self.cells.due())
+        if self.publish_at:
+            due = min(due, self.publish_at)
+        if self.timer is not None:
+            if self.timer_at <= due:
+                return  # it will be set again then
+            self.timer.cancel()
+        self.timer_at = due
+        self.timer = self.loop.call_at(due / 1e9, self.tick)
+
+    def tick(self) -> None:
+        """Something is due."""
+        self.timer = None
+        now = self.now()
+        if now >= self.queen.due():
+            self.queen.tick(now)
+        if now >= self.cells.due():
+            self.cells.tick(now)
+            self.mesh.turn(now)
+        if self.publish_at and now >= self.publish_at:
+            self.publish_at = 0
+            self.publisher.turn(now)
+        self.after()
+
+    # The end.
+
+    def retire(self) -> None:
+        """This process is to stop: its duty goes to another, the others are told."""
+        self.retiring = True
+        self.queen.retire(self.now())
+        for ip, _ in self.mesh.cores():
+            self.mesh.send(ip, {"k": "bye"})
+        self.after()
+
+    def close(self) -> None:
+        """Ends all links."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.inside = True
+        self.mesh.close()
+
+
+def _losses(settings: Settings) -> int:
+    """Core machines that may be lost at once: a region may hold several zones, each with some."""
+    bear, zones = settings.tariffs.withstand, settings.network.zones
+    sizes: dict[str, int] = {}
+    for region in zones.values():
+        sizes[region] = sizes.get(region, 0) + 1
+    largest = sorted(sizes.values(), reverse=True)[: bear.regions]
+    return max(1, bear.vehicles, bear.zones, sum(largest))
--- /dev/null
+++ b/pepperrun/skep.py
@@ -0,0 +1,125 @@
+"""Skep (core machine): the program that answers workers, operators and clients that ask where to go."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import os
+import secrets
+import signal
+import sys
+
+from pepperrun.comb.control import Control
+from pepperrun.comb.hub import Hub
+from pepperrun.comb.server import Server
+from pepperrun.foundation import link, logs
+from pepperrun.foundation.errors import HiveError
+from pepperrun.foundation.settings import Settings, load
+from pepperrun.queen.values import Memory, RamStore, Store
+from pepperrun.wax.store import Wax
+
+LOOK_S = 2.0  # between two looks whether the settings file has changed
+ANSWERED_S = 1.5  # for what was read, once told to stop
+SENT_S = 0.1  # for the last messages to go out
+
+
+class Skep:
+    """The running program."""
+
+    def __init__(self, settings: Settings, path: str | None) -> None:
+        self.settings, self.path = settings, path
+        self.stop = asyncio.Event()
+        self.looked = self.stamp()
+        memory, store = remembered(settings)
+        logs.event("starting", station=settings.me.station, ip=settings.me.ip, starts=memory.starts)
+        self.hub = Hub(settings, memory, store, memory.starts)
+        control = Control(self.hub)
+        self.servers = {"control_port": Server(control.tree()), "directory_port": Server(control.directory())}
+
+    def stamp(self) -> int:
+        """When the settings file was last changed."""
+        try:
+            where: str = self.path or os.environ.get("PEPPERRUN_NODE_FILE") or ""
+            return os.stat(where).st_mtime_ns
+        except OSError:
+            return 0
+
+    async def run(self) -> None:
+        """Until told to stop."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reread)
+        listener = await link.listen(self.settings.siding, self.hub, self.hub.hello)
+        for name, server in self.servers.items():
+            where = self.settings.postbox(name)
+            if where is not None:
+                await server.open(where)
+        self.hub.start()
+        while not self.stop.is_set():
+            try:
+                async with asyncio.timeout(LOOK_S):
+                    await self.stop.wait()
+            except TimeoutError:
+                if self.stamp() != self.looked:
+                    self.reread()
+        logs.event("stopping", station=self.settings.me.station)
+        self.hub.retire()
+        listener.close()
+        await asyncio.gather(*(server.close(ANSWERED_S) for server in self.servers.values()))
+        await asyncio.sleep(SENT_S)
+        self.hub.close()
+
+    def reread(self) -> None:
+        """The settings file may have changed; one that is no good changes nothing."""
+        self.looked = self.stamp()
+        try:
+            self.settings = load(self.path)
+        except HiveError as error:
+            logs.trouble(error)
+            return
+        self.hub.resettle(self.settings)
+
+
+def remembered(settings: Settings) -> tuple[Memory, Store]:
+    """What the disk remembers, and where to keep more; without a disk nothing outlives the process."""
+    me = settings.me
+    contacts = [ip for ip, _ in settings.contacts()] if me.first_run else []
+    if me.store_dir is None:
+        return Memory(secrets.token_hex(8)), RamStore()
+    wax = Wax(me.store_dir, me.limits.disk_mb)
+    return wax.begin(me.station, me.ip, contacts), wax
+
+
+def main(args: list[str] | None = None) -> int:
+    """The command line; 0, or 2 where settings or disk are no good."""
+    parser = argparse.ArgumentParser(prog="python3 -m pepperrun.skep", description=__doc__)
+    parser.add_argument(
+        "--settings", metavar="FILE", help="the settings file (else PEPPERRUN_NODE_FILE names it)"
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="read the settings, say whether they are good, and stop"
+    )
+    parser.add_argument("--verbose", action="store_true", help="log more")
+    options = parser.parse_args(args)
+    logs.setup(options.verbose)
+    try:
+        settings = load(options.settings)
+        for name in ("control_port", "directory_port"):
+            settings.postbox(name)
+        if options.check:
+            print("settings are good")
+            return 0
+        asyncio.run(_run(settings, options.settings))
+    except HiveError as error:
+        logs.trouble(error)
+        return 2
+    return 0
+
+
+async def _run(settings: Settings, path: str | None) -> None:
+    await Skep(settings, path).run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
