--- a/pepperrun/assembly.py
+++ b/pepperrun/assembly.py
@@ -27,12 +27,13 @@
 from pepperrun.handover.successor import Successor
 from pepperrun.log import say
 from pepperrun.net.backoff import Backoff
+from pepperrun.net.connection import Judge
 from pepperrun.net.directory import Directory
 from pepperrun.net.discovery import Discovery
 from pepperrun.net.listener import Listener
 from pepperrun.net.peers import Peers, open_peers
 from pepperrun.net.stream import Budget
-from pepperrun.net.server_side import Judge, ServerSide, platform_judge
+from pepperrun.net.server_side import ServerSide, platform_judge
 
 if TYPE_CHECKING:
     from pepperrun.members.config import MembersConfig
--- a/pepperrun/exchange.py
+++ b/pepperrun/exchange.py
@@ -45,7 +45,7 @@
     __slots__ = (
         *("asked", "attempts", "cls", "cost", "customer", "deadline", "end", "first", "id", "on_final"),
         *("finished", "open", "passing", "patience", "plan", "spent", "spread", "started", "trace", "units"),
-        *("line", "lot"),
+        *("fault", "line", "lot", "ran"),
     )
 
     def __init__(
@@ -63,7 +63,7 @@
         first: int = 0,
         patience: int = 0,
         line: int = 0,
-        lot: object = None,
+        lot: Any = None,
     ) -> None:
         self.asked, self.on_final = asked, on_final
         self.cls, self.plan, self.customer = cls, plan, customer
@@ -78,6 +78,8 @@
         # A body that is longer than is held goes out as it comes: once. Its time counts from its last byte.
         self.patience = patience  # how long the client waits after that; 0 for one that is held whole
         self.spent = False  # some of it has gone out
+        self.ran = False  # an attempt that has ended may have run
+        self.fault: Given | None = None  # a backend's own word of its failure, the last one
         self.passing = False  # the answer is on its way to the client; `Gatekeeper.passed` tells of its end
         self.finished = 0  # when the final answer was; 0 where nobody records that
         # For a recorder, of each attempt: backend, sent, outcome (None while it is out), ended (0 till then).
--- /dev/null
+++ b/pepperrun/forager/__init__.py
@@ -0,0 +1,1 @@
+"""Forager (data plane): the front for clients, where a request may go, and where not."""
--- /dev/null
+++ b/pepperrun/forager/crew.py
@@ -0,0 +1,145 @@
+"""The crew (the workers) as this gatekeeper uses them: numbers, addresses, zones, who is cold or left out."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from pepperrun.comb.records import BOARDING, GONE, UNLOADING, Worker
+from pepperrun.core.interface import Backend, BackendList, BackendState, ListKind
+from pepperrun.forager.ledger import Ledger, number_of
+from pepperrun.foundation.errors import HiveError
+from pepperrun.foundation.logs import trouble
+from pepperrun.foundation.settings import Address, address
+
+SECOND = 1_000_000_000
+REOPENED_NS = (
+    4 * SECOND
+)  # after an evacuation a zone's workers count as cold until their beats must have come
+ASTRAY_NS = 3 * SECOND  # another worker has the address: nothing is sent there, or until the roster says more
+FAR_ZONE, FAR_REGION = 1.02, 1.3  # how much slower a worker counts for its distance
+
+
+class Mate:
+    """One life of a worker. `number` stands for its id in the decisions."""
+
+    __slots__ = ("address", "astray", "line", "number", "region", "worker")
+
+    def __init__(self, worker: Worker, number: int, line: int, region: str | None, where: Address) -> None:
+        self.worker, self.number, self.line, self.region, self.address = worker, number, line, region, where
+        self.astray = 0  # until then its address is known to be another's
+
+
+class Crew:
+    """All workers that the roster names. Answers what `ServerSide` asks of a directory."""
+
+    def __init__(self, ledger: Ledger, zones: Mapping[str, str], zone: str, region: str) -> None:
+        self.ledger, self.zones, self.zone, self.region = ledger, zones, zone, region
+        self.mates: dict[int, Mate] = {}
+        self.names: dict[int, str] = {}
+        self.ids: dict[str, int] = {}
+        self.zone_numbers: dict[str, int] = {}
+        self.evacuated: frozenset[str] = frozenset()
+        self.reopened: dict[str, int] = {}  # zone: until when its workers may have turned cold unheard
+
+    def id_of(self, name: str) -> int:
+        """The number of a worker's id."""
+        if name not in self.ids:
+            number = number_of(name)
+            while number in self.names:
+                number = (number + 1) % 2**32
+            self.ids[name], self.names[number] = number, name
+        return self.ids[name]
+
+    def take(self, workers: Iterable[Worker]) -> BackendList:
+        """Takes in records that are new or have changed."""
+        changed = []
+        for worker in workers:
+            number = self.id_of(worker.id)
+            if worker.state == GONE:
+                self.mates.pop(number, None)
+                line = self.ledger.line(worker.line)
+                changed.append(
+                    Backend(number, self.zone_number(worker.zone), state=BackendState.GONE, line=line)
+                )
+                continue
+            try:
+                where = address(worker.address)
+            except HiveError as error:
+                trouble(error, worker=worker.id)
+                continue
+            line = self.ledger.line(worker.line)
+            mate = Mate(worker, number, line, self.zones.get(worker.zone), where)
+            self.mates[number] = mate
+            changed.append(self._row(mate))
+        for row in changed:
+            if row.state is BackendState.GONE and row.id not in self.mates:
+                self.ids.pop(self.names.pop(row.id, ""), None)
+        return BackendList(ListKind.DELTA, tuple(changed))
+
+    def evacuate(self, zones: frozenset[str], now: int) -> BackendList | None:
+        """Nothing is sent to these zones from now on; None where that changes nothing."""
+        if zones == self.evacuated:
+            return None
+        moved = zones ^ self.evacuated
+        for zone in self.evacuated - zones:
+            self.reopened[zone] = now + REOPENED_NS
+        self.evacuated = zones
+        rows = [self._row(mate) for mate in self.mates.values() if mate.worker.zone in moved]
+        return BackendList(ListKind.DELTA, tuple(rows)) if rows else None
+
+    def gone_astray(self, number: int, now: int) -> BackendList | None:
+        """Another worker answers at its address."""
+        mate = self.mates.get(number)
+        if mate is None:
+            return None
+        mate.astray = now + ASTRAY_NS
+        return BackendList(ListKind.DELTA, (self._row(mate),))
+
+    def found(self, now: int) -> BackendList | None:
+        """Those whose time astray is over are tried again."""
+        back = [mate for mate in self.mates.values() if mate.astray and now >= mate.astray]
+        for mate in back:
+            mate.astray = 0
+        return BackendList(ListKind.DELTA, tuple(self._row(mate) for mate in back)) if back else None
+
+    def rezone(self, zones: Mapping[str, str]) -> BackendList:
+        """Zones and their regions, as the settings have them now."""
+        self.zones = zones
+        for mate in self.mates.values():
+            mate.region = zones.get(mate.worker.zone)
+        return BackendList(ListKind.DELTA, tuple(self._row(mate) for mate in self.mates.values()))
+
+    def zone_number(self, name: str) -> int:
+        """The number of a zone."""
+        return self.zone_numbers.setdefault(name, len(self.zone_numbers))
+
+    def _row(self, mate: Mate) -> Backend:
+        state = BackendState.GONE
+        if mate.worker.state == BOARDING:
+            closed = mate.worker.zone in self.evacuated or mate.astray
+            state = BackendState.DRAINING if closed else BackendState.READY
+        elif mate.worker.state == UNLOADING:
+            state = BackendState.DRAINING
+        near = 1.0 if mate.worker.zone == self.zone else FAR_ZONE
+        far = near if mate.region == self.region else FAR_REGION
+        return Backend(mate.number, self.zone_number(mate.worker.zone), state=state, line=mate.line, far=far)
+
+    # For `ServerSide`.
+
+    def address(self, backend: int) -> Address | None:
+        """Where a worker listens; None for one to which nothing may be sent now."""
+        mate = self.mates.get(backend)
+        if mate is None or mate.worker.state != BOARDING or mate.astray or mate.worker.zone in self.evacuated:
+            return None
+        return mate.address
+
+    def listed(self, backend: int) -> bool:
+        """Is it in the roster?"""
+        return backend in self.mates
+
+    # For the gate.
+
+    def cold(self, mate: Mate, now: int) -> bool:
+        """Is it cold, or may it be?"""
+        worker = mate.worker
+        return worker.unsure or worker.cold_until > now or self.reopened.get(worker.zone, 0) > now
--- /dev/null
+++ b/pepperrun/forager/front.py
@@ -0,0 +1,218 @@
+"""The front for clients: route, key and time of each request, and how each final answer reads."""
+
+from __future__ import annotations
+
+import random
+import re
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from pepperrun.exchange import End, Exchange, Final
+from pepperrun.forager.gate import AGAIN_NS, Gate
+from pepperrun.forager.ledger import MS, number_of
+from pepperrun.forager.routes import Lot, Table, Way, host_of
+from pepperrun.fronts.http_client import NOT_PASSED_ON, TEXT, Answer, Fields, HttpClient
+from pepperrun.fronts.kept import Step
+from pepperrun.fronts.platform import retry_after
+from pepperrun.gatekeeper import Gatekeeper
+from pepperrun.net.http1 import MAX_HEAD, Request, Response
+from pepperrun.net.listener import Listener, Times
+from pepperrun.net.stream import Budget
+
+if TYPE_CHECKING:
+    from pepperrun.forager.ledger import Ledger
+
+SECOND = 1_000_000_000
+UPLOAD_NS = 600 * SECOND  # a body that stands still ends within seconds; one that comes has this long
+MOST_HEAD = 64 * 1024  # bytes, whatever the limits say: a connection's buffer holds no more
+BACK_NS = (100 * MS, 300 * MS)  # when to come back, where the decisions give no advice
+KEPT_OVER_NS = SECOND  # a connection is kept for so much longer than its client is told
+_ID = re.compile(rb"[\x21-\x2b\x2d-\x7e]{1,256}\Z")
+_TOKEN = re.compile(rb"(?i:token)[ \t]+([\x21-\x7e]{1,512})[ \t]*\Z")
+_MS = re.compile(rb"[0-9]{1,12}(?:\.[0-9]{1,6})?\Z")
+# Ours to say to a worker, whatever the client sent.
+OURS = frozenset((b"deadline-ms", b"expect-worker", b"sender"))
+NOT_TO_WORKER = frozenset(NOT_PASSED_ON - {b"x-budget", b"x-plan", b"x-quota", b"x-again"}) | OURS
+NOT_TO_CLIENT = frozenset(
+    b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade content-length".split()
+)
+
+
+def fields_less(fields: Fields, names: dict[bytes, bytes], dropped: frozenset[bytes]) -> Fields:
+    """The fields that go on to the next hop."""
+    if b"connection" in names:
+        dropped = dropped | {name.strip() for name in names[b"connection"].lower().split(b",")}
+    return [pair for pair in fields if pair[0].lower() not in dropped]
+
+
+class FrontListener(Listener):
+    """Clients' connections, within the limits of the configuration."""
+
+    limits_of: Callable[[], Times] | None = None
+
+    @property
+    def times(self) -> Times:
+        return self.limits_of() if self.limits_of is not None else super().times
+
+
+class Front:
+    """What all connections of this front share."""
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        gate: Gate,
+        gatekeeper: Gatekeeper,
+        clock: Callable[[], int],
+        budget: Budget,
+        seed: int,
+        sure_ns: int,
+    ) -> None:
+        self.ledger, self.gate, self.gatekeeper, self.clock, self.budget = (
+            ledger,
+            gate,
+            gatekeeper,
+            clock,
+            budget,
+        )
+        self.rng = random.Random(seed)
+        self.sure_ns = sure_ns  # what is held may be so old for a word on what there is not
+        self.table: Table | None = None
+        self._times, self._keep = Times(), b""
+
+    def take(self, table: Table) -> None:
+        """A newer configuration."""
+        self.table, limits = table, table.limits
+        dwell_ns, whole_ns = int(limits.dwell_ms * MS), int(limits.envelope_ms * MS)
+        told_s = dwell_ns // SECOND
+        self._keep = b"timeout=%d" % told_s if told_s else b""
+        self._times = Times(
+            silent_ns=dwell_ns + KEPT_OVER_NS,
+            whole_ns=whole_ns + KEPT_OVER_NS,
+            idle_ns=dwell_ns + KEPT_OVER_NS,
+            crowded_ns=min(dwell_ns, SECOND),
+            whole_from_made=False,
+        )
+
+    def times(self) -> Times:
+        """How long connections last."""
+        return self._times
+
+    def make(self, listener: Listener) -> FrontClient:
+        """A new connection."""
+        return FrontClient(self, listener)
+
+    def _unsure(self, answer: Answer, now: int) -> Answer:
+        """No word on what there is not, while a newer configuration may be in force."""
+        return answer if self.gate.fresh(now, self.sure_ns) else self.back_later()
+
+    def back_later(self, wait_ns: int = 0) -> Answer:
+        """It has not run and never will: when to come back."""
+        wait_ns = wait_ns or int(self.rng.uniform(*BACK_NS))
+        return 503, [TEXT, *retry_after(wait_ns)], b"not now\n"
+
+    def read(self, request: Request) -> tuple[Lot, dict[str, Any]] | Answer:
+        """Where a request is to go and what its exchange is made of, or the answer at once."""
+        names, table = request.names, self.table
+        if _ID.match(names.get(b"attempt-id", b"")) is None:
+            return 400, [TEXT], b"Attempt-Id: one is needed\n"
+        if table is None:
+            return self.back_later(AGAIN_NS)
+        host, path = host_of(names.get(b"host", b"")), request.target.partition(b"?")[0]
+        way = table.find(host, path)
+        if way is None:
+            return self._unsure((404, [TEXT], b"no such route\n"), request.arrived)
+        left_ns = way.deadline_ns
+        if b"deadline-ms" in names:
+            if _MS.match(names[b"deadline-ms"]) is None:
+                return 400, [TEXT], b"Deadline-Ms: a number is needed\n"
+            left_ns = min(left_ns, int(float(names[b"deadline-ms"]) * MS))
+        return self._keyed(request, table, way, host, path, left_ns)
+
+    def _keyed(
+        self, request: Request, table: Table, way: Way, host: bytes, path: bytes, left_ns: int
+    ) -> tuple[Lot, dict[str, Any]] | Answer:
+        told = request.names.get(b"authorization")
+        match = _TOKEN.match(told) if told is not None else None
+        key, tenant = match[1] if match is not None else None, None
+        plan, customer, dropped = 0, number_of(host.decode("latin-1")), NOT_TO_WORKER
+        if table.keyed(way):
+            tenant = table.keys.get(key) if key is not None else None
+            if tenant is None:
+                challenge = b"WWW-Authenticate", b"Token"
+                return self._unsure((401, [challenge, TEXT], b"no such key\n"), request.arrived)
+            plan, customer = tenant.plan, tenant.customer
+        if match is not None and table.tenants:
+            dropped = dropped | {b"authorization"}  # it may be a key, and no worker is to see one
+        at = way.draw(self.rng)
+        lot = Lot(table, way, host, path, key if tenant is not None else None, tenant, way.lines[at])
+        request.fields = fields_less(request.fields, request.names, dropped)
+        # One whose body is still coming has the time that it takes, and its client's from its last byte on.
+        more_ns = 0 if request.whole else UPLOAD_NS
+        parts = {
+            "cls": way.classes[at],
+            "plan": plan,
+            "customer": customer,
+            "started": request.arrived,
+            "deadline": request.arrived + left_ns + more_ns,
+            "patience": max(1, left_ns) if more_ns else 0,
+            "spread": self.ledger.gateways,
+            "first": 0,
+            "line": lot.line,
+            "lot": lot,
+        }
+        return lot, parts
+
+    def answer(self, exchange: Exchange[Request, Response], final: Final[Response]) -> Answer:
+        """How a final answer reads. 429 and 503 promise that the request has not run and never will."""
+        lot: Lot = exchange.lot
+        risky = exchange.ran or bool(exchange.open)
+        if final.end is End.SERVED and final.given is not None:
+            return self.given(final.given)
+        if exchange.fault is not None:
+            return self.given(exchange.fault)
+        if final.end is End.REFUSED and (lot.safe or not risky):
+            if final.beyond:
+                return 429, [TEXT, *retry_after(final.wait_ns)], b"beyond the quota\n"
+            return self.back_later(final.wait_ns)
+        if not risky:
+            return self.back_later(final.wait_ns)
+        if final.end is End.OUT_OF_TIME:
+            return 504, [TEXT], b"out of time\n"
+        return 502, [TEXT], b"failed\n"
+
+    def given(self, given: Response) -> Answer:
+        """A worker's own answer, unchanged but for what concerns its connection."""
+        fields = fields_less(given.fields, given.names, NOT_TO_CLIENT)
+        if self._keep:
+            fields.append((b"Keep-Alive", self._keep))
+        return (
+            (given.status, fields, given.body) if given.whole else (given.status, fields, given.body, given)
+        )
+
+
+class FrontClient(HttpClient):
+    """A client's connection."""
+
+    def __init__(self, front: Front, listener: Listener) -> None:
+        super().__init__(listener, front.clock, front.budget)
+        self.front = front
+        self._limit()
+
+    def _limit(self) -> None:
+        table = self.front.table
+        if table is not None:
+            self.parser.most_body = table.limits.parcel_bytes
+            self.parser.most_head = min(MOST_HEAD, max(MAX_HEAD // 16, table.limits.envelope_bytes))
+
+    def begin(self, request: Request) -> Step | Answer:
+        what = self.front.read(request)
+        self._limit()
+        if isinstance(what[0], Lot):
+            _, parts = what
+            return self.front.gatekeeper, Exchange(request, self.final, **parts)
+        return what
+
+    def follow(self, final: Final[Any]) -> Step | Answer:
+        assert self.taking is not None
+        return self.front.answer(self.taking[1], final)
--- /dev/null
+++ b/pepperrun/forager/gate.py
@@ -0,0 +1,99 @@
+"""The gate: what must not go out, or not there, asked at the moment of sending.
+
+A request may have waited since its configuration was looked up, or this process may have stood still. So the
+configuration held now, the age of what is held, zones and homes are asked again for each attempt.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from pepperrun.forager.cold import ColdShares
+from pepperrun.forager.crew import Crew
+from pepperrun.forager.ledger import MS
+from pepperrun.forager.routes import Lot, Table
+from pepperrun.foundation.settings import Bounds
+
+SPARE_MS = 500  # before a removed key's time is over nothing is sent with a key
+AGAIN_NS = 500 * MS  # until what is held may be fresh again
+UNHEARD_MS = 4000  # of workers of which nothing has been heard for so long any may have turned cold
+
+
+class Gate:
+    """`core.interface.Gate` for the system. `fresh_at`, `cells_at`: as the news book has them."""
+
+    def __init__(
+        self,
+        bounds: Bounds,
+        crew: Crew,
+        shares: ColdShares,
+        fresh_at: Callable[[], int],
+        cells_at: Callable[[], int],
+    ) -> None:
+        self.crew, self.shares, self.fresh_at, self.cells_at = crew, shares, fresh_at, cells_at
+        self.table: Table | None = None
+        self.bind(bounds)
+
+    def bind(self, bounds: Bounds) -> None:
+        """The rules' figures as they are now."""
+        self.total = bounds.revocation_total
+        self.fence_ns = int(max(0.0, bounds.revoke_ms - SPARE_MS) * MS)
+
+    def fresh(self, now: int, most_ns: int) -> bool:
+        """Is what is held known to have been the newest so short a time ago?"""
+        at = self.fresh_at()
+        return at > 0 and now - at <= most_ns
+
+    def open(self, lot: object, now: int) -> int:
+        """0, or the nanoseconds after which it may be tried again."""
+        table = self.table
+        assert isinstance(lot, Lot)
+        if table is None or not lot.stands(table):
+            return AGAIN_NS
+        if lot.sender is not None and self.total and not self.fresh(now, self.fence_ns):
+            return AGAIN_NS
+        return 0
+
+    def may(self, lot: object, backend: int, now: int) -> bool:
+        """May it go to this worker now?"""
+        assert isinstance(lot, Lot)
+        crew = self.crew
+        mate = crew.mates.get(backend)
+        if mate is None or mate.line != lot.line or crew.address(backend) is None:
+            return False
+        if lot.homes is not None and mate.region not in lot.homes:
+            return False
+        if not self._cold(backend, now):
+            self.shares.warm(backend)
+            return True
+        rate = self._cold_per_s(mate.line)
+        return rate is None or self.shares.may(backend, mate.worker.id, mate.worker.zone, rate, now)
+
+    def sent(self, lot: object, backend: int, now: int) -> None:
+        """It goes there."""
+        mate = self.crew.mates.get(backend)
+        if mate is not None and self._cold(backend, now):
+            rate = self._cold_per_s(mate.line)
+            if rate is not None:
+                self.shares.sent(backend, rate, now)
+
+    def still(self, lot: Lot, backend: int, now: int) -> bool:
+        """May what was sent off to this worker still be written now? It may have waited for a connection."""
+        if self.open(lot, now):
+            return False
+        mate = self.crew.mates.get(backend)
+        if mate is None or self.crew.address(backend) is None:
+            return False
+        return lot.homes is None or mate.region in lot.homes
+
+    def _cold(self, backend: int, now: int) -> bool:
+        if now - self.cells_at() > UNHEARD_MS * MS:
+            return True
+        return self.crew.cold(self.crew.mates[backend], now)
+
+    def _cold_per_s(self, line: int) -> float | None:
+        """What a cold worker of a service bears; None where its service knows no cold."""
+        known = self.table.lines.get(line) if self.table is not None else None
+        if known is None:
+            return 0.0
+        return None if known.cold_per_s <= 0 and known.cold_s <= 0 else known.cold_per_s
--- /dev/null
+++ b/pepperrun/forager/ledger.py
@@ -0,0 +1,108 @@
+"""Numbers for the decisions: services, kinds of requests and tenants, as the configuration brings them.
+
+The decisions know services, classes and plans by number. A number, once given, keeps its meaning for the life
+of the process, so that requests under way and counts told by peers stay right while configurations change.
+"""
+
+from __future__ import annotations
+
+import hashlib
+
+from pepperrun.comb.timetable import Sender
+from pepperrun.core.interface import MOST_PLANS, Plan, Repeat, RequestClass, Settings
+from pepperrun.foundation.settings import Bounds
+
+MS = 1_000_000
+TICK_NS = MS
+MOST_CLASSES = 240  # the decisions tell each other of classes in eight bits
+MOST_WAIT_NS = 5_000_000_000  # advice to come back later than that is of no use to a client
+PEER_INTAKE = 100.0  # messages a second: little work beside what they are about
+RATIO_PART = 0.75  # of the share of further attempts that the rules allow
+SLACK_PART = 0.6  # of their number, split over all gatekeepers
+FEWEST = 4  # gatekeepers that there are at the least, for one that does not know of others yet
+
+
+def number_of(name: str) -> int:
+    """32 bits, the same at all gatekeepers and after each start."""
+    return int.from_bytes(hashlib.blake2s(name.encode(), digest_size=4).digest(), "little")
+
+
+class Ledger:
+    """The numbers given so far, and the settings that follow from them."""
+
+    def __init__(self, bounds: Bounds, zone: int = 0) -> None:
+        self.bounds, self.zone = bounds, zone
+        self.lines: dict[str, int] = {}
+        self.classes: dict[tuple[int, bool, int, int, int], int] = {}
+        self.rows = [RequestClass("none", 1000 * MS, 10_000 * MS, Repeat.UNSAFE)]
+        self.plans = {"": 0}  # by tenant
+        self.plan_rows = [Plan("none")]
+        self.gateways = 2  # one that knows of no other leaves room for one
+        self.changed = True
+
+    def line(self, name: str) -> int:
+        """The number of a service."""
+        if name not in self.lines:
+            self.lines[name] = len(self.lines)
+            self.changed = True
+        return self.lines[name]
+
+    def kind(self, line: int, safe: bool, target_ns: int, deadline_ns: int, tries: int) -> int:
+        """The class of such requests of a service; of too many kinds the last ones share one."""
+        key = line, safe, target_ns, deadline_ns, tries
+        if key not in self.classes:
+            if len(self.rows) >= MOST_CLASSES:
+                alike = [at for (_, same, _, _, _), at in self.classes.items() if same == safe]
+                if alike:
+                    return alike[-1]
+            self.classes[key] = len(self.rows)
+            repeat = Repeat.SAFE if safe else Repeat.UNSAFE
+            name = f"{'safe' if safe else 'unsafe'}-{len(self.rows)}"
+            self.rows.append(RequestClass(name, max(1, target_ns), deadline_ns, repeat, tries=max(1, tries)))
+            self.changed = True
+        return self.classes[key]
+
+    def plan(self, sender: Sender) -> int:
+        """The plan of a tenant, with its quota as it is now; those beyond the most plans share the last."""
+        at = self.plans.get(sender.name)
+        if at is None:
+            at = self.plans[sender.name] = min(len(self.plan_rows), MOST_PLANS - 1)
+        # The store holds a request at the least: a tenant with a rate and no surge is allowed its rate.
+        burst = max(sender.surge, 1.0) if sender.rate_per_s > 0 else 0.0
+        row = Plan(sender.name, rate=max(0.0, sender.rate_per_s), burst=burst)
+        if at == len(self.plan_rows):
+            self.plan_rows.append(row)
+            self.changed = True
+        elif self.plan_rows[at] != row:
+            self.plan_rows[at] = row
+            self.changed = True
+        return at
+
+    def settings(self) -> Settings:
+        """What the decisions are told now."""
+        self.changed = False
+        bounds = self.bounds
+        return Settings(
+            me=0,
+            gateways=self.gateways,
+            zone=self.zone,
+            classes=tuple(self.rows),
+            plans=tuple(self.plan_rows),
+            tick_ns=TICK_NS,
+            max_attempts=max([1, *(row.tries for row in self.rows)]),
+            peer_messages=True,
+            peer_intake=PEER_INTAKE,
+            retry_after=True,
+            max_retry_after_ns=MOST_WAIT_NS,
+            lines=max(1, len(self.lines)),
+            further_share=bounds.retry_ratio * RATIO_PART,
+            further_burst=bounds.retry_slack * SLACK_PART / max(FEWEST, self.gateways),
+            strict_further=True,
+            follows_best=True,
+            marks=False,
+        )
+
+    def meet(self, gateways: int) -> None:
+        """So many gatekeepers there are, this one included."""
+        if max(2, gateways) != self.gateways:
+            self.gateways, self.changed = max(2, gateways), True
--- /dev/null
+++ b/pepperrun/forager/plane.py
@@ -0,0 +1,180 @@
+"""The data plane put together: news in, requests through the decisions, answers out."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from pepperrun.comb.records import Guard, Worker
+from pepperrun.core.interface import BackendList
+from pepperrun.forager.cold import ColdShares
+from pepperrun.forager.crew import Crew
+from pepperrun.forager.front import Front, FrontListener
+from pepperrun.forager.gate import Gate
+from pepperrun.forager.hum import Hum, Peers
+from pepperrun.forager.ledger import MS, Ledger
+from pepperrun.forager.routes import Table
+from pepperrun.forager.wire import WorkerWire
+from pepperrun.foundation.logs import event
+from pepperrun.foundation.settings import Settings
+from pepperrun.gatekeeper import Gatekeeper
+from pepperrun.net.server_side import ServerSide
+from pepperrun.net.stream import Budget
+
+SECOND = 1_000_000_000
+BASE_MB = 90  # of the limit on memory: the program itself with its connections
+KEPT_FILES = 264  # of the descriptors: for files, links and the loop
+KEEPALIVE_NS = 5 * SECOND  # idle connections, where a worker does not say more
+CONNECT_NS = SECOND
+LEAST_EACH = 2  # connections of this gatekeeper to one worker at the least
+CAP_PART = 0.9  # of a worker's connections, as others may count gatekeepers otherwise
+ANSWER_NS = 500 * MS  # before an edition must be known a word on what there is not is held for sure
+
+
+class Plane:
+    """One gatekeeper's traffic. `fresh_at` and `cells_at`: as `waggle.book.NewsBook` has them."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        seed: int,
+        clock: Callable[[], int],
+        life: Callable[[], int],
+        fresh_at: Callable[[], int],
+        cells_at: Callable[[], int],
+    ) -> None:
+        me, bounds = settings.me, settings.tariffs.bounds
+        loop = asyncio.get_running_loop()
+        self.settings, self.clock, self.fresh_at, self.cells_at = settings, clock, fresh_at, cells_at
+        self.ledger = Ledger(bounds)
+        zones = {me.zone: me.region} | settings.network.zones
+        self.crew = Crew(self.ledger, zones, me.zone, me.region)
+        self.ledger.zone = self.crew.zone_number(me.zone)
+        self.shares = ColdShares(me.station, zones, bounds.cold_excess, bounds.cold_slack)
+        self.gate = Gate(bounds, self.crew, self.shares, fresh_at, cells_at)
+        self.peers = Peers(me.station)
+        self.gatekeeper = Gatekeeper(
+            self.ledger.settings(), seed, clock, loop, self._tell, log=self._log, gate=self.gate
+        )
+        self.gatekeeper.gateway.quotas.members = ()
+        self.hum = Hum(self.peers, life, self.gatekeeper.heard)
+        limits = me.limits
+        budget = Budget(max(4, int((limits.memory_mb - BASE_MB) / 2) if limits.memory_mb else 64) << 20)
+        sockets = max(64, (limits.file_handles or 2048) - KEPT_FILES)
+        wire = WorkerWire(self.crew, self.gate, clock, self._astray)
+        self.servers = ServerSide(
+            loop,
+            clock,
+            self.crew,
+            self.gatekeeper.ended,
+            wire,
+            sockets // 2,
+            KEEPALIVE_NS,
+            CONNECT_NS,
+            budget,
+        )
+        self.gatekeeper.backends = self.servers
+        sure_ns = int(max(bounds.edition_ms - ANSWER_NS / MS, bounds.edition_ms / 2) * MS)
+        self.front = Front(self.ledger, self.gate, self.gatekeeper, clock, budget, seed, sure_ns)
+        self.listener = FrontListener(loop, clock, sockets // 2, self.front.make)
+        self.listener.limits_of = self.front.times
+        self.table: Table | None = None
+
+    # News.
+
+    def on_agreed(self, number: int, state: dict[str, Any], change: object = None) -> None:
+        """A newer agreed state; an older one changes nothing."""
+        if self.table is not None and number <= self.table.number:
+            return
+        table = Table(number, state, self.ledger, self.table)
+        self._settle()
+        moved = self.crew.evacuate(table.evacuated, self.clock())
+        self.table = self.gate.table = table
+        self.front.take(table)
+        self._listed(moved)
+        self._berths()
+
+    def on_workers(self, changed: Iterable[Worker]) -> None:
+        """Records of workers that are new or have changed."""
+        listing = self.crew.take(changed)
+        self._settle()
+        self._listed(listing)
+        self.shares.forget(self.crew.mates)
+
+    def on_guards(self, changed: Iterable[Guard]) -> None:
+        """Records of gatekeepers that are new or have changed."""
+        changed = list(changed)
+        self.shares.take(changed)
+        if self.peers.take(changed):
+            members = self.peers.members
+            self.gatekeeper.catch_up()
+            self.gatekeeper.gateway.quotas.members = members
+            self.ledger.meet(len(members) + 1)
+            self.ledger.changed = True
+            self._settle()
+            self._berths()
+
+    def _settle(self) -> None:
+        if self.ledger.changed:
+            self.gatekeeper.resettle(self.ledger.settings())
+
+    def _listed(self, listing: BackendList | None) -> None:
+        if listing is not None and listing.backends:
+            self.gatekeeper.listed(listing)
+            self.servers.listed()
+
+    def _berths(self) -> None:
+        """This gatekeeper's part of the connections that one worker takes from all."""
+        caps = (
+            [line.berth_cap for line in self.table.lines.values() if line.berth_cap > 0] if self.table else []
+        )
+        each = int(min(caps) * CAP_PART) // self.ledger.gateways if caps else 0
+        self.servers.most_each = max(LEAST_EACH, each) if caps else 0
+
+    def _astray(self, backend: int) -> None:
+        now = self.clock()
+        event("astray", worker=self.crew.names.get(backend, "?"))
+        self._listed(self.crew.gone_astray(backend, now))
+        asyncio.get_running_loop().call_later(4, lambda: self._listed(self.crew.found(self.clock())))
+
+    def _tell(self, peer: int, data: bytes) -> None:
+        self.hum.tell(peer, data)
+
+    def _log(self, text: str) -> None:
+        """A line of the decisions, with the worker's id in place of its number."""
+        names = self.crew.names
+        text = re.sub(r"backend (\d+)", lambda match: f"worker {names.get(int(match[1]), match[1])}", text)
+        event("decisions", text=text)
+
+    def ready(self) -> bool:
+        """Does it hold a configuration and fresh news, and take clients?"""
+        fresh = self.gate.fresh(self.clock(), int(self.settings.tariffs.bounds.edition_ms * MS))
+        return self.table is not None and fresh and self.listener.taking()
+
+    def out_of_time(self) -> None:
+        """What is still out gets its final answer now."""
+        for exchange in list(self.gatekeeper.exchanges.values()):
+            self.gatekeeper.expire(exchange)
+
+    def reread(self, settings: Settings) -> None:
+        """The settings file has changed."""
+        me, bounds = settings.me, settings.tariffs.bounds
+        self.settings = settings
+        zones = {me.zone: me.region} | settings.network.zones
+        self.shares.zones, self.shares.excess, self.shares.slack = (
+            zones,
+            bounds.cold_excess,
+            bounds.cold_slack,
+        )
+        self.ledger.bounds, self.ledger.changed = bounds, True
+        self.gate.bind(bounds)
+        self._settle()
+        self._listed(self.crew.rezone(zones))
+
+    def close(self) -> None:
+        """Ends it all."""
+        self.listener.close()
+        self.servers.close()
+        self.hum.close()
--- /dev/null
+++ b/pepperrun/forager/routes.py
@@ -0,0 +1,174 @@
+"""Which route, service and tenant a request has: one configuration, made ready for look-ups."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import dacite
+
+from pepperrun.comb.timetable import SAFE, CarrierLine, Limits, Route, Sender
+from pepperrun.forager.ledger import MS, Ledger, number_of
+
+Item = dict[str, Any]
+_CONFIG = dacite.Config(type_hooks={float: float})
+
+
+def read_item(kind: type[Any], item: Item) -> Any:
+    """An item of the agreed state; what is null is left out. DaciteError where it can't be meant."""
+    return dacite.from_dict(kind, {key: value for key, value in item.items() if value is not None}, _CONFIG)
+
+
+def homes_of(regions: list[str]) -> frozenset[str] | None:
+    """The regions in which something may be served; None for all."""
+    return frozenset(regions) if regions else None
+
+
+def bound(one: frozenset[str] | None, other: frozenset[str] | None) -> frozenset[str] | None:
+    """Where both homes allow it."""
+    if one is None or other is None:
+        return one if other is None else other
+    return one & other
+
+
+class Way:
+    """A route, ready for use. `lines` and `classes`: numbers of its services and of its requests there."""
+
+    __slots__ = (
+        *("classes", "deadline_ns", "homes", "item", "lines", "name", "route", "safe", "shares", "tries"),
+        "unstamped",
+    )
+
+    def __init__(self, item: Item, ledger: Ledger) -> None:
+        self.item = item
+        self.route: Route = read_item(Route, item)
+        route = self.route
+        self.name, self.safe, self.unstamped = route.name, route.route_kind == SAFE, route.unstamped
+        self.deadline_ns = max(1, int(route.deadline_ms * MS))
+        self.tries = route.tries if route.tries > 0 else 1
+        self.homes = homes_of(route.home_regions)
+        parts = [(split.line, split.share) for split in route.splits or () if split.share > 0]
+        if not parts and route.line is not None:
+            parts = [(route.line, 1.0)]
+        self.lines = [ledger.line(name) for name, _ in parts]
+        self.shares = [share for _, share in parts]
+        kind = self.safe, int(route.target_ms * MS), self.deadline_ns, self.tries
+        self.classes = [ledger.kind(line, *kind) for line in self.lines]
+
+    def draw(self, rng: random.Random) -> int:
+        """The place among `lines` of the service that one request goes to."""
+        if len(self.lines) == 1:
+            return 0
+        return rng.choices(range(len(self.lines)), self.shares)[0]
+
+
+class Tenant:
+    """A sender, ready for use."""
+
+    __slots__ = ("customer", "homes", "item", "name", "plan", "sender", "stamps")
+
+    def __init__(self, item: Item, ledger: Ledger) -> None:
+        self.item = item
+        self.sender: Sender = read_item(Sender, item)
+        self.name = self.sender.name.encode()
+        self.customer = number_of(self.sender.name)
+        self.homes = homes_of(self.sender.home_regions)
+        self.plan = ledger.plan(self.sender)
+        self.stamps = [stamp.encode() for stamp in self.sender.stamps]
+
+
+class Table:
+    """One number of the agreed state. What is as it was in the one before is taken from there."""
+
+    def __init__(self, number: int, state: Item, ledger: Ledger, before: Table | None = None) -> None:
+        self.number, self.edition = number, int(state.get("edition") or 0)
+        self.ways: dict[str, Way] = {}
+        self.tenants: dict[str, Tenant] = {}
+        self.hosts: dict[bytes, dict[bytes, Way]] = {}
+        self.keys: dict[bytes, Tenant] = {}
+        self.limits: Limits = read_item(Limits, state.get("limits") or {})
+        self.evacuated = frozenset(state.get("evacuated") or ())
+        lines = state.get("carrier_lines") or {}
+        self.lines: dict[int, CarrierLine] = {}
+        for name, item in lines.items():
+            self.lines[ledger.line(name)] = read_item(CarrierLine, {"name": name} | item)
+        known = before.ways if before is not None else {}
+        for name, item in (state.get("routes") or {}).items():
+            way = known.get(name)
+            if way is None or way.item != item:
+                way = Way(item, ledger)
+            self.ways[name] = way
+            prefixes = self.hosts.setdefault(host_of(way.route.depot.encode()), {})
+            prefixes.setdefault(way.route.prefix.encode(), way)
+        old = before.tenants if before is not None else {}
+        for name, item in (state.get("senders") or {}).items():
+            tenant = old.get(name)
+            if tenant is None or tenant.item != item:
+                tenant = Tenant(item, ledger)
+            self.tenants[name] = tenant
+            for stamp in tenant.stamps:
+                self.keys[stamp] = tenant
+
+    def find(self, host: bytes, path: bytes) -> Way | None:
+        """Among the routes of a host the one with the longest prefix that begins the path."""
+        prefixes = self.hosts.get(host)
+        if prefixes is None:
+            return None
+        end = len(path)
+        while (at := path.rfind(b"/", 0, end)) >= 0:
+            way = prefixes.get(path[: at + 1])
+            if way is not None:
+                return way
+            end = at
+        return None
+
+    def keyed(self, way: Way) -> bool:
+        """Does a request on this route need a key?"""
+        return bool(self.tenants) and not way.unstamped
+
+
+def host_of(text: bytes) -> bytes:
+    """A host without its port, in small letters."""
+    text = text.strip().lower()
+    if text.startswith(b"["):
+        return text.partition(b"]")[0] + b"]"
+    return text.partition(b":")[0]
+
+
+class Lot:
+    """What decides where one request may go; read again when the configuration has moved on."""
+
+    __slots__ = ("homes", "host", "key", "line", "number", "path", "safe", "sender", "way")
+
+    def __init__(
+        self,
+        table: Table,
+        way: Way,
+        host: bytes,
+        path: bytes,
+        key: bytes | None,
+        tenant: Tenant | None,
+        line: int,
+    ) -> None:
+        self.number, self.way, self.line, self.safe = table.number, way, line, way.safe
+        self.host, self.path, self.key = host, path, key
+        self.sender = tenant.name if tenant is not None else None
+        self.homes = bound(way.homes, tenant.homes if tenant is not None else None)
+
+    def stands(self, table: Table) -> bool:
+        """Does this configuration, too, send the request there, under this name?"""
+        if self.number == table.number:
+            return True
+        way = table.find(self.host, self.path)
+        if way is None or self.line not in way.lines or way.safe != self.safe:
+            return False
+        tenant = None
+        if table.keyed(way) != (self.sender is not None):
+            return False
+        if self.sender is not None:
+            tenant = table.keys.get(self.key or b"")
+            if tenant is None or tenant.name != self.sender:
+                return False
+        self.number, self.way = table.number, way
+        self.homes = bound(way.homes, tenant.homes if tenant is not None else None)
+        return True
--- /dev/null
+++ b/pepperrun/forager/wire.py
@@ -0,0 +1,96 @@
+"""What the gatekeeper says to workers, and how it judges what they answer."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+
+from pepperrun.core.interface import Outcome
+from pepperrun.forager.crew import Crew
+from pepperrun.forager.gate import Gate
+from pepperrun.forager.ledger import MS
+from pepperrun.forager.routes import Lot
+from pepperrun.net.connection import Attempt, Connection, Wire, write_asked
+from pepperrun.net.http1 import Response
+
+SECOND = 1_000_000_000
+STALL_S = 3.0  # an answer that has begun may stand still for so long
+SILENT_NS = 4 * SECOND  # long against the work of any request
+MOST_ANSWER = 1 << 40  # bytes: nothing bounds a worker's body
+GONE_MS = 2000  # a machine that acknowledges nothing for so long has no power or is cut off
+EARLY_NS = SECOND // 2  # before the backend closes an idle connection it takes no more requests
+_TIMEOUT = re.compile(rb"(?:\A|[\s,;])timeout\s*=\s*\"?([0-9]{1,6})")
+
+
+def turned_away(response: Response) -> bool:
+    """Does the worker say that it has not run the request, and will not?"""
+    return response.status == 421 or b"not-run" in response.names
+
+
+def delimited(response: Response) -> bool:
+    """Does the answer itself tell where it ends? One that lasts as long as its connection may be cut."""
+    framed = response.length is not None or b"transfer-encoding" in response.names
+    return framed or response.status in (204, 304)
+
+
+class WorkerWire(Wire):
+    """The system's wire towards workers."""
+
+    stall_s = STALL_S
+    silent_ns = SILENT_NS
+    most_answer = MOST_ANSWER
+    user_timeout_ms = GONE_MS
+
+    def __init__(
+        self, crew: Crew, gate: Gate, clock: Callable[[], int], astray: Callable[[int], None]
+    ) -> None:
+        super().__init__(lambda response: (Outcome.ERROR, 0.0))
+        self.crew, self.gate, self.clock, self.astray = crew, gate, clock, astray
+
+    def write(self, attempt: Attempt, left_ns: int) -> bytes | None:
+        exchange = attempt.exchange
+        lot: Lot = exchange.lot
+        if exchange.end is not None or not self.gate.still(lot, attempt.backend, self.clock()):
+            return None
+        id = self.crew.names[attempt.backend].encode()
+        more = b"Deadline-Ms: %d\r\nExpect-Worker: %b\r\n" % (max(1, left_ns // MS), id)
+        if lot.sender is not None:
+            more += b"Sender: %b\r\n" % lot.sender
+        return write_asked(exchange.asked, more)
+
+    def name(self, attempt: Attempt) -> object:
+        return attempt.exchange.asked.names[b"attempt-id"]
+
+    def surplus(self, connection: Connection, response: Response) -> bool:
+        given = response.names.get(b"attempt-id")
+        return given is not None and given == connection.before and given != connection.asked
+
+    def foreign(self, attempt: Attempt, response: Response) -> bool:
+        given = response.names.get(b"attempt-id")
+        if given is None:
+            return not turned_away(response)
+        return given != attempt.exchange.asked.names[b"attempt-id"]
+
+    def judge(self, attempt: Attempt, response: Response) -> tuple[Outcome, float]:
+        status = response.status
+        if status == 421:
+            self.astray(attempt.backend)
+        if turned_away(response):
+            return Outcome.FULL, 0.0
+        if b"content-encoding" in response.names or not delimited(response):
+            return Outcome.ERROR, 0.0
+        if 200 <= status < 300:
+            return (Outcome.OK if b"postmark" in response.names else Outcome.ERROR), 0.0
+        if status in (408, 429, 503):  # nothing says that it has not run, and passed on it would be a promise
+            return Outcome.ERROR, 0.0
+        if status >= 500:
+            attempt.exchange.fault = response if response.whole else None
+            return Outcome.ERROR, 0.0
+        return Outcome.OK, 0.0
+
+    def idle_ns(self, response: Response) -> int:
+        told = _TIMEOUT.search(response.names.get(b"keep-alive", b"").lower())
+        if told is None:
+            return 0
+        whole = int(told[1]) * SECOND
+        return max(1, whole // 2, whole - EARLY_NS)
--- a/pepperrun/gatekeeper.py
+++ b/pepperrun/gatekeeper.py
@@ -152,6 +152,7 @@
         if not exchange.ended(attempt):
             return
         self.outcomes[outcome] += 1
+        exchange.ran = exchange.ran or not outcome.never_ran
         if exchange.trace is not None:
             exchange.trace[attempt][2:] = outcome, self.clock()
         if outcome is Outcome.OK:
@@ -291,7 +292,8 @@
                 self._send(action, now)
             case Refuse():
                 late = self._late(action.request, now)
-                self._give_up(action.request, Final(End.REFUSED, wait_ns=action.wait_ns, late=late, beyond=action.beyond))
+                final = Final[Any](End.REFUSED, None, action.wait_ns, late, action.beyond)
+                self._give_up(action.request, final)
             case Fail():
                 late = self._late(action.request, now)
                 self._give_up(action.request, Final(End.OUT_OF_TIME if late else End.FAILED, late=late))
--- /dev/null
+++ b/pepperrun/guard.py
@@ -0,0 +1,154 @@
+"""Guard (gatekeeper): the program of machines that clients reach. Puts news, traffic and peers together."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import gc
+import secrets
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable
+
+from pepperrun.comb.records import LEAVING, READY, STARTING, Guard
+from pepperrun.forager.plane import Plane
+from pepperrun.forager.stopping import drain, ready_listener
+from pepperrun.foundation import logs
+from pepperrun.foundation.errors import HiveError
+from pepperrun.foundation.settings import Address, Settings, load
+from pepperrun.waggle.service import Subscriber
+
+LOOK_S = 0.2  # between looks at whether this gatekeeper is ready
+AGAIN_S = 0.3  # between tries for an address that an earlier process still has
+
+
+class Program:
+    """One life of a gatekeeper."""
+
+    def __init__(self, settings: Settings, path: str | None) -> None:
+        self.settings, self.path = settings, path
+        self.life, self.serial, self.state = time.time_ns() // 1_000_000, 0, STARTING
+        self.news = Subscriber(settings, self.life, self.row)
+        book = self.news.book
+        self.plane = Plane(
+            settings,
+            secrets.randbits(32),
+            time.monotonic_ns,
+            lambda: self.life,
+            lambda: book.fresh_at,
+            lambda: book.cells_at,
+        )
+        book.on_agreed.append(self.plane.on_agreed)
+        book.on_workers.append(self.plane.on_workers)
+        book.on_guards.append(self.on_guards)
+        self.asked = ready_listener(time.monotonic_ns, self.plane.ready)
+        self.stop = asyncio.Event()
+
+    def row(self) -> Guard:
+        """This gatekeeper's own record."""
+        me, counter = self.settings.me, self.settings.network.postboxes.get("counter", "")
+        siding = f"{me.ip}:{self.settings.siding[1]}"
+        return Guard(me.station, me.zone, me.region, counter, siding, self.life, self.serial, self.state)
+
+    def on_guards(self, changed: list[Guard]) -> None:
+        """Gatekeepers' records. The time of day may have been ahead in this station's last life."""
+        for guard in changed:
+            if guard.station == self.settings.me.station and guard.life > self.life:
+                self.life = guard.life + 1
+                self.news.tell()
+        self.plane.on_guards(changed)
+
+    def say(self, state: str) -> None:
+        """From now on this gatekeeper is in this state."""
+        if state != self.state:
+            self.state, self.serial = state, self.serial + 1
+            logs.event("guard", state=state)
+            self.news.tell()
+
+    def reread(self) -> None:
+        """The settings file may have changed: zones, contacts and the rules' figures hold at once."""
+        try:
+            self.settings = load(self.path)
+        except HiveError as error:
+            logs.trouble(error)
+            return
+        self.plane.reread(self.settings)
+        logs.event("settings", reread=True)
+
+    async def run(self) -> None:
+        """Serves until it is told to stop, then answers what it has read."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reread)
+        counter, ready = self.settings.postbox("counter"), self.settings.postbox("ready_port")
+        plane = self.plane
+        await self._patiently(
+            "hum", lambda: loop.create_datagram_endpoint(lambda: plane.hum, self.settings.siding)
+        )
+        await self._patiently("news", self.news.start)
+        if counter is not None:
+            await self._patiently("counter", lambda: _opened(plane.listener.open, counter))
+        if ready is not None:
+            await self._patiently("ready", lambda: _opened(self.asked.open, ready))
+        gc.collect()
+        gc.freeze()
+        logs.event("guard", state=self.state, station=self.settings.me.station, life=self.life)
+        while not self.stop.is_set():
+            if plane.ready():
+                self.say(READY)
+            try:
+                async with asyncio.timeout(LOOK_S):
+                    await self.stop.wait()
+            except TimeoutError:
+                pass
+        self.say(LEAVING)
+        await drain(plane.listener, self.settings.tariffs.bounds.grace_s, plane.out_of_time)
+        self.asked.close()
+        plane.close()
+        await self.news.close()
+
+    async def _patiently(self, step: str, start: Callable[[], Awaitable[object]]) -> None:
+        """Tries again while an earlier process still has the address."""
+        while not self.stop.is_set():
+            try:
+                await start()
+                return
+            except OSError as error:
+                logs.trouble(HiveError("no-address", step, str(error)))
+                await asyncio.sleep(AGAIN_S)
+
+
+async def _opened(opening: Callable[[Address], None], where: Address) -> None:
+    opening(where)
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """The command; its exit code."""
+    parser = argparse.ArgumentParser(prog="pepperrun.guard", description=__doc__)
+    parser.add_argument("--settings", metavar="FILE", help="instead of the one PEPPERRUN_NODE_FILE names")
+    parser.add_argument("--check", action="store_true", help="only read and check the settings")
+    parser.add_argument("--verbose", action="store_true", help="log more")
+    options = parser.parse_args(arguments)
+    logs.setup(options.verbose)
+    try:
+        settings = load(options.settings)
+        if settings.postbox("counter") is None:
+            raise HiveError("bad-settings", "settings", "network.postboxes.counter: missing")
+    except HiveError as error:
+        print(f"pepperrun.guard: {error}", file=sys.stderr)
+        return 2
+    if options.check:
+        print(f"{settings.me.station}: settings are good")
+        return 0
+
+    async def run() -> None:
+        await Program(settings, options.settings).run()
+
+    asyncio.run(run())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/pepperrun/net/connection.py
+++ b/pepperrun/net/connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Callable
 from typing import Protocol
@@ -30,9 +31,9 @@
     write_fields,
 )
 from pepperrun.net.stream import MOST, Budget, Stream
+from pepperrun.net.wear import Wear as Wear
 
 STALE_NS = SECOND // 100  # a kept connection that was no longer one breaks this soon under a request
-FADE = 0.97  # in each sweep: what was learnt is tried again
 HELD = 64 * 1024  # bytes of an answer up to which it is held whole, so that a break can be made good
 PIECES_ROOM = MAX_HEAD + MOST
 HOLD_NS = SECOND // 5  # one whose length is not told, and that comes slowly, is not held for more than this
@@ -42,8 +43,8 @@
 SURE = 8 * 1024  # bytes of a long answer that are awaited before it is the answer
 
 
-def write_request(request: Request, timeout_ns: int) -> bytes:
-    """The request as a backend reads it, with the time that this attempt will be waited for."""
+def write_asked(request: Request, more: bytes) -> bytes:
+    """The request as a backend reads it, with `more` header lines."""
     if request.whole:
         length = b"Content-Length: %d\r\n" % len(request.body) if request.body else b""
         if not length and request.method not in (b"GET", b"HEAD"):
@@ -52,50 +53,62 @@
         length = b"Transfer-Encoding: chunked\r\n"
     else:
         length = b"Content-Length: %d\r\n" % request.length
-    return b"%b %b HTTP/1.1\r\n%bX-Budget: %du\r\n%b\r\n%b" % (
+    return b"%b %b HTTP/1.1\r\n%b%b%b\r\n%b" % (
         request.method,
         request.target,
         write_fields(request.fields),
-        max(1, timeout_ns // 1000),
+        more,
         length,
         request.body if request.whole or request.length is not None else chunk(request.body),
     )
 
 
-class Wear:
-    """How often kept connections turned out to be stale, by how long they had been idle.
+Judge = Callable[[Response], tuple[Outcome, float]]
 
-    Backends, and machines between, close idle connections earlier than they say, and may not tell of it.
-    """
 
-    UNIT = 8_000_000  # each step is twice as long as the one before
+class Wire:
+    """What of a conversation with backends is not plain HTTP: here the platform's; others derive from it."""
 
-    def __init__(self) -> None:
-        self.shares = [0.0] * 16
-        self.new = 0.0  # the same of new connections, under their first request
+    stall_s = 0.0  # an answer that has begun may stand still for so long; 0: as a connection takes to come up
+    silent_ns = SECOND  # one that has been asked and said nothing for so long may have been cut off
+    most_answer = MOST_BODY  # bytes of a body that passes through
+    user_timeout_ms = 0  # unacknowledged bytes, or probes, for so long end a connection; 0: the system's
 
-    def _step(self, idle_ns: int) -> int:
-        return min(len(self.shares) - 1, (idle_ns // self.UNIT).bit_length())
+    def __init__(self, judge: Judge) -> None:
+        self._judge = judge
 
-    def saw(self, idle_ns: int, stale: bool) -> None:
-        """One was used that had been idle for so long."""
-        step = self._step(idle_ns)
-        self.shares[step] += (stale - self.shares[step]) / 10
+    def write(self, attempt: Attempt, left_ns: int) -> bytes | None:
+        """The request, with the time that this attempt will be waited for; None: it may no longer go out."""
+        return write_asked(attempt.exchange.asked, b"X-Budget: %du\r\n" % max(1, left_ns // 1000))
 
-    def saw_new(self, broke: bool) -> None:
-        """A new one was used."""
-        self.new += (broke - self.new) / 10
+    def judge(self, attempt: Attempt, response: Response) -> tuple[Outcome, float]:
+        """How the attempt ended, and its true units; 0 where they are not known."""
+        return self._judge(response)
 
-    def trusted(self, idle_ns: int, most: float) -> bool:
-        """Is the share of stale ones among those idle for so long, or less, at most this?
+    def name(self, attempt: Attempt) -> object:
+        """What answers call the request by."""
+        return None
 
-        Or no more than that of new ones that break: these would do no better.
-        """
-        return max(self.shares[: self._step(idle_ns) + 1]) <= max(most, self.new)
+    def surplus(self, connection: Connection, response: Response) -> bool:
+        """Is it another answer to an earlier request, in the place of the one that is waited for?"""
+        return False
+
+    def foreign(self, attempt: Attempt, response: Response) -> bool:
+        """Does it belong to another request, or to none? Its connection is of no more use."""
+        return False
+
+    def idle_ns(self, response: Response) -> int:
+        """How long the backend keeps the connection now; 0 where it does not say."""
+        return 0
 
-    def fade(self) -> None:
-        """Forgets a little."""
-        self.shares, self.new = [share * FADE for share in self.shares], self.new * FADE
+
+def probe(sock: socket.socket, timeout_ms: int) -> None:
+    """Has the system end a connection whose other machine no longer answers it."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, max(1, timeout_ms // 1000))
 
 
 class Attempt:
@@ -113,13 +126,13 @@
 class Pool:
     """The connections to one backend at one address, and the attempts that wait for one."""
 
-    __slots__ = ("address", "asked_at", "backend", "idle", "opening", "waiting")
+    __slots__ = ("address", "asked_at", "backend", "idle", "opening", "up", "waiting")
 
     def __init__(self, backend: int, address: Address) -> None:
         self.backend, self.address = backend, address
         self.idle: list[Connection] = []
         self.waiting: deque[Attempt] = deque()
-        self.opening = 0
+        self.opening = self.up = 0
         self.asked_at = 0  # when the first request went out that nothing has been heard since; 0: none
 
 
@@ -132,13 +145,11 @@
     connections: set[Connection]
     written: int
     wear: Wear
+    wire: Wire
 
     @property
     def clock(self) -> Callable[[], int]: ...
 
-    @property
-    def judge(self) -> Callable[[Response], tuple[Outcome, float]]: ...
-
     def free(self, connection: Connection) -> None: ...
 
     def lost(self, connection: Connection) -> None: ...
@@ -160,7 +171,7 @@
             self.parser = ResponseParser(self.buffer)
         else:
             self.buffer = Buffer(PIECES_ROOM)
-            self.parser = ResponseParser(self.buffer, MOST_BODY, HELD)
+            self.parser = ResponseParser(self.buffer, side.wire.most_answer, HELD)
         self.attempt: Attempt | None = None
         self.upload: Stream | None = None  # the rest of the request's body
         self.chunked = False  # it goes out in chunks
@@ -172,26 +183,39 @@
         self.unsent = False  # the last byte of the request is not yet written
         self.idle_since = self.heard_at = self.started_at = 0
         self.served = 0  # answers so far
+        self.keeps_ns = 0  # how long the backend keeps it while idle, where it has said so
+        self.before: object = None  # the wire's names of the request before, and of the present one
+        self.asked: object = None
+        self.doubtful = False  # something came that nothing was asked for: it takes no further request
         self.watched: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         transport.set_write_buffer_limits(high=0)  # told at once whether all is written
+        if self.side.wire.user_timeout_ms and (sock := transport.get_extra_info("socket")) is not None:
+            probe(sock, self.side.wire.user_timeout_ms)
         self.side.connections.add(self)
+        self.pool.up += 1
         self.pool.asked_at = 0
         self.side.free(self)
 
-    def start(self, attempt: Attempt, now: int) -> None:
-        """Writes the attempt's request."""
+    def start(self, attempt: Attempt, now: int) -> bool:
+        """Writes the attempt's request; False where it may no longer go out."""
         assert self.transport is not None
+        asked = attempt.exchange.asked
+        data = self.side.wire.write(
+            attempt, attempt.deadline - now if asked.whole else attempt.exchange.patience
+        )
+        if data is None:
+            return False
         self.attempt, attempt.connection = attempt, self
         self.started_at = now
+        self.before, self.asked = self.asked, self.side.wire.name(attempt)
         self.pool.asked_at = self.pool.asked_at or now
-        asked = attempt.exchange.asked
         self.unsent = not asked.whole
-        left_ns = attempt.deadline - now if asked.whole else attempt.exchange.patience
-        self.transport.write(write_request(asked, left_ns))
+        self.parser.bodiless = asked.method == b"HEAD"
+        self.transport.write(data)
         if self.transport.is_closing():
             self.unsent = True  # the write itself failed: nothing has gone out
         elif asked.stream is not None and not asked.whole:
@@ -202,6 +226,7 @@
                 self.upload.hold(True)
         elif not self.blocked:
             self.side.written += 1
+        return True
 
     @property
     def blocked(self) -> bool:
@@ -270,6 +295,9 @@
         self.head_at = self.head_at or now
         try:
             response = self.parser.next()
+            if response is not None and response.whole and self.side.wire.surplus(self, response):
+                self.doubtful = True  # the one that is waited for may follow it
+                response = self.parser.next()
             if response is None and self.side.budget is not None and self.parser.response is not None:
                 response = self._early(now)
         except HttpError as error:
@@ -280,7 +308,11 @@
         elif response is not None:
             self._begun(attempt, response)
         elif self.watched is None:
-            self.watched = self.side.loop.call_later(self.side.connect_s, self._stalled, attempt)
+            self.watched = self.side.loop.call_later(self._patience_s, self._stalled, attempt)
+
+    @property
+    def _patience_s(self) -> float:
+        return self.side.wire.stall_s or self.side.connect_s
 
     def _spoilt(self, attempt: Attempt, why: str) -> None:
         """It may have run. Where a next answer would begin is not known: the connection is of no use."""
@@ -297,7 +329,7 @@
         self.watched = None
         if self.attempt is not attempt or self.transport is None:
             return
-        left_s = self.side.connect_s - (self.side.clock() - self.heard_at) / SECOND
+        left_s = self._patience_s - (self.side.clock() - self.heard_at) / SECOND
         if left_s > 0 or unread(self.transport):  # this side may be late, and not the backend
             self.watched = self.side.loop.call_later(max(left_s, 0.01), self._stalled, attempt)
         else:
@@ -317,7 +349,10 @@
     def _begun(self, attempt: Attempt, response: Response) -> None:
         """An answer that is longer than is held: its client gets it as it comes, and it is the answer."""
         assert self.side.budget is not None
-        outcome, units = self.side.judge(response)
+        if self.side.wire.foreign(attempt, response):
+            self._spoilt(attempt, "it belongs to another request")
+            return
+        outcome, units = self.side.wire.judge(attempt, response)
         if outcome is not Outcome.OK:  # nobody is given its body
             self.attempt = None
             self.close()
@@ -369,10 +404,14 @@
         stream.finish()
 
     def _answered(self, attempt: Attempt, response: Response) -> None:
-        self.attempt = None
         self._unwatch()
+        if self.side.wire.foreign(attempt, response):
+            self._spoilt(attempt, "it belongs to another request")
+            return
+        self.attempt = None
+        outcome, units = self.side.wire.judge(attempt, response)
+        self.keeps_ns = self.side.wire.idle_ns(response) or self.keeps_ns
         self._release(response)
-        outcome, units = self.side.judge(response)
         self.side.end(attempt, outcome, response, units)
 
     def _release(self, response: Response) -> None:
@@ -383,7 +422,7 @@
             self.upload.drop()
             self.upload = None
             self.unsent = True
-        if response.close() or len(self.buffer) or self.unsent:
+        if response.close() or len(self.buffer) or self.unsent or self.doubtful:
             self.close()
         elif self.transport is not None and not self.transport.is_closing():
             # What comes behind an answer would be read as the next one: a request must not meet it.
@@ -404,6 +443,8 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
+        if self.transport is not None:
+            self.pool.up -= 1
         self.transport = None
         self._unwatch()
         attempt, self.attempt = self.attempt, None
--- a/pepperrun/net/http1.py
+++ b/pepperrun/net/http1.py
@@ -195,7 +195,7 @@
 
 class _Parser:
     def __init__(self, buffer: Buffer, most_body: int = MAX_BODY, hold: int | None = None) -> None:
-        self.buffer, self.most_body = buffer, most_body
+        self.buffer, self.most_body, self.most_head = buffer, most_body, MAX_HEAD
         self.hold = hold  # bytes of a body from which on the message is given early; None: never
         self.seen = 0  # bytes in which the end of the head was looked for
         self.body: Body | None = None  # of the message whose head has been read
@@ -207,11 +207,11 @@
         at = buffer.find(b"\r\n\r\n", max(0, self.seen - 3))
         if at < 0:
             self.seen = len(buffer)
-            if self.seen > MAX_HEAD:
+            if self.seen > self.most_head:
                 raise HttpError(431, "the head is too long")
             return None
         self.seen = 0
-        if at > MAX_HEAD:
+        if at > self.most_head:
             raise HttpError(431, "the head is too long")
         head = buffer.take(at + 4)
         start, _, rest = head[:-2].partition(b"\r\n")
@@ -326,6 +326,7 @@
         super().__init__(buffer, most_body, hold)
         self.response: Response | None = None
         self.interim = 0
+        self.bodiless = False  # it answers a HEAD: its length is that of a body which does not come
 
     def next(self) -> Response | None:
         """The next response, whole or longer than is held, or None until more has come.
@@ -350,6 +351,9 @@
             response = Response(fields, names, http11, status=status)
             if status in (204, 304):
                 self.body = NO_BODY
+            elif self.bodiless:
+                length = names.get(b"content-length", b"")
+                self.body, response.length = NO_BODY, int(length) if length.isdigit() else None
             else:
                 response.length = self._framing(names, http11)
                 if response.length is None and b"transfer-encoding" not in names:
--- a/pepperrun/net/server_side.py
+++ b/pepperrun/net/server_side.py
@@ -9,19 +9,18 @@
 import asyncio
 import re
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
+from pepperrun.config import Address
 from pepperrun.core.clock import SECOND
 from pepperrun.exchange import Exchange
 from pepperrun.core.interface import Outcome
 from pepperrun.log import say
 from pepperrun.net.buffer import unread
-from pepperrun.net.connection import Attempt, Connection, Pool, Wear
-from pepperrun.net.directory import Directory
+from pepperrun.net.connection import Attempt, Connection, Judge, Pool, Wear, Wire
 from pepperrun.net.http1 import Response
 from pepperrun.net.stream import Budget
 
-SILENT_NS = SECOND  # a backend that has been asked and said nothing for so long may have been cut off
 CONNECTS = 3  # that are accepted and reset in a row: nothing has been written, so another one is tried
 STALE_MOST = 0.2  # of kept connections as long idle: past this they are not used again
 STALE_UNSAFE = 0.03  # the same for a request that may not simply be sent anew
@@ -30,8 +29,6 @@
 SAFE = (b"GET", b"HEAD")  # to send again, by HTTP's own word
 
 Ended = Callable[[Exchange[Any, Any], int, int, Outcome, object, float], None]
-Judge = Callable[[Response], tuple[Outcome, float]]
-
 
 _UNITS = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?\Z")
 
@@ -56,6 +53,18 @@
     return judge
 
 
+class Places(Protocol):
+    """Where backends are; `net.directory.Directory` is one."""
+
+    def address(self, backend: int) -> Address | None:
+        """Where one listens; None for one to which nothing may be sent."""
+        ...
+
+    def listed(self, backend: int) -> bool:
+        """Is it known, whatever its state?"""
+        ...
+
+
 class ServerSide:
     """Carries out attempts at the backends of a directory."""
 
@@ -63,17 +72,19 @@
         self,
         loop: asyncio.AbstractEventLoop,
         clock: Callable[[], int],
-        directory: Directory,
+        directory: Places,
         ended: Ended,
-        judge: Judge,
+        judge: Judge | Wire,
         most: int,
         keepalive_ns: int,
         connect_timeout_ns: int,
         budget: Budget | None = None,
     ) -> None:
+        self.wire = judge if isinstance(judge, Wire) else Wire(judge)
+        self.most_each = 0  # connections to one backend at most; 0: as many as it takes
         self.budget = budget  # for long answers; None: all are held whole
         self.loop, self.clock, self.directory = loop, clock, directory
-        self.ended, self.judge, self.most = ended, judge, most
+        self.ended, self.most = ended, most
         self.idle_ns, self.connect_s = int(keepalive_ns * IDLE_PART), connect_timeout_ns / SECOND
         self.pools: dict[int, Pool] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
@@ -96,7 +107,7 @@
             self.loop.call_soon(self.end, attempt, Outcome.CONNECT_FAILED)
             return
         attempt.timer = self.loop.call_later(timeout_ns / SECOND, self._late, attempt)
-        if pool.asked_at and now - pool.asked_at > SILENT_NS:
+        if pool.asked_at and now - pool.asked_at > self.wire.silent_ns:
             # A machine that is cut off says nothing, and once it is back its old connections may stay silent:
             # a new connection tells within its time-out, a kept one only at the client's deadline.
             self.close_idle(backend)
@@ -107,7 +118,9 @@
                 pool.idle.pop().close()
             elif safe or self.wear.trusted(now - connection.idle_since, STALE_UNSAFE):
                 pool.idle.pop()
-                connection.start(attempt, now)
+                if not connection.start(attempt, now):
+                    pool.idle.append(connection)
+                    self.loop.call_soon(self.end, attempt, Outcome.MOOT)
                 return
             else:
                 break
@@ -198,7 +211,7 @@
     def _fit(self, connection: Connection, now: int) -> bool:
         transport = connection.transport
         idle_ns = now - connection.idle_since
-        if transport is None or transport.is_closing() or idle_ns >= self.idle_ns:
+        if transport is None or transport.is_closing() or idle_ns >= (connection.keeps_ns or self.idle_ns):
             return False
         if not self.wear.trusted(idle_ns, STALE_MOST):
             return False
@@ -212,10 +225,12 @@
         while pool.waiting:
             attempt = pool.waiting.popleft()
             # It may have waited for this connection while the list came to call the backend draining or gone.
-            if self.directory.address(pool.backend) == pool.address:
-                connection.start(attempt, now)
+            if self.directory.address(pool.backend) != pool.address:
+                self.end(attempt, Outcome.CONNECT_FAILED)
+            elif connection.start(attempt, now):
                 return
-            self.end(attempt, Outcome.CONNECT_FAILED)
+            else:
+                self.end(attempt, Outcome.MOOT)
         if self.retired or self.directory.address(pool.backend) != pool.address:
             connection.close()
             return
@@ -231,6 +246,10 @@
     def _open(self, backend: int, pool: Pool) -> None:
         """Opens connections for what waits, within the limit; an idle one elsewhere gives way."""
         while pool.opening < len(pool.waiting):
+            if self.most_each and pool.up + pool.opening >= self.most_each:
+                if pool.idle:  # not trusted with what waits: it gives way
+                    pool.idle.pop(0).close()
+                return  # one that is busy becomes free, or ends
             if len(self.connections) + len(self.opening) >= self.most and not self._evict():
                 say("limit", f"all {self.most} connections to backends are in use")
                 self.loop.call_later(self.connect_s, self._starved, pool, pool.waiting[-1])
--- /dev/null
+++ b/tests/test_forager.py
@@ -0,0 +1,367 @@
+"""The data plane: routes, keys, homes, workers' answers, the planned end, freshness, cold shares, evacuations."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import Any
+
+import pytest
+from standins import HOST, MS, SECOND, Client, StandIn, answer, cut_short, going, reset, wait_then
+
+from pepperrun.comb.records import READY, Guard, Worker
+from pepperrun.forager.cold import ColdShares, chosen, spacing
+from pepperrun.forager.hum import Peers
+from pepperrun.forager.ledger import Ledger
+from pepperrun.forager.plane import Plane
+from pepperrun.forager.routes import Lot, Table, host_of
+from pepperrun.forager.stopping import drain
+from pepperrun.foundation.settings import Bounds, Settings, parse
+
+ZONES = {"a": "r1", "b": "r2"}
+
+
+def settings() -> Settings:
+    me = {"station": "g1", "role": "guard", "ip": HOST, "zone": "a", "region": "r1"}
+    bounds = {
+        "revocation_total": True,
+        "revoke_ms": 5000,
+        "retry_slack": 60,
+        "cold_excess": 1.5,
+        "cold_slack": 5,
+    }
+    network = {"sidings": [7600, 7615], "first_contacts": [], "zones": ZONES}
+    return parse({"self": me, "network": network, "tariffs": {"bounds": bounds}})
+
+
+def route(name: str, prefix: str, **more: Any) -> dict[str, Any]:
+    fields = {"name": name, "depot": "H.example", "prefix": prefix, "route_kind": "safe", "line": "one"}
+    return fields | {"deadline_ms": 3000, "target_ms": 1000, "precedence": 0, "tries": 3} | more
+
+
+def state(*routes: dict[str, Any], **more: Any) -> dict[str, Any]:
+    lines = {
+        name: {"name": name, "cold_s": 3.0, "cold_per_s": 5.3, "berth_cap": 100} for name in ("one", "two")
+    }
+    senders = {"ann": {"name": "ann", "stamps": ["k1", "k2"]}, "bob": {"name": "bob", "stamps": ["k3"]}}
+    items = {"edition": 1, "routes": {item["name"]: item for item in routes}, "carrier_lines": lines}
+    return items | {"senders": senders, "limits": {}, "evacuated": []} | more
+
+
+def ok(body: bytes = b"fine", id: bytes = b"i1", *more: bytes) -> bytes:
+    return answer(200, body, b"Attempt-Id: " + id, b"Postmark: p", *more)
+
+
+class Hive:
+    """A whole data plane behind its front, told by hand."""
+
+    def __init__(self, *routes: dict[str, Any], **more: Any) -> None:
+        self.fresh = self.cells = time.monotonic_ns() + 3600 * SECOND
+        self.plane = Plane(
+            settings(), 1, time.monotonic_ns, lambda: 1, lambda: self.fresh, lambda: self.cells
+        )
+        self.number = 0
+        self.agree(*routes, **more)
+        self.plane.listener.open((HOST, 0))
+
+    def agree(self, *routes: dict[str, Any], **more: Any) -> None:
+        self.number += 1
+        self.plane.on_agreed(self.number, state(*routes, **more))
+
+    def work(self, id: str, port: int, **more: Any) -> None:
+        self.plane.on_workers(
+            [Worker(id, more.pop("line", "one"), f"{HOST}:{port}", more.pop("zone", "a"), **more)]
+        )
+
+    async def ask(
+        self, path: str = "/p/x", key: str | None = "k1", client: Client | None = None, **more: Any
+    ) -> Any:
+        client = client or await Client.to(self.plane.listener.address[1])
+        fields = {"Host": "h.EXAMPLE:80", "Attempt-Id": "i1", "Deadline-Ms": "2000", "Sender": "eve"}
+        fields |= {"Authorization": f"Token {key}"} if key else {}
+        method, body = more.pop("method", "GET"), more.pop("body", b"")
+        fields |= {name.replace("_", "-"): value for name, value in more.items()}
+        lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items() if value is not None)
+        client.writer.write(f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode() + body)
+        return client
+
+
+def table(*routes: dict[str, Any], **more: Any) -> Table:
+    return Table(1, state(*routes, **more), Ledger(Bounds()))
+
+
+def test_the_longest_prefix_of_the_host_wins_and_shares_are_kept():
+    split = [{"line": "one", "share": 90}, {"line": "two", "share": 10}, {"line": "off", "share": 0}]
+    found = table(route("r", "/"), route("s", "/p/", line=None, splits=split), route("t", "/p/q/"))
+    names = [
+        way and way.name for way in (found.find(b"h.example", p) for p in (b"/", b"/p", b"/p/q", b"/p/q/r"))
+    ]
+    assert names == ["r", "r", "s", "t"] and found.find(b"other", b"/") is None
+    assert host_of(b"H.Example:8080") == b"h.example"
+    way, rng = found.ways["s"], random.Random(1)
+    drawn = sum(way.draw(rng) for _ in range(2000))
+    assert len(way.lines) == 2 and 120 < drawn < 290
+
+
+def test_a_request_reaches_a_worker_with_its_tenants_name_and_without_its_key():
+    async def test():
+        hive, worker = Hive(route("r", "/p/", route_kind="unsafe")), await StandIn(ok()).start()
+        hive.work("w1", worker.port)
+        client = await hive.ask(
+            method="POST", body=b"5\r\nhello\r\n0\r\n\r\n", Transfer_Encoding="chunked", X="y"
+        )
+        status, fields, body = await client.answer()
+        assert (status, body, fields["postmark"], fields["attempt-id"]) == (200, b"fine", "p", "i1")
+        head, _, sent = (await worker.arrived.get()).partition(b"\r\n\r\n")
+        assert head.startswith(b"POST /p/x HTTP/1.1\r\n") and sent == b"hello"
+        assert b"Sender: ann\r\n" in head and b"eve" not in head and b"k1" not in head and b"X: y" in head
+        assert b"Expect-Worker: w1\r\n" in head and b"Attempt-Id: i1" in head
+        assert 0 < int(head.partition(b"Deadline-Ms: ")[2].partition(b"\r\n")[0]) <= 2000
+
+    going(test)
+
+
+def test_what_the_configuration_does_not_allow_is_refused_before_any_worker():
+    async def test():
+        hive, worker = Hive(route("r", "/p/"), route("u", "/u/", unstamped=True)), await StandIn(ok()).start()
+        hive.work("w1", worker.port)
+        asked = (
+            ({"path": "/q/"}, 404),
+            ({"key": None}, 401),
+            ({"key": "k9"}, 401),
+            ({"Attempt_Id": None}, 400),
+            ({"Attempt_Id": "a,b"}, 400),
+            ({"path": "/u/", "key": None}, 200),
+        )
+        for more, status in asked:
+            assert (await (await hive.ask(**more)).answer())[0] == status
+        assert len(worker.heads) == 1 and b"Sender" not in worker.heads[0]
+        hive.fresh = time.monotonic_ns() - 10 * SECOND  # a newer configuration may have what this one has not
+        for more in ({"path": "/q/"}, {"key": "k9"}):
+            status, fields, _ = await (await hive.ask(**more)).answer()
+            assert status == 503 and float(fields["retry-after"]) > 0
+
+    going(test)
+
+
+@pytest.mark.parametrize(
+    ("homes", "sender", "to"), [(["r2"], [], b"w2"), ([], ["r2"], b"w2"), (["r1"], ["r2"], None)]
+)
+def test_homes_of_route_and_tenant_both_bind(homes, sender, to):
+    async def test():
+        hive = Hive(
+            route("r", "/p/", home_regions=homes),
+            senders={"ann": {"name": "ann", "stamps": ["k1"], "home_regions": sender}},
+        )
+        worker = await StandIn(ok()).start()
+        hive.work("w1", worker.port, zone="a")
+        hive.work("w2", worker.port, zone="b")
+        status, _, _ = await (await hive.ask(Deadline_Ms="300")).answer()
+        heads = b"".join(worker.heads)
+        assert (status, heads.count(b"Expect-Worker")) == ((200, 1) if to else (503, 0))
+        assert to is None or b"Expect-Worker: " + to in heads
+
+    going(test)
+
+
+def test_a_late_second_answer_is_told_by_its_id():
+    """On the same connection it comes in the place of the next; that one's client must not get it."""
+
+    async def test():
+        hive = Hive(route("r", "/p/", route_kind="unsafe"))
+        worker = await StandIn(
+            ok(b"first", b"i1"), ok(b"first", b"i1") + ok(b"second", b"i2"), ok(b"3", b"i3")
+        ).start()
+        hive.work("w1", worker.port)
+        for id, body in ((b"i1", b"first"), (b"i2", b"second"), (b"i3", b"3")):
+            client = await hive.ask(Attempt_Id=id.decode())
+            assert (await client.answer())[::2] == (200, body)
+        assert worker.connections == 2  # one on which more came than was asked for is not used again
+
+    going(test)
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        ok(b"x", b"other"),
+        answer(200, b"x", b"Attempt-Id: i1"),
+        ok(b"x", b"i1", b"Content-Encoding: gzip"),
+        cut_short(b"HTTP/1.1 200 OK\r\nAttempt-Id: i1\r\nPostmark: p\r\n\r\nuntil the end"),
+        cut_short(b"HTTP/1.1 200 OK\r\nAttempt-Id: i1\r\nPostmark: p\r\nContent-Length: 9\r\n\r\nshort"),
+        answer(503, b"", b"Attempt-Id: i1"),
+        reset,
+    ],
+)
+def test_what_may_have_run_is_not_sent_again_nor_promised(bad):
+    async def test():
+        hive, worker, other = (
+            Hive(route("r", "/p/", route_kind="unsafe")),
+            await StandIn(bad).start(),
+            StandIn(ok()),
+        )
+        await other.start()
+        hive.work("w1", worker.port, zone="a")
+        hive.work("w2", other.port, zone="b")
+        assert (await (await hive.ask()).answer())[0] == 502
+        assert len(worker.heads) == 1 and not other.heads
+
+    going(test)
+
+
+@pytest.mark.parametrize("no", [answer(421, b"", b"Worker-Id: w9"), answer(503, b"", b"Not-Run: 1")])
+def test_what_a_worker_has_not_run_goes_to_another(no):
+    async def test():
+        hive, worker, other = Hive(route("r", "/p/", route_kind="unsafe")), StandIn(no), StandIn(ok())
+        await worker.start()
+        await other.start()
+        hive.work("w1", worker.port, zone="a")
+        hive.work("w2", other.port, zone="b")
+        assert (await (await hive.ask()).answer())[0] == 200
+        assert len(worker.heads) == len(other.heads) == 1
+
+    going(test)
+
+
+def test_a_workers_own_failure_reaches_the_client():
+    async def test():
+        hive, worker = (
+            Hive(route("r", "/p/", tries=1)),
+            await StandIn(answer(500, b"why", b"Attempt-Id: i1")).start(),
+        )
+        hive.work("w1", worker.port)
+        assert (await (await hive.ask()).answer())[::2] == (500, b"why")
+
+    going(test)
+
+
+def test_a_stop_in_the_middle_of_a_chunked_body_ends_no_request():
+    async def test():
+        hive, worker = Hive(route("r", "/p/", route_kind="unsafe")), await StandIn(wait_then(ok())).start()
+        hive.work("w1", worker.port)
+        client = await hive.ask(method="POST", body=b"5\r\nhello\r\n", Transfer_Encoding="chunked")
+        idle = await Client.to(hive.plane.listener.address[1])
+        while not any(one.partial() for one in hive.plane.listener.clients):
+            await asyncio.sleep(0)
+        ending = asyncio.ensure_future(drain(hive.plane.listener, 2.0, hive.plane.out_of_time))
+        while hive.plane.listener.socket is not None:
+            await asyncio.sleep(0)
+        assert not hive.plane.ready()
+        client.writer.write(b"0\r\n\r\n")
+        await worker.arrived.get()
+        worker.go.set()
+        status, fields, body = await client.answer()
+        assert (status, body, fields["connection"]) == (200, b"fine", "close")
+        assert await idle.ended()
+        await ending
+
+    going(test)
+
+
+def lot(held: Table, key: bytes = b"k1", path: bytes = b"/p/") -> Lot:
+    way, tenant = held.find(b"h.example", path), held.keys.get(key)
+    assert way is not None
+    return Lot(held, way, b"h.example", path, key, tenant, way.lines[0])
+
+
+def test_with_old_news_no_key_counts_and_without_a_key_it_goes_on():
+    async def test():
+        hive = Hive(route("r", "/p/"), route("u", "/u/", unstamped=True))
+        gate, keyed = hive.plane.gate, lot(hive.plane.table)
+        open_one = Lot(hive.plane.table, hive.plane.table.ways["u"], b"h.example", b"/u/", None, None, 0)
+        hive.fresh = 100 * SECOND
+        assert gate.open(keyed, 104 * SECOND) == 0 and gate.open(open_one, 200 * SECOND) == 0
+        assert gate.open(keyed, 105 * SECOND) > 0
+
+    going(test)
+
+
+def test_a_waiting_request_goes_by_the_newest_configuration():
+    """Key, service and zone are asked again at the moment of sending."""
+
+    async def test():
+        hive = Hive(route("r", "/p/"))
+        hive.work("w1", 1, zone="a")
+        gate, number = hive.plane.gate, hive.plane.crew.ids["w1"]
+        waits = lot(hive.plane.table)
+        now = time.monotonic_ns()
+        assert gate.open(waits, now) == 0 and gate.may(waits, number, now) and gate.still(waits, number, now)
+        hive.agree(route("r", "/p/"), evacuated=["a"])
+        assert (
+            gate.open(waits, now) == 0
+            and not gate.may(waits, number, now)
+            and not gate.still(waits, number, now)
+        )
+        hive.agree(route("r", "/p/", home_regions=["r2"]))
+        assert gate.open(waits, now) == 0 and not gate.may(waits, number, now)
+        hive.agree(route("r", "/p/"), senders={"ann": {"name": "ann", "stamps": ["k2"]}})
+        assert gate.open(waits, now) > 0
+        waits = lot(hive.plane.table, b"k2")
+        hive.agree(route("r", "/p/", line="two"), senders={"ann": {"name": "ann", "stamps": ["k2"]}})
+        assert gate.open(waits, now) > 0
+
+    going(test)
+
+
+def guards(count: int) -> list[Guard]:
+    zones = list(ZONES)
+    return [
+        Guard(f"g{n}", zones[n % 2], ZONES[zones[n % 2]], "c", f"{HOST}:{n + 1}", 1, 0, READY)
+        for n in range(count)
+    ]
+
+
+def test_cold_shares_keep_their_bound_over_many_guards_that_see_different_ones():
+    """Half of eleven guards know the others as they were; all send to one cold worker whenever they may."""
+    everybody = guards(11)
+    shares = [ColdShares(guard.station, ZONES, 1.5, 5) for guard in everybody]
+    for number, one in enumerate(shares):
+        one.take(everybody if number % 2 else everybody[6:] + everybody[number : number + 1])
+    sent: list[int] = []
+    for now in range(0, 20 * SECOND, 10 * MS):
+        for one in shares:
+            if one.may(7, "w", "a", 5.3, now):
+                one.sent(7, 5.3, now)
+                sent.append(now)
+    most = max(sum(at <= other < at + SECOND for other in sent) for at in sent)
+    assert 4 <= most <= 5.3 * 1.5 + 5
+    assert len(chosen("w", "a", everybody, ZONES)) == 3
+    assert all(int(name[1:]) % 2 == 0 for name in chosen("w", "a", everybody, ZONES))  # its own zone's first
+    assert spacing(50.0, 1.0, 0.0) > SECOND // 8  # each of six sends at most 8 a second
+
+
+def test_a_zone_taken_back_and_a_worker_unsure_count_as_cold():
+    async def test():
+        hive = Hive(route("r", "/p/"))
+        hive.work("w1", 1, zone="a")
+        hive.work("w2", 1, zone="b", unsure=True)
+        crew, now = hive.plane.crew, time.monotonic_ns()
+        one, two = (crew.mates[crew.ids[name]] for name in ("w1", "w2"))
+        assert not crew.cold(one, now) and crew.cold(two, now)
+        hive.agree(route("r", "/p/"), evacuated=["a"])
+        assert crew.address(one.number) is None
+        hive.agree(route("r", "/p/"))
+        now = time.monotonic_ns()
+        assert crew.address(one.number) and crew.cold(one, now) and not crew.cold(one, now + 10 * SECOND)
+        # Its share of a cold worker is nobody's until it is known who is there.
+        assert not hive.plane.gate.may(lot(hive.plane.table), two.number, now + 60 * SECOND)
+        hive.cells = now - 10 * SECOND  # nothing has been heard: any may have turned cold
+        assert not hive.plane.gate.may(lot(hive.plane.table), one.number, now + 60 * SECOND)
+
+    going(test)
+
+
+def test_each_life_of_a_peer_has_its_own_number():
+    peers, (first, *_) = Peers("me"), guards(1)
+    assert peers.take([first]) and peers.members == (1,)
+    later = Guard(*(first.wire()[:5]), 2, 0, READY)
+    assert peers.take([later]) and peers.members == (2,)
+    assert not peers.take([first]) and peers.members == (2,)
+
+
+def test_what_did_not_change_is_not_read_again():
+    ledger = Ledger(Bounds())
+    before = Table(1, state(route("r", "/p/"), route("s", "/s/")), ledger)
+    after = Table(2, state(route("r", "/p/"), route("s", "/s/", tries=1)), ledger, before)
+    assert after.ways["r"] is before.ways["r"] and after.ways["s"] is not before.ways["s"]
