waggle: news down a tree of relays, freshness by echoed stamps, repair by digests

Cause: gatekeepers need configuration, workers and gatekeepers, and must know how old what they hold is.

--- a/pepperrun/waggle/book.py
+++ b/pepperrun/waggle/book.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from pepperrun.comb.records import Guard, Worker
-from pepperrun.waggle.digests import Sums, newer
+from pepperrun.comb.records import GONE, Guard, Worker
+from pepperrun.waggle.digests import Record, Sums, newer, record_id
 
 State = dict[str, Any]  # the agreed state, see docs/SYSTEM.md
 Change = tuple[int, dict[str, Any]]  # the number it builds on, the operation
@@ -15,13 +15,13 @@
 class NewsBook:
     """The news held by one process, for readers and for the relay.
 
-    `number`, `state`: agreed state (0 and None before the first). `workers` by id, `guards` by station; records
-    that are gone stay for a while. `fresh_at`: own steady clock, ns: all that was acknowledged before that
-    moment is in `state`; 0 for never. `cells_at`: likewise what the core machine asked knew of workers and
-    gatekeepers at that moment is held.
+    `number`, `state`: agreed state (0 and None before the first). `workers` by id, `guards` by station;
+    records that are gone stay for a while. `fresh_at`: own steady clock, ns: all that was acknowledged before
+    that moment is in `state`; 0 for never. `cells_at`: likewise what the core machine asked knew of workers
+    and gatekeepers at that moment is held.
 
-    `on_agreed(number, state, change)`: `change` is (base, op) where it came as one on top of what was held, else
-    None. `on_workers(changed)`, `on_guards(changed)`: records taken over since, newest copies.
+    `on_agreed(number, state, change)`: `change` is (base, op) where it came as one on top of what was held,
+    else None. `on_workers(changed)`, `on_guards(changed)`: records taken over since, newest copies.
     """
 
     def __init__(self) -> None:
@@ -30,6 +30,8 @@
         self.guards: dict[str, Guard] = {}
         self.sums = Sums()
         self.fresh_at = self.cells_at = 0
+        self.gone: dict[str, int] = {}  # records that are gone, and the sweep that they were met in
+        self.sweeps = 0
         self.cores: list[list[str]] = []  # [ip, zone] of each core machine
         self.on_agreed: list[Callable[[int, State, Change | None], None]] = []
         self.on_workers: list[Callable[[list[Worker]], None]] = []
@@ -48,7 +50,9 @@
             told(number, state, change)
         return True
 
-    def take_cells(self, workers: Iterable[Worker], guards: Iterable[Guard]) -> tuple[list[Worker], list[Guard]]:
+    def take_cells(
+        self, workers: Iterable[Worker], guards: Iterable[Guard]
+    ) -> tuple[list[Worker], list[Guard]]:
         """Takes the newer ones of these records and returns them."""
         fresh_workers, fresh_guards = [], []
         for worker in workers:
@@ -63,6 +67,7 @@
                 self.guards[guard.station] = guard
                 self.sums.swap(held, guard)
                 fresh_guards.append(guard)
+        self._note_gone(fresh_workers, fresh_guards)
         if fresh_workers:
             for told in self.on_workers:
                 told(fresh_workers)
@@ -70,3 +75,18 @@
             for heard in self.on_guards:
                 heard(fresh_guards)
         return fresh_workers, fresh_guards
+
+    def _note_gone(self, workers: list[Worker], guards: list[Guard]) -> None:
+        records: list[Record] = [*workers]
+        for record in records + [*guards]:
+            if record.state == GONE:
+                self.gone[record_id(record)] = self.sweeps
+
+    def sweep(self) -> None:
+        """Forgets what has been gone since before the last sweep but one. Nothing is told of that."""
+        self.sweeps += 1
+        for id in [id for id, met in self.gone.items() if met < self.sweeps - 1]:
+            del self.gone[id]
+            table: dict[str, Any] = self.workers if id.startswith("w:") else self.guards
+            if (held := table.get(id[2:])) is not None and held.state == GONE:
+                del table[id[2:]]
--- a/pepperrun/waggle/digests.py
+++ b/pepperrun/waggle/digests.py
@@ -1,8 +1,8 @@
 """Digests over ranges of records, by which two copies find where they differ and mend from the newer.
 
-A range is a key: a zone, or `zone/7` and `zone/7f` for the parts of a zone by the first digits of the hash of a
-record's id. Its digest is the sum of the hashes of its records, so that it is kept up by differences. Records
-that are gone count for nothing: copies may forget them at different times.
+A range is a key: a zone, or `zone/7` and `zone/7f` for the parts of a zone by the first digits of the hash of
+a record's id. Its digest is the sum of the hashes of its records, so that it is kept up by differences.
+Records that are gone count for nothing: copies may forget them at different times.
 """
 
 from __future__ import annotations
@@ -55,7 +55,7 @@
     def __init__(self, records: Iterable[Record] = ()) -> None:
         self.total = 0
         self.sums: dict[str, int] = {}  # by range, all three levels
-        self.counts: dict[str, int] = {}  # live records, by zone and `zone/7`
+        self.counts: dict[str, int] = {}  # live records, likewise
         for record in records:
             self.swap(None, record)
 
--- a/pepperrun/waggle/publisher.py
+++ b/pepperrun/waggle/publisher.py
@@ -1,19 +1,26 @@
 """The sending side: answers ticks, repairs, and pushes what is new to those who attach for that.
 
-Core machines and relaying gatekeepers use the same one. It has no I/O of its own: links come in as ports, time as
-steady nanoseconds, and `turn` is called when due.
+Core machines and relaying gatekeepers use the same one. It has no I/O of its own: links come in as ports,
+time as steady nanoseconds, and `turn` is called when due.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from hashlib import blake2b
 from typing import Any, Protocol
 
 from pepperrun.comb.records import Guard, Worker
-from pepperrun.foundation.netstring import Message
-from pepperrun.waggle.digests import Record, Sums
+from pepperrun.foundation.netstring import Message, encode
+from pepperrun.waggle import repair
+from pepperrun.waggle.digests import Record, Sums, record_id
 
 BATCH_MS = 15  # records that change together go together
+SILENT_NS = 5_000_000_000  # gatekeepers tick each 400 ms: one that is silent for so long is gone
+HISTORY = 16  # changes kept for those who are a little behind
+HISTORY_BYTES = 256 * 1024
 
 
 class Port(Protocol):
@@ -57,32 +64,152 @@
         """A gatekeeper has told of itself on its own link (each tick; the row may be as before)."""
         ...
 
-    def merge(self, workers: list[Worker], guards: list[Guard], now: int) -> None:
+    def merge(self, workers: list[Worker], guards: list[Guard], now: int) -> object:
         """Rows came from another process; the newer ones count. The source then calls `changed`."""
         ...
 
 
+def seal(state: dict[str, Any]) -> str:
+    """A short check that two copies of a number's state agree: what differs first if a change is misread.
+
+    `taken` holds the digests of the configurations that led here, so the whole need not be hashed again.
+    """
+    counts = [len(state.get(name) or ()) for name in ("routes", "carrier_lines", "senders")]
+    text = repr([state.get("edition"), counts, state.get("evacuated"), (state.get("taken") or [None])[-1]])
+    return blake2b(text.encode(), digest_size=8).hexdigest()
+
+
+@dataclass(slots=True)
+class _Peer:
+    """What is known of the other side of a link."""
+
+    heard_at: int
+    number: int = -1  # what it holds, or will once it has read what was sent; -1 before its first word
+    pushed: bool = False  # it attaches for the pushes
+    guard: Guard | None = None
+    cores: list[list[str]] | None = None  # as last told
+
+
 class Publisher:
     """Sends `source`'s news to links. `alarm(due)` asks for a `turn` at that time (steady ns)."""
 
     def __init__(self, source: Source, alarm: Callable[[int], None]) -> None:
-        raise NotImplementedError
+        self.source, self.alarm = source, alarm
+        self.peers: dict[Port, _Peer] = {}
+        self.batch: dict[str, Record] = {}
+        self.due = 0  # when the batch goes; 0 for no batch
+        self.history: list[tuple[int, int, bytes]] = []  # base, number, frame; each base is the number before
+        self.whole: tuple[int, bytes] = (0, b"")  # the whole state's frame, once encoded
+        self.swept = 0
 
     def joined(self, port: Port, hello: Message, now: int) -> None:
         """A link to a gatekeeper has come up."""
+        self.peers[port] = _Peer(now)
 
     def left(self, port: Port, now: int) -> None:
         """It has ended."""
+        self.peers.pop(port, None)
 
     def heard(self, port: Port, message: Message, now: int) -> bool:
-        """Takes `tick`, `want`, `ask`, `cells`, `digests`; False for other kinds. HiveError where it can't be meant."""
-        raise NotImplementedError
+        """Takes `tick`, `want`, `ask`, `cells`, `digests`; False for other kinds.
+
+        KeyError, TypeError or ValueError where a message can't be meant: the link then ends.
+        """
+        peer = self.peers.get(port)
+        if peer is None:
+            return False
+        peer.heard_at = now
+        kind = message["k"]
+        if kind == "tick":
+            self._tick(port, peer, message, now)
+        elif kind == "want":
+            peer.number = int(message["n"])
+            self._bring(port, peer, bool(message.get("whole")))
+        elif kind in ("ask", "cells", "digests"):
+            for back in repair.heard(self.source, self.source.merge, message, now):
+                port.write(encode(back))
+        else:
+            return False
+        return True
+
+    def _tick(self, port: Port, peer: _Peer, message: Message, now: int) -> None:
+        source = self.source
+        if "g" in message:
+            peer.guard = Guard.read(message["g"])
+        if peer.guard is not None:
+            source.beat(peer.guard, now)
+        age = source.age_ms(now)
+        tock: Message = {"k": "tock", "t": message["t"], "age": None if age is None else math.ceil(age)}
+        tock |= {"n": source.number, "d": source.sums.whole()}
+        cores = source.cores
+        if cores != peer.cores:
+            tock["cores"] = peer.cores = [list(row) for row in cores]
+        port.write(encode(tock))
+        pushed = bool(message.get("root"))
+        if peer.number < 0 or (pushed and not peer.pushed):
+            peer.number = int(message["n"])
+        peer.pushed = pushed
+        if pushed and peer.number < source.number:
+            self._bring(port, peer)
+        if now - self.swept > SILENT_NS // 5:
+            self._sweep(now)
+
+    def _sweep(self, now: int) -> None:
+        self.swept = now
+        for port in [port for port, peer in self.peers.items() if now - peer.heard_at > SILENT_NS]:
+            del self.peers[port]
+            port.close()
 
     def agreed(self, change: tuple[int, dict[str, Any]] | None, now: int) -> None:
-        """`source.number` has grown; by `change` (base, op) where it was a single operation. Pushed at once."""
+        """`source.number` has grown, by `change` (base, op) where that was one operation. Pushed at once."""
+        number, state = self.source.number, self.source.state
+        if change is None or state is None or (self.history and self.history[-1][1] != change[0]):
+            self.history.clear()
+        if change is not None and state is not None:
+            base, op = change
+            frame = encode({"k": "change", "base": base, "n": number, "op": op, "seal": seal(state)})
+            self.history.append((base, number, frame))
+            while len(self.history) > HISTORY or sum(len(one[2]) for one in self.history) > HISTORY_BYTES:
+                del self.history[0]
+        for port, peer in list(self.peers.items()):
+            if peer.pushed:
+                self._bring(port, peer)
+
+    def _bring(self, port: Port, peer: _Peer, whole: bool = False) -> None:
+        """Sends what a peer lacks: the changes on top of what it holds, else the whole."""
+        number, state = self.source.number, self.source.state
+        if state is None or peer.number >= number:
+            return
+        missing: list[bytes] = []
+        at = peer.number
+        for base, after, frame in self.history:
+            if base == at:
+                missing.append(frame)
+                at = after
+        if whole or at != number:
+            if self.whole[0] != number:
+                self.whole = (number, encode({"k": "agreed", "n": number, "state": state}))
+            missing = [self.whole[1]]
+        peer.number = number
+        port.write(b"".join(missing))
 
     def changed(self, records: Iterable[Record], now: int) -> None:
         """These records have changed; they are pushed within BATCH_MS."""
+        if not any(peer.pushed for peer in self.peers.values()):
+            return  # whoever attaches later compares digests
+        self.batch |= {record_id(record): record for record in records}
+        if self.batch and not self.due:
+            self.due = now + BATCH_MS * 1_000_000
+            self.alarm(self.due)
 
     def turn(self, now: int) -> None:
         """Sends what is due."""
+        if not self.due or now < self.due:
+            return
+        self.due = 0
+        frame = encode(repair.rows(self.batch.values(), now))
+        self.batch.clear()
+        for port, peer in list(self.peers.items()):
+            if peer.pushed:
+                port.write(frame)
+        self._sweep(now)
--- /dev/null
+++ b/pepperrun/waggle/relay.py
@@ -0,0 +1,60 @@
+"""Relaying: what a gatekeeper takes from above goes on to those under it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from pepperrun.comb.records import Guard, Worker
+from pepperrun.waggle.digests import Sums
+from pepperrun.waggle.follower import Follower
+from pepperrun.waggle.publisher import Publisher
+
+
+class Relay:
+    """A follower's book as a source for the gatekeepers under it."""
+
+    def __init__(self, follower: Follower) -> None:
+        self.follower, self.book = follower, follower.book
+
+    @property
+    def number(self) -> int:
+        return self.book.number
+
+    @property
+    def state(self) -> dict[str, Any] | None:
+        return self.book.state
+
+    @property
+    def workers(self) -> Mapping[str, Worker]:
+        return self.book.workers
+
+    @property
+    def guards(self) -> Mapping[str, Guard]:
+        return self.book.guards
+
+    @property
+    def sums(self) -> Sums:
+        return self.book.sums
+
+    @property
+    def cores(self) -> list[list[str]]:
+        return self.book.cores
+
+    def age_ms(self, now: int) -> float | None:
+        return self.book.age_ms(now)
+
+    def beat(self, guard: Guard, now: int) -> None:
+        """The core hears of gatekeepers from themselves."""
+
+    def merge(self, workers: list[Worker], guards: list[Guard], now: int) -> None:
+        self.follower.merge(workers, guards, now)
+
+
+def relay(follower: Follower, alarm: Callable[[int], None], clock: Callable[[], int]) -> Publisher:
+    """A publisher that passes on what the follower takes, as soon as it has it."""
+    publisher = Publisher(Relay(follower), alarm)
+    follower.book.on_agreed.insert(0, lambda number, state, change: publisher.agreed(change, clock()))
+    follower.book.on_workers.insert(0, lambda changed: publisher.changed(changed, clock()))
+    follower.book.on_guards.insert(0, lambda changed: publisher.changed(changed, clock()))
+    return publisher
--- a/pepperrun/waggle/service.py
+++ b/pepperrun/waggle/service.py
@@ -2,11 +2,80 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
 from collections.abc import Callable
 
+from pepperrun.comb import changes
 from pepperrun.comb.records import Guard
-from pepperrun.foundation.settings import Settings
-from pepperrun.waggle.book import NewsBook
+from pepperrun.foundation.link import Dialer, Link, listen
+from pepperrun.foundation.netstring import Message
+from pepperrun.foundation.settings import Address, Settings
+from pepperrun.waggle.follower import Follower
+from pepperrun.waggle.publisher import Publisher
+from pepperrun.waggle.relay import relay
+
+
+class Alarm:
+    """One timer of the loop: calls `ring` at the earliest time that was set (steady ns)."""
+
+    def __init__(self, ring: Callable[[], None]) -> None:
+        self.ring, self.due = ring, 0
+        self.handle: asyncio.TimerHandle | None = None
+
+    def set(self, due: int) -> None:
+        """Rings then, or sooner if that was asked for."""
+        if self.due and self.due <= due:
+            return
+        self.stop()
+        self.due = due
+        wait = max(0, due - time.monotonic_ns()) / 1e9
+        self.handle = asyncio.get_running_loop().call_later(wait, self._rang)
+
+    def _rang(self) -> None:
+        self.due, self.handle = 0, None
+        self.ring()
+
+    def stop(self) -> None:
+        """Forgets what was set."""
+        if self.handle is not None:
+            self.handle.cancel()
+        self.due, self.handle = 0, None
+
+
+class _Up:
+    """The user of one uplink."""
+
+    def __init__(self, owner: Subscriber, address: Address) -> None:
+        self.owner, self.address = owner, address
+
+    def opened(self, link: Link, hello: Message) -> None:
+        self.owner.follower.opened(self.address, link, hello, time.monotonic_ns())
+        self.owner.settle()
+
+    def heard(self, link: Link, message: Message) -> None:
+        self.owner.follower.heard(link, message, time.monotonic_ns())
+        self.owner.settle()
+
+    def closed(self, link: Link) -> None:
+        self.owner.follower.closed(self.address, link, time.monotonic_ns())
+        self.owner.settle()
+
+
+class _Down:
+    """The user of links that others opened to here."""
+
+    def __init__(self, publisher: Publisher) -> None:
+        self.publisher = publisher
+
+    def opened(self, link: Link, hello: Message) -> None:
+        self.publisher.joined(link, hello, time.monotonic_ns())
+
+    def heard(self, link: Link, message: Message) -> None:
+        self.publisher.heard(link, message, time.monotonic_ns())
+
+    def closed(self, link: Link) -> None:
+        self.publisher.left(link, time.monotonic_ns())
 
 
 class Subscriber:
@@ -16,14 +85,64 @@
     """
 
     def __init__(self, settings: Settings, life: int, row: Callable[[], Guard]) -> None:
-        self.book = NewsBook()
-        raise NotImplementedError
+        me = settings.me
+        self.siding = settings.siding
+        self.hello_message: Message = {"station": me.station, "ip": me.ip, "zone": me.zone}
+        self.hello_message |= {"class": "counter", "life": life}
+        own = (me.station, me.zone, settings.siding)
+        now = time.monotonic_ns()
+        self.follower = Follower(own, settings.network.zones, settings.contacts(), row, changes.apply, now)
+        self.book = self.follower.book
+        self.alarm = Alarm(self._turn)
+        self.push = Alarm(self._push)
+        self.publisher = relay(self.follower, self.push.set, time.monotonic_ns)
+        self.dialers: dict[Address, Dialer] = {}
+        self.server: asyncio.Server | None = None
+        self.closing = False
+
+    def _hello(self) -> Message:
+        return self.hello_message
 
     async def start(self) -> None:
-        """Listens for other gatekeepers at the siding's TCP port and keeps its links. OSError if the port is taken."""
+        """Listens for other gatekeepers at the siding's TCP port and keeps links. OSError: it is taken."""
+        self.server = await listen(self.siding, _Down(self.publisher), self._hello)
+        self.settle()
+
+    def settle(self) -> None:
+        """Brings the links in line with what is wanted, and the timer."""
+        if self.closing:
+            return
+        wanted = self.follower.wanted()
+        if wanted != self.dialers.keys():
+            for address in [one for one in self.dialers if one not in wanted]:
+                self.dialers.pop(address).close()
+            for address in wanted - self.dialers.keys():
+                self.dialers[address] = Dialer(address, _Up(self, address), self._hello)
+        self.alarm.set(self.follower.due(time.monotonic_ns()))
+
+    def _turn(self) -> None:
+        self.follower.turn(time.monotonic_ns())
+        self.settle()
+
+    def _push(self) -> None:
+        self.publisher.turn(time.monotonic_ns())
+
+    def contacts(self, contacts: list[Address]) -> None:
+        """The settings name other core machines to ask first."""
+        self.follower.contacts = contacts
 
     def tell(self) -> None:
         """The own row has changed (ready, leaving): said to the core now, not at the next tick."""
+        self.follower.tell(time.monotonic_ns())
 
     async def close(self) -> None:
         """Ends all links."""
+        self.closing = True
+        self.alarm.stop()
+        self.push.stop()
+        for dialer in self.dialers.values():
+            dialer.close()
+        for port in list(self.publisher.peers):
+            port.close()
+        if self.server is not None:
+            self.server.close()
--- /dev/null
+++ b/tests/test_waggle.py
@@ -0,0 +1,208 @@
+"""Distribution in virtual time: news goes through dead relays and cuts, freshness is never overstated."""
+
+import random
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+from waggle_world import MS, World
+
+from pepperrun.comb.records import Guard, Worker
+from pepperrun.waggle import repair
+from pepperrun.waggle.book import NewsBook
+from pepperrun.waggle.tree import FAN_OUT, key
+
+ZONES = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
+CORES = ["a1", "a2", "b1", "b2", "c1"]
+
+
+def fleet(seed, counts, zones=ZONES, cores=CORES, start_ms=3000):
+    world = World(seed, zones, cores)
+    index = 0
+    for zone, number in counts.items():
+        for _ in range(number):
+            world.gate(index, zone)
+            index += 1
+    world.change(whole=True)
+    world.run(start_ms)
+    return world
+
+
+def children(world, gate):
+    return [one for one in world.gates if one.follower.parent and one.follower.parent.station == gate.station]
+
+
+def under(world, gate):
+    direct = children(world, gate)
+    return direct + [far for one in direct for far in under(world, one)]
+
+
+def test_a_hundred_gatekeepers_form_a_tree_and_news_costs_the_core_one_message_a_zone():
+    world = fleet(1, {"a1": 60, "b1": 30, "c2": 10})
+    roots = [gate for gate in world.gates if gate.follower.root]
+    assert [gate.zone for gate in roots] == ["a1", "b1", "c2"]
+    for gate in world.gates:
+        ranks = sorted(
+            (one for one in world.gates if one.zone == gate.zone), key=lambda one: key(one.station)
+        )
+        place = ranks.index(gate)
+        if place:
+            assert gate.follower.parent.station == ranks[(place - 1) // FAN_OUT].station
+        assert gate.follower.core.address[0] in {ip for ip, zone in world.cores if zone[0] == gate.zone[0]}
+    world.run(100)
+    world.sent.clear(), world.frames.clear()
+    began = world.now
+    number = world.change()
+    while world.lags(number):
+        world.run(1)
+    assert world.now - began < 60 * MS  # 4 steps of one zone, 12 ms to the farthest core machine
+    world.run(1000)
+    assert world.sent["change"] == len(world.gates) and not world.sent["agreed"] + world.sent["want"]
+    pushed = Counter({who: n for (who, kind), n in world.frames.items() if kind == "change"})
+    assert sum(n for who, n in pushed.items() if who.startswith("core")) == 3
+    assert max(pushed.values()) <= FAN_OUT
+    world.sent.clear()
+    for each in range(20):
+        world.worker(f"w{each}", "b2", skep=world.skeps[0])
+    world.run(1000)
+    assert all(len(gate.book.workers) == 20 for gate in world.gates)
+    assert world.sent["cells"] < 1.3 * len(world.gates)  # records that change together go together
+    world.check_fresh()
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_dead_relay_with_half_of_the_fleet_under_it_holds_nobody_up_for_a_second(seed):
+    world = fleet(seed, {"a1": 40})
+    best = max(world.gates, key=lambda gate: len(under(world, gate)) if not gate.follower.root else 0)
+    world.kill(best)
+    root = next(gate for gate in world.gates if gate.follower.root)
+    if seed:
+        world.kill(root)
+    number = world.change()
+    world.worker("w1", "a1")
+    world.run(1000)
+    assert not world.lags(number)
+    assert all("w1" in gate.book.workers for gate in world.gates if gate.alive)
+    lost = [replace(one.follower.row(), state="lost") for one in world.gates if not one.alive]
+    world.skeps[0].book.take_cells([], lost)  # what the core concludes from their silence
+    world.run(6000)
+    whole = [gate for gate in world.gates if gate.alive and gate.follower.root]
+    assert len(whole) == 1  # and a tree has formed again
+    world.check_fresh()
+
+
+def test_a_relay_that_wakes_behind_a_cut_brings_nobody_back():
+    world = fleet(4, {"a1": 12})
+    old = next(gate for gate in world.gates if children(world, gate) and not gate.follower.root)
+    kids = children(world, old)
+    for node in [*world.skeps, *(one for one in world.gates if one not in kids and one is not old)]:
+        world.cuts.add(frozenset((node.ip, old.ip)))
+    world.worker("w1", "a1", 5)
+    numbers = [world.change() for _ in range(3)]
+    world.run(1500)
+    assert old.book.number < numbers[0] and all(kid.book.number == numbers[-1] for kid in kids)
+    stale = Worker("w1", "line", "10.9.0.1:80", "a1", "v1", 2, 1)
+    for kid in kids:  # the old relay's word, as late as can be
+        port = next(iter(kid.up.values()))
+        kid.follower.heard(port, {"k": "agreed", "n": numbers[0], "state": {"edition": 0}}, kid.clock())
+        kid.follower.heard(port, repair.rows([stale], 1), kid.clock())
+        assert kid.book.number == numbers[-1] and kid.book.workers["w1"].serial == 5
+    world.cuts.clear()
+    world.run(2500)
+    assert old.book.number == numbers[-1] and old.book.workers["w1"].serial == 5
+    world.check_fresh()
+
+
+def test_gatekeepers_leave_a_core_machine_that_is_cut_off_and_move_back_to_the_nearer_one():
+    world = fleet(5, {"a1": 3, "b2": 3})
+    lone = world.skeps[0]
+    for other in world.skeps[1:]:
+        world.cuts.add(frozenset((lone.ip, other.ip)))
+    followed = [gate for gate in world.gates if gate.follower.core.address[0] == lone.ip]
+    assert len(followed) == 3
+    for _ in range(8):
+        number = world.change()
+        world.run(500)
+    assert all(gate.follower.core.address[0] != lone.ip for gate in world.gates)
+    assert not world.lags(number - 1)
+    for gate in world.gates:
+        assert world.now - (gate.book.fresh_at - gate.skew) < 1000 * MS
+    world.cuts.clear()
+    world.run(20000)
+    assert all(gate.follower.core.address[0] == lone.ip for gate in followed)
+    world.check_fresh()
+
+
+def test_who_reaches_no_core_machine_learns_from_its_parent_how_fresh_it_is():
+    world = fleet(6, {"a1": 6})
+    gate = next(one for one in world.gates if not one.follower.root)
+    for skep in world.skeps:
+        world.cuts.add(frozenset((gate.ip, skep.ip)))
+    world.run(3000)
+    number = world.change()
+    world.worker("w1", "a1")
+    world.run(1000)
+    assert gate.book.number == number and "w1" in gate.book.workers
+    assert world.now - (gate.book.fresh_at - gate.skew) < 1500 * MS
+    world.check_fresh()
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_nobody_claims_to_be_fresher_than_it_is(seed):
+    dice = random.Random(seed)
+    world = fleet(seed, {zone: dice.randrange(1, 4) for zone in ZONES})
+    nodes = world.skeps + world.gates
+    for _ in range(120):
+        kind = dice.randrange(8)
+        one, other = dice.sample(nodes, 2)
+        if kind <= 2:
+            world.cuts.add(frozenset((one.ip, other.ip)))
+        elif kind == 3:
+            world.cuts.clear()
+        elif kind == 4:  # a process stands still for a while, and everything for it is late
+            one.alive = False
+            world.at(world.now + dice.randrange(100, 3000) * MS, None, lambda one=one: wake(world, one))
+        elif any(2 * len(world.reached(skep)) > len(world.skeps) for skep in world.skeps if skep.alive):
+            world.change(whole=dice.random() < 0.3)
+        world.run(dice.randrange(10, 400))
+        world.check_fresh()
+    world.cuts.clear()
+    for node in nodes:
+        wake(world, node)
+    number = world.change()
+    world.run(6000)
+    assert not world.lags(number)
+    world.check_fresh()
+    for gate in world.gates:
+        assert world.now - (gate.book.fresh_at - gate.skew) < 1500 * MS
+        assert world.now - (gate.book.cells_at - gate.skew) < 1500 * MS
+
+
+def wake(world, node):
+    if not node.alive:
+        node.alive = True
+        if hasattr(node, "follower"):
+            node.turn()
+
+
+def test_copies_that_differ_in_a_few_of_many_records_exchange_little_and_end_alike():
+    dice = random.Random(9)
+    workers = [Worker(f"w{n}", "line", f"10.0.0.{n}:80", dice.choice("xy"), "v", 2, 1) for n in range(4000)]
+    one, other = NewsBook(), NewsBook()
+    one.take_cells(workers, []), other.take_cells(workers[:-1], [])
+    for book, picked in ((one, workers[:3]), (other, workers[5:8])):
+        book.take_cells([replace(worker, serial=2, state="unloading") for worker in picked], [])
+    guard = Guard("front-1", "x", "r", "10.1.0.1:80", "10.1.0.1:7600", 1)
+    other.take_cells([], [guard])
+    gone = Worker("w9999", "line", "10.0.0.1:80", "x", "v", 2, 1, "gone")
+    one.take_cells([gone], [])
+    assert one.sums.whole() != other.sums.whole()
+    rows, ways = 0, [(other, one, repair.ask(one))]
+    while ways:
+        to, back, message = ways.pop()
+        rows += len(message.get("w", ()))
+        answers = repair.heard(to, lambda w, g, now, to=to: to.take_cells(w, g), message, 1)
+        ways += [(back, to, answer) for answer in answers]
+    assert one.sums.whole() == other.sums.whole() and rows < 400
+    assert one.workers["w5"].state == other.workers["w0"].state == "unloading" and "front-1" in one.guards
+    assert "w9999" not in other.workers or other.workers["w9999"].state == "gone"
