--- a/pepperrun/foundation/settings.py
+++ b/pepperrun/foundation/settings.py
@@ -156,7 +156,7 @@
 
 def load(path: str | None = None) -> Settings:
     """Reads the file at `path`, else at the one that PEPPERRUN_NODE_FILE names."""
-    where = path or os.environ.get("PEPPERRUN_NODE_FILE", "/etc/pepperrun/node.yaml")
+    where = path if path is not None else os.environ.get("PEPPERRUN_NODE_FILE", "/etc/pepperrun/node.yaml")
     loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
     try:
         data = yaml.load(Path(where).read_text(), loader)  # noqa: S506  (a safe loader, in C where there is one)
