Forager: a body turned away early never reads as the next request; items that can't be meant are passed over

Cause: an answer at once to a request whose long body is still coming went on parsing in that body. Ruled out: dropping the rest and keeping the connection (more code for a rare case). Change: such a connection ends after its answer; 408 is not promised of a body that a worker has a part of.

--- a/pepperrun/forager/front.py
+++ b/pepperrun/forager/front.py
@@ -142,7 +142,7 @@
                 challenge = b"WWW-Authenticate", b"Token"
                 return self._unsure((401, [challenge, TEXT], b"no such key\n"), request.arrived)
             plan, customer = tenant.plan, tenant.customer
-        if match is not None and table.tenants:
+        if match is not None and table.stamped:
             dropped = dropped | {b"authorization"}  # it may be a key, and no worker is to see one
         at = way.draw(self.rng)
         lot = Lot(table, way, host, path, key if tenant is not None else None, tenant, way.lines[at])
@@ -205,6 +205,17 @@
             self.parser.most_body = table.limits.parcel_bytes
             self.parser.most_head = min(MOST_HEAD, max(MAX_HEAD // 16, table.limits.envelope_bytes))
 
+    bad = (400,)  # what is asked at a wrong place may be asked rightly next
+
+    def _moving(self) -> int:
+        # The limits tell how long a client may be silent, and nothing of how fast it sends.
+        return self.buffer.last_at + self.listener.times.idle_ns
+
+    def _cut(self, status: int, text: bytes) -> None:
+        # 408 would promise that the worker, which has a part of it, runs nothing.
+        spent = self.step is not None and self.step[1].spent
+        super()._cut(504 if status == 408 and spent else status, text)
+
     def begin(self, request: Request) -> Step | Answer:
         what = self.front.read(request)
         self._limit()
--- a/pepperrun/forager/routes.py
+++ b/pepperrun/forager/routes.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import random
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 import dacite
 
 from pepperrun.comb.timetable import SAFE, CarrierLine, Limits, Route, Sender
 from pepperrun.forager.ledger import MS, Ledger, number_of
+from pepperrun.foundation.errors import HiveError
+from pepperrun.foundation.logs import trouble
 
 Item = dict[str, Any]
+Made = TypeVar("Made")
+Ready = TypeVar("Ready", "Way", "Tenant")
 _CONFIG = dacite.Config(type_hooks={float: float})
 
 
@@ -19,6 +24,29 @@
     return dacite.from_dict(kind, {key: value for key, value in item.items() if value is not None}, _CONFIG)
 
 
+def made(item: Item, make: Callable[[Item], Made]) -> Made | None:
+    """An item ready for use; None, with a line in the log, where it can't be meant: the rest goes on."""
+    try:
+        return make(item)
+    except (dacite.DaciteError, ValueError, TypeError, AttributeError) as error:
+        trouble(HiveError("bad-item", "configuration", f"{item!r}: {error}"))
+        return None
+
+
+def _taken(
+    items: dict[str, Item] | None, before: dict[str, Ready], make: Callable[[Item], Ready]
+) -> dict[str, Ready]:
+    """Items ready for use, those that are as they were taken over."""
+    out = {}
+    for name, item in (items or {}).items():
+        one = before.get(name)
+        if one is None or one.item != item:
+            one = made(item, make)
+        if one is not None:
+            out[name] = one
+    return out
+
+
 def homes_of(regions: list[str]) -> frozenset[str] | None:
     """The regions in which something may be served; None for all."""
     return frozenset(regions) if regions else None
@@ -50,6 +78,8 @@
         parts = [(split.line, split.share) for split in route.splits or () if split.share > 0]
         if not parts and route.line is not None:
             parts = [(route.line, 1.0)]
+        if not parts:
+            raise ValueError("it names no service")
         self.lines = [ledger.line(name) for name, _ in parts]
         self.shares = [share for _, share in parts]
         kind = self.safe, int(route.target_ms * MS), self.deadline_ns, self.tries
@@ -82,32 +112,26 @@
 
     def __init__(self, number: int, state: Item, ledger: Ledger, before: Table | None = None) -> None:
         self.number, self.edition = number, int(state.get("edition") or 0)
-        self.ways: dict[str, Way] = {}
-        self.tenants: dict[str, Tenant] = {}
-        self.hosts: dict[bytes, dict[bytes, Way]] = {}
-        self.keys: dict[bytes, Tenant] = {}
         self.limits: Limits = read_item(Limits, state.get("limits") or {})
         self.evacuated = frozenset(state.get("evacuated") or ())
-        lines = state.get("carrier_lines") or {}
+        self.stamped = bool(state.get("senders"))  # are keys asked for at all?
         self.lines: dict[int, CarrierLine] = {}
-        for name, item in lines.items():
-            self.lines[ledger.line(name)] = read_item(CarrierLine, {"name": name} | item)
-        known = before.ways if before is not None else {}
-        for name, item in (state.get("routes") or {}).items():
-            way = known.get(name)
-            if way is None or way.item != item:
-                way = Way(item, ledger)
-            self.ways[name] = way
+        for item in (state.get("carrier_lines") or {}).values():
+            line = made(item, lambda one: read_item(CarrierLine, one))
+            if line is not None:
+                self.lines[ledger.line(line.name)] = line
+        self.ways: dict[str, Way] = _taken(
+            state.get("routes"), before.ways if before else {}, lambda one: Way(one, ledger)
+        )
+        self.hosts: dict[bytes, dict[bytes, Way]] = {}
+        for way in self.ways.values():
             prefixes = self.hosts.setdefault(host_of(way.route.depot.encode()), {})
             prefixes.setdefault(way.route.prefix.encode(), way)
-        old = before.tenants if before is not None else {}
-        for name, item in (state.get("senders") or {}).items():
-            tenant = old.get(name)
-            if tenant is None or tenant.item != item:
-                tenant = Tenant(item, ledger)
-            self.tenants[name] = tenant
-            for stamp in tenant.stamps:
-                self.keys[stamp] = tenant
+        tenants: dict[str, Tenant] = before.tenants if before else {}
+        self.tenants: dict[str, Tenant] = _taken(
+            state.get("senders"), tenants, lambda one: Tenant(one, ledger)
+        )
+        self.keys = {stamp: tenant for tenant in self.tenants.values() for stamp in tenant.stamps}
 
     def find(self, host: bytes, path: bytes) -> Way | None:
         """Among the routes of a host the one with the longest prefix that begins the path."""
@@ -124,7 +148,7 @@
 
     def keyed(self, way: Way) -> bool:
         """Does a request on this route need a key?"""
-        return bool(self.tenants) and not way.unstamped
+        return self.stamped and not way.unstamped
 
 
 def host_of(text: bytes) -> bytes:
--- a/pepperrun/fronts/http_client.py
+++ b/pepperrun/fronts/http_client.py
@@ -53,6 +53,8 @@
 class HttpClient(KeptClient):
     """A client's connection. Fronts derive from it."""
 
+    bad: tuple[int, ...] = BAD
+
     # For fronts.
 
     def begin(self, request: Request) -> Step | Answer:
@@ -177,8 +179,8 @@
                 request.stream = self.upload = Stream(self.budget, self._pause, self._nobody)
                 self.buffer.widen(self.budget.share())
             what = self.begin(request)
-            if len(what) == 3 and what[0] in BAD:
-                self._reject(what)
+            if len(what) == 3 and (what[0] in self.bad or not request.whole):
+                self._reject(what)  # the rest of its body must not be read as the next request
             else:
                 self._proceed(what)
         if self.upload is not None:
--- a/pepperrun/guard.py
+++ b/pepperrun/guard.py
@@ -35,13 +35,13 @@
             settings,
             secrets.randbits(32),
             time.monotonic_ns,
-            lambda: self.life,
+            self.known_life,
             lambda: book.fresh_at,
             lambda: book.cells_at,
         )
         book.on_agreed.append(self.plane.on_agreed)
         book.on_workers.append(self.plane.on_workers)
-        book.on_guards.append(self.on_guards)
+        book.on_guards.append(self.plane.on_guards)
         self.asked = ready_listener(time.monotonic_ns, self.plane.ready)
         self.stop = asyncio.Event()
 
@@ -51,13 +51,10 @@
         siding = f"{me.ip}:{self.settings.siding[1]}"
         return Guard(me.station, me.zone, me.region, counter, siding, self.life, self.serial, self.state)
 
-    def on_guards(self, changed: list[Guard]) -> None:
-        """Gatekeepers' records. The time of day may have been ahead in this station's last life."""
-        for guard in changed:
-            if guard.station == self.settings.me.station and guard.life > self.life:
-                self.life = guard.life + 1
-                self.news.tell()
-        self.plane.on_guards(changed)
+    def known_life(self) -> int:
+        """The life by which others know this one: the time of day may have been ahead in an earlier one."""
+        held = self.news.book.guards.get(self.settings.me.station)
+        return held.life if held is not None else self.life
 
     def say(self, state: str) -> None:
         """From now on this gatekeeper is in this state."""
@@ -74,6 +71,7 @@
             logs.trouble(error)
             return
         self.plane.reread(self.settings)
+        self.news.contacts(self.settings.contacts())
         logs.event("settings", reread=True)
 
     async def run(self) -> None:
--- a/pepperrun/net/connection.py
+++ b/pepperrun/net/connection.py
@@ -106,9 +106,9 @@
     """Has the system end a connection whose other machine no longer answers it."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, max(1, timeout_ms // 1000))
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, max(1, timeout_ms // 1000))
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
 
 
 class Attempt:
--- a/tests/test_forager.py
+++ b/tests/test_forager.py
@@ -1,4 +1,4 @@
-"""The data plane: routes, keys, homes, workers' answers, the planned end, freshness, cold shares, evacuations."""
+"""The data plane: routes, keys, homes, workers' answers, the planned end, freshness, cold shares."""
 
 from __future__ import annotations
 
@@ -165,6 +165,20 @@
     going(test)
 
 
+def test_a_long_body_that_is_turned_away_is_not_read_as_the_next_request():
+    async def test():
+        hive, worker = Hive(route("r", "/p/")), await StandIn(ok()).start()
+        hive.work("w1", worker.port)
+        inner = b"GET /p/in HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: i2\r\nAuthorization: Token k1\r\n\r\n"
+        client = await hive.ask(key="k9", method="POST", Content_Length="300000")
+        client.writer.write(b"x" * 70_000)
+        assert (await client.answer())[0] == 401
+        client.writer.write(inner)
+        assert await client.ended() and not worker.heads
+
+    going(test)
+
+
 def test_a_late_second_answer_is_told_by_its_id():
     """On the same connection it comes in the place of the next; that one's client must not get it."""
 
