--- a/pepperrun/waggle/follower.py
+++ b/pepperrun/waggle/follower.py
@@ -40,7 +40,7 @@
 SWEEP_NS = 120_000 * MS  # between two looks for records that may be forgotten
 STAMPS = 16  # ticks without an answer that are remembered
 
-Apply = Callable[[dict[str, Any], dict[str, Any]], tuple[dict[str, Any] | None, Any]]
+Apply = Callable[[dict[str, Any] | None, dict[str, Any]], tuple[dict[str, Any] | None, Any]]
 
 
 @dataclass(slots=True)
@@ -319,7 +319,7 @@
         number, base = int(message["n"]), int(message["base"])
         if number <= self.book.number:
             return
-        if base != self.book.number or self.book.state is None:
+        if base != self.book.number:
             self._want(link, now)
             return
         state, _ = self.apply(self.book.state, message["op"])
--- a/tests/test_waggle.py
+++ b/tests/test_waggle.py
@@ -3,13 +3,17 @@
 import random
 from collections import Counter
 from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 from waggle_world import MS, World
 
+from pepperrun.comb import changes
 from pepperrun.comb.records import Guard, Worker
 from pepperrun.waggle import repair
 from pepperrun.waggle.book import NewsBook
+from pepperrun.waggle.follower import Follower
+from pepperrun.waggle.publisher import seal
 from pepperrun.waggle.tree import FAN_OUT, key
 
 ZONES = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
@@ -206,3 +210,19 @@
     assert one.sums.whole() == other.sums.whole() and rows < 400
     assert one.workers["w5"].state == other.workers["w0"].state == "unloading" and "front-1" in one.guards
     assert "w9999" not in other.workers or other.workers["w9999"].state == "gone"
+
+
+def test_the_first_change_builds_on_nothing():
+    """Asked for again and again, as who holds no state could not take it, it filled the links."""
+    written = []
+    port = SimpleNamespace(name="s", write=written.append, close=lambda: None)
+    row = Guard("g", "z", "r", "1.1.1.1:1", "1.1.1.1:7600", 1)
+    core = ("1.1.1.2", 7600)
+    own = ("g", "z", ("1.1.1.1", 7600))
+    follower = Follower(own, {"z": "r"}, [core], lambda: row, changes.apply, 0)
+    follower.opened(core, port, {"k": "hello", "station": "s", "class": "sorting", "cores": []}, 1)
+    op = changes.evacuation("z", True)
+    state, _ = changes.apply(None, op)
+    told = len(written)
+    follower.heard(port, {"k": "change", "base": 0, "n": 1, "op": op, "seal": seal(state)}, 2)
+    assert follower.book.number == 1 and follower.book.state["evacuated"] == ["z"] and len(written) == told
