--- a/pepperrun/queen/queen.py
+++ b/pepperrun/queen/queen.py
@@ -206,7 +206,7 @@
             self._read()
             self._succession(self._up())
             self.look = True
-            self.register.flush(lazy=True)
+            self.register.flush(lazy=now - self.register.chosen_when >= self.pace.lazy)
         self._start()
 
     # Rounds.
@@ -236,7 +236,8 @@
         """How long another may take to finish its round: their places keep voters from doing it at once."""
         order = sorted(self.voters)
         place = order.index(self.me) if self.me in order else len(order)
-        return self.pace.read + place * self.pace.round // 2
+        longest = 0 if self.fresh is None else self.pace.read  # just started: nobody's round is under way
+        return longest + place * self.pace.round // 2
 
     def _plan(self, value: Value, known: bool) -> Value:
         """What should be changed of who votes and who keeps."""
@@ -317,7 +318,9 @@
 
     def _weigh(self, stamp: int) -> None:
         """Have those that decide taken nothing later than what is known as chosen?"""
-        register, value, reading = self.register, self.value, self.readings[stamp]
+        register, reading = self.register, self.readings[stamp]
+        register.learn(life for life, taken in reading.taken.items() if taken == register.accepted_at)
+        value = self.value
         if value is None:
             return
         if register.accepted_at > max(register.chosen_at, self.later):
--- a/pepperrun/queen/voter.py
+++ b/pepperrun/queen/voter.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
@@ -33,6 +33,7 @@
     up: int = 1200 * MS  # who was heard within it is up
     silent: int = 1500 * MS  # a keeper not heard for so long gets a successor
     lost: int = 4000 * MS  # a voter not heard for so long gives its place to a machine that is up
+    lazy: int = 5000 * MS  # until it is kept that something was chosen: not right after it was acknowledged
 
 
 class Change(NamedTuple):
@@ -59,6 +60,7 @@
         self.unsynced = self.unsaved = self.broken = (
             False  # must be synced first; may be saved later; no more
         )
+        self.chosen_when = now
         self.steps: dict[Ballot, Steps] = {}  # of what was taken and not yet chosen
         self.latest = max(memory.promised, memory.accepted.ballot if memory.accepted else NONE)
         self.asked_news: dict[str, int] = {}
@@ -167,6 +169,15 @@
 
     # As one that learns.
 
+    def learn(self, taken: Iterable[Life]) -> None:
+        """Lives that have all taken what was taken last here: do they decide? Then it was chosen."""
+        accepted = self.memory.accepted
+        if accepted is None or accepted.ballot <= self.chosen_at:
+            return
+        lives = list(taken) if self.unsynced or self.broken else [*taken, self.life]
+        if accepted.value.quorum(lives):
+            self._choose(accepted, self.steps.get(accepted.ballot))
+
     def _told(self, ip: str, message: Message) -> None:
         ballot, accepted = message["b"], self.memory.accepted
         if ballot <= self.chosen_at:
@@ -202,7 +213,7 @@
     def _choose(self, held: Held, steps: Steps | None) -> None:
         """It is known as chosen. Whoever hears of it keeps it as taken: one more disk that has it."""
         before = self.memory.chosen
-        self.memory.chosen, self.unsaved = held, True
+        self.memory.chosen, self.unsaved, self.chosen_when = held, True, self.now
         if self.accepted_at < held.ballot:
             self.memory.accepted = held
             self.memory.promised = max(self.memory.promised, held.ballot)
--- a/pepperrun/swarm/queens.py
+++ b/pepperrun/swarm/queens.py
@@ -64,6 +64,7 @@
     started: int = 0
     lives: int = 0
     tick_at: int = -1
+    gone: bool = False  # for good
 
 
 @dataclass
@@ -112,6 +113,8 @@
     def start(self, ip: str, first: bool = False) -> None:
         """A process starts on what its disk keeps."""
         machine = self.machines[ip]
+        for pair in [pair for pair in self.links if ip in pair]:
+            self._break(pair)
         memory = replace(machine.disk.synced) if machine.disk.synced else None
         if memory is None:
             machine.lives += 1
@@ -161,6 +164,14 @@
             self._hand(machine, sender, message)
         self._tick(machine)
 
+    def retire(self, ip: str) -> None:
+        """It is told to stop, and ends half a second later."""
+        machine = self.machines[ip]
+        if machine.queen is not None:
+            machine.queen.retire(self.now)
+            self._pump(machine)
+            self._later(500 * MS, ("end", ip, machine.started))
+
     def cut(self, side: Iterable[str], other: Iterable[str] | None = None) -> None:
         """Nothing goes between these and the others (all others) any more."""
         side = set(side)
@@ -198,6 +209,7 @@
         one.to = [*one.to[1:], ip]
         machine = self.machines[ip]
         if machine.queen is None or machine.frozen:
+            one.token = None
             self._later(1000 * MS, ("send", one))
             return
         token = machine.queen.propose(one.op, self.now)
@@ -227,6 +239,9 @@
             machine = self.machines[event[1]]
             if machine.tick_at == self.now:
                 self._tick(machine)
+        elif kind == "end":
+            if self.machines[event[1]].started == event[2] and self.machines[event[1]].queen is not None:
+                self.kill(event[1])
         elif kind == "connect":
             self._connect(event[1])
         elif kind == "broken":
--- a/pepperrun/wax/store.py
+++ b/pepperrun/wax/store.py
@@ -103,6 +103,7 @@
                     transaction.put(key, _sealed(_dump(bodies[key])))
                 for key, data in changed.items():
                     transaction.put(key, _sealed(_dump(data)))
+            self._open().sync(True)
         except (lmdb.Error, OSError) as error:
             raise HiveError("disk-failed", "saving", f"{type(error).__name__}: {error}") from None
         self.saved = records | dict.fromkeys(bodies, True)
@@ -115,14 +116,17 @@
 
     def _open(self) -> lmdb.Environment:
         if self.env is None:
-            # One process alone uses the folder, and locks do nothing on some disks.
-            self.env = lmdb.open(str(self.folder), map_size=self.size, lock=False, readahead=False)
+            # One process alone uses the folder, and locks do nothing on some disks. lmdb syncs the pages of a
+            # commit and then writes which of them hold through a descriptor with O_DSYNC; not each disk heeds
+            # that, so `save` syncs that write.
+            options: dict[str, Any] = {"lock": False, "readahead": False, "metasync": False}
+            self.env = lmdb.open(str(self.folder), map_size=self.size, **options)
         return self.env
 
     def _load(self) -> Memory | None:
         """What is there, or None where nothing ever was; HiveError where it is in doubt."""
-        self.folder.mkdir(parents=True, exist_ok=True)
         try:
+            self.folder.mkdir(parents=True, exist_ok=True)
             with self._open().begin() as transaction:
                 raw = {bytes(key): bytes(data) for key, data in transaction.cursor()}
         except (lmdb.Error, OSError) as error:
