Scouts: membership among gatekeepers learnt from records

Cause: the tree's parents and the stores' keepers need to know of a death before the core concludes it (seconds). Ruled out: listed numbers (nothing lists the gatekeepers) and seats given by the core (one more thing to agree on): each process gives the others numbers of its own, the wire names stations by hash. Change: members take a roster that grows and a format for their datagrams; scouts bring records, addresses and regions to it.

--- a/pepperrun/members/links.py
+++ b/pepperrun/members/links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pepperrun.members.roster import Roster
 from pepperrun.members.wire import Row
 
 LEAST_NS = 40_000_000  # an answer may wait so long for its turn on a busy core
@@ -33,8 +34,8 @@
 class Links:
     """This member's row, the delays, and the rows that the others tell."""
 
-    def __init__(self, me: int, count: int) -> None:
-        self.me, self.count = me, count
+    def __init__(self, roster: Roster) -> None:
+        self.me, self.roster = roster.me, roster
         self.delays: dict[int, Delay] = {}
         self.failed: set[int] = set()  # did not answer this one's own last probe
         self.tried: dict[int, int] = {}  # when a probe last came back
@@ -61,7 +62,7 @@
 
     def row(self) -> Row:
         """Whom this one reaches, as far as it has tried."""
-        bits = (1 << self.count) - 1
+        bits = self.roster.bits
         for member in self.failed:
             bits &= ~(1 << member)
         return Row(self.me, self.version, bits)
--- a/pepperrun/members/member.py
+++ b/pepperrun/members/member.py
@@ -20,6 +20,7 @@
 from pepperrun.members.outbox import Outbox
 from pepperrun.members.probing import Probe, Prober
 from pepperrun.members.records import Book, Record
+from pepperrun.members.roster import listed
 from pepperrun.members.states import MOVES, Config, Happened, Me, On, Own, Window
 from pepperrun.members.suspicion import WATCHERS, Suspicions
 from pepperrun.members.views import Side, Views, side_of
@@ -30,10 +31,10 @@
     WORDS,
     Datagram,
     Kind,
+    Listed,
     Rumour,
     State,
     name_hash,
-    unpack,
 )
 
 HELLO_EACH = SECOND // 10  # while nobody has answered
@@ -54,12 +55,13 @@
     """Give it datagrams and the time; take what it wants sent (`outbox`) and what has happened (`events`)."""
 
     def __init__(self, config: Config, life: int, seed: int, now: int) -> None:
-        self.me, self.count = config.me, config.count
+        self.me, self.config = config.me, config
+        self.roster = config.roster or listed(config.me, config.count)
         self.rng = random.Random(seed)
         self.own = Own(self.me, name_hash(config.name), life % LIVES or 1)
         self.counts = dict.fromkeys(COUNTS, 0)
-        self.book, self.links = Book(self.me, self.count), Links(self.me, self.count)
-        self.views = Views(now)
+        self.book, self.links = Book(self.roster), Links(self.roster)
+        self.views = Views(now, self.roster.ids if config.roster is not None else None)
         self.outbox = Outbox(
             *(config, self.own, self.book, self.links, self.views, self.rng, self.counts),
             lambda: self.prober.health,
@@ -77,7 +79,6 @@
             Kind.NEWS: lambda one, now: None,
             Kind.TAKEN: self._taken,
         }
-        self.every = frozenset(range(self.count))
         self.events: deque[Happened] = deque(maxlen=EVENTS)
         self.windows: dict[tuple[int, int], Window] = {}  # by member and life
         self.considered, self.candidate, self.suspected = -1, frozenset[tuple[int, int]](), False
@@ -92,13 +93,23 @@
         self.told_of: Callable[[Happened], None] | None = None
 
     @property
-    def config(self) -> Config:
-        """What it was told; the keys change while it runs."""
-        return self.outbox.config
+    def count(self) -> int:
+        """How many there may be."""
+        return len(self.roster)
 
     def rekey(self, keys: Keys) -> None:
         """Other keys hold at once, for what is sent and what is taken in."""
-        self.outbox.config = replace(self.config, keys=keys)
+        self.config = replace(self.config, keys=keys)
+        self.outbox.wire = self.config.wire or Listed(self.config.count, keys)
+
+    def forget(self, member: int) -> None:
+        """It is taken from the roster: nothing is known of it any more."""
+        self.book.forget(member)
+        self.links.forget(member)
+        self.names.held.pop(member, None)
+        self.prober.heard.pop(member, None)
+        self.views.told.pop(member, None)
+        self.windows = {key: window for key, window in self.windows.items() if key[0] != member}
 
     # Own state.
 
@@ -168,7 +179,7 @@
                 self.suspicions.watch(known, now)
         if now >= self.knock_at:
             self.knock_at = now + KNOCK_EACH
-            absent = [m for m in range(self.count) if m != self.me and not self._there(m)]
+            absent = [m for m in self.roster.others if not self._there(m)]
             if absent:
                 self.outbox.post(self.rng.choice(absent), Kind.HELLO)
         if self.news_at and now >= self.news_at:
@@ -213,7 +224,7 @@
             self._move(On.UNANSWERED, now)
             return
         self.hello_at = now + int(HELLO_EACH * self.rng.uniform(0.7, 1.3))
-        self.outbox.post(self.rng.choice([m for m in range(self.count) if m != self.me]), Kind.HELLO)
+        self.outbox.post(self.rng.choice(self.roster.others), Kind.HELLO)
 
     # Suspicion.
 
@@ -315,7 +326,7 @@
         self._look(now)
         if self.own.state in (Me.LEFT, Me.REFUSED):
             return
-        datagram = unpack(data, self.count, self.config.keys)
+        datagram = self.outbox.wire.unpack(data)
         if datagram is None or sender == self.me:
             self.counts["forged"] += 1
             return
@@ -409,7 +420,7 @@
             self.names.refuse(probe.target, probe.target, now)
 
     def _asked(self, datagram: Datagram, now: int) -> None:
-        if datagram.subject < self.count and datagram.subject != self.me:
+        if datagram.subject in self.roster.every and datagram.subject != self.me:
             self.prober.ask(datagram.subject, now, for_whom=(datagram.sender, datagram.probe))
 
     # Joining.
@@ -467,11 +478,13 @@
 
     def configured(self) -> frozenset[int]:
         """All members but those that left in order."""
-        return self.every - set(self.book.others(State.LEFT)) if self.book.others(State.LEFT) else self.every
+        left = self.book.others(State.LEFT)
+        return self.roster.every - set(left) if left else self.roster.every
 
     def side(self) -> Side:
         """Where this one stands, by its view."""
-        return side_of(self.views.view.numbers() | {self.me}, self.configured(), self.me)
+        here = self.views.view.numbers() | {self.me}
+        return side_of(here, self.configured(), self.me, self.views.ids)
 
     # For others to see.
 
--- a/pepperrun/members/outbox.py
+++ b/pepperrun/members/outbox.py
@@ -11,7 +11,7 @@
 from pepperrun.members.records import Book
 from pepperrun.members.states import Config, Me, Own
 from pepperrun.members.views import Views
-from pepperrun.members.wire import NOBODY, Datagram, Kind, Rumour, State, pack, room, rows_room
+from pepperrun.members.wire import NOBODY, Datagram, Kind, Listed, Rumour, State
 
 REPEAT_EACH = SECOND // 5  # to one member the same remark
 
@@ -30,7 +30,8 @@
         counts: dict[str, int],
         health: Callable[[], int],
     ) -> None:
-        self.config, self.count, self.own = config, config.count, own
+        self.own = own
+        self.wire = config.wire or Listed(config.count, config.keys)
         self.book, self.links, self.views, self.rng, self.counts = book, links, views, rng, counts
         self.out: list[tuple[int, bytes]] = []
         self.remarks: dict[tuple[int, Kind], int] = {}  # when the same was last said to a member
@@ -66,14 +67,14 @@
             # What is said of the receiver comes first: if it is untrue, it has to know.
             if known is not None and known.state is not State.ALIVE:
                 told = [known.rumour()]
-            told = told + [one for one in self.book.some(room(self.count, 1) - 1, member) if one not in told]
+            told = told + [one for one in self.book.some(self.wire.room(1) - 1, member) if one not in told]
         rows = [self.links.row()] if self.own.state is Me.MEMBER else []
         if rows and not given:
-            spare = rows_room(self.count, len(told)) - 1
+            spare = self.wire.rows_room(len(told)) - 1
             others = [row for row in self.links.rows.values() if row.member != member]
             rows += self.rng.sample(others, max(0, min(len(others), spare, 2)))
         self.sequence += 1
-        data = pack(
+        data = self.wire.pack(
             Datagram(
                 *(
                     kind,
@@ -87,9 +88,7 @@
                     self.own.name,
                 ),
                 *(self.views.view.number, self.views.view.digest, self.health(), told, rows),
-            ),
-            self.count,
-            self.config.keys,
+            )
         )
         self.counts["sent"] += 1
         self.counts["sent_bytes"] += len(data)
@@ -100,7 +99,7 @@
         every = [known.rumour() for known in self.book.records.values()] or [
             Rumour(self.own.member, self.own.life, self.own.incarnation, State.ALIVE, self.own.member)
         ]
-        page = room(self.count, 1)
+        page = self.wire.room(1)
         for at in range(0, len(every), page):
             self.post(member, Kind.WELCOME, rumours=every[at : at + page], to_life=life)
 
--- a/pepperrun/members/probing.py
+++ b/pepperrun/members/probing.py
@@ -28,6 +28,7 @@
 TRIED_FOR = 30 * SECOND  # a way that came back so lately need not be tried where its member is heard
 HEALTH_MOST = 8  # a member in trouble is at most nine times as patient
 STORM = 3  # so many times the pace while several are suspected: many have failed, and are found sooner
+FAR_ROUNDS = 8  # those that are far are asked in each of so many rounds: those near them ask them too
 PROBES = 2**16
 PATIENCE = 5  # periods: a link may be slower than the pace of the probes
 KEPT, FORGOTTEN = 256, 5 * SECOND  # questions remembered for their late answers
@@ -71,7 +72,7 @@
         self.late: dict[int, int] = {}  # when a member last answered late
         self.next_at = 0
         self.round: list[int] = []
-        self.turn = 0
+        self.turn = self.rounds = 0
         self.number = rng.randrange(PROBES)
         self.answered_at = 0  # when any question was last answered
         self.failed_in_row = 0  # own probes that came to nothing since the last answer
@@ -174,6 +175,9 @@
                 if known is not None and known.there:
                     return member
             self.round = self.book.others(State.ALIVE, State.SUSPECT)
+            self.rounds += 1
+            if near := [member for member in self.round if member not in self.book.roster.far]:
+                self.round = near if self.rounds % FAR_ROUNDS else self.round
             self.rng.shuffle(self.round)
         return None
 
--- a/pepperrun/members/records.py
+++ b/pepperrun/members/records.py
@@ -7,10 +7,10 @@
 
 from __future__ import annotations
 
-import hashlib
 import random
 from dataclasses import dataclass, field
 
+from pepperrun.members.roster import Roster
 from pepperrun.members.wire import NOBODY, Rumour, State
 
 MOST_WITNESSES = 4  # further ones change nothing
@@ -45,27 +45,26 @@
         return self.state in (State.ALIVE, State.SUSPECT)
 
 
-def place(member: int) -> int:
-    """A member's place on the ring on which each is watched by those before it; the same to all."""
-    return int.from_bytes(hashlib.blake2b(member.to_bytes(4, "little"), digest_size=8).digest(), "little")
-
-
 class Book:
     """The records, and the rumours that are still to be passed on."""
 
-    def __init__(self, me: int, count: int) -> None:
-        self.me, self.count = me, count
+    def __init__(self, roster: Roster) -> None:
+        self.me, self.roster = roster.me, roster
         self.records: dict[int, Record] = {}
         self.fresh: dict[tuple[int, int], int] = {}  # member and witness: times more
         self.changes = 0
         self._states: tuple[int, dict[State, list[int]]] = (-1, {})  # as of so many changes
-        self.ring = sorted(range(count), key=place)
-        self.at = {member: at for at, member in enumerate(self.ring)}
 
     def get(self, member: int) -> Record | None:
         """The record of a member."""
         return self.records.get(member)
 
+    def forget(self, member: int) -> None:
+        """It is no member any more."""
+        if self.records.pop(member, None) is not None:
+            self.fresh = {key: times for key, times in self.fresh.items() if key[0] != member}
+            self.changes += 1
+
     def note(self, rumour: Rumour, now: int) -> bool:
         """Takes in a word; was it news? A further witness of a suspicion is."""
         known = self.records.get(rumour.member)
@@ -118,9 +117,10 @@
 
     def after(self, member: int, many: int = 1) -> list[int]:
         """The live ones that follow a member on the ring, nearest first."""
-        start, found = self.at[member], []
-        for step in range(1, self.count):
-            other = self.ring[(start + step) % self.count]
+        ring, found = self.roster.ring, list[int]()
+        start = self.roster.at[member]
+        for step in range(1, len(ring)):
+            other = ring[(start + step) % len(ring)]
             known = self.records.get(other)
             if other != member and known is not None and known.state is State.ALIVE:
                 found.append(other)
@@ -130,9 +130,10 @@
 
     def watchers(self, member: int, many: int) -> list[int]:
         """The live ones before a member on the ring: these look for themselves when it is suspected."""
-        start, found = self.at[member], []
-        for step in range(1, self.count):
-            other = self.ring[(start - step) % self.count]
+        ring, found = self.roster.ring, list[int]()
+        start = self.roster.at[member]
+        for step in range(1, len(ring)):
+            other = ring[(start - step) % len(ring)]
             known = self.records.get(other)
             if known is not None and known.state is State.ALIVE:
                 found.append(other)
--- a/pepperrun/members/report.py
+++ b/pepperrun/members/report.py
@@ -17,7 +17,7 @@
     """All that this member knows, times in ms before now."""
     view, views = member.views.view, member.views
     rows = []
-    for number in range(member.count):
+    for number in sorted(member.roster.every):
         known = member.book.get(number)
         row: dict[str, Any] = {"member": number, "name": names[number] if number < len(names) else ""}
         if number == member.me:
--- a/pepperrun/members/states.py
+++ b/pepperrun/members/states.py
@@ -18,6 +18,8 @@
 
 from pepperrun.core.clock import SECOND
 from pepperrun.members.keys import Keys
+from pepperrun.members.roster import Roster
+from pepperrun.members.wire import Format
 
 WINDOW = 64  # datagrams may overtake each other by so many
 
@@ -55,7 +57,8 @@
 class Config:
     """What a member is told: its number among so many, its name, the keys and the pace.
 
-    `period_ns`: between two probes of its own; `suspect_ns`: how long a suspicion stands at least.
+    `period_ns`: between two probes of its own; `suspect_ns`: how long a suspicion stands at least. Where the
+    group is learnt, `roster` has it, and `wire` writes its datagrams.
     """
 
     me: int
@@ -64,6 +67,8 @@
     keys: Keys
     period_ns: int = SECOND // 5
     suspect_ns: int = SECOND // 4
+    roster: Roster | None = None
+    wire: Format | None = None
 
 
 @dataclass(slots=True)
--- a/pepperrun/members/steps.py
+++ b/pepperrun/members/steps.py
@@ -68,7 +68,7 @@
     step = step_of(member, now)
     there = member.views.view.numbers()
     suspects = member.book.others(State.SUSPECT, State.DEAD, State.LEFT)
-    lost = frozenset(m for m in range(member.count) if m not in there) | frozenset(suspects)
+    lost = frozenset(m for m in member.roster.every if m not in there) | frozenset(suspects)
     lost -= {member.me}
     if step is Step.NEW and not there:
         lost = frozenset()  # it knows of nobody yet: asking a keeper that is not there costs one ask
--- a/pepperrun/members/views.py
+++ b/pepperrun/members/views.py
@@ -11,6 +11,7 @@
 import enum
 import hashlib
 import struct
+from collections.abc import Mapping
 from dataclasses import dataclass
 from functools import cached_property
 
@@ -21,9 +22,13 @@
 Held = frozenset[tuple[int, int]]  # members with their lives
 
 
-def digest_of(members: Held) -> int:
-    """32 bits that two different sets hardly ever share."""
-    data = b"".join(struct.pack("<HI", *one) for one in sorted(members))
+def digest_of(members: Held, ids: Mapping[int, int] | None = None) -> int:
+    """32 bits that two different sets hardly ever share; `ids` where each member has its own numbers."""
+    if ids is None:
+        data = b"".join(struct.pack("<HI", *one) for one in sorted(members))
+    else:
+        known = sorted((ids.get(member, 0), life) for member, life in members)
+        data = b"".join(struct.pack("<II", *one) for one in known)
     return int.from_bytes(hashlib.blake2b(data, digest_size=4).digest(), "little")
 
 
@@ -48,7 +53,8 @@
 class Views:
     """The view in force and what the others hold."""
 
-    def __init__(self, now: int) -> None:
+    def __init__(self, now: int, ids: Mapping[int, int] | None = None) -> None:
+        self.ids = ids
         self.view = View(0, frozenset(), digest_of(frozenset()), now)
         self.told: dict[int, tuple[int, int]] = {}  # member: number and digest of its view
         self.most = 0  # the largest number heard
@@ -78,7 +84,7 @@
         settled = not unsettled and now - self.changed_at >= SETTLE_NS
         if not settled and now - self.differs_since < HOLD_NS:
             return None
-        digest = digest_of(candidate)
+        digest = digest_of(candidate, self.ids)
         same = [number for number, other in self.told.values() if other == digest]
         number = max(same) if same else self.most + 1
         self.view = View(max(number, self.view.number + 1), candidate, digest, now)
@@ -108,12 +114,15 @@
     ALONE = "alone"  # nobody else is there
 
 
-def side_of(there: frozenset[int], configured: frozenset[int], me: int) -> Side:
+def side_of(
+    there: frozenset[int], configured: frozenset[int], me: int, ids: Mapping[int, int] | None = None
+) -> Side:
     """By count alone: the dead and those behind a cut look the same from here."""
     here = there & configured
     if here >= configured:
         return Side.WHOLE
     if here <= {me}:
         return Side.ALONE
-    half = 2 * len(here) == len(configured) and min(configured) in here
+    first = min(configured, key=lambda member: ids.get(member, 0) if ids is not None else member)
+    half = 2 * len(here) == len(configured) and first in here
     return Side.MAJORITY if 2 * len(here) > len(configured) or half else Side.MINORITY
--- a/pepperrun/members/wire.py
+++ b/pepperrun/members/wire.py
@@ -21,6 +21,7 @@
 import hashlib
 import struct
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from pepperrun.members.keys import TAG, Keys
 
@@ -102,6 +103,18 @@
     rows: list[Row] = field(default_factory=list)
 
 
+class Format(Protocol):
+    """How a group's datagrams are written: of listed members by their numbers, or of learnt ones."""
+
+    def pack(self, datagram: Datagram) -> bytes: ...
+
+    def unpack(self, data: bytes) -> Datagram | None: ...
+
+    def room(self, rows: int) -> int: ...
+
+    def rows_room(self, rumours: int) -> int: ...
+
+
 def name_hash(name: str) -> int:
     """A name as the wire has it."""
     return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=4).digest(), "little")
@@ -210,3 +223,23 @@
         bits = int.from_bytes(body[at + _ROW.size : at + _ROW.size + width], "little")
         datagram.rows.append(Row(member, version, bits & ((1 << members) - 1)))
     return datagram
+
+
+@dataclass(slots=True, frozen=True)
+class Listed:
+    """The format of a listed group, signed."""
+
+    members: int
+    keys: Keys
+
+    def pack(self, datagram: Datagram) -> bytes:
+        return pack(datagram, self.members, self.keys)
+
+    def unpack(self, data: bytes) -> Datagram | None:
+        return unpack(data, self.members, self.keys)
+
+    def room(self, rows: int) -> int:
+        return room(self.members, rows)
+
+    def rows_room(self, rumours: int) -> int:
+        return rows_room(self.members, rumours)
--- /dev/null
+++ b/pepperrun/scouts/service.py
@@ -0,0 +1,99 @@
+"""Scouts of a running gatekeeper: datagrams over a socket that others use too, and one timer."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+
+from pepperrun.comb.records import Guard
+from pepperrun.foundation.settings import Address, Settings
+from pepperrun.scouts.scout import Scout
+
+LEAST_S = 0.005  # between two turns: what comes in bursts is answered together
+
+
+class Scouts:
+    """Runs a scout on the loop. `send(data, where)` sends a datagram.
+
+    `changed()` is called when somebody is found to be absent or back. Give datagrams that begin with
+    `scouts.wire.MARK` to `received`, records of gatekeepers to `on_guards`.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        life: int,
+        seed: int,
+        send: Callable[[bytes, Address], None],
+        changed: Callable[[], None] = lambda: None,
+    ) -> None:
+        me = settings.me
+        self.scout = Scout(me.station, me.region, life, seed, time.monotonic_ns())
+        self.send = send
+        self.seen: tuple[frozenset[str], bool] = (frozenset(), False)
+        self.told = changed
+        self.dirty = False
+        self.scout.changed = self._dirty
+        self.timer: asyncio.TimerHandle | None = None
+        self.begun = self.closed = False
+
+    def _dirty(self) -> None:
+        self.dirty = True
+
+    def on_guards(self, changed: Iterable[Guard]) -> None:
+        """Records of gatekeepers that are new or have changed. It begins with the first of another one."""
+        if self.closed:
+            return
+        self.scout.take(changed)
+        if not self.begun and len(self.scout.numbers) > 1:
+            self.begun = True
+            self._turn()
+
+    def received(self, data: bytes, where: Address) -> None:
+        """A datagram has come."""
+        if self.begun and not self.closed:
+            self.scout.receive(data, where, time.monotonic_ns())
+            self._after()
+
+    def heard(self, station: str) -> None:
+        """Another message of that gatekeeper has come now."""
+        self.scout.heard(station, time.monotonic_ns())
+
+    def there(self, station: str) -> bool:
+        """Is that gatekeeper there, as far as is known here?"""
+        return self.scout.there(station)
+
+    def _turn(self) -> None:
+        self.timer = None
+        if not self.closed:
+            self.scout.tick(time.monotonic_ns())
+            self._after()
+
+    def _after(self) -> None:
+        for where, data in self.scout.take_out():
+            self.send(data, where)
+        if self.dirty:
+            self.dirty = False
+            seen = (self.scout.absent(), self.scout.doubt)
+            if seen != self.seen:
+                self.seen = seen
+                self.told()
+        loop = asyncio.get_running_loop()
+        wait = max(LEAST_S, (self.scout.due() - time.monotonic_ns()) / 1e9)
+        if self.timer is None or loop.time() + wait < self.timer.when():
+            if self.timer is not None:
+                self.timer.cancel()
+            self.timer = loop.call_later(wait, self._turn)
+
+    def leave(self) -> None:
+        """This gatekeeper is to stop: the others need not find out."""
+        if self.begun and not self.closed:
+            self.scout.leave(time.monotonic_ns())
+            self._after()
+
+    def close(self) -> None:
+        """Stops."""
+        self.closed = True
+        if self.timer is not None:
+            self.timer.cancel()
--- /dev/null
+++ b/tests/test_scouts.py
@@ -0,0 +1,192 @@
+"""Scouts in virtual time: gatekeepers learnt from records find deaths, cuts and returns cheaply."""
+
+import heapq
+import random
+from itertools import count
+
+import pytest
+
+from pepperrun.comb.records import GONE, READY, Guard
+from pepperrun.members.wire import MOST, Datagram, Kind, Row, Rumour, State
+from pepperrun.scouts.scout import Scout
+from pepperrun.scouts.wire import ALL, Learnt
+
+MS = 1_000_000
+REGIONS = ("a", "b", "c")
+
+
+class Field:
+    """Gatekeepers, their datagrams and faults. Each learns the records in another order."""
+
+    def __init__(self, each, seed, loss=0.0):
+        self.random, self.now, self.order, self.events, self.loss = (
+            random.Random(seed),
+            10**9,
+            count(),
+            [],
+            loss,
+        )
+        self.guards, self.scouts, self.cuts, self.starts = {}, {}, set(), count(1)
+        self.sent, self.far = 0, 0
+        for index in range(each * len(REGIONS)):
+            self.add(f"front-{index}", REGIONS[index % len(REGIONS)])
+
+    def add(self, station, region):
+        siding = f"10.0.0.{len(self.guards) + 1}:7600"
+        self.guards[station] = Guard(station, region + "1", region, "10.0.0.1:80", siding, 1, 0, READY)
+        self.start(station)
+        for other in self.scouts.values():
+            other.take([self.guards[station]])
+
+    def start(self, station):
+        life = 1_700_000_000_000 + 1000 * next(self.starts)
+        scout = Scout(station, self.guards[station].region, life, self.random.randrange(10**9), self.now)
+        rows = list(self.guards.values())
+        self.random.shuffle(rows)
+        scout.take(rows)
+        self.scouts[station] = scout
+        self.at(self.now, lambda: self.turn(station, scout))
+
+    def at(self, when, what):
+        heapq.heappush(self.events, (when, next(self.order), what))
+
+    def turn(self, station, scout):
+        if self.scouts.get(station) is scout:
+            scout.tick(self.now)
+            self.flush(station)
+            self.at(max(self.now + MS, scout.due()), lambda: self.turn(station, scout))
+
+    def flush(self, station):
+        mine = self.guards[station]
+        for where, data in self.scouts[station].take_out():
+            assert len(data) <= MOST
+            other = next(g for g in self.guards.values() if g.siding == f"{where[0]}:{where[1]}")
+            self.sent += 1
+            self.far += mine.region != other.region
+            if frozenset((station, other.station)) in self.cuts or self.random.random() < self.loss:
+                continue
+            late = (1 if mine.region == other.region else 15) * MS
+            self.at(self.now + late, lambda o=other.station, d=data: self.arrive(o, d, mine.siding))
+
+    def arrive(self, station, data, siding):
+        if station in self.scouts:
+            host, _, port = siding.rpartition(":")
+            self.scouts[station].receive(data, (host, int(port)), self.now)
+            self.flush(station)
+
+    def run(self, seconds, until=lambda: False):
+        end = self.now + int(seconds * 1000) * MS
+        while self.events and self.events[0][0] <= end and not until():
+            self.now, _, what = heapq.heappop(self.events)
+            what()
+        if not until():
+            self.now = end
+        return until()
+
+    def agreed(self):
+        """All that run hold one view, of just them."""
+        views = [scout.member.views.view for scout in self.scouts.values()]
+        return len({view.digest for view in views}) == 1 and len(views[0].members) == len(self.scouts)
+
+    def all_miss(self, *stations):
+        return all(scout.absent() >= set(stations) for scout in self.scouts.values())
+
+
+@pytest.mark.parametrize(("each", "loss"), [(1, 0.0), (4, 0.0), (4, 0.05), (16, 0.0)])
+def test_a_death_is_known_to_all_and_a_return_too_at_a_small_price(each, loss):
+    field = Field(each, 3, loss)
+    assert field.run(10, field.agreed)
+    field.run(5)
+    field.sent = field.far = 0
+    field.run(20)
+    assert not any(scout.absent() for scout in field.scouts.values())
+    per_s = field.sent / 20 / len(field.scouts)
+    assert per_s < (6 if not loss else 9) and (each == 1 or field.far < 0.5 * field.sent)
+    dead = "front-1"
+    del field.scouts[dead]
+    assert field.run(5, lambda: field.all_miss(dead))
+    assert not next(iter(field.scouts.values())).there(dead)
+    assert field.run(5, field.agreed)
+    field.start(dead)
+    assert field.run(5, lambda: field.agreed() and not any(s.absent() for s in field.scouts.values()))
+
+
+def test_a_region_that_is_cut_off_is_found_from_both_sides_and_nobody_else():
+    field = Field(3, 5)
+    assert field.run(10, field.agreed)
+    inside = {station for station, guard in field.guards.items() if guard.region == "c"}
+    outside = set(field.guards) - inside
+    field.cuts = {frozenset((one, other)) for one in inside for other in outside}
+    sides = ((inside, outside), (outside, inside))
+    assert field.run(
+        12, lambda: all(field.scouts[one].absent() == lost for here, lost in sides for one in here)
+    )
+    field.cuts.clear()
+    assert field.run(8, field.agreed)
+
+
+def test_a_bad_way_between_two_buries_nobody():
+    field = Field(3, 6)
+    assert field.run(10, field.agreed)
+    field.cuts = {frozenset(("front-0", "front-3"))}  # of one region
+    buried = []
+    for scout in field.scouts.values():
+        scout.member.told_of = lambda what: buried.append(what) if what.what == "dead" else None
+    field.run(30)
+    assert not buried
+
+
+def test_the_group_grows_and_shrinks_by_the_records():
+    field = Field(2, 7)
+    assert field.run(10, field.agreed)
+    field.add("front-new", "b")
+    assert field.run(5, field.agreed)
+    gone = "front-2"
+    del field.scouts[gone]
+    for scout in field.scouts.values():
+        scout.take([Guard(gone, "c1", "c", "", field.guards[gone].siding, 1, 0, GONE)])
+    assert field.run(1, field.agreed)  # no probe is needed: the records say it
+    assert not any(scout.absent() for scout in field.scouts.values())
+    for scout in field.scouts.values():
+        scout.take([field.guards[gone]])
+    field.start(gone)
+    assert field.run(8, field.agreed)
+
+
+def test_a_stranger_and_a_garbled_word_change_nothing():
+    field = Field(2, 8)
+    assert field.run(10, field.agreed)
+    other = field.scouts["front-1"]
+    other.leave(field.now)
+    (to, data), *_ = other.take_out()
+    scout = field.scouts[other.stations[other.from_ip[to]]]
+    where = scout.where[scout.numbers["front-1"]]
+    changes = scout.member.book.changes
+    scout.receive(data, ("10.9.9.9", 7600), field.now)
+    for at in range(len(data)):
+        scout.receive(data[:at] + bytes([data[at] ^ 1]) + data[at + 1 :], where, field.now)
+        scout.receive(data[:at], where, field.now)
+    assert scout.member.book.changes == changes
+    scout.receive(data, where, field.now)
+    assert scout.absent() == {"front-1"}
+
+
+def test_the_largest_datagram_fits_and_each_reads_it_by_its_own_numbers():
+    field = Field(20, 9)
+    one, other = field.scouts["front-0"], field.scouts["front-7"]
+    mine, theirs = one.wire, other.wire
+    assert isinstance(mine, Learnt)
+    rumours = [Rumour(n + 1, 2**32 - 1, 65535, State.DEAD, n) for n in range(mine.room(2))]
+    rows = [Row(n, 65535, ALL & ~(0b111111 << 10)) for n in (0, 1)]
+    sent = Datagram(Kind.NEWS, 0, 7, 8, 9, 5, 3, 4, 0, 5, 6, 1, rumours, rows)
+    data = mine.pack(sent)
+    read = theirs.unpack(data)
+    assert len(data) <= MOST and read is not None and read.sender == other.numbers["front-0"]
+
+    def names(scout, datagram):
+        missed = [
+            {scout.stations[m] for m in scout.stations if not row.bits >> m & 1} for row in datagram.rows
+        ]
+        return [scout.stations[r.member] for r in datagram.rumours], missed, scout.stations[datagram.subject]
+
+    assert names(one, sent) == names(other, read)
