Gatekeepers scout: parents of the tree and keepers of stores follow who is there

Cause: scouts are of use only where their word is acted on. Ruled out: quotas by sides (in a cut the larger side would spend the parts of those who spend them too: more than the rule's slack). Change: guard wires scouts to the datagram socket, the records, the relay's choice of a parent and the decisions' standing.

--- a/pepperrun/forager/plane.py
+++ b/pepperrun/forager/plane.py
@@ -9,6 +9,7 @@
 
 from pepperrun.comb.records import Guard, Worker
 from pepperrun.core.interface import BackendList
+from pepperrun.core.standing import Standing
 from pepperrun.forager.cold import ColdShares
 from pepperrun.forager.crew import Crew
 from pepperrun.forager.front import Front, FrontListener
@@ -116,6 +117,18 @@
             self._settle()
             self._berths()
 
+    def stand(self, absent: frozenset[str], doubt: bool) -> None:
+        """These gatekeepers are thought to be absent: they keep no store. Who doubts itself grants nothing.
+
+        Quotas go by when each peer was last heard, as before: the part of one that is only out of reach is
+        not given to others.
+        """
+        lives, quotas = self.peers.lives, self.gatekeeper.gateway.quotas
+        lost = frozenset(lives[station][1] for station in absent if station in lives)
+        standing = Standing(False, lost, frozenset(), doubt, not doubt)
+        if standing != quotas.standing:
+            quotas.standing = standing
+
     def _settle(self) -> None:
         if self.ledger.changed:
             self.gatekeeper.resettle(self.ledger.settings())
--- a/pepperrun/guard.py
+++ b/pepperrun/guard.py
@@ -17,6 +17,8 @@
 from pepperrun.foundation import logs
 from pepperrun.foundation.errors import HiveError
 from pepperrun.foundation.settings import Address, Settings, load
+from pepperrun.scouts.service import Scouts
+from pepperrun.scouts.wire import MARK
 from pepperrun.waggle.service import Subscriber
 
 LOOK_S = 0.2  # between looks at whether this gatekeeper is ready
@@ -41,7 +43,10 @@
         )
         book.on_agreed.append(self.plane.on_agreed)
         book.on_workers.append(self.plane.on_workers)
-        book.on_guards.append(self.plane.on_guards)
+        book.on_guards.append(self.on_guards)
+        self.scouts = Scouts(settings, self.life, secrets.randbits(32), self.plane.hum.send, self.on_scouts)
+        self.plane.hum.others[MARK] = self.scouts.received
+        self.news.follower.standing = self.scouts.there
         self.asked = ready_listener(time.monotonic_ns, self.plane.ready)
         self.stop = asyncio.Event()
 
@@ -51,6 +56,17 @@
         siding = f"{me.ip}:{self.settings.siding[1]}"
         return Guard(me.station, me.zone, me.region, counter, siding, self.life, self.serial, self.state)
 
+    def on_guards(self, changed: list[Guard]) -> None:
+        """Records of gatekeepers that are new or have changed."""
+        self.plane.on_guards(changed)
+        self.scouts.on_guards(changed)
+        self.on_scouts()
+
+    def on_scouts(self) -> None:
+        """Who of the other gatekeepers is thought to be there may have changed."""
+        self.plane.stand(self.scouts.absent(), self.scouts.doubt)
+        self.news.moved()
+
     def known_life(self) -> int:
         """The life by which others know this one: the time of day may have been ahead in an earlier one."""
         held = self.news.book.guards.get(self.settings.me.station)
@@ -70,7 +86,6 @@
         except HiveError as error:
             logs.trouble(error)
             return
-        self.news.contacts(self.settings.contacts())
         self.plane.reread(self.settings)
         self.news.contacts(self.settings.contacts())
         logs.event("settings", reread=True)
@@ -103,8 +118,10 @@
             except TimeoutError:
                 pass
         self.say(LEAVING)
+        self.scouts.leave()
         await drain(plane.listener, self.settings.tariffs.bounds.grace_s, plane.out_of_time)
         self.asked.close()
+        self.scouts.close()
         plane.close()
         await self.news.close()
 
--- a/pepperrun/scouts/service.py
+++ b/pepperrun/scouts/service.py
@@ -64,6 +64,15 @@
         """Is that gatekeeper there, as far as is known here?"""
         return self.scout.there(station)
 
+    def absent(self) -> frozenset[str]:
+        """Stations that are suspected, dead or have left; none while this one doubts itself."""
+        return frozenset() if self.scout.doubt else self.scout.absent()
+
+    @property
+    def doubt(self) -> bool:
+        """It stood still, or nobody answers it: what it thinks of others says little."""
+        return self.scout.doubt
+
     def _turn(self) -> None:
         self.timer = None
         if not self.closed:
--- a/pepperrun/waggle/follower.py
+++ b/pepperrun/waggle/follower.py
@@ -377,6 +377,10 @@
             message["root"] = True
         link.port.write(encode(message))
 
+    def moved(self, now: int) -> None:
+        """Who is thought to be there may have changed."""
+        self._choose_parent(now)
+
     def tell(self, now: int) -> None:
         """The own row has changed: the core hears of it now."""
         self._tick(self.core, now)
--- a/pepperrun/waggle/service.py
+++ b/pepperrun/waggle/service.py
@@ -127,6 +127,11 @@
     def _push(self) -> None:
         self.publisher.turn(time.monotonic_ns())
 
+    def moved(self) -> None:
+        """Who of the other gatekeepers is thought to be there has changed: `follower.standing` says who."""
+        self.follower.moved(time.monotonic_ns())
+        self.settle()
+
     def contacts(self, contacts: list[Address]) -> None:
         """The settings name other core machines to ask first."""
         self.follower.contacts = contacts
