Quotas have a hard bound that needs no messages: parts among the seats that are agreed on

Ruled out: shares leased by one core machine (its loss leaves floors only, two holders double them). Change: each gatekeeper's ceiling fills at its part of the rate and begins empty, units move by being given up first (the present hand-over); among how many it is split is agreed on and durable (comb.seats); keyed requests end with the news' age. What is saved up for further attempts begins empty too.

--- a/pepperrun/comb/changes.py
+++ b/pepperrun/comb/changes.py
@@ -5,6 +5,7 @@
 | `replace` | `routes`, `carrier_lines`, `senders`, `limits` | `on` is the current edition |
 | `amend` | `upsert`, `withdraw`, `limits` (if given) | likewise, and the result is valid |
 | `evacuate` | `zone`, `begin` (and none of these) | always |
+| `seats` | `count`, `instead` (and none of these) | `instead` is the number held |
 
 A state is never changed in place, and a new one shares what did not change with the old one. Operations come
 from `checks.read_replace` and `checks.read_amend`, which have checked each item for itself.
@@ -38,6 +39,10 @@
     state = state or EMPTY
     if op["do"] == "evacuate":
         return _evacuate(state, op)
+    if op["do"] == "seats":
+        if op["instead"] != state.get("seats", 0) or op["count"] == op["instead"]:
+            return None, [412, "Another number of gatekeepers is held."]
+        return state | {"seats": op["count"]}, [200, f"{op['count']} gatekeepers are there."]
     if [op["edition"], op["digest"]] in state["taken"]:
         return None, [200, f"Edition {op['edition']} has been taken already."]
     if op["on"] != state["edition"]:
@@ -51,6 +56,8 @@
     except HiveError as error:
         return None, [400, error.detail, error.code]
     new["edition"], new["evacuated"] = op["edition"], state["evacuated"]
+    if "seats" in state:
+        new["seats"] = state["seats"]
     new["taken"] = [*state["taken"], [op["edition"], op["digest"]]][-KEPT:]
     return new, [200, f"Edition {op['edition']} is taken."]
 
--- a/pepperrun/comb/hub.py
+++ b/pepperrun/comb/hub.py
@@ -15,6 +15,7 @@
 from pepperrun.comb.checks import Op
 from pepperrun.comb.mesh import CORE, Mesh
 from pepperrun.comb.records import Guard, Worker
+from pepperrun.comb.seats import Seats
 from pepperrun.foundation.link import Link
 from pepperrun.foundation.logs import event
 from pepperrun.foundation.netstring import Message, encode
@@ -25,6 +26,7 @@
 from pepperrun.waggle.publisher import Publisher
 
 MS = 1_000_000
+SEATS_PATIENCE = 1_500_000_000  # ns: then it is proposed anew
 
 
 class Hub:
@@ -44,6 +46,7 @@
             now=now,
         )
         self.publisher = Publisher(self, self.alarm)
+        self.seats = Seats()
         self.mesh = Mesh(me.ip, settings.network.sidings[0], self, self, self.hello)
         self.retiring = False
         self.orders: dict[int, asyncio.Future[Verdict | None]] = {}
@@ -317,6 +320,10 @@
         if now >= self.cells.due():
             self.cells.tick(now)
             self.mesh.turn(now)
+            if self.queen.keeper == self.settings.me.ip and not self.queen.minority:
+                op = self.seats.wanted(self.cells.guards.values(), self.body(), now)
+                if op is not None:
+                    self.queen.propose(op, now, SEATS_PATIENCE)
         if self.publish_at and now >= self.publish_at:
             self.publish_at = 0
             self.publisher.turn(now)
--- a/pepperrun/core/gateway.py
+++ b/pepperrun/core/gateway.py
@@ -46,6 +46,7 @@
         self.settings = settings
         self.quotas.resettle(settings, self.now)
         self.further.depth = settings.further_burst
+        self.further.level = min(self.further.level, self.further.depth)
         self.most_left += [0] * (len(settings.classes) - len(self.most_left))
         for _ in range(settings.lines - len(self.lanes)):
             self.lanes.append(Lane(settings, self.rng, self._log, self.gate))
--- a/pepperrun/core/quotas.py
+++ b/pepperrun/core/quotas.py
@@ -46,7 +46,7 @@
         count, me = quotas.settings.gateways, quotas.settings.me
         self.plan, self.spread = plan, min(self.seats, count) if quotas.members is None else count
         self.weight = plan.rate or plan.open_limit or 1.0  # no rate: the open limit stands in, else one
-        self.peers, self.keepers, hard = list[int](), list[int](), 1 / self.spread
+        self.peers, self.keepers, hard = list[int](), list[int](), 1 / max(self.spread, quotas.settings.seats)
         if quotas.members is not None:
             self.peers = list(quotas.members)
         elif quotas.direct:
--- a/pepperrun/forager/gate.py
+++ b/pepperrun/forager/gate.py
@@ -36,7 +36,8 @@
 
     def bind(self, bounds: Bounds) -> None:
         """The rules' figures as they are now."""
-        self.total = bounds.revocation_total
+        # What is spent of a quota without asking has an end too: others split anew without who is cut off.
+        self.total = bounds.revocation_total or bounds.quota_window_s > 0
         self.fence_ns = int(max(0.0, bounds.revoke_ms - SPARE_MS) * MS)
 
     def fresh(self, now: int, most_ns: int) -> bool:
--- a/pepperrun/forager/ledger.py
+++ b/pepperrun/forager/ledger.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import hashlib
+from dataclasses import replace
 
 from pepperrun.comb.timetable import Sender
 from pepperrun.core.interface import MOST_PLANS, Plan, Repeat, RequestClass, Settings
@@ -38,6 +39,7 @@
         self.plans = {"": 0}  # by tenant
         self.plan_rows = [Plan("none")]
         self.gateways = 2  # one that knows of no other leaves room for one
+        self.seats = 0  # among so many each quota is split at the least, as agreed on
         self.changed = True
 
     def line(self, name: str) -> int:
@@ -78,6 +80,31 @@
             self.changed = True
         return at
 
+    @property
+    def parts(self) -> int:
+        """Among how many gatekeepers what all may spend together is split."""
+        return max(FEWEST, self.gateways, self.seats)
+
+    def _bounded(self, plan: Plan) -> Plan:
+        """With the hard bound on what all gatekeepers together let through, whoever hears whom.
+
+        In a window of W seconds a tenant with rate r and surge s may have (r W + s)(1 + e) + q requests run, e
+        being `quota_excess` and q `quota_slack`. Each of n gatekeepers has a bucket of its own that fills at
+        r (1 + e / 2) / n, at most max(s, n) / n deep and empty at its start; units move between buckets by being
+        given up first. So all together spend r (1 + e / 2) W + max(s, n) at most: within the rule by e r W / 2 +
+        e s + q, less n where s is small.
+        """
+        if plan.rate <= 0:
+            return plan
+        deep = max(plan.burst, float(self.parts))
+        rate = plan.rate * (1 + self.bounds.quota_excess / 2)
+        return replace(plan, ceiling_rate=rate, ceiling_depth=deep, ceiling_slack=2 * deep, over_cost=1.0)
+
+    def agreed(self, seats: int) -> None:
+        """The number of gatekeepers that is agreed on."""
+        if seats != self.seats:
+            self.seats, self.changed = seats, True
+
     def settings(self) -> Settings:
         """What the decisions are told now."""
         self.changed = False
@@ -87,7 +114,7 @@
             gateways=self.gateways,
             zone=self.zone,
             classes=tuple(self.rows),
-            plans=tuple(self.plan_rows),
+            plans=tuple(self._bounded(plan) for plan in self.plan_rows),
             tick_ns=TICK_NS,
             max_attempts=max([1, *(row.tries for row in self.rows)]),
             peer_messages=True,
@@ -96,7 +123,8 @@
             max_retry_after_ns=MOST_WAIT_NS,
             lines=max(1, len(self.lines)),
             further_share=bounds.retry_ratio * RATIO_PART,
-            further_burst=bounds.retry_slack * SLACK_PART / max(FEWEST, self.gateways),
+            further_burst=bounds.retry_slack * SLACK_PART / self.parts,
+            seats=self.parts,
             strict_further=True,
             follows_best=True,
             marks=False,
--- a/pepperrun/forager/plane.py
+++ b/pepperrun/forager/plane.py
@@ -60,6 +60,7 @@
             self.ledger.settings(), seed, clock, loop, self._tell, log=self._log, gate=self.gate
         )
         self.gatekeeper.gateway.quotas.members = ()
+        self.gatekeeper.gateway.further.level = 0.0  # the life before may have spent what was saved up
         self.hum = Hum(self.peers, life, self.gatekeeper.heard)
         limits = me.limits
         budget = Budget(max(4, int((limits.memory_mb - BASE_MB) / 2) if limits.memory_mb else 64) << 20)
@@ -90,6 +91,7 @@
         if self.table is not None and number <= self.table.number:
             return
         table = Table(number, state, self.ledger, self.table)
+        self.ledger.agreed(int(state.get("seats", 0)))
         self._settle()
         moved = self.crew.evacuate(table.evacuated, self.clock())
         self.table = self.gate.table = table
