--- a/pepperrun/queen/upkeep.py
+++ b/pepperrun/queen/upkeep.py
@@ -58,11 +58,11 @@
     full, count = regions.most_common(1)[0]
     if 2 * count <= len(stay):
         return
-    elsewhere = {ip: life for ip, life in spare.items() if _region(ip, places) != full}
+    # Two regions alone can't be made even: then it would only be the other's majority, and so on for ever.
+    elsewhere = {ip: life for ip, life in spare.items() if regions[_region(ip, places)] + 1 < count}
     out = [ip for ip in stay if _region(ip, places) == full and ip != keeper]
     if elsewhere and out:
-        leaves = max(out)
-        del stay[leaves]
+        del stay[max(out)]
         comes = _emptiest(elsewhere, stay, places)
         stay[comes] = elsewhere[comes]
 
--- a/pepperrun/swarm/queens.py
+++ b/pepperrun/swarm/queens.py
@@ -30,7 +30,11 @@
         return None, 200
     if op["on"] != body.get("edition", 0):
         return None, 412
-    return {"edition": op["edition"], "taken": [*taken, op["mark"]], "fill": op.get("fill", "")}, 200
+    return {
+        "edition": op["edition"],
+        "taken": [*taken, op["mark"]],
+        "fill": op["fill"] or body.get("fill", ""),
+    }, 200
 
 
 class Disk:
@@ -65,6 +69,7 @@
     lives: int = 0
     tick_at: int = -1
     gone: bool = False  # for good
+    seen: Any = None  # what was looked at last
 
 
 @dataclass
@@ -95,6 +100,7 @@
         self.bodies: dict[int, str] = {}
         self.bytes = 0
         self.wrong = ""
+        self.answers = 0
         for _ in range(count):
             self.add()
         self.contacts = sorted(self.machines)[:3]
@@ -338,6 +344,7 @@
             one.token = None
             return
         one.answer, one.answered_at = verdict, self.now
+        self.answers += 1
         rivals = [two for two in self.tries if two.answer == 200 and two.op["on"] == one.op["on"]]
         if len({two.op["mark"] for two in rivals}) > 1:
             self.wrong = f"two were acknowledged on top of {one.op['on']}: {[two.op for two in rivals]}"
@@ -345,10 +352,14 @@
     def _look(self, machine: Machine) -> None:
         queen = machine.queen
         assert queen is not None
-        if queen.number >= 0:
+        seen = (queen.value, queen.fresh_at, self.answers)
+        if seen == machine.seen:
+            return
+        if queen.value is not None and (machine.seen is None or queen.value != machine.seen[0]):
             digest = digest_of(queen.body)
             if self.bodies.setdefault(queen.number, digest) != digest:
                 self.wrong = f"two bodies of number {queen.number}, the second at {machine.ip}"
+        machine.seen = seen
         if queen.fresh_at is not None:
             taken = queen.body.get("taken", [])
             for one in self.tries:
--- /dev/null
+++ b/tests/test_queen.py
@@ -0,0 +1,308 @@
+"""The agreement of the core: what was acknowledged outlives power, disks, cuts and replacements."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from pepperrun.foundation.errors import HiveError
+from pepperrun.queen import messages
+from pepperrun.queen.upkeep import wanted
+from pepperrun.queen.values import Held, Life, Memory, Value, beginning, digest_of
+from pepperrun.queen.voter import MS
+from pepperrun.swarm.orders import Rules, search, walk
+from pepperrun.swarm.queen_days import Day, readmitted
+from pepperrun.swarm.queens import Try, World
+
+SEEDS = range(4)
+
+
+def calm(seed: int, count: int = 5, **how: Any) -> World:
+    """All vote, and nothing has happened yet."""
+    world = World(count, seed, **how)
+    world.run(3000)
+    assert not world.settled()
+    assert all(one.queen and one.queen.votes for one in list(world.machines.values())[:5])
+    return world
+
+
+def until(world: World, one: Try, most_ms: int = 5000) -> Any:
+    """Goes on just until that is answered."""
+    end = world.now + most_ms * MS
+    while one.answer is None and world.now < end and not world.wrong:
+        world.run(0.2)
+    return one.answer
+
+
+def ends_well(world: World, ms: int = 6000) -> None:
+    world.run(ms)
+    assert not world.settled(), world.settled()
+
+
+def first(world: World) -> str:
+    """The keeper, which is the first of the first contacts in a calm world."""
+    return sorted(world.machines)[0]
+
+
+@pytest.mark.parametrize("fault", ["power", "wipe", "dark", "dark and wipe", "killed"])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_what_was_acknowledged_outlives_whoever_acknowledged_it(seed: int, fault: str) -> None:
+    world = calm(seed)
+    ips = sorted(world.machines)
+    for edition in (1, 2, 3):
+        one = world.change(edition - 1, edition, [ips[seed]])
+        assert until(world, one) == 200
+    for ip in ips:
+        if "dark" in fault or ip == ips[seed] or fault == "killed":
+            world.kill(ip, power=fault != "killed")
+    if "wipe" in fault:
+        world.wipe(ips[seed])
+    world.run(1000)
+    for ip in ips:
+        if world.machines[ip].queen is None:
+            world.start(ip)
+    ends_well(world)
+    assert all(one.queen and one.queen.votes for one in world.machines.values())
+
+
+def test_a_disk_that_syncs_too_late_is_found_out() -> None:
+    """The same fault loses what was acknowledged where answers go out before the sync."""
+    wrongs = []
+    for seed in SEEDS:
+        world = calm(seed, late_disks=True)
+        until(world, world.change(0, 1, sorted(world.machines)[:1]))
+        for ip in world.machines:
+            world.kill(ip, power=True)
+        for ip in world.machines:
+            world.start(ip)
+        world.run(5000)
+        wrongs.append(world.settled())
+    assert any("lost" in wrong or "without" in wrong for wrong in wrongs)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_frozen_through_two_versions_and_thawed(seed: int) -> None:
+    world = calm(seed)
+    frozen, other = sorted(world.machines)[1:3]
+    world.freeze(frozen)
+    for edition in (1, 2):
+        assert until(world, world.change(edition - 1, edition, [other])) == 200
+    world.run(3000)
+    queen = world.machines[frozen].queen
+    assert queen is not None
+    old = queen.fresh_at
+    world.thaw(frozen)
+    # It has heard nobody for seconds, and lays that to nobody's charge.
+    assert queen.fresh_at == old and not queen.minority
+    ends_well(world, 1500)
+    assert queen.number == 2 and world.machines[other].queen.keeper == first(world)  # type: ignore[union-attr]
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_two_operators_race_on_both_sides_of_a_cut(seed: int) -> None:
+    world = calm(seed)
+    ips = sorted(world.machines)
+    side, most = ips[:2], ips[2:]
+    world.cut(side)
+    tries = [world.change(0, 1, side), world.change(0, 2, most)]
+    if seed % 2:  # on both sides, and joined while they race
+        tries = [world.change(0, 3, ips), world.change(0, 4, ips[::-1])]
+        world.run(20 * (seed + 1))
+    world.run(2500)
+    world.heal()
+    ends_well(world)
+    assert sorted(one.answer for one in tries) == [200, 412]
+
+
+def test_a_minority_says_so_at_once_and_still_knows_what_it_knew() -> None:
+    world = calm(1)
+    ips = sorted(world.machines)
+    assert until(world, world.change(0, 1, ips[:1])) == 200
+    world.run(100)
+    world.cut(ips[:2])
+    world.run(2500)
+    queen = world.machines[ips[0]].queen
+    assert queen is not None and queen.minority and queen.number == 1
+    token = queen.propose({"mark": "x", "on": 1, "edition": 2, "fill": ""}, world.now)
+    assert [(one.token, one.verdict, one.why) for one in queen.take_results()] == [(token, None, "minority")]
+    assert queen.fresh_at is not None and world.now - queen.fresh_at > 2000 * MS
+    # The others have a new keeper by then, and go on.
+    assert world.machines[ips[2]].queen.keeper in ips[2:]  # type: ignore[union-attr]
+    assert until(world, world.change(1, 3, ips[2:])) == 200
+    world.heal()
+    ends_well(world)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_the_first_contacts_are_replaced_one_by_one(seed: int) -> None:
+    world = calm(seed)
+    began = sorted(world.machines)
+    for edition, ip in enumerate(began[:3]):
+        new = world.add()
+        world.start(new)
+        world.run(1500)
+        world.wipe(ip)
+        one = world.change(edition, edition + 1, began[3:])  # while it is missing
+        world.run(7000)
+        assert one.answer == 200 and readmitted(world)
+        assert new in world.machines[began[4]].queen.voters  # type: ignore[union-attr]
+    ends_well(world)
+    for ip in world.machines:  # and all go dark: the new ones have it on their disks
+        world.kill(ip, power=True)
+    for ip in world.machines:
+        if ip not in began[:3]:
+            world.start(ip)
+    ends_well(world)
+
+
+def test_a_lost_disk_is_let_in_while_operators_race() -> None:
+    for seed in SEEDS:
+        world = calm(seed)
+        ips = sorted(world.machines)
+        world.wipe(ips[4])
+        world.run(50)
+        world.start(ips[4])
+        tries = [world.change(0, 1, ips), world.change(0, 2, ips[::-1])]
+        ends_well(world)
+        assert sorted(one.answer for one in tries) == [200, 412]
+        queen = world.machines[ips[4]].queen
+        assert queen is not None and queen.votes and queen.register.memory.life != Life(ips[4], "first").life
+
+
+def test_the_keeper_names_its_successor_or_a_majority_finds_it_silent() -> None:
+    world = calm(2)
+    ips = sorted(world.machines)
+    world.retire(ips[0])
+    world.run(400)
+    assert {one.queen.keeper for one in world.machines.values() if one.queen} == {ips[1]}
+    world.run(1000)
+    world.cut([ips[1]], [ips[2], ips[3]])  # two do not hear it: the others do
+    world.run(5000)
+    assert world.machines[ips[4]].queen.keeper == ips[1]  # type: ignore[union-attr]
+    world.heal()
+    world.run(1000)
+    world.freeze(ips[1])
+    world.run(3500)
+    assert world.machines[ips[2]].queen.keeper == ips[2]  # type: ignore[union-attr]
+    world.thaw(ips[1])
+    world.start(ips[0])
+    ends_well(world)
+    assert world.machines[ips[1]].queen.keeper == ips[2]  # type: ignore[union-attr]
+
+
+def test_a_change_costs_its_own_length_not_the_configurations() -> None:
+    world = calm(3, 6)
+    ips = sorted(world.machines)
+    assert until(world, world.change(0, 1, ips, fill="x" * 100_000)) == 200
+    world.run(1000)
+    saved = [one.disk.saves for one in world.machines.values()]
+    before = world.bytes
+    assert until(world, world.change(1, 2, ips)) == 200
+    world.run(1000)
+    assert not world.settled() and world.bytes - before < 30_000
+    queen = world.machines[ips[5]].queen  # it votes not, and got the change as well
+    assert queen is not None and not queen.votes and queen.body["fill"]
+    # One sync for the promise and one for the value at each voter, none where nothing is said.
+    assert [one.disk.saves - was for one, was in zip(world.machines.values(), saved, strict=True)] == [
+        2
+    ] * 5 + [0]
+
+
+def test_changes_are_told_in_order_with_what_made_them() -> None:
+    world = calm(4)
+    ips = sorted(world.machines)
+    queen = world.machines[ips[1]].queen
+    assert queen is not None
+    told: list[Any] = []
+    take = queen.take_changes
+    queen.take_changes = lambda: told.extend(take()) or []  # type: ignore[method-assign,func-returns-value]
+    for edition in (1, 2):
+        assert until(world, world.change(edition - 1, edition, ips[3:4])) == 200
+    world.run(500)
+    world.freeze(ips[1])
+    assert until(world, world.change(2, 3, ips[3:4])) == 200
+    world.run(6000)
+    world.thaw(ips[1])
+    world.run(1500)
+    assert [(one.base, one.number) for one in told] == [(0, 1), (1, 2), (2, 3)]
+    assert [one.op["edition"] for one in told[:2] if one.op] == [1, 2]
+
+
+def test_drawn_days() -> None:
+    broken = {seed: wrong for seed in range(30) if (wrong := Day(seed).play(6))}
+    assert not broken
+
+
+def test_orders_of_messages_restarts_and_lost_disks() -> None:
+    rules = Rules(rounds=3, restarts=1, wipes=1, spares=1)
+    for found in (search(rules, most=2_000, settle_each=200), walk(rules, 300)):
+        assert not found.broken, found
+    assert search(Rules(rounds=1, wipes=0), most=5_000).whole
+
+
+@pytest.mark.parametrize(
+    ("rules", "seed"),
+    [
+        (Rules(rounds=4, restarts=1, spares=1, bug="empty-votes"), 1),
+        (Rules(rounds=4, wipes=0, spares=1, bug="hasty"), 4),
+        (Rules(rounds=4, wipes=0, spares=1, bug="one-step"), 4),
+        (Rules(rounds=3, restarts=2, bug="late-sync"), 1),
+    ],
+)
+def test_bugs_put_in_on_purpose_are_found(rules: Rules, seed: int) -> None:
+    assert "was chosen after" in walk(rules, 100, seed=seed).broken
+    assert not walk(replace(rules, bug=""), 100, seed=seed).broken
+
+
+def test_voters_are_spread_and_never_fewer() -> None:
+    places = {f"{at}": (f"r{at % 2}", f"z{at % 4}") for at in range(8)}
+    value = Value(0, tuple(Life(str(at), "x") for at in (0, 2, 4)), (), "0", "")
+    up = {str(at): "x" for at in range(8)}
+    got = wanted(value, up, set(), places, 5)
+    assert len(got) == 5 and sum(int(one.ip) % 2 for one in got) == 2
+    assert wanted(replace(value, voters=got), up, set(), places, 5) == got  # and so it stays
+    # No region holds a majority where that can be had.
+    assert sum(int(one.ip) % 2 for one in wanted(value, up, set(), places, 3)) == 1
+    # Lost and nobody there instead: it stays named. A new life comes in for the one before.
+    few = {"0": "x", "2": "y"}
+    assert wanted(value, few, {"4"}, places, 5) == (Life("0", "x"), Life("2", "y"), Life("4", "x"))
+    assert wanted(value, few | {"5": ""}, {"4"}, places, 5)[2] == Life("4", "x")  # it has not told its life
+
+
+def test_messages_that_cant_be_meant() -> None:
+    good = {"t": "put", "b": [3, "a"], "v": [1, [["a", "first"]], [], "a", "d"], "f": "e", "o": [{}]}
+    assert messages.wire(messages.read(good)["v"]) == good["v"]
+    for bad in (
+        *({"t": "put", "b": [3, "a"]}, {"t": "ask", "b": [True, "a"]}, {"t": "ask", "b": [1 << 60, "a"]}),
+        *([], {"t": "x"}, good | {"v": [1, [], [], "a", "d"]}, good | {"o": [3]}, good | {"w": []}),
+        *({"t": "promise", "b": [1, "a"], "l": "x", "a": [1, "a"]}, {"t": "seen", "s": "1", "l": "x"}),
+    ):
+        with pytest.raises(HiveError):
+            messages.read(json.loads(json.dumps(bad)))
+
+
+def test_a_machine_with_a_failed_disk_answers_no_round() -> None:
+    world = calm(5)
+    ips = sorted(world.machines)
+
+    def fail(memory: Memory) -> None:
+        raise HiveError("disk-failed", "saving")
+
+    queen = world.machines[ips[1]].queen
+    assert queen is not None
+    queen.register.store.save = fail  # type: ignore[method-assign]
+    queen.receive(ips[2], {"t": "ask", "b": [99, ips[2]]}, world.now)
+    with pytest.raises(HiveError):
+        queen.take_out()
+    assert not [one for _, one in queen.take_out() if one["t"] == "promise"]
+    queen.receive(ips[2], {"t": "ask", "b": [100, ips[2]]}, world.now)
+    assert not queen.take_out()
+
+
+def test_the_first_value_is_the_same_wherever_it_is_made() -> None:
+    assert beginning(["b", "a"]) == beginning(["a", "b", "a"])
+    held = beginning(["a"])
+    assert held == Held(held.ballot, replace(held.value, number=0), {}) and held.value.digest == digest_of({})
