wax: a life that holds nothing yet is written too; a failed disk is tried again and says nothing

Cause: records of None were taken for saved, so a machine that restarted before it had taken anything found its disk in doubt and became another life; and an error of the disk went through the caller's loop.

--- a/pepperrun/queen/queen.py
+++ b/pepperrun/queen/queen.py
@@ -206,7 +206,7 @@
             self._read()
             self._succession(self._up())
             self.look = True
-            self.register.flush(lazy=now - self.register.chosen_when >= self.pace.lazy)
+            self.register.flush(self.register.broken or now - self.register.chosen_when >= self.pace.lazy)
         self._start()
 
     # Rounds.
@@ -331,7 +331,7 @@
         if value.quorum(clean) and (self.fresh is None or reading.sent_at > self.fresh):
             self.fresh = reading.sent_at
 
-    # What is to be done. Each syncs first what it rests on; HiveError from the disk ends this life's vote.
+    # What is to be done. Each syncs first what it rests on.
 
     def take_out(self) -> list[tuple[str, Message]]:
         """Messages with the ips they go to."""
--- a/pepperrun/queen/voter.py
+++ b/pepperrun/queen/voter.py
@@ -11,6 +11,7 @@
 from typing import Any, NamedTuple
 
 from pepperrun.foundation.errors import HiveError
+from pepperrun.foundation.logs import trouble
 from pepperrun.queen.messages import Message, read, wire
 from pepperrun.queen.values import NONE, Ballot, Body, Held, Life, Memory, Op, Store, digest_of
 
@@ -57,9 +58,8 @@
     def __init__(self, me: str, memory: Memory, store: Store, apply: Apply, now: int, pace: Pace) -> None:
         self.me, self.memory, self.store, self.apply = me, memory, store, apply
         self.pace, self.now = pace, now
-        self.unsynced = self.unsaved = self.broken = (
-            False  # must be synced first; may be saved later; no more
-        )
+        self.unsynced = self.unsaved = False  # must be synced before more is said; may be saved later
+        self.broken = False  # the disk fails
         self.chosen_when = now
         self.steps: dict[Ballot, Steps] = {}  # of what was taken and not yet chosen
         self.latest = max(memory.promised, memory.accepted.ballot if memory.accepted else NONE)
@@ -239,10 +239,11 @@
     def flush(self, lazy: bool = False) -> None:
         """Syncs what answers rest on, then reads those to itself. `lazy`: also what may wait.
 
-        HiveError from the disk: what it keeps is in doubt, so this life answers no round any more.
+        Where the disk fails, what rests on it is not said, and nothing as a voter until a `lazy` flush finds
+        it well again.
         """
         while True:
-            if self.unsynced or (lazy and self.unsaved):
+            if (self.unsynced and not self.broken) or (lazy and (self.unsaved or self.broken)):
                 self._sync()
             if not self.own:
                 return
@@ -251,14 +252,12 @@
                 self.take(self.me, read(message), self.now)
 
     def _sync(self) -> None:
-        if self.broken:
-            self.unsynced = self.unsaved = False
-            return
         try:
             self.store.save(self.memory)
-        except HiveError:
+        except HiveError as error:
+            if not self.broken:
+                trouble(error)
             self.broken, self.own = True, []
             self.out = [(ip, one) for ip, one in self.out if one["t"] not in ("promise", "taken")]
-            raise
-        finally:
-            self.unsynced = self.unsaved = False
+        else:
+            self.unsynced = self.unsaved = self.broken = False
--- a/pepperrun/wax/store.py
+++ b/pepperrun/wax/store.py
@@ -80,7 +80,10 @@
         return memory
 
     def save(self, memory: Memory) -> None:
-        """Syncs what differs from what was saved last; HiveError `disk-failed`."""
+        """Syncs what differs from what was saved last; HiveError `disk-failed`.
+
+        After a failure nobody knows what the disk has: the next save opens it anew and writes all.
+        """
         records: dict[bytes, Any] = {
             b"life": [FORMAT, memory.life, memory.starts],
             b"promised": memory.promised,
@@ -90,7 +93,9 @@
         bodies = {
             _key(one.value.digest): one.body for one in (memory.accepted, memory.chosen) if one is not None
         }
-        changed = {key: data for key, data in records.items() if self.saved.get(key) != data}
+        changed = {
+            key: data for key, data in records.items() if key not in self.saved or self.saved[key] != data
+        }
         new = [key for key in bodies if key not in self.saved]
         old = [key for key in self.saved if key.startswith(b"body:") and key not in bodies]
         if not changed and not new:
@@ -105,6 +110,8 @@
                     transaction.put(key, _sealed(_dump(data)))
             self._open().sync(True)
         except (lmdb.Error, OSError) as error:
+            self.close()
+            self.saved = {}
             raise HiveError("disk-failed", "saving", f"{type(error).__name__}: {error}") from None
         self.saved = records | dict.fromkeys(bodies, True)
 
