Scouts ask far ones seldom; who stood still takes nobody for silent; nothing is sent twice

Cause: bytes between regions are dear; a gatekeeper that was frozen left its core machine and parent on waking; a want repeated while a large state was on its way got it again. Change: far ones are asked in turn each 30 s, or at once when one of them is in doubt; silence counts from the waking; a want within 2 s of what was sent is passed over. Both new tests fail without their code.

--- a/pepperrun/members/probing.py
+++ b/pepperrun/members/probing.py
@@ -28,7 +28,8 @@
 TRIED_FOR = 30 * SECOND  # a way that came back so lately need not be tried where its member is heard
 HEALTH_MOST = 8  # a member in trouble is at most nine times as patient
 STORM = 3  # so many times the pace while several are suspected: many have failed, and are found sooner
-FAR_ROUNDS = 8  # those that are far are asked in each of so many rounds: those near them ask them too
+FAR_EACH = 30 * SECOND  # those that are far are asked in turn so often: those near them ask them too
+FAR_TURNS = 8  # and where the next one on the ring is far, it is asked in one of so many turns
 PROBES = 2**16
 PATIENCE = 5  # periods: a link may be slower than the pace of the probes
 KEPT, FORGOTTEN = 256, 5 * SECOND  # questions remembered for their late answers
@@ -72,7 +73,7 @@
         self.late: dict[int, int] = {}  # when a member last answered late
         self.next_at = 0
         self.round: list[int] = []
-        self.turn = self.rounds = 0
+        self.turn = self.far_at = 0
         self.number = rng.randrange(PROBES)
         self.answered_at = 0  # when any question was last answered
         self.failed_in_row = 0  # own probes that came to nothing since the last answer
@@ -154,7 +155,10 @@
 
     def _next(self, now: int) -> None:
         self.turn += 1
-        target = next(iter(self.book.after(self.book.me)), None) if self.turn % 2 else self._in_turn()
+        target = next(iter(self.book.after(self.book.me)), None)
+        far = target in self.book.roster.far
+        if self.turn % 2 == 0 or (far and self.turn % FAR_TURNS != 1):
+            target = self._in_turn(now) or target
         if target is None or self.asking(target):
             return
         lately = now - self.heard.get(target, -self.period_ns) < self.period_ns
@@ -168,16 +172,20 @@
             return
         self.ask(target, now)
 
-    def _in_turn(self) -> int | None:
+    def _in_turn(self, now: int) -> int | None:
         for _ in range(2):
             while self.round:
                 known = self.book.get(member := self.round.pop())
                 if known is not None and known.there:
                     return member
             self.round = self.book.others(State.ALIVE, State.SUSPECT)
-            self.rounds += 1
-            if near := [member for member in self.round if member not in self.book.roster.far]:
-                self.round = near if self.rounds % FAR_ROUNDS else self.round
+            far = self.book.roster.far
+            near = [member for member in self.round if member not in far]
+            calm = far.isdisjoint(self.book.others(State.SUSPECT, State.DEAD))  # else more may be lost
+            if near and calm and now - self.far_at < FAR_EACH:
+                self.round = near
+            else:
+                self.far_at = now
             self.rng.shuffle(self.round)
         return None
 
--- a/pepperrun/waggle/follower.py
+++ b/pepperrun/waggle/follower.py
@@ -37,6 +37,7 @@
 AVOID_MOST_NS = 16000 * MS
 SHUN_NS = 4000 * MS  # a parent likewise; the tree is less urgent than freshness
 LAG_NS = 600 * MS  # a parent has mended itself by then, or is cut off
+STOOD_NS = 600 * MS  # between two turns: this process stood still
 SWEEP_NS = 120_000 * MS  # between two looks for records that may be forgotten
 STAMPS = 16  # ticks without an answer that are remembered
 
@@ -92,7 +93,7 @@
         self.other: Uplink | None = None  # a nearer core machine that is tried while the present one serves
         self.parent: Uplink | None = None
         self.shunned: dict[str, int] = {}
-        self.next_tick = self.swept = now
+        self.next_tick = self.swept = self.turned_at = now
         self.life_of_row = (0, 0)  # life and serial that go before what others hold of this station
 
     # Whom to follow.
@@ -391,6 +392,11 @@
 
     def turn(self, now: int) -> None:
         """Does what is due."""
+        if now - self.turned_at > STOOD_NS:  # what was said meanwhile waits to be read: nobody was silent
+            for link in self._links():
+                link.heard_at, link.since = (now if link.heard_at else 0), now
+                link.stale_since = 0
+        self.turned_at = now
         core = self.core
         if core.port is None:
             if now - core.since > SILENT_NS:
--- a/pepperrun/waggle/publisher.py
+++ b/pepperrun/waggle/publisher.py
@@ -19,6 +19,9 @@
 
 BATCH_MS = 15  # records that change together go together
 SILENT_NS = 5_000_000_000  # gatekeepers tick each 400 ms: one that is silent for so long is gone
+UNDER_WAY_NS = (
+    2_000_000_000  # what was sent so lately is not sent again: links lose nothing while they are up
+)
 HISTORY = 16  # changes kept for those who are a little behind
 HISTORY_BYTES = 256 * 1024
 
@@ -85,6 +88,7 @@
 
     heard_at: int
     number: int = -1  # what it holds, or will once it has read what was sent; -1 before its first word
+    sent_at: int = 0  # when more was last sent
     pushed: bool = False  # it attaches for the pushes
     guard: Guard | None = None
     cores: list[list[str]] | None = None  # as last told
@@ -123,8 +127,10 @@
         if kind == "tick":
             self._tick(port, peer, message, now)
         elif kind == "want":
-            peer.number = int(message["n"])
-            self._bring(port, peer, bool(message.get("whole")))
+            whole = bool(message.get("whole"))
+            if whole or peer.number < self.source.number or now - peer.sent_at > UNDER_WAY_NS:
+                peer.number = int(message["n"])
+                self._bring(port, peer, now, whole)
         elif kind in ("ask", "cells", "digests"):
             for back in repair.heard(self.source, self.source.merge, message, now):
                 port.write(encode(back))
@@ -149,7 +155,7 @@
         peer.number = max(peer.number, int(message["n"]))  # not less where more is on its way
         peer.pushed = pushed
         if pushed and peer.number < source.number:
-            self._bring(port, peer)
+            self._bring(port, peer, now)
         if now - self.swept > SILENT_NS // 5:
             self._sweep(now)
 
@@ -172,9 +178,9 @@
                 del self.history[0]
         for port, peer in list(self.peers.items()):
             if peer.pushed:
-                self._bring(port, peer)
+                self._bring(port, peer, now)
 
-    def _bring(self, port: Port, peer: _Peer, whole: bool = False) -> None:
+    def _bring(self, port: Port, peer: _Peer, now: int, whole: bool = False) -> None:
         """Sends what a peer lacks: the changes on top of what it holds, else the whole."""
         number, state = self.source.number, self.source.state
         if state is None or peer.number >= number:
@@ -189,7 +195,7 @@
             if self.whole[0] != number:
                 self.whole = (number, encode({"k": "agreed", "n": number, "state": state}))
             missing = [self.whole[1]]
-        peer.number = number
+        peer.number, peer.sent_at = number, now
         port.write(b"".join(missing))
 
     def changed(self, records: Iterable[Record], now: int) -> None:
--- a/tests/test_waggle.py
+++ b/tests/test_waggle.py
@@ -183,6 +183,32 @@
         assert world.now - (gate.book.cells_at - gate.skew) < 1500 * MS
 
 
+def test_who_stood_still_takes_nobody_else_for_silent():
+    world = fleet(8, {"a1": 4})
+    gate = next(one for one in world.gates if not one.follower.root)
+    followed = gate.follower.core.port, gate.follower.parent.port
+    gate.alive = False
+    world.run(1700)
+    wake(world, gate)
+    assert gate.book.age_ms(gate.clock()) > 1500  # what it held may be old by now, and it says so
+    world.run(1000)
+    assert (gate.follower.core.port, gate.follower.parent.port) == followed
+    assert gate.book.age_ms(gate.clock()) < 1000
+
+
+def test_what_is_under_way_is_not_sent_again():
+    world = fleet(9, {"a1": 1})
+    (gate,), skep = world.gates, world.skeps[0]
+    number = world.change()
+    port = next(one for one in skep.publisher.peers if one.other is gate)
+    world.sent.clear()
+    for ms in (1, 300, 600):  # it has not been read yet
+        skep.publisher.heard(port, {"k": "want", "n": number - 1}, skep.clock() + ms * MS)
+    assert not world.sent["agreed"] + world.sent["change"]
+    skep.publisher.heard(port, {"k": "want", "n": number - 1, "whole": True}, skep.clock())
+    assert world.sent["agreed"] == 1
+
+
 def wake(world, node):
     if not node.alive:
         node.alive = True
