--- a/pepperrun/waggle/publisher.py
+++ b/pepperrun/waggle/publisher.py
@@ -19,9 +19,7 @@
 
 BATCH_MS = 15  # records that change together go together
 SILENT_NS = 5_000_000_000  # gatekeepers tick each 400 ms: one that is silent for so long is gone
-UNDER_WAY_NS = (
-    2_000_000_000  # what was sent so lately is not sent again: links lose nothing while they are up
-)
+UNDER_WAY_NS = 2_000_000_000  # what was sent so lately is not sent again: it is on its way
 HISTORY = 16  # changes kept for those who are a little behind
 HISTORY_BYTES = 256 * 1024
 
