--- /dev/null
+++ b/pepperrun/core/escrow.py
@@ -0,0 +1,46 @@
+"""Escrow: units of hard ceilings that move between gateways by being given up first.
+
+A unit is in one bucket, on its way, or lost with a message; so whatever is heard or not, all gateways together
+never spend more than their buckets held and filled up with.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from pepperrun.core import gossip
+from pepperrun.core.clock import Bucket
+from pepperrun.core.interface import Plan
+from pepperrun.core.keepers import HEARD_FOR
+
+LOW = 1.0  # units: with fewer left not even one request can go out
+
+
+class Purse(Protocol):
+    """An account, as far as its hard ceiling goes."""
+
+    plan: Plan
+    spread: int
+    ceiling: Bucket
+    told: gossip.Heard
+
+
+def hungry(account: Purse, now: int) -> bool:
+    """Is there no unit left for a request?"""
+    return account.plan.ceiling_rate > 0 and account.ceiling.fill(now) < LOW
+
+
+def hand_over(account: Purse, peer: int, now: int) -> float:
+    """Ceiling units moved to a peer with fewer: debited here, credited there, lost with the message."""
+    told = account.told.told.get(peer)
+    account.ceiling.fill(now)
+    if account.plan.ceiling_rate <= 0 or told is None or now - told.at > HEARD_FOR:
+        return 0.0
+    if told.entry.ceiling == gossip.FAR:
+        return 0.0
+    # What is on its way while the true store is full is beyond it: the slack over the spread bounds that.
+    most = account.plan.ceiling_slack / account.spread / 2
+    handed = gossip.to_wire(min(most, (account.ceiling.level - told.entry.ceiling) / 2))
+    account.ceiling.level -= handed
+    told.entry.ceiling += handed
+    return handed
--- a/pepperrun/core/quotas.py
+++ b/pepperrun/core/quotas.py
@@ -4,6 +4,7 @@
 
 from pepperrun.core import gossip
 from pepperrun.core.clock import SECOND, Bucket, Decayed
+from pepperrun.core.escrow import LOW, hand_over, hungry
 from pepperrun.core.interface import Request, Settings
 from pepperrun.core.keepers import HEARD_FOR, NEAR, Keepers, keepers_of, period_of
 from pepperrun.core.standing import NEUTRAL
@@ -37,7 +38,7 @@
         self.total, self.untold = quotas.counted, 0.0
         self.out, self.seen, self.period = 0, now, quotas.period
         self.told_at = self.asked_at = quotas.start - HEARD_FOR
-        self.told = gossip.Heard()
+        self.told, self.begged = gossip.Heard(), set[int]()  # and peers that are short of units
         self.used = Decayed(SHARE_HALF_LIFE, now)
 
     def divide(self, now: int) -> None:
@@ -165,7 +166,9 @@
             ceiling = account.ceiling
             if message.receiver == self.outbox.incarnation and ceiling.fill(now) < ceiling.depth:
                 ceiling.level = min(ceiling.depth, ceiling.level + entry.handed)
-            if now - account.told_at > TELL_EACH:
+            if entry.ceiling < LOW <= ceiling.level and self.members is not None:
+                account.begged.add(peer)
+            if now - account.told_at > TELL_EACH or account.begged:
                 self.dirty[account.customer] = None
         return message
 
@@ -181,16 +184,19 @@
             if not account.near(now) and not account.told.since(now - HEARD_FOR):
                 continue
             news = abs(account.untold) > NEWS * max(0.0, account.whole.fill(now))
-            if not news and now - account.told_at < TELL_EACH:
+            wide = news or now - account.told_at >= (TELL_EACH // 4 if hungry(account, now) else TELL_EACH)
+            if not wide and not account.begged:
                 if account.untold:
                     self.dirty[customer] = None
                 continue
-            if now - account.told_at >= HEARD_FOR:
-                account.asked_at = now
-            account.untold, account.told_at = 0.0, now
+            peers = account.peers if wide else sorted(account.begged)  # who asks for units has them at once
+            account.begged.clear()
+            if wide:
+                account.asked_at = now if now - account.told_at >= HEARD_FOR else account.asked_at
+                account.untold, account.told_at = 0.0, now
             debt = max(0.0, account.slice.depth - account.slice.fill(now))
-            for peer in account.peers:
-                handed, level = self._hand_over(account, peer, now), max(0.0, account.ceiling.level)
+            for peer in peers:
+                handed, level = hand_over(account, peer, now), max(0.0, account.ceiling.level)
                 if handed <= 0 and level >= NEAR * account.ceiling.depth:
                     level = gossip.FAR
                 entry = gossip.Entry(customer, account.total, debt, level, handed, account.out)
@@ -202,21 +208,6 @@
                 if peer != self.settings.me:
                     self.outbox.to(peer)
 
-    def _hand_over(self, account: Account, peer: int, now: int) -> float:
-        """Ceiling units moved to a peer with fewer: debited here, credited there, lost with the message."""
-        told = account.told.told.get(peer)
-        account.ceiling.fill(now)
-        if account.plan.ceiling_rate <= 0 or told is None or now - told.at > HEARD_FOR:
-            return 0.0
-        if told.entry.ceiling == gossip.FAR:
-            return 0.0
-        # What is on its way while the true store is full is beyond it: the slack over the spread bounds that.
-        most = account.plan.ceiling_slack / account.spread / 2
-        handed = gossip.to_wire(min(most, (account.ceiling.level - told.entry.ceiling) / 2))
-        account.ceiling.level -= handed
-        told.entry.ceiling += handed
-        return handed
-
     def refresh(self, now: int) -> None:
         """Peers gone quiet count as their slice; accounts that forgetting does not change are dropped."""
         if self.handed:
--- a/pepperrun/forager/ledger.py
+++ b/pepperrun/forager/ledger.py
@@ -90,14 +90,17 @@
 
         In a window of W seconds a tenant with rate r and surge s may have (r W + s)(1 + e) + q requests run, e
         being `quota_excess` and q `quota_slack`. Each of n gatekeepers has a bucket of its own that fills at
-        r (1 + e / 2) / n, at most max(s, n) / n deep and empty at its start; units move between buckets by being
-        given up first. So all together spend r (1 + e / 2) W + max(s, n) at most: within the rule by e r W / 2 +
-        e s + q, less n where s is small.
+        r (1 + e / 2) / n, at most D / n deep and empty at its start; units move between buckets by being given
+        up first. So all together spend r (1 + e / 2) W + D at most. D is s (1 + e) + q / 2, or n where that is
+        more (a bucket has to hold one request), but never above s (1 + e) + q: e r W / 2 is always left for
+        moments in which two numbers of gatekeepers are held, mostly q / 2 too.
         """
         if plan.rate <= 0:
             return plan
-        deep = max(plan.burst, float(self.parts))
-        rate = plan.rate * (1 + self.bounds.quota_excess / 2)
+        excess, slack = self.bounds.quota_excess, self.bounds.quota_slack
+        least, most = plan.burst * (1 + excess) + slack / 2, plan.burst * (1 + excess) + slack
+        deep = max(least, min(most, float(self.parts)))
+        rate = plan.rate * (1 + excess / 2)
         return replace(plan, ceiling_rate=rate, ceiling_depth=deep, ceiling_slack=2 * deep, over_cost=1.0)
 
     def agreed(self, seats: int) -> None:
--- a/pepperrun/forager/plane.py
+++ b/pepperrun/forager/plane.py
@@ -60,7 +60,7 @@
             self.ledger.settings(), seed, clock, loop, self._tell, log=self._log, gate=self.gate
         )
         self.gatekeeper.gateway.quotas.members = ()
-        self.gatekeeper.gateway.further.level = 0.0  # the life before may have spent what was saved up
+        self.gatekeeper.gateway.further.level = 1.0  # the life before may have spent what was saved up
         self.hum = Hum(self.peers, life, self.gatekeeper.heard)
         limits = me.limits
         budget = Budget(max(4, int((limits.memory_mb - BASE_MB) / 2) if limits.memory_mb else 64) << 20)
