waggle: another core machine is tried beside one that is quiet

Cause: after a loss of power two of nine gatekeepers waited a second for a core machine that was not up, and a dead one was found after 1.0 s. Ruled out: a shorter limit for leaving, which moves all at each hiccup. Change: after 250 ms not up, or 600 ms without a tock, the next one is linked beside it; who answers first with fresh news is followed.

--- a/pepperrun/waggle/follower.py
+++ b/pepperrun/waggle/follower.py
@@ -30,6 +30,7 @@
 MS = 1_000_000
 TICK_NS = 400 * MS
 SILENT_NS = 1000 * MS  # two ticks without an answer and a half: the other machine is gone, cut off or stuck
+DOWN_NS, QUIET_NS = 250 * MS, 600 * MS  # not up, or a tock late: another one is tried beside it
 STALE_MS = 1200  # a core machine that knows no better than this has lost the others
 STALE_NS = 1000 * MS  # and for so long: one late word among core machines is no reason to move
 MEND_NS = 250 * MS  # what is known to be missing comes down the tree within this, or is asked for
@@ -90,7 +91,7 @@
         self.avoided: dict[Address, tuple[int, int]] = {}  # until when, and for how long
         self.zone_of: dict[str, str] = {}  # of core machines by ip, as learnt from their hello and lists
         self.core = Uplink(self._best_core(now), "", now)
-        self.other: Uplink | None = None  # a nearer core machine that is tried while the present one serves
+        self.other: Uplink | None = None  # a core machine that is tried while the present one is kept
         self.parent: Uplink | None = None
         self.shunned: dict[str, int] = {}
         self.next_tick = self.swept = self.turned_at = now
@@ -111,16 +112,17 @@
             return 0
         return 1 if zone is not None and self.zones.get(zone) == self.zones.get(self.zone) else 2
 
-    def _best_core(self, now: int) -> Address:
+    def _best_core(self, now: int, but: Address | None = None) -> Address:
         """The nearest that has not failed lately; first contacts only where none of the core will do."""
         listed = {(str(row[0]), self.siding[1]) for row in self.book.cores}
+        known = listed.union(self.contacts)
 
         def order(one: Address) -> tuple[int, bool, int, bytes]:
             until = self.avoided.get(one, (0, 0))[0]
             near = self._nearness(one[0])
             return (until if until > now else 0), one not in listed, near, spread(self.station, one[0])
 
-        return min(listed.union(self.contacts), key=order)
+        return min(known - {but} or known, key=order)
 
     def _avoid(self, address: Address, now: int) -> None:
         span = min(AVOID_MOST_NS, 2 * self.avoided.get(address, (0, AVOID_NS // 2))[1])
@@ -146,21 +148,36 @@
                 self.other.port.close()
             self.other = None
 
-    def _nearer_core(self, now: int) -> None:
-        """Tries a nearer one beside the present one, which is left when that one answers."""
-        if self.other is None:
-            best = self._best_core(now)
-            if best != self.core.address and self._nearness(best[0]) < self._nearness(self.core.address[0]):
+    def _quiet_at(self) -> int:
+        """When the core machine has been waited for long enough to try another one beside it."""
+        core = self.core
+        return core.since + DOWN_NS if core.port is None else core.heard_at + QUIET_NS
+
+    def _try_another(self, now: int) -> None:
+        """A nearer one, or one that may answer sooner; the present one is left when that one has answered."""
+        near = self._nearness(self.core.address[0])
+        if self.other is None and (near or now >= self._quiet_at()):
+            best = self._best_core(now, but=self.core.address)
+            if best == self.core.address or self.avoided.get(best, (0, 0))[0] > now:
+                return
+            if self._nearness(best[0]) < near or now >= self._quiet_at():
                 self.other = Uplink(best, "", now)
 
     def _move(self, now: int) -> None:
+        """Another core machine has answered well."""
         other, core = self.other, self.core
-        if other is not None:
-            event("core-nearer", peer=other.address[0], before=core.address[0])
-            self.core, self.other = other, None
-            if core.port is not None:
-                core.port.close()
-            self._tick(other, now)
+        if other is None:
+            return
+        self.other = None
+        if now < self._quiet_at() and self._nearness(core.address[0]) <= self._nearness(other.address[0]):
+            if other.port is not None:  # the present one has answered meanwhile
+                other.port.close()
+            return
+        event("core-moved", peer=other.address[0], before=core.address[0])
+        self.core = other
+        if core.port is not None:
+            core.port.close()
+        self._tick(other, now)
 
     def _shun(self, now: int, why: str) -> None:
         """The parent is no good: the next one, or the core."""
@@ -412,12 +429,12 @@
             self._shun(now, "silent" if parent.port else "not up")
         for link in self._mending(now):
             self._mend(link, now)
+        self._try_another(now)
         if now >= self.next_tick:
             self.next_tick = now + TICK_NS
             if now - self.swept > SWEEP_NS:
                 self.swept = now
                 self.book.sweep()
-            self._nearer_core(now)
             self._choose_parent(now)
             for link in self._links():
                 self._tick(link, now)
@@ -440,6 +457,8 @@
         out = self.next_tick
         for link in self._links():
             out = min(out, (link.heard_at or link.since) + SILENT_NS + MS)
+        if self.other is None and (quiet := self._quiet_at()) > now:
+            out = min(out, quiet)
         for link in self._mending(now):
             if link.behind_since:
                 out = min(out, max(link.behind_since, link.wanted_at) + MEND_NS)
--- a/tests/test_waggle.py
+++ b/tests/test_waggle.py
@@ -183,6 +183,24 @@
         assert world.now - (gate.book.cells_at - gate.skew) < 1500 * MS
 
 
+def test_another_core_machine_is_tried_before_the_present_one_is_given_up():
+    world = World(10, ZONES, CORES)
+    world.kill(world.skeps[0])  # a first contact of all is down at the start
+    for index in range(12):
+        world.gate(index, "a1")
+    world.change()
+    world.run(700)
+    assert all(gate.book.age_ms(gate.clock()) < 700 for gate in world.gates)
+    world.run(3000)
+    followed = world.gates[0].follower.core.address[0]
+    world.kill(world.nodes[followed])
+    oldest = 0.0
+    for _ in range(40):
+        world.run(50)
+        oldest = max(oldest, *(gate.book.age_ms(gate.clock()) for gate in world.gates))
+    assert oldest < 1150  # a tick, what is quiet, the way to another
+
+
 def test_who_stood_still_takes_nobody_else_for_silent():
     world = fleet(8, {"a1": 4})
     gate = next(one for one in world.gates if not one.follower.root)
