--- a/pepperrun/forager/ledger.py
+++ b/pepperrun/forager/ledger.py
@@ -71,8 +71,7 @@
             at = self.plans[sender.name] = min(len(self.plan_rows), MOST_PLANS - 1)
         # The store holds a request at the least: a tenant with a rate and no surge is allowed its rate.
         burst = max(sender.surge, 1.0) if sender.rate_per_s > 0 else 0.0
-        # What two let go at once counts against the rule: each leaves the others what they will use unheard.
-        row = Plan(sender.name, rate=max(0.0, sender.rate_per_s), burst=burst, over_cost=1.0)
+        row = Plan(sender.name, rate=max(0.0, sender.rate_per_s), burst=burst)
         if at == len(self.plan_rows):
             self.plan_rows.append(row)
             self.changed = True
