--- a/tests/test_forager.py
+++ b/tests/test_forager.py
@@ -228,6 +228,7 @@
 def test_what_a_worker_has_not_run_goes_to_another(no):
     async def test():
         hive, worker, other = Hive(route("r", "/p/", route_kind="unsafe")), StandIn(no), StandIn(ok())
+        hive.plane.gatekeeper.gateway.further.level = 1.0  # what is saved up for it
         await worker.start()
         await other.start()
         hive.work("w1", worker.port, zone="a")
