--- a/pepperrun/waggle/follower.py
+++ b/pepperrun/waggle/follower.py
@@ -177,6 +177,7 @@
         self.core = other
         if core.port is not None:
             core.port.close()
+        self._begin(other, now)
         self._tick(other, now)
 
     def _shun(self, now: int, why: str) -> None:
@@ -227,12 +228,16 @@
             else:
                 self.core = fresh
                 self.zone_of.setdefault(address[0], str(hello.get("zone", "")))
-                if not self.book.number:
-                    self._want(fresh, now)
-                if not self.book.sums.sums:
-                    self._ask(fresh, now)
+                self._begin(fresh, now)
             self._tick(fresh, now)
 
+    def _begin(self, link: Uplink, now: int) -> None:
+        """Who holds nothing yet does not wait until something is known to be missing."""
+        if not self.book.number:
+            self._want(link, now)
+        if not self.book.sums.sums:
+            self._ask(link, now)
+
     def closed(self, address: Address, port: Port, now: int) -> None:
         """A link has ended."""
         if self.core.port is port:
