Core machines mend cells by the waggle's repair; second links stay until both sides know both

Cause: each pair of core machines dialled both ways at the start, and the higher closed its own link before the lower had read the other's hello, so peers went down and up again and what was under way was lost. Comparison of cells had been written twice. Ruled out: the disk and the rounds of the agreement (orders were answered within 0.1 s).

--- a/pepperrun/comb/cells.py
+++ b/pepperrun/comb/cells.py
@@ -1,7 +1,7 @@
 """Cells (who is there): for each zone its workers and gatekeepers, kept by every core machine.
 
 The deciding half, without I/O. Beats come in at any core machine; what they change is pushed to the others,
-and copies are compared by digests over ranges each second (`comb.mending`). That a beat came and changed
+and copies are compared by digests over ranges each second (`waggle.repair`). That a beat came and changed
 nothing is told compactly: a core machine vouches for those it hears until it tells otherwise
 (`comb.vouching`). Each core machine that is linked with a majority concludes for itself that a worker is lost
 whom nobody has vouched for in LOST_BEATS beats and a second; a later beat undoes it.
@@ -16,10 +16,10 @@
 
 from bidict import bidict
 
-from pepperrun.comb.mending import Mending
 from pepperrun.comb.records import BOARDING, GONE, LOST, READY, UNLOADING, Guard, Worker
 from pepperrun.comb.vouching import Vouching
 from pepperrun.foundation.netstring import Message
+from pepperrun.waggle import repair
 from pepperrun.waggle.digests import Record, Sums, newer, record_id
 
 MS = 1_000_000
@@ -75,7 +75,6 @@
         self.serials: dict[str, int] = {}  # of the last beat heard here, where no record tells it
         self.ended: dict[str, int] = {}  # worker's id: since when its record is final or lost
         self.vouching = Vouching(int(1.5 * beat_ms * MS), now)
-        self.mending = Mending(self.workers, self.guards, self.held, self.sums)
         self.urgent: dict[str, Record] = {}  # to be pushed at once
         self.lazy: dict[str, Record] = {}  # within BATCH
         self.flush_at = 0  # when `lazy` goes; 0: nothing there
@@ -93,7 +92,7 @@
         """A link to another core machine is up: it is told whom one hears, and asked what differs."""
         self.peers[ip] = zone
         self.out.append((ip, self.vouching.all(now)))
-        self.out.append((ip, self.mending.ask()))
+        self.out.append((ip, repair.ask(self)))
 
     def disconnected(self, ip: str, now: int) -> None:
         """The last link to it is gone."""
@@ -112,30 +111,16 @@
         kind = message["k"]
         if kind == "vouch":
             self.vouching.told(ip, message, now)
-        elif kind == "cells":
-            self.merge(*rows_of(message, now), now)
+        elif kind in ("cells", "ask", "digests"):
+            self.out += [(ip, back) for back in repair.heard(self, self.merge, message, now)]
             if "a" in message:
                 self.out.append((ip, {"k": "held", "a": message["a"]}))
-            if "list" in message:
-                self._answer(ip, self.mending.listed(message["list"]), now)
-            if "want" in message:
-                self._answer(ip, self.mending.wanted(message["want"]), now)
         elif kind == "held":
             self._held(ip, message["a"])
-        elif kind == "ask":
-            self._answer(ip, self.mending.asked(message), now)
         else:
             return False
         return True
 
-    def _answer(self, ip: str, answer: Message | None, now: int) -> None:
-        if answer is None:
-            return
-        records = answer.pop("records", ())
-        if answer["k"] == "cells":
-            answer |= rows(records, now)
-        self.out.append((ip, answer))
-
     # Workers.
 
     def beat(self, beat: Beat, needed: int, now: int) -> int | None:
@@ -197,7 +182,7 @@
         """Pushes the record to all with a request to say that it is held."""
         self.tokens += 1
         self.waits[self.tokens] = Wait(needed, set())
-        self._tell({"k": "cells", "a": self.tokens} | rows([self.workers[id]], now))
+        self._tell(repair.rows([self.workers[id]], now) | {"a": self.tokens})
         self.urgent.pop("w:" + id, None)
         return self.tokens
 
@@ -319,7 +304,7 @@
         self._conclude(now)
         if self.peers:
             peers = sorted(self.peers)
-            self.out.append((peers[self.turns % len(peers)], self.mending.ask()))
+            self.out.append((peers[self.turns % len(peers)], repair.ask(self)))
 
     def _conclude(self, now: int) -> None:
         """Who has been silent for too long is lost, or gone; who has been gone for long is forgotten."""
@@ -350,7 +335,7 @@
 
     def _flush(self, records: dict[str, Record], now: int) -> None:
         if records:
-            self._tell({"k": "cells"} | rows(records.values(), now))
+            self._tell(repair.rows(records.values(), now))
             records.clear()
 
     def take_out(self, now: int) -> list[tuple[str, Message]]:
@@ -384,20 +369,3 @@
             some = list(near)
         best = max(some, key=lambda ip: blake2b(f"{ip} {id}".encode(), digest_size=8).digest())
         return None if best == self.me else best
-
-
-def rows(records: Iterable[Record], now: int) -> Message:
-    """The fields `w` and `g` of a `cells` message."""
-    out: Message = {"w": [], "g": []}
-    for one in records:
-        if isinstance(one, Worker):
-            out["w"].append(one.wire(now))
-        else:
-            out["g"].append(one.wire())
-    return {key: value for key, value in out.items() if value}
-
-
-def rows_of(message: Message, now: int) -> tuple[list[Worker], list[Guard]]:
-    """The records of a `cells` message; ValueError or TypeError where they can't be meant."""
-    workers = [Worker.read(row, now) for row in message.get("w", ())]
-    return workers, [Guard.read(row) for row in message.get("g", ())]
--- a/pepperrun/comb/hub.py
+++ b/pepperrun/comb/hub.py
@@ -290,9 +290,7 @@
         for zone in self.evacuated - held:
             self.cells.doubt(zone, now)
         self.evacuated = held
-        known = (
-            (change.base, change.op) if change.op is not None and change.number == change.base + 1 else None
-        )
+        known = (change.base, change.op) if change.op is not None else None
         event("agreed", number=change.number, edition=self.queen.body.get("edition", 0))
         self.publisher.agreed(known, now)
         wanted = self.contacts | self.queen.voters
@@ -319,7 +317,7 @@
             self.queen.tick(now)
         if now >= self.cells.due():
             self.cells.tick(now)
-            self.mesh.turn(now)
+            self.mesh.turn(now, tidy=True)
             if self.queen.keeper == self.settings.me.ip and not self.queen.minority:
                 op = self.seats.wanted(self.cells.guards.values(), self.body(), now)
                 if op is not None:
--- a/pepperrun/comb/mesh.py
+++ b/pepperrun/comb/mesh.py
@@ -89,18 +89,20 @@
         """Whose link that is."""
         return next((ip for ip, links in self.links.items() if link in links), None)
 
-    def turn(self, now: int) -> None:
-        """Dials who is known and not linked; gives up second links and who has not been there for long."""
+    def turn(self, now: int, tidy: bool = False) -> None:
+        """Dials who is known and not linked. To `tidy`: gives up second links, and who has long been away."""
         for ip in list(self.met):
             dialer, links = self.dialers.get(ip), self.links.get(ip, [])
-            if ip not in self.wanted and not links and now - self.met[ip] > FORGET:
+            if tidy and ip not in self.wanted and not links and now - self.met[ip] > FORGET:
                 del self.met[ip]
                 if dialer is not None:
                     self.dialers.pop(ip).close()
             elif dialer is None and not links:
                 self.dialers[ip] = self.dial((ip, self.port), self.user, self.hello)
-            elif dialer is not None and self.me > ip and any(one is not dialer.link for one in links):
-                self.dialers.pop(ip).close()  # the lower one's link is up
+            elif (
+                tidy and dialer is not None and self.me > ip and any(one is not dialer.link for one in links)
+            ):
+                self.dialers.pop(ip).close()  # the lower one's link is up, on both sides by now
 
     def send(self, ip: str, message: Message) -> None:
         """To one that is linked; else it is lost."""
