--- a/pepperrun/queen/queen.py
+++ b/pepperrun/queen/queen.py
@@ -175,6 +175,8 @@
             chosen = self.register.chosen_at
             self.register.take(ip, made, now)
             self.look = self.register.chosen_at != chosen
+            if self.look and self.fresh is None:  # the first word of it: is that the newest?
+                self.read_at = min(self.read_at, now + self.pace.read // 8)
         self._start()
 
     def propose(self, op: Op, now: int, patience: int | None = None) -> int:
--- a/tests/test_queen.py
+++ b/tests/test_queen.py
@@ -10,12 +10,13 @@
 
 from pepperrun.foundation.errors import HiveError
 from pepperrun.queen import messages
+from pepperrun.queen.register import Register
 from pepperrun.queen.upkeep import wanted
-from pepperrun.queen.values import Held, Life, Memory, Value, beginning, digest_of
+from pepperrun.queen.values import Held, Life, Memory, RamStore, Value, beginning, digest_of
 from pepperrun.queen.voter import MS
 from pepperrun.swarm.orders import Rules, search, walk
 from pepperrun.swarm.queen_days import Day, readmitted
-from pepperrun.swarm.queens import Try, World
+from pepperrun.swarm.queens import Try, World, judge
 
 SEEDS = range(4)
 
@@ -64,6 +65,12 @@
     for ip in ips:
         if world.machines[ip].queen is None:
             world.start(ip)
+    if fault == "dark":  # a majority that has taken the same knows that it was chosen, without a round
+        world.run(800)
+        assert {
+            one.queen.register.chosen_at.by.split("/")[0] for one in world.machines.values() if one.queen
+        } == {ips[seed]}
+        assert not world.settled()
     ends_well(world)
     assert all(one.queen and one.queen.votes for one in world.machines.values())
 
@@ -231,6 +238,64 @@
     assert [one.op["edition"] for one in told[:2] if one.op] == [1, 2]
 
 
+def test_a_round_that_died_halfway_is_brought_to_an_end() -> None:
+    world = calm(6)
+    ips = sorted(world.machines)
+    value = world.machines[ips[0]].queen.value  # type: ignore[union-attr]
+    assert value is not None
+    world.kill(ips[4])  # not the keeper, whose successor would begin a round anyhow
+    op = {"mark": "half", "on": 0, "edition": 1, "fill": ""}
+    body = {"edition": 1, "taken": ["half"], "fill": ""}
+    new = messages.wire(replace(value, number=1, digest=digest_of(body)))
+    put = {"t": "put", "b": [50, f"{ips[4]}/first/1"], "v": new, "f": value.digest, "o": [op]}
+    for ip in ips[1:3]:  # two of the four that are left: of these no majority has taken nothing later
+        world.machines[ip].queen.receive(ips[4], put, world.now)  # type: ignore[union-attr]
+    world.run(3000)
+    assert not world.settled() and world.machines[ips[0]].queen.number == 1  # type: ignore[union-attr]
+
+
+def test_who_stood_still_calls_nobody_lost() -> None:
+    world = calm(7, 6)
+    ips = sorted(world.machines)
+    keeper = world.machines[ips[0]].queen
+    assert keeper is not None and keeper.keeper == ips[0]
+    later = world.now + 10_000 * MS
+    for ip in (ips[5], ips[1], ips[2]):  # first come those of a majority, and of one that could vote instead
+        life = world.machines[ip].queen.register.memory.life  # type: ignore[union-attr]
+        read = {"t": "read", "s": 9, "c": list(keeper.register.chosen_at), "l": life}
+        keeper.receive(ip, read, later)
+    keeper.tick(later)
+    assert {one["t"] for _, one in keeper.take_out()} == {"seen", "read"}
+
+
+def test_those_before_leave_only_when_that_is_known_as_chosen() -> None:
+    world = calm(8)
+    queen = world.machines[first(world)].queen
+    assert queen is not None and queen.value is not None
+    joint = replace(queen.value, was=queen.value.voters[:3])
+    assert queen.register.plan(joint, False) == joint
+    assert queen.register.plan(joint, True) == queen.value
+
+
+def test_what_is_learnt_is_promised_and_no_ballot_is_used_twice() -> None:
+    held = beginning(["a", "b", "c"])
+    made = [
+        Register("b", Memory("x", starts, accepted=held, chosen=held), RamStore(), judge, 1, 0)
+        for starts in (1, 2)
+    ]
+    one = made[0]
+    later = {"t": "chosen", "b": [5, "a/first/1"], "v": messages.wire(replace(held.value, keeper="c"))}
+    one.take("a", messages.read(later), 0)
+    stale = {"t": "put", "b": [3, "c/first/1"], "v": messages.wire(held.value)}
+    one.take("c", messages.read(stale | {"v": [0, [["b", "x"]], [], "a", held.value.digest]}), 0)
+    assert [message["t"] for _, message in one.out] == ["refuse"] and one.accepted_at.round == 5
+    for two in made:  # not a voter: its disk does not know of its own rounds
+        two.memory.promised = held.ballot
+        two.latest = held.ballot
+        two.begin(0)
+    assert made[0].round.ballot != made[1].round.ballot
+
+
 def test_drawn_days() -> None:
     broken = {seed: wrong for seed in range(30) if (wrong := Day(seed).play(6))}
     assert not broken
