Late requests are sent where nobody waits, and a slice is waited for a fifth of the aim

Change: with follows_best pressure means latency past the goal with others waiting; shedding leaves a fifth of the aim.

--- a/pepperrun/core/gateway.py
+++ b/pepperrun/core/gateway.py
@@ -22,6 +22,7 @@
 COPY_AT = 0.4  # of the aim: a second copy then still comes in time
 CALM_COST = 0.3  # of a further attempt while the fleet is not pressed: no load comes of it that matters
 LOOK_EVERY = SECOND // 50  # waiting work is looked at, by one timer at a time: slices fill and backends fade
+WAIT_PART = 5  # of the aim: long against the time in which a slice fills, short against a client's return
 LOG_EVERY = 5 * SECOND  # one line of a kind in this time
 
 
@@ -138,6 +139,8 @@
         most[event.cls] = max(most[event.cls], left)
         held.aim -= (age := 0 if held.once else most[event.cls] - left)
         pressed = lane.bound.latency > lane.bound.goal / 2
+        if self.settings.follows_best:  # there latency alone says little: others must be waiting too
+            pressed = lane.bound.latency > lane.bound.goal and bool(lane.turns.waiting)
         # Answer a tick or two before the client gives up, so that the answer is no later than it.
         last = max(self.now, held.deadline - 2 * self.settings.tick_ns)
 
@@ -161,7 +164,9 @@
         fleet = held.lane.fleet
         held.lane.turns.add(held.account.customer, held)
         # What needs no waiting is not shed: else a slow spell would lock large requests out for good.
-        shed = max(self.now + 1, int(held.aim - fleet.tail * fleet.expected(held)))
+        # Where work takes much of the aim that would be at once: a part of the aim is there to wait in.
+        least = held.kind.aim_ns // WAIT_PART if self.settings.follows_best else 1
+        shed = max(self.now + least, int(held.aim - fleet.tail * fleet.expected(held)))
 
         def gone() -> bool:
             return not held.waiting
--- a/tests/test_forager.py
+++ b/tests/test_forager.py
@@ -11,6 +11,10 @@
 from standins import HOST, MS, SECOND, Client, StandIn, answer, cut_short, going, reset, wait_then
 
 from pepperrun.comb.records import READY, Guard, Worker
+from pepperrun.comb.timetable import Sender
+from pepperrun.core.gateway import Gateway
+from pepperrun.core.interface import Backend, BackendList, ListKind, Refuse, Send, SetTimer, TimerFired
+from pepperrun.core.interface import Request as CoreRequest
 from pepperrun.forager.cold import ColdShares, chosen, spacing
 from pepperrun.forager.hum import Peers
 from pepperrun.forager.ledger import Ledger
@@ -380,3 +384,36 @@
     before = Table(1, state(route("r", "/p/"), route("s", "/s/")), ledger)
     after = Table(2, state(route("r", "/p/"), route("s", "/s/", tries=1)), ledger, before)
     assert after.ways["r"] is before.ways["r"] and after.ways["s"] is not before.ways["s"]
+
+
+def decisions() -> tuple[Gateway, Ledger, int]:
+    """The decisions with one ready worker and one class."""
+    ledger = Ledger(Bounds())
+    line = ledger.line("one")
+    cls = ledger.kind(line, True, 1000 * MS, 3000 * MS, 2)
+    gateway = Gateway(ledger.settings(), 1)
+    gateway.handle(SECOND, [BackendList(ListKind.DELTA, (Backend(7, 0, line=line),))])
+    return gateway, ledger, cls
+
+
+def test_a_request_that_comes_late_is_sent_where_nobody_waits():
+    """Its client has lost a second at a dead directory; work alone takes half of the aim."""
+    gateway, _, cls = decisions()
+    first = gateway.handle(SECOND, [CoreRequest(1, 5, 0, cls, 3000 * MS)])
+    gateway.lanes[0].bound.latency = 0.5
+    late = gateway.handle(SECOND + MS, [CoreRequest(2, 5, 0, cls, 1500 * MS)])
+    for actions in (first, late):
+        assert [type(action) for action in actions if not isinstance(action, SetTimer)] == [Send]
+
+
+def test_a_request_waits_a_part_of_its_aim_for_its_slice():
+    gateway, ledger, cls = decisions()
+    plan = ledger.plan(Sender("ann", ["k"], rate_per_s=100.0, surge=10.0))
+    gateway.resettle(ledger.settings())
+    gateway.lanes[0].fleet.tail = 9.0  # nearly all of the aim, were it to be kept free for slow answers
+    started = gateway.handle(SECOND, [CoreRequest(1, 5, plan, cls, 3000 * MS)])
+    assert not any(
+        isinstance(action, Refuse) for action in started + gateway.handle(SECOND + MS, [TimerFired(0)])
+    )
+    late = [a for at in range(20, 400, 20) for a in gateway.handle(SECOND + at * MS, [TimerFired(0)])]
+    assert any(isinstance(action, Send) for action in late)
