Forager reads a configuration's items as the core does: what is acknowledged is served

A route without target_ms or route_kind was taken by the core (which has defaults for these) and then dropped by every gatekeeper with a bad-item line, so its requests got 404; likewise a whole number written as 3.0. Ruled out: news not arriving (the gatekeeper held edition 5). Both now read by comb.checks.typed. Seen: amend in a nursery, then curl: 404 before; the test fails without the change.

--- a/pepperrun/forager/routes.py
+++ b/pepperrun/forager/routes.py
@@ -6,8 +6,7 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
-import dacite
-
+from pepperrun.comb.checks import typed
 from pepperrun.comb.timetable import SAFE, CarrierLine, Limits, Route, Sender
 from pepperrun.forager.ledger import MS, Ledger, number_of
 from pepperrun.foundation.errors import HiveError
@@ -16,19 +15,19 @@
 Item = dict[str, Any]
 Made = TypeVar("Made")
 Ready = TypeVar("Ready", "Way", "Tenant")
-_CONFIG = dacite.Config(type_hooks={float: float})
 
 
-def read_item(kind: type[Any], item: Item) -> Any:
-    """An item of the agreed state; what is null is left out. DaciteError where it can't be meant."""
-    return dacite.from_dict(kind, {key: value for key, value in item.items() if value is not None}, _CONFIG)
+def read_item(kind: type[Made], item: Item) -> Made:
+    """An item of the agreed state, read as the core read it before it was taken: the same columns may be
+    missing, whole numbers may be written as 3.0. HiveError where it can't be meant."""
+    return typed(kind, {key: value for key, value in item.items() if value is not None}, kind.__name__)
 
 
 def made(item: Item, make: Callable[[Item], Made]) -> Made | None:
     """An item ready for use; None, with a line in the log, where it can't be meant: the rest goes on."""
     try:
         return make(item)
-    except (dacite.DaciteError, ValueError, TypeError, AttributeError) as error:
+    except (HiveError, ValueError, TypeError, AttributeError) as error:
         trouble(HiveError("bad-item", "configuration", f"{item!r}: {error}"))
         return None
 
--- a/tests/test_forager.py
+++ b/tests/test_forager.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import time
 from typing import Any
@@ -10,6 +11,7 @@
 import pytest
 from standins import HOST, MS, SECOND, Client, StandIn, answer, cut_short, going, reset, wait_then
 
+from pepperrun.comb.checks import read_replace
 from pepperrun.comb.records import READY, Guard, Worker
 from pepperrun.comb.timetable import Sender
 from pepperrun.core.gateway import Gateway
@@ -108,6 +110,17 @@
     assert len(way.lines) == 2 and 120 < drawn < 290
 
 
+def test_what_the_core_takes_is_served():
+    """Columns that the core does without, and whole numbers written as fractions, are no reason for a 404."""
+    body = {"edition": 1, "limits": {"parcel_bytes": 5.0}, "senders": None}
+    columns = ["name", "depot", "prefix", "deadline_ms", "line", "precedence", "tries"]
+    body["routes"] = {"columns": columns, "rows": [["r", "h.example", "/", 900, "one", 1.0, 2.0]]}
+    body["carrier_lines"] = {"columns": ["name", "berth_cap"], "rows": [["one", 9.0]]}
+    held = read_replace(json.dumps(body).encode(), 0) | {"evacuated": []}
+    way = Table(1, held, Ledger(Bounds())).find(b"h.example", b"/x")
+    assert way is not None and not way.safe and (way.tries, way.route.target_ms) == (2, 900)
+
+
 def test_a_request_reaches_a_worker_with_its_tenants_name_and_without_its_key():
     async def test():
         hive, worker = Hive(route("r", "/p/", route_kind="unsafe")), await StandIn(ok()).start()
