Rows of workers and gatekeepers may grow: columns that are not known are passed over

Worker.read and Guard.read unpacked exactly ten and eight columns, so one more column in a later version would have ended each link to an earlier one.

--- a/pepperrun/comb/records.py
+++ b/pepperrun/comb/records.py
@@ -1,8 +1,9 @@
 """What is kept of workers and gatekeepers: one record each, the newer of two copies wins.
 
 A record's `rank` orders its copies: by life, serial and then by how final its state is. Times on the wire are
-lengths (milliseconds still to run), each process counts them on its own steady clock, so a way that takes long
-makes a cold worker count as cold for longer, never for less.
+lengths (milliseconds still to run), each process counts them on its own steady clock, so a way that takes
+long makes a cold worker count as cold for longer, never for less. A row may have more columns in a later
+version; they are passed over.
 """
 
 from __future__ import annotations
@@ -21,9 +22,10 @@
 class Worker:
     """One life of a worker.
 
-    `serial` is that of the beat that last changed anything here, not of the last beat. `lost` is what the core
-    concludes from silence and a later beat undoes; `gone` is final. `cold_until`: own steady clock, ns, 0 for
-    warm. `unsure`: it may have turned cold since it was last heard; it counts as cold until it says more.
+    `serial` is that of the beat that last changed anything here, not of the last beat. `lost` is what the
+    core concludes from silence and a later beat undoes; `gone` is final. `cold_until`: own steady clock, ns,
+    0 for warm. `unsure`: it may have turned cold since it was last heard; it counts as cold until it says
+    more.
     """
 
     id: str
@@ -54,7 +56,7 @@
     @classmethod
     def read(cls, row: list[Any], now: int) -> Worker:
         """From another process; ValueError or TypeError where it can't be meant."""
-        id, line, address, zone, edition, berths, serial, state, left, unsure = row
+        id, line, address, zone, edition, berths, serial, state, left, unsure, *_ = row
         if state not in FINAL:
             raise ValueError(f"a worker's state can't be {state!r}")
         cold = now + int(left) * 1_000_000 if left else 0
@@ -92,7 +94,7 @@
     @classmethod
     def read(cls, row: list[Any]) -> Guard:
         """From another process."""
-        station, zone, region, counter, siding, life, serial, state = row
+        station, zone, region, counter, siding, life, serial, state, *_ = row
         if state not in (READY, STARTING, LEAVING, LOST, GONE):
             raise ValueError(f"a gatekeeper's state can't be {state!r}")
         return cls(station, zone, region, counter, siding, int(life), int(serial), state)
--- a/pepperrun/foundation/logs.py
+++ b/pepperrun/foundation/logs.py
@@ -19,7 +19,7 @@
 
 
 def _value(value: Any) -> str:
-    if isinstance(value, (int, float)):
+    if isinstance(value, int | float):
         return f"{value:.6g}" if isinstance(value, float) else str(value)
     text = str(value)
     plain = text and all(one.isalnum() or one in "-_.:/+@" for one in text)
