Beekeeper: checks, calls, show and a nursery of real processes on one machine

Operators had no tools. Checks tell each problem in a sentence; calls follow 307, go on after failures and repeat unchanged; show asks a running process over a link of class operator (kinds show and shown; earlier processes pass them over). The nursery starts the programs themselves with addresses of their own; nothing in skep or guard assumed distinct machines.

--- /dev/null
+++ b/pepperrun/apiary/calls.py
@@ -0,0 +1,103 @@
+"""An operator's calls to the core: one address after the other, the same bytes each time."""
+
+from __future__ import annotations
+
+import http.client
+import time
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+from urllib.parse import urlsplit
+
+from pepperrun.foundation.errors import HiveError
+from pepperrun.foundation.settings import Address, address
+
+ANSWER_S = 1.5  # a machine that says nothing for so long is passed over
+PER_KB_S = 0.004  # and for each KB of a body
+PAUSE_S = (0.1, 1.0)  # between two rounds of the addresses: at first, and at most
+REDIRECTS = 2
+PATIENCE_S = 20.0
+
+
+class Told(NamedTuple):
+    """The clear answer, and who gave it."""
+
+    status: int
+    body: bytes
+    by: str
+
+
+def addresses(text: str) -> list[Address]:
+    """`HOST:PORT[,HOST:PORT...]`; HiveError where one is none."""
+    return [address(one.strip()) for one in text.split(",") if one.strip()]
+
+
+class Caller:
+    """Calls the core machines at these control addresses. `clock` in s, `sleep` by s."""
+
+    def __init__(
+        self,
+        at: list[Address],
+        patience_s: float = PATIENCE_S,
+        clock: Callable[[], float] = time.monotonic,
+        sleep: Callable[[float], None] = time.sleep,
+    ) -> None:
+        if not at:
+            raise HiveError("bad-address", "calling the core", "no control address is given")
+        self.at, self.patience_s, self.clock, self.sleep = at, patience_s, clock, sleep
+        self.first = 0
+
+    def call(
+        self, method: str, path: str, body: bytes = b"", headers: Mapping[str, str] | None = None
+    ) -> Told:
+        """Until one answers clearly: 2xx or 4xx but 408 and 429. HiveError `no-answer` after `patience_s`.
+
+        What is sent is the same each time, so that a change that was taken without the answer coming through
+        is told as taken when it is repeated.
+        """
+        end, pause, last = self.clock() + self.patience_s, PAUSE_S[0], "nobody was asked"
+        while True:
+            for step in range(len(self.at)):
+                number = (self.first + step) % len(self.at)
+                try:
+                    told = self._follow(self.at[number], method, path, body, headers or {})
+                except (OSError, http.client.HTTPException) as error:
+                    last = f"{_text(self.at[number])}: {type(error).__name__} {error}".strip()
+                    continue
+                if told.status < 500 and told.status not in (408, 429) and not 300 <= told.status < 400:
+                    self.first = number
+                    return told
+                last = f"{told.by}: {told.status} {told.body[:200].decode('utf-8', 'replace')}".strip()
+            if self.clock() + pause > end:
+                raise HiveError("no-answer", f"{method} {path}", f"nothing is certain; last {last}")
+            self.sleep(pause)
+            pause = min(PAUSE_S[1], 2 * pause)
+
+    def _follow(
+        self, where: Address, method: str, path: str, body: bytes, headers: Mapping[str, str]
+    ) -> Told:
+        for _ in range(REDIRECTS + 1):
+            answer, location = self._once(where, method, path, body, headers)
+            if answer.status != 307 or not location:
+                break
+            parts = urlsplit(location)
+            if parts.hostname is None or parts.port is None:
+                break
+            where, path = (parts.hostname, parts.port), parts.path or path
+        return answer
+
+    def _once(
+        self, where: Address, method: str, path: str, body: bytes, headers: Mapping[str, str]
+    ) -> tuple[Told, str]:
+        timeout = ANSWER_S + PER_KB_S * len(body) / 1024
+        connection = http.client.HTTPConnection(*where, timeout=timeout)
+        try:
+            more = {"Content-Type": "application/json"} if body else {}
+            connection.request(method, path, body or None, {"Connection": "close", **more, **headers})
+            response = connection.getresponse()
+            return Told(response.status, response.read(), _text(where)), response.getheader("Location") or ""
+        finally:
+            connection.close()
+
+
+def _text(where: Address) -> str:
+    return f"{where[0]}:{where[1]}"
--- /dev/null
+++ b/pepperrun/beekeeper.py
@@ -0,0 +1,173 @@
+"""Beekeeper (operator): the command that checks files, changes the configuration, and looks at what runs."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import sys
+from collections.abc import Callable
+
+from pepperrun.apiary import files, looking, nursery, problems
+from pepperrun.apiary.calls import PATIENCE_S, Caller, Told, addresses
+from pepperrun.foundation.errors import HiveError
+from pepperrun.foundation.settings import address
+
+GOOD, REFUSED, BAD, UNCERTAIN = 0, 1, 2, 3
+EXITS = "exit codes: 0 good, 1 refused or problems found, 2 a file, an address or the command is no good, "
+EXITS += "3 no clear answer: a change may be taken or not, repeat it unchanged"
+
+
+def check(options: argparse.Namespace) -> int:
+    """Tells each problem of each file."""
+    worst = GOOD
+    for path in options.files:
+        try:
+            if options.what == "timetable":
+                found = problems.of_timetable(files.read(path))
+            else:
+                found = problems.of_settings(files.load(path))
+        except HiveError as error:
+            print(error.detail, file=sys.stderr)
+            worst = BAD
+            continue
+        for sentence in found:
+            print(f"{path}: {sentence}")
+        if not found:
+            print(f"{path}: good")
+        worst = max(worst, REFUSED if found else GOOD)
+    return worst
+
+
+def _caller(options: argparse.Namespace) -> Caller:
+    return Caller(addresses(options.at), options.patience)
+
+
+def _tell(told: Told) -> int:
+    """The core's sentence; the exit code."""
+    try:
+        data = json.loads(told.body) if told.body else {}
+        said = data.get("detail") or data.get("code") or ""
+    except (ValueError, AttributeError):
+        said = told.body[:200].decode("utf-8", "replace")
+    good = 200 <= told.status < 300
+    print(f"{told.status} {said}".strip(), file=sys.stdout if good else sys.stderr)
+    return GOOD if good else REFUSED
+
+
+def change(options: argparse.Namespace) -> int:
+    """Puts a whole configuration, or changes named items."""
+    body, caller = files.read(options.file), _caller(options)
+    on = options.based_on
+    if on is None:
+        now = caller.call("GET", "/timetable/read")
+        if now.status != 200:
+            return _tell(now)
+        on = int(json.loads(now.body)["edition"])
+        print(f"based on edition {on}")
+    path = "/timetable/replace" if options.command == "put" else "/timetable/amend"
+    return _tell(caller.call("POST", path, body, {"Based-On": str(on)}))
+
+
+def read(options: argparse.Namespace) -> int:
+    """Prints the newest configuration."""
+    told = _caller(options).call("GET", "/timetable/read")
+    if told.status != 200:
+        return _tell(told)
+    print(json.dumps(json.loads(told.body), indent=None if options.compact else 1, ensure_ascii=False))
+    return GOOD
+
+
+def evacuate(options: argparse.Namespace) -> int:
+    """Empties a zone, or takes it back."""
+    word = "begin" if options.command == "evacuate" else "finish"
+    return _tell(_caller(options).call("POST", f"/evacuate/{options.zone}/{word}"))
+
+
+def show(options: argparse.Namespace) -> int:
+    """What one process holds."""
+    shown = asyncio.run(looking.ask(address(options.where), options.patience))
+    print(json.dumps(shown, indent=1) if options.json else looking.text(shown))
+    return GOOD
+
+
+def start_nursery(options: argparse.Namespace) -> int:
+    """A small system on this machine."""
+    sizes = nursery.Sizes(options.cores, options.guards, options.workers, tuple(options.services))
+    return nursery.run(sizes, options.folder, options.duration)
+
+
+def parser() -> argparse.ArgumentParser:
+    """The command line."""
+    top = argparse.ArgumentParser(prog="python3 -m pepperrun.beekeeper", description=__doc__, epilog=EXITS)
+    commands = top.add_subparsers(dest="command", required=True, metavar="COMMAND")
+
+    def command(name: str, does: Callable[[argparse.Namespace], int], text: str) -> argparse.ArgumentParser:
+        one = commands.add_parser(name, help=text, description=text, epilog=EXITS)
+        one.set_defaults(does=does)
+        return one
+
+    one = command("check", check, "tell all that is wrong with settings files or whole configurations")
+    one.add_argument("what", choices=("settings", "timetable"))
+    one.add_argument("files", nargs="+", metavar="FILE", help="JSON or YAML")
+    for name, text in (("put", "put a whole configuration"), ("amend", "change named items of it")):
+        one = command(name, change, text)
+        one.add_argument("file", metavar="FILE", help="JSON or YAML, as the core reads it")
+        one.add_argument(
+            "--based-on",
+            type=int,
+            metavar="EDITION",
+            help="what it builds on (else the edition that is read)",
+        )
+        _core(one)
+    one = command("read", read, "print the newest configuration")
+    one.add_argument("--compact", action="store_true", help="on one line")
+    _core(one)
+    for name, text in (("evacuate", "send nothing more to a zone"), ("restore", "use a zone again")):
+        one = command(name, evacuate, text)
+        one.add_argument("zone", metavar="ZONE")
+        _core(one)
+    one = command("show", show, "show what a running process holds")
+    one.add_argument(
+        "where", metavar="HOST:PORT", help="its own address: its ip and the first of the sidings"
+    )
+    one.add_argument("--json", action="store_true", help="as JSON, with all fields")
+    one.add_argument("--patience", type=float, default=looking.ANSWER_S, metavar="SECONDS")
+    one = command("nursery", start_nursery, "start a small system on this machine, until Ctrl-C")
+    one.add_argument("--cores", type=int, default=3, metavar="N", help="core machines (3)")
+    one.add_argument("--guards", type=int, default=3, metavar="N", help="gatekeepers (3)")
+    one.add_argument("--workers", type=int, default=2, metavar="N", help="toy workers of each service (2)")
+    one.add_argument(
+        "--services", nargs="+", default=["search", "booking"], metavar="NAME", help="(search booking)"
+    )
+    one.add_argument("--folder", metavar="DIR", help="settings, disks and logs go there (else a new one)")
+    one.add_argument("--for", dest="duration", type=float, metavar="SECONDS", help="end by itself")
+    return top
+
+
+def _core(one: argparse.ArgumentParser) -> None:
+    one.add_argument(
+        "--at", required=True, metavar="HOST:PORT[,...]", help="control addresses of core machines"
+    )
+    one.add_argument(
+        "--patience",
+        type=float,
+        default=PATIENCE_S,
+        metavar="SECONDS",
+        help=f"for an answer ({PATIENCE_S:g})",
+    )
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """The command; its exit code."""
+    options = parser().parse_args(arguments)
+    does: Callable[[argparse.Namespace], int] = options.does
+    try:
+        return does(options)
+    except HiveError as error:
+        print(f"{options.command}: {error}", file=sys.stderr)
+        return UNCERTAIN if error.code == "no-answer" else BAD
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/pepperrun/comb/hub.py
+++ b/pepperrun/comb/hub.py
@@ -16,7 +16,8 @@
 from pepperrun.comb.mesh import CORE, Mesh
 from pepperrun.comb.records import Guard, Worker
 from pepperrun.comb.seats import Seats
-from pepperrun.foundation.link import Link
+from pepperrun.comb.showing import shown
+from pepperrun.foundation.link import OPERATOR, Link
 from pepperrun.foundation.logs import event
 from pepperrun.foundation.netstring import Message, encode
 from pepperrun.foundation.settings import Settings
@@ -86,13 +87,15 @@
         now = self.now()
         if hello["class"] == CORE:
             self.mesh.opened(link, hello, now)
-        else:
+        elif hello["class"] != OPERATOR:
             self.publisher.joined(link, hello, now)
         self.after()
 
     def heard(self, link: Link, message: Message) -> None:
         now, ip = self.now(), self.mesh.ip_of(link)
-        if ip is None:
+        if message["k"] == "show":
+            link.send(shown(self, now))
+        elif ip is None:
             self.publisher.heard(link, message, now)
         elif message["k"] == "queen":
             self.queen.receive(ip, message["m"], now)
--- /dev/null
+++ b/pepperrun/forager/showing.py
@@ -0,0 +1,95 @@
+"""Showing: what a running gatekeeper holds, as one JSON object for whoever operates it."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import Any
+
+from pepperrun.comb.records import BOARDING, Guard
+from pepperrun.core.clock import Bucket
+from pepperrun.forager.plane import Plane
+from pepperrun.foundation.netstring import Message
+from pepperrun.scouts.service import Scouts
+from pepperrun.waggle.service import Subscriber
+from pepperrun.waggle.tree import parents
+
+MS = 1_000_000
+DEEPEST = 64  # steps: more than any tree has
+
+
+def shown(row: Guard, news: Subscriber, plane: Plane, scouts: Scouts, now: int) -> Message:
+    """The answer to `show`: ages in ms, levels in requests. Keys are not in it."""
+    book, follower, keeper, table = news.book, news.follower, plane.gatekeeper, plane.table
+    core, parent = follower.core, follower.parent
+    return {
+        **{"k": "shown", "class": "counter", "station": row.station, "zone": row.zone, "region": row.region},
+        **{"ip": row.siding.rpartition(":")[0], "counter": row.counter, "state": row.state, "life": row.life},
+        **{"ready": plane.ready(), "number": book.number, "edition": table.edition if table else 0},
+        **{"age_ms": _age(book.fresh_at, now), "cells_age_ms": _age(book.cells_at, now)},
+        "core": {"ip": core.address[0], "linked": core.port is not None},
+        "parent": {"station": parent.station, "number": parent.number} if parent else None,
+        **{"root": follower.root, "depth": depth(row.station, row.zone, book.guards.values())},
+        "children": [
+            {"station": port.name, "number": peer.number}
+            for port, peer in news.publisher.peers.items()
+            if peer.pushed
+        ],
+        **{"seats": plane.ledger.seats, "parts": plane.ledger.parts, "shares": _shares(plane, now)},
+        **{"workers": _workers(plane, now), "evacuated": sorted(table.evacuated) if table else []},
+        "scouts": {
+            "watched": max(0, len(scouts.scout.where)),
+            "absent": sorted(scouts.scout.absent()),
+            "doubts_itself": scouts.doubt,
+        },
+        **{"clients": plane.listener.count(), "under_way": keeper.waiting()},
+        "answers": {end.value: count for end, count in keeper.counts.items()},
+        "attempts": {outcome.name.lower(): count for outcome, count in keeper.outcomes.items()},
+    }
+
+
+def _age(at: int, now: int) -> int | None:
+    return (now - at) // MS if at else None
+
+
+def depth(station: str, zone: str, guards: Iterable[Guard]) -> int:
+    """How many links the news takes from the core to here, where each follows its first choice."""
+    held, steps = list(guards), 1
+    while steps < DEEPEST and (above := parents(station, zone, held)):
+        station, steps = above[0].station, steps + 1
+    return steps
+
+
+def _level(bucket: Bucket, now: int) -> float:
+    """What is in it now; looking does not touch it."""
+    filled = bucket.level + bucket.rate * max(0, now - bucket.at) / 1e9
+    return round(min(bucket.depth, filled), 2)
+
+
+def _shares(plane: Plane, now: int) -> list[dict[str, Any]]:
+    """This gatekeeper's part of each tenant's quota: a request a second, the most it holds, what is there."""
+    if plane.table is None:
+        return []
+    quotas, settings = plane.gatekeeper.gateway.quotas, plane.gatekeeper.settings
+    out: list[dict[str, Any]] = []
+    for name, tenant in sorted(plane.table.tenants.items()):
+        plan, account = settings.plans[tenant.plan], quotas.accounts.get(tenant.customer)
+        if plan.ceiling_rate <= 0:
+            out.append({"tenant": name, "rate": None, "depth": None, "level": None})
+            continue
+        part = 1 / max(1, settings.gateways, settings.seats)
+        row = {"tenant": name, "rate": plan.ceiling_rate * part, "depth": plan.ceiling_depth * part}
+        out.append(row | {"level": _level(account.ceiling, now) if account is not None else None})
+    return out
+
+
+def _workers(plane: Plane, now: int) -> dict[str, dict[str, int]]:
+    """By service: how many in each state, and how many of the boarding ones are cold or may be."""
+    out: dict[str, Counter[str]] = {}
+    for mate in plane.crew.mates.values():
+        counted = out.setdefault(mate.worker.line, Counter())
+        counted[mate.worker.state] += 1
+        if mate.worker.state == BOARDING:
+            counted["cold"] += plane.crew.cold(mate, now)
+            counted["astray"] += bool(mate.astray)
+    return {line: dict(sorted(counted.items())) for line, counted in sorted(out.items())}
--- a/pepperrun/foundation/link.py
+++ b/pepperrun/foundation/link.py
@@ -18,6 +18,7 @@
 from pepperrun.foundation.settings import Address
 
 VERSION = 1
+OPERATOR = "operator"  # the class, in a hello, of one who only looks: it is shown what is held
 SILENT_MS = 2000  # unacknowledged bytes for so long: the other machine is gone or behind a cut
 UP_S = 1.0  # a connection takes no longer to come up, or will not
 AGAIN_S = (0.05, 1.0)  # between two tries: at first, and at most
--- a/pepperrun/guard.py
+++ b/pepperrun/guard.py
@@ -12,6 +12,7 @@
 from collections.abc import Awaitable, Callable
 
 from pepperrun.comb.records import LEAVING, READY, STARTING, Guard
+from pepperrun.forager import showing
 from pepperrun.forager.plane import Plane
 from pepperrun.forager.stopping import drain, ready_listener
 from pepperrun.foundation import logs
@@ -47,6 +48,7 @@
         self.scouts = Scouts(settings, self.life, secrets.randbits(32), self.plane.hum.send, self.on_scouts)
         self.plane.hum.others[MARK] = self.scouts.received
         self.news.follower.standing = self.scouts.there
+        self.news.shown = lambda now: showing.shown(self.row(), self.news, self.plane, self.scouts, now)
         self.asked = ready_listener(time.monotonic_ns, self.plane.ready)
         self.stop = asyncio.Event()
 
--- a/pepperrun/waggle/service.py
+++ b/pepperrun/waggle/service.py
@@ -8,7 +8,7 @@
 
 from pepperrun.comb import changes
 from pepperrun.comb.records import Guard
-from pepperrun.foundation.link import Dialer, Link, listen
+from pepperrun.foundation.link import OPERATOR, Dialer, Link, listen
 from pepperrun.foundation.netstring import Message
 from pepperrun.foundation.settings import Address, Settings
 from pepperrun.waggle.follower import Follower
@@ -65,13 +65,17 @@
 class _Down:
     """The user of links that others opened to here."""
 
-    def __init__(self, publisher: Publisher) -> None:
-        self.publisher = publisher
+    def __init__(self, owner: Subscriber, publisher: Publisher) -> None:
+        self.owner, self.publisher = owner, publisher
 
     def opened(self, link: Link, hello: Message) -> None:
-        self.publisher.joined(link, hello, time.monotonic_ns())
+        if hello.get("class") != OPERATOR:
+            self.publisher.joined(link, hello, time.monotonic_ns())
 
     def heard(self, link: Link, message: Message) -> None:
+        if message["k"] == "show":
+            link.send(self.owner.shown(time.monotonic_ns()))
+            return
         self.publisher.heard(link, message, time.monotonic_ns())
 
     def closed(self, link: Link) -> None:
@@ -82,6 +86,7 @@
     """Runs on each gatekeeper. Readers use `book` (its callbacks run on the loop).
 
     `row` gives this gatekeeper's own record as it is now; its `serial` grows with each change of state.
+    `shown(now)`: what an operator is told who asks what is held.
     """
 
     def __init__(self, settings: Settings, life: int, row: Callable[[], Guard]) -> None:
@@ -99,13 +104,14 @@
         self.dialers: dict[Address, Dialer] = {}
         self.server: asyncio.Server | None = None
         self.closing = False
+        self.shown: Callable[[int], Message] = lambda now: {"k": "shown", "number": self.book.number}
 
     def _hello(self) -> Message:
         return self.hello_message
 
     async def start(self) -> None:
         """Listens for other gatekeepers at the siding's TCP port and keeps links. OSError: it is taken."""
-        self.server = await listen(self.siding, _Down(self.publisher), self._hello)
+        self.server = await listen(self.siding, _Down(self, self.publisher), self._hello)
         self.settle()
 
     def settle(self) -> None:
