--- a/pepperrun/core/quotas.py
+++ b/pepperrun/core/quotas.py
@@ -183,7 +183,8 @@
                 continue
             if not account.near(now) and not account.told.since(now - HEARD_FOR):
                 continue
-            news = abs(account.untold) > NEWS * max(0.0, account.whole.fill(now))
+            # Where members come and go a hard bound stands behind the store: use need not be told at once.
+            news = self.members is None and abs(account.untold) > NEWS * max(0.0, account.whole.fill(now))
             wide = news or now - account.told_at >= (TELL_EACH // 4 if hungry(account, now) else TELL_EACH)
             if not wide and not account.begged:
                 if account.untold:
@@ -201,7 +202,7 @@
                     level = gossip.FAR
                 entry = gossip.Entry(customer, account.total, debt, level, handed, account.out)
                 self.outbox.to(peer).entries.append(entry)
-        if now - self.beat >= TELL_EACH:
+        if now - self.beat >= (TELL_EACH if self.members is None else HEARD_FOR // 2):
             self.beat = now
             everybody = range(self.settings.gateways) if self.members is None else self.members
             for peer in everybody:
--- a/pepperrun/forager/crew.py
+++ b/pepperrun/forager/crew.py
@@ -16,7 +16,7 @@
     4 * SECOND
 )  # after an evacuation a zone's workers count as cold until their beats must have come
 ASTRAY_NS = 3 * SECOND  # another worker has the address: nothing is sent there, or until the roster says more
-FAR_ZONE, FAR_REGION = 1.02, 1.3  # how much slower a worker counts for its distance
+FAR_ZONE, FAR_REGION = 1.02, 2.2  # how much slower a worker counts for its distance; see SYSTEM.md, Prices
 
 
 class Mate:
