--- /dev/null
+++ b/features/playing.py
@@ -0,0 +1,308 @@
+"""What the features play: each protocol of the system's own processes in virtual time, with fixed names.
+
+`features/record.py` writes down what a version says here; the features play that against the version at hand.
+"""
+
+from __future__ import annotations
+
+import base64
+import heapq
+import json
+import zlib
+from dataclasses import replace
+from itertools import count
+from pathlib import Path
+
+from pepperrun.comb import changes
+from pepperrun.comb.cells import Beat, Cells
+from pepperrun.comb.checks import read_amend, read_replace
+from pepperrun.comb.records import READY, UNLOADING, Guard, Worker
+from pepperrun.foundation.link import Link
+from pepperrun.foundation.netstring import Decoder
+from pepperrun.queen.queen import Queen
+from pepperrun.queen.values import FIRST_LIFE, Ballot, Held, Memory, RamStore, beginning, digest_of
+from pepperrun.scouts.scout import Scout
+from pepperrun.waggle.book import NewsBook
+from pepperrun.waggle.follower import Follower
+from pepperrun.waggle.publisher import Publisher
+from pepperrun.wax.store import Wax
+
+MS = 1_000_000
+START = 1_000_000 * MS
+ZONES = {"a": "r1", "b": "r2", "c": "r3"}
+CORES = ["10.0.0.1", "10.0.0.2", "10.0.0.3"]
+SIDING = 7600
+
+
+def configuration(edition=5, **more):
+    """A valid one, as an operator sends it."""
+    routes = {
+        "columns": ["name", "depot", "prefix", "route_kind", "deadline_ms", "target_ms", "splits", "line"],
+        "rows": [
+            ["r-one", "h.example", "/one/", "safe", 1500, 400, None, "ant"],
+            ["r-two", "h.example", "/two/", "unsafe", 2000, 500, [{"line": "ant", "share": 9}], None],
+        ],
+    }
+    lines = {"columns": ["name", "berth_cap"], "rows": [["ant", 110]]}
+    senders = {"columns": ["name", "stamps"], "rows": [["ann", ["k1", "k2"]], ["bob", ["k3"]]]}
+    tables = {"routes": routes, "carrier_lines": lines, "senders": senders, "limits": {"dwell_ms": 9000}}
+    return {"edition": edition} | tables | more
+
+
+def body(data):
+    return json.dumps(data).encode()
+
+
+def guard(name, zone="a"):
+    return Guard(name, zone, ZONES[zone], f"10.1.0.{name[-1]}:80", f"10.1.0.{name[-1]}:{SIDING}", 7, 1, READY)
+
+
+def worker(name, serial=4, **more):
+    return replace(Worker(name, "ant", "10.2.0.9:80", "a", "v1", 2, serial), **more)
+
+
+class Ear:
+    """A link's sending side that keeps what was said."""
+
+    def __init__(self, name=""):
+        self.name, self.said, self.closed = name, [], False
+        self.decoder = Decoder()
+
+    def write(self, frame):
+        self.said += self.decoder.feed(frame)
+
+    def close(self):
+        self.closed = True
+
+    def take(self):
+        said, self.said = self.said, []
+        return said
+
+
+class Core:
+    """A core machine as publishers see it: holds a configuration and records."""
+
+    def __init__(self):
+        self.book, self.cores = NewsBook(), [[ip, zone] for ip, zone in zip(CORES, ZONES, strict=True)]
+        self.first, _ = changes.apply(None, read_replace(body(configuration()), 0))
+        self.book.take_agreed(1, self.first)
+        self.book.take_cells([worker("w1"), worker("w2", cold_until=START + 2000 * MS)], [guard("g2")])
+        self.publisher = Publisher(self, lambda due: None)
+
+    def __getattr__(self, name):
+        return getattr(self.book, name)
+
+    def age_ms(self, now):
+        return 12.0
+
+    def beat(self, guard, now):
+        self.book.take_cells([], [guard])
+
+    def merge(self, workers, guards, now):
+        self.book.take_cells(workers, guards)
+
+    def amend(self):
+        change = {"edition": 7, "withdraw": {"routes": ["r-two"]}}
+        op = read_amend(body(change), 5)
+        state, _ = changes.apply(self.book.state, op)
+        self.book.take_agreed(2, state)
+        self.publisher.agreed((1, op), START)
+
+    def release(self):
+        fresh = worker("w1", 9, state=UNLOADING)
+        self.book.take_cells([fresh], [])
+        self.publisher.changed([fresh], START)
+        self.publisher.turn(START + 20 * MS)
+
+
+def follower():
+    own = ("g1", "a", ("10.1.0.1", SIDING))
+    contacts = [(CORES[0], SIDING)]
+    return Follower(own, ZONES, contacts, lambda: guard("g1"), changes.apply, START)
+
+
+class News:
+    """A gatekeeper that follows a core machine. `over(message)`: what the wire makes of each message."""
+
+    def __init__(self, over=lambda message: message):
+        self.core, self.follower, self.over = Core(), follower(), over
+        self.up, self.down, self.log = Ear("core"), Ear("g1"), []
+        hello = {"station": "g1", "ip": "10.1.0.1", "zone": "a", "class": "counter", "life": 7}
+        self.core.publisher.joined(self.down, hello, START)
+        hello = {"station": "s1", "ip": CORES[0], "zone": "a", "class": "sorting", "life": 1}
+        self.follower.opened((CORES[0], SIDING), self.up, hello, START)
+        self.run()
+        self.core.amend()
+        self.run()
+        self.core.release()
+        self.run()
+        self.follower.turn(START + 400 * MS)
+        self.run()
+
+    def run(self):
+        for _ in range(40):
+            ups, downs = self.up.take(), self.down.take()
+            if not ups and not downs:
+                return
+            self.log += [["up", one] for one in ups] + [["down", one] for one in downs]
+            for one in ups:
+                self.core.publisher.heard(self.down, self.over(one), START)
+            for one in downs:
+                self.follower.heard(self.up, self.over(one), START + 30 * MS)
+        raise AssertionError("they talk without end")
+
+
+def cells_talk():
+    """Two core machines' cells: links, beats, a leave that waits, two comparisons; who said what."""
+    cells = {ip: Cells(ip, 1500, START) for ip in CORES[:2]}
+    one, two = CORES[:2]
+    cells[one].beat(Beat("w1", "ant", "10.2.0.9:80", "a", "v1", 2, "boarding", 0, 4), 0, START)
+    cells[one].guard(guard("g1"), START)
+    log, now = [], START
+    for step in range(4):
+        if step == 1:
+            for ip, other in ((one, two), (two, one)):
+                cells[ip].majority(True, now)
+                cells[ip].connected(other, "b", now)
+        if step == 2:
+            cells[one].beat(Beat("w2", "ant", "10.2.0.8:80", "a", "v1", 2, "boarding", 0, 1), 0, now)
+            cells[one].beat(Beat("w1", "ant", "10.2.0.9:80", "a", "v1", 2, "unloading", 0, 5), 1, now)
+        for _ in range(12):
+            now += 100 * MS
+            for ip in (one, two):
+                cells[ip].tick(now)
+                for to, message in cells[ip].take_out(now):
+                    log.append([ip, message])
+                    cells[to].receive(ip, json.loads(json.dumps(message)), now)
+    return cells, log
+
+
+class Trio:
+    """Three core machines that agree, each message 5 ms on its way. `over`: what the wire makes of it."""
+
+    def __init__(self, over=lambda sender, message: message):
+        self.now, self.events, self.turn, self.over, self.log = START, [], count(), over, []
+        self.queens, self.told = {}, {}
+        for at, (ip, zone) in enumerate(zip(CORES, ZONES, strict=True)):
+            memory = Memory(FIRST_LIFE)
+            memory.accepted = memory.chosen = beginning(CORES)
+            how = {"zone": zone, "regions": ZONES, "most": 3, "seed": at, "now": self.now}
+            self.queens[ip] = Queen(ip, memory, RamStore(), changes.apply, **how)
+        for ip, queen in self.queens.items():
+            for other, zone in zip(CORES, ZONES, strict=True):
+                if other != ip:
+                    queen.connected(other, zone, self.now)
+        self.run(1000)
+
+    def propose(self, ip, op):
+        return ip, self.queens[ip].propose(op, self.now)
+
+    def pump(self):
+        for ip, queen in self.queens.items():
+            for to, message in queen.take_out():
+                self.log.append(message)
+                wire = json.loads(json.dumps(message))
+                heapq.heappush(self.events, (self.now + 5 * MS, next(self.turn), ip, to, wire))
+            for result in queen.take_results():
+                self.told[ip, result.token] = result.verdict
+            queen.take_changes()
+
+    def run(self, ms):
+        end = self.now + int(ms * MS)
+        while True:
+            self.pump()
+            due = min(queen.due() for queen in self.queens.values())
+            at = min(due, self.events[0][0]) if self.events else due
+            if at > end:
+                self.now = end
+                return
+            self.now = max(self.now, at)
+            if self.events and self.events[0][0] <= self.now:
+                _, _, sender, to, message = heapq.heappop(self.events)
+                self.queens[to].receive(sender, self.over(sender, message), self.now)
+            for queen in self.queens.values():
+                if queen.due() <= self.now:
+                    queen.tick(self.now)
+
+
+def scouts_talk(hear=None):
+    """Two scouts for three seconds. With `hear` the first one's datagrams are these, not what it says now."""
+    addresses = {name: (f"10.1.0.{name[-1]}", SIDING) for name in ("g1", "g2")}
+    scouts = {name: Scout(name, "r1", 5000, at, START) for at, name in enumerate(addresses)}
+    for scout in scouts.values():
+        scout.take([guard("g1"), guard("g2")])
+    log = []
+    for step in range(300):
+        now = START + step * 10 * MS
+        for name, scout in scouts.items():
+            scout.tick(now)
+            said = [data for _, data in scout.take_out()]
+            if name == "g1" and hear is not None:
+                said = [bytes.fromhex(data) for at, speaker, data in hear if (at, speaker) == (step, "g1")]
+            log += [[step, name, data.hex()] for data in said]
+            for data in said:
+                scouts["g2" if name == "g1" else "g1"].receive(data, addresses[name], now)
+    return scouts, log
+
+
+def disk(folder):
+    """A core machine that has taken more than it knows as chosen; the bytes of its disk, as text."""
+    wax = Wax(str(folder), 1)
+    memory = wax.begin("s1", CORES[0], CORES)
+    first, _ = changes.apply(None, read_replace(body(configuration()), 0))
+    value = replace(memory.chosen.value, number=1, digest=digest_of(first))
+    memory.promised, memory.accepted = Ballot(3, "s1#1"), Held(Ballot(3, "s1#1"), value, first)
+    wax.save(memory)
+    wax.close()
+    return base64.b64encode(zlib.compress((Path(folder) / "data.mdb").read_bytes(), 9)).decode()
+
+
+def undisk(text, folder):
+    """Writes such a disk."""
+    (Path(folder) / "data.mdb").write_bytes(zlib.decompress(base64.b64decode(text)))
+
+
+class Wire:
+    """A transport that keeps what is written."""
+
+    def __init__(self):
+        self.written, self.up = b"", True
+
+    def get_extra_info(self, name):
+        return None
+
+    def is_closing(self):
+        return not self.up
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def write(self, data):
+        self.written += data
+
+    def abort(self):
+        self.up = False
+
+
+class Told:
+    """The user of a link, for looking on."""
+
+    def __init__(self):
+        self.hellos, self.messages = [], []
+
+    def opened(self, link, hello):
+        self.hellos.append(hello)
+
+    def heard(self, link, message):
+        self.messages.append(message)
+
+    def closed(self, link):
+        self.hellos.append(None)
+
+
+def link(user):
+    """A link that is up, without a network."""
+    one = Link(user, lambda: {"station": "s1", "ip": CORES[0], "zone": "a", "class": "sorting", "life": 1})
+    one.transport = Wire()
+    one.send({"k": "hello", "v": 1} | one.hello())
+    return one
--- /dev/null
+++ b/features/steps/versions.py
@@ -0,0 +1,304 @@
+"""Pairs of versions: recorded frames against the code at hand, and that against changes of its own."""
+
+import json
+from pathlib import Path
+
+import playing
+from behave import given, then, when
+from playing import CORES, MS, SIDING, START
+
+from pepperrun.foundation.errors import HiveError
+from pepperrun.foundation.netstring import Decoder, encode
+from pepperrun.queen import messages
+from pepperrun.queen.values import Ballot
+from pepperrun.wax import store
+
+OPTIONAL = {"tick": ("g",), "tock": ("cores",), "ask": ("parts", "of"), "cells": ("of",)}
+
+
+@given('what version "{name}" said')
+def recorded(context, name):
+    file = Path(__file__).resolve().parents[1] / "recorded" / f"{name}.json"
+    context.said = json.loads(file.read_text())
+
+
+# Links.
+
+
+@when("its hello comes on a link")
+def hello_comes(context):
+    context.user = playing.Told()
+    context.links = [playing.link(context.user)]
+    context.links[0].data_received(context.said["hello"].encode())
+
+
+@when("a hello comes of a later version with fields that are not known")
+def later_hello(context):
+    hello = Decoder().feed(context.said["hello"].encode())[0]
+    context.links.append(playing.link(context.user))
+    context.links[1].data_received(encode(hello | {"v": 9, "station": "s9", "speaks": ["smoke"]}))
+
+
+@then("both are told as greeted")
+def greeted(context):
+    assert [one and one["station"] for one in context.user.hellos] == ["s1", "s9"]
+    assert all(one.greeted and one.transport.up for one in context.links)
+
+
+@then("this version's hello has every field that the other reads")
+def hello_fields(context):
+    before, now = (
+        Decoder().feed(text)[0]
+        for text in (context.said["hello"].encode(), context.links[0].transport.written)
+    )
+    assert before.keys() <= now.keys() and all(type(now[name]) is type(before[name]) for name in before)
+
+
+@when("a kind that is not known comes to a gatekeeper, to a publisher, to cells and to the agreement")
+def unknown_kinds(context):
+    news, (cells, _), trio = playing.News(), playing.cells_talk(), playing.Trio()
+    odd = {"k": "smoke", "of": "pine"}
+    news.follower.heard(news.up, odd, START)
+    news.core.publisher.heard(news.down, odd, START)
+    held = cells[CORES[0]]
+    held.take_out(START)
+    held.receive(CORES[1], odd, START)
+    queen = trio.queens[CORES[0]]
+    queen.take_out()
+    queen.receive(CORES[1], {"t": "smoke"}, trio.now)
+    context.ears = [news.up, news.down]
+    context.answers = [news.up.take(), news.down.take(), held.take_out(START), queen.take_out()]
+
+
+@then("nobody is told anything and no link ends")
+def nothing_told(context):
+    assert context.answers == [[], [], [], []] and not any(ear.closed for ear in context.ears)
+
+
+# News.
+
+
+@when("its ticks, questions and rows come to a core machine")
+def old_follower(context):
+    core, ear = playing.Core(), playing.Ear("g1")
+    core.publisher.joined(ear, {"station": "g1", "class": "counter"}, START)
+    context.answers = []
+    for way, message in context.said["news"]:
+        if way == "up":
+            assert core.publisher.heard(ear, message, START)
+            context.answers += ear.take()
+        elif message["k"] == "change":
+            core.amend()
+            context.answers += ear.take()
+        elif message["k"] == "cells" and "of" not in message:
+            core.release()
+            context.answers += ear.take()
+
+
+@then("each is answered, with every field that it was answered before")
+def answered(context):
+    before = [message for way, message in context.said["news"] if way == "down"]
+    for kind in ("agreed", "change", "cells", "tock"):
+        olds = [one for one in before if one["k"] == kind]
+        news = [one for one in context.answers if one["k"] == kind]
+        assert len(news) >= len(olds) > 0, (kind, olds, news)
+        for old in olds:
+            assert any(
+                old.keys() <= new.keys() and all(type(new[name]) is type(old[name]) for name in old)
+                for new in news
+            ), (old, news)
+
+
+@when("it is told what the core machine of that version says")
+def old_core(context):
+    context.follower, ear = playing.follower(), playing.Ear("core")
+    context.now = START + 30 * MS
+    hello = {"k": "hello", "station": "s1", "ip": CORES[0], "zone": "a", "class": "sorting", "life": 1}
+    context.follower.opened((CORES[0], SIDING), ear, hello, START)
+    for way, message in context.said["news"]:
+        if way == "down":
+            if message["k"] == "tock" and message["t"] > START:
+                context.follower.turn(message["t"])
+            context.follower.heard(ear, message, context.now)
+    assert not ear.closed
+
+
+@then("it holds edition {edition:d} with {routes:d} route and {workers:d} workers")
+def holds(context, edition, routes, workers):
+    book = context.follower.book
+    assert (book.number, book.state["edition"], len(book.state["routes"])) == (2, edition, routes)
+    assert len(book.workers) == workers and book.workers["w1"].state == "unloading"
+
+
+@then("what it holds is known to be fresh")
+def is_fresh(context):
+    assert context.follower.book.fresh_at >= START - 12 * MS
+
+
+def _more(message):
+    """As a later version might say it."""
+    out = {name: value for name, value in message.items()} | {"smoke": ["pine"], "level": 3}
+    for name in ("w", "g"):
+        if isinstance(out.get(name), list) and message["k"] == "cells":
+            out[name] = [[*row, "smoke"] for row in out[name]]
+    if message["k"] == "tick" and "g" in out:
+        out["g"] = [*out["g"], "smoke"]
+    return out
+
+
+def _less(message):
+    """As an earlier version may have said it."""
+    return {name: value for name, value in message.items() if name not in OPTIONAL.get(message["k"], ())}
+
+
+def _strange(message):
+    """A change that only a later version can make."""
+    return message | {"op": {"do": "smoke"}} if message["k"] == "change" else message
+
+
+OVER = {
+    "every message and row has more fields": _more,
+    "what may be left out is left out": _less,
+    "a change is of a kind that is not known": _strange,
+}
+
+
+@when("a gatekeeper and a core machine talk while {what}")
+def talk(context, what):
+    news = playing.News(OVER[what])
+    context.follower = news.follower
+    assert not news.up.closed and not news.down.closed
+
+
+# Cells.
+
+
+@when("its messages come to another core machine's cells")
+def old_cells(context):
+    context.cells = playing.Cells(CORES[2], 1500, START)
+    context.cells.connected(CORES[0], "a", START)
+    for message in context.said["cells"]:
+        assert context.cells.receive(CORES[0], message, START), message
+
+
+@then('worker "{worker}" is unloading and gatekeeper "{guard}" is ready there')
+def records(context, worker, guard):
+    assert context.cells.workers[worker].state == "unloading"
+    assert context.cells.guards[guard].state == "ready"
+
+
+@then("the rows of this version begin with the columns of that one")
+def rows_begin(context):
+    for name, now in (("w", context.cells.workers["w1"].wire(START)), ("g", playing.guard("g1").wire())):
+        old = next(one[name][0] for one in context.said["cells"] if name in one)
+        assert [type(value) for value in now[: len(old)]] == [type(value) for value in old]
+    assert playing.guard("g1").wire()[: len(old)] == old
+
+
+# Agreement.
+
+
+@given("three core machines of which one {how}")
+def trio_of(context, how):
+    def adds(sender, message):
+        return message | {"smoke": ["pine"], "y": 3} if sender == CORES[1] else message
+
+    def leaves_out(sender, message):
+        return {name: value for name, value in message.items() if name != "q" or sender != CORES[1]}
+
+    context.trio = playing.Trio(adds if how.startswith("adds") else leaves_out)
+    if how.startswith("adds"):
+        for ip in (CORES[0], CORES[2]):
+            context.trio.queens[ip].receive(CORES[1], {"t": "smoke", "s": 1}, context.trio.now)
+
+
+@when("an operator puts edition 5 at each in turn")
+def puts(context):
+    op = playing.read_replace(playing.body(playing.configuration()), 0)
+    for ip in (CORES[1], CORES[0], CORES[2]):
+        token = context.trio.propose(ip, op)
+        context.trio.run(1000)
+        assert context.trio.told[token][0] == 200, context.trio.told
+
+
+@then("all three hold edition 5")
+def all_hold(context):
+    assert [queen.body["edition"] for queen in context.trio.queens.values()] == [5, 5, 5]
+    assert all(context.trio.now - queen.fresh_at < 1000 * MS for queen in context.trio.queens.values())
+
+
+@then("each of its messages of the agreement is read, and this version says the same kinds")
+def all_read(context):
+    trio = playing.Trio()
+    trio.propose(CORES[0], playing.read_replace(playing.body(playing.configuration()), 0))
+    trio.run(3000)
+    said = {}
+    for one in trio.log:
+        said.setdefault(one["t"], []).append(one)
+    for old in context.said["queen"]:
+        made = messages.read(old)
+        assert made["t"] == old["t"] and set(made) == set(old)
+        assert any(set(old) <= set(one) for one in said.get(old["t"], ())) or "q" in old, old
+
+
+# Scouts.
+
+
+@when("a scout hears the datagrams of the version before")
+def old_scouts(context):
+    context.scouts, _ = playing.scouts_talk(context.said["scouts"])
+
+
+@then("it takes the other for a member that is there")
+def is_there(context):
+    scout = context.scouts["g2"]
+    assert scout.settled and not scout.doubt and not scout.absent()
+
+
+@then("its datagrams are the same, byte by byte, when read and written again")
+def same_bytes(context):
+    kinds = set()
+    for _, speaker, text in context.said["scouts"]:
+        wire = context.scouts["g2" if speaker == "g1" else "g1"].wire
+        datagram = wire.unpack(bytes.fromhex(text))
+        assert datagram is not None and wire.pack(datagram).hex() == text
+        kinds.add(datagram.kind)
+    assert len(kinds) >= 4
+
+
+# Disk.
+
+
+@when("a core machine starts on its disk")
+def old_disk(context):
+    playing.undisk(context.said["wax"], context.folder)
+    context.memory = store.Wax(str(context.folder), 1).begin("s1", CORES[0], [])
+
+
+@then("it remembers its life, its promise and what it had taken, and counts one start more")
+def remembers(context):
+    memory = context.memory
+    assert (memory.life, memory.starts, memory.promised) == ("first", 2, Ballot(3, "s1#1"))
+    assert memory.accepted.body["edition"] == 5 and memory.chosen.value.number == 0
+
+
+@when("a core machine starts on a disk of a later format")
+def later_disk(context):
+    known, store.FORMAT = store.FORMAT, store.FORMAT + 1
+    try:
+        wax = store.Wax(str(context.folder), 1)
+        wax.begin("s1", CORES[0], CORES)
+        wax.close()
+    finally:
+        store.FORMAT = known
+    context.disk = (context.folder / "data.mdb").read_bytes()
+    try:
+        store.Wax(str(context.folder), 1).begin("s1", CORES[0], CORES)
+    except HiveError as error:
+        context.refused = error
+
+
+@then("it refuses to start, and the disk is as it was")
+def refuses(context):
+    assert context.refused.code == "disk-newer"
+    assert (context.folder / "data.mdb").read_bytes() == context.disk
--- a/pepperrun/comb/changes.py
+++ b/pepperrun/comb/changes.py
@@ -43,6 +43,8 @@
         if op["instead"] != state.get("seats", 0) or op["count"] == op["instead"]:
             return None, [412, "Another number of gatekeepers is held."]
         return state | {"seats": op["count"]}, [200, f"{op['count']} gatekeepers are there."]
+    if op["do"] not in ("replace", "amend"):
+        return None, [400, "This operation is of a later version."]  # who learns of it asks for the whole
     if [op["edition"], op["digest"]] in state["taken"]:
         return None, [200, f"Edition {op['edition']} has been taken already."]
     if op["on"] != state["edition"]:
--- a/pepperrun/comb/checks.py
+++ b/pepperrun/comb/checks.py
@@ -32,7 +32,8 @@
 
 def refusal(code: str, sentence: str) -> HiveError:
     """Why a configuration is not taken."""
-    return HiveError(code, STEP, sentence)
+    whole = sentence[:1].upper() + sentence[1:].rstrip()
+    return HiveError(code, STEP, whole if whole.endswith(".") else whole + ".")
 
 
 def _number(value: Any) -> float:
--- a/pepperrun/queen/messages.py
+++ b/pepperrun/queen/messages.py
@@ -93,6 +93,11 @@
     return [one.number, voters, was, one.keeper, one.digest]
 
 
+def known(data: Any) -> bool:
+    """Is it of a kind that this version speaks? What has no kind at all is for `read` to refuse."""
+    return not (isinstance(data, dict) and isinstance(data.get("t"), str)) or data["t"] in _NEEDED
+
+
 def read(data: Any) -> Message:
     """A message with its fields checked, ballots and values made; HiveError where it can't be meant."""
     if not isinstance(data, dict) or data.get("t") not in _NEEDED:
--- a/pepperrun/queen/queen.py
+++ b/pepperrun/queen/queen.py
@@ -160,7 +160,12 @@
         self.register.others = set(self.hearing.links)
 
     def receive(self, ip: str, message: Message, now: int) -> None:
-        """A message (`m`) of another core machine; HiveError, and nothing done, where it can't be meant."""
+        """A message (`m`) of another core machine; HiveError, and nothing done, where it can't be meant.
+
+        Kinds of a later version are passed over, so that its machines and this one can agree meanwhile.
+        """
+        if not messages.known(message):
+            return
         made = messages.read(message)
         if ip == self.me:
             return
--- a/pepperrun/wax/store.py
+++ b/pepperrun/wax/store.py
@@ -59,12 +59,16 @@
         """What is remembered, one start counted, all synced. On an empty disk a new life begins.
 
         `first_contacts`: ips, only where `first_run` is true, else none: who is among them, with an empty
-        disk, begins as one of the first voters. A disk in doubt is emptied, and its life is over.
+        disk, begins as one of the first voters. A disk in doubt is emptied, and its life is over. One that a
+        later version wrote is left alone: HiveError `disk-newer`.
         """
         doubtful = False
         try:
             memory = self._load()
         except HiveError as error:
+            if error.code == "disk-newer":
+                self.close()
+                raise
             trouble(error)
             memory, doubtful = None, True
             self._empty()
@@ -141,12 +145,10 @@
         if not raw:
             return None  # nothing was ever synced, so nothing was ever said
         try:
-            held = {
-                name: _opened(raw[name.encode()], name) for name in ("life", "promised", "accepted", "chosen")
-            }
-            form, life, starts = held["life"]
+            form, life, starts, *_ = _opened(raw[b"life"], "life")
             if form != FORMAT:
-                raise HiveError("disk-doubtful", "reading", f"format {form}, {FORMAT} is known")
+                raise HiveError("disk-newer", "reading", f"it is of format {form}, {FORMAT} is known here")
+            held = {name: _opened(raw[name.encode()], name) for name in ("promised", "accepted", "chosen")}
             accepted, chosen = (self._held(held[name], raw) for name in ("accepted", "chosen"))
             return Memory(life, starts, messages.ballot(held["promised"]), accepted, chosen)
         except (KeyError, TypeError, ValueError) as error:
