Links to a core machine that is coming back are tried each half second

Cause: the wait between tries doubled up to a second while the core was down, so a gatekeeper found it late. Change: who keeps a link says how long a try and the wait after it may take; gatekeepers say 0.4 and 0.2 s.

--- a/pepperrun/foundation/link.py
+++ b/pepperrun/foundation/link.py
@@ -109,10 +109,20 @@
 
 
 class Dialer:
-    """Keeps one link up to an address until it is closed."""
-
-    def __init__(self, where: Address, user: User, hello: Callable[[], Message]) -> None:
-        self.where, self.user, self.hello = where, user, hello
+    """Keeps one link up to an address until it is closed.
+
+    `up_s`: for a try at most. `again_s`: between two tries at most; they begin with AGAIN_S[0].
+    """
+
+    def __init__(
+        self,
+        where: Address,
+        user: User,
+        hello: Callable[[], Message],
+        up_s: float = UP_S,
+        again_s: float = AGAIN_S[1],
+    ) -> None:
+        self.where, self.user, self.hello, self.up_s, self.again_s = where, user, hello, up_s, again_s
         self.link: Link | None = None
         self.task = asyncio.get_running_loop().create_task(self._run())
 
@@ -120,15 +130,15 @@
         loop, wait = asyncio.get_running_loop(), AGAIN_S[0]
         while True:
             try:
-                async with asyncio.timeout(UP_S):
+                async with asyncio.timeout(self.up_s):
                     _, link = await loop.create_connection(lambda: Link(self.user, self.hello), *self.where)
             except OSError:
-                wait = min(AGAIN_S[1], 2 * wait)
+                wait = min(self.again_s, 2 * wait)
             else:
                 self.link, link.done = link, loop.create_future()
                 if link.transport is not None:
                     await link.done
-                wait = AGAIN_S[0] if link.greeted else min(AGAIN_S[1], 2 * wait)
+                wait = AGAIN_S[0] if link.greeted else min(self.again_s, 2 * wait)
                 self.link = None
             await asyncio.sleep(wait * random.uniform(0.5, 1.0))
 
--- a/pepperrun/scouts/scout.py
+++ b/pepperrun/scouts/scout.py
@@ -18,13 +18,13 @@
 from pepperrun.members.member import Member
 from pepperrun.members.roster import Roster
 from pepperrun.members.states import Config, Happened, Me
-from pepperrun.members.wire import WORDS, State
+from pepperrun.members.wire import State
 from pepperrun.scouts.wire import Learnt, id_of
 
 PERIOD_NS = 400_000_000  # between two probes: a death is known to all in about two seconds
 SUSPECT_NS = 400_000_000  # a suspicion stands at least
 LIFE_NS = 100_000_000  # lives count tenths of a second: 32 bits of them last for 13 years
-TOLD = {*WORDS.values(), "stood still", "hears nobody", "is answered", "refused a name"} - {"there"}
+TOLD = {"dead", "left", "stood still", "hears nobody", "is answered", "refused a name"}  # in the log
 MOST = 1024  # gatekeepers that are watched; the core knows of more
 
 
--- a/pepperrun/waggle/follower.py
+++ b/pepperrun/waggle/follower.py
@@ -158,9 +158,8 @@
         near = self._nearness(self.core.address[0])
         if self.other is None and (near or now >= self._quiet_at()):
             best = self._best_core(now, but=self.core.address)
-            if best == self.core.address or self.avoided.get(best, (0, 0))[0] > now:
-                return
-            if self._nearness(best[0]) < near or now >= self._quiet_at():
+            nearer = self._nearness(best[0]) < near and self.avoided.get(best, (0, 0))[0] <= now
+            if best != self.core.address and (nearer or now >= self._quiet_at()):
                 self.other = Uplink(best, "", now)
 
     def _move(self, now: int) -> None:
--- a/pepperrun/waggle/service.py
+++ b/pepperrun/waggle/service.py
@@ -16,6 +16,10 @@
 from pepperrun.waggle.relay import relay
 
 
+UP_S = 0.4  # for a link to come up: the first try at a machine that is just coming back is lost
+AGAIN_S = 0.2  # between two tries: who is tried was chosen, and is given up within a second
+
+
 class Alarm:
     """One timer of the loop: calls `ring` at the earliest time that was set (steady ns)."""
 
@@ -123,7 +127,7 @@
             for address in [one for one in self.dialers if one not in wanted]:
                 self.dialers.pop(address).close()
             for address in wanted - self.dialers.keys():
-                self.dialers[address] = Dialer(address, _Up(self, address), self._hello)
+                self.dialers[address] = Dialer(address, _Up(self, address), self._hello, UP_S, AGAIN_S)
         self.alarm.set(self.follower.due(time.monotonic_ns()))
 
     def _turn(self) -> None:
