--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 
 test: build
 	$(VENV)/bin/python -m pytest -q tests
+	$(VENV)/bin/python -m behave -q features
 
 lint: build
 	$(VENV)/bin/ruff check .
--- a/pepperrun/apiary/nursery.py
+++ b/pepperrun/apiary/nursery.py
@@ -103,6 +103,7 @@
         self.guards, self.worker_hosts = rest[: sizes.guards], rest[sizes.guards :]
         self.control = [(ip, self.ports["control_port"]) for ip in self.cores]
         self.key = ""
+        self.first_run = not any(folder.glob("disks/*/data.mdb"))  # only empty disks may begin anything
 
     # What the processes are told.
 
@@ -111,7 +112,7 @@
         core, ports = role == "skep", self.ports
         names = ("control_port", "directory_port") if core else ("counter", "ready_port")
         me: dict[str, Any] = {"station": station, "role": role, "class": "sorting" if core else "counter"}
-        me |= {"ip": ip, "zone": zone, "region": ZONES[zone], "counted": core, "first_run": True}
+        me |= {"ip": ip, "zone": zone, "region": ZONES[zone], "counted": core, "first_run": self.first_run}
         if core:
             me["store_dir"] = str(self.folder / "disks" / station)
         contacts = [f"{host}:{port}" for host, port in self.control[:3]]
@@ -192,6 +193,10 @@
         self.key = rows[0][columns.index("stamps")][0] if rows else ""
         for ip in self.guards:
             self._wait((ip, self.ports["counter"]))
+        self.first_run = False  # whoever is started again, on whatever disk, begins nothing
+        for child in self.children:
+            if child.role != "worker":
+                self.settings(child.name, child.role, child.ip, child.zone)
 
     def _pause(self, seconds: float) -> None:
         """Waits, unless it is to stop or one of the processes has not come up."""
