--- a/pepperrun/comb/directory.py
+++ b/pepperrun/comb/directory.py
@@ -17,8 +17,8 @@
     """Addresses for a client: of its region, the zone's first; of all where these are few.
 
     Within each ring they are shuffled by `seed`. Clients pick by chance among all they are told. Zones have
-    unlike numbers of gatekeepers for much the same load; told only of their zone, a single one would carry half
-    of its region's, and need more than its part of every quota. Between zones of a region a way is short.
+    unlike numbers of gatekeepers for much the same load; told only of their zone, a single one would carry
+    half of its region's, and need more than its part of every quota. Zones of a region are near each other.
     """
     region = region or regions.get(zone, "")
     rings: tuple[list[str], list[str], list[str]] = ([], [], [])
--- a/pepperrun/comb/seats.py
+++ b/pepperrun/comb/seats.py
@@ -1,9 +1,9 @@
-"""Seats: among how many gatekeepers what all may spend together is split. Agreed on, so that no restart forgets it.
+"""Seats: among how many gatekeepers what all may spend together is split. Agreed on: no restart forgets it.
 
 A gatekeeper spends its part of each quota without asking anybody, so too small a number would let all of them
-together spend too much; records in memory are gone when the core restarts, the agreed state is not. The number
-grows as soon as more are there, and shrinks once fewer have been there for long: until then the part of those
-that are gone is left unspent, as one of them may only be cut off.
+together spend too much; records in memory are gone when the core restarts, the agreed state is not. The
+number grows as soon as more are there, and shrinks once fewer have been there for long: until then the part
+of those that are gone is left unspent, as one of them may only be cut off.
 """
 
 from __future__ import annotations
--- a/pepperrun/core/escrow.py
+++ b/pepperrun/core/escrow.py
@@ -1,7 +1,7 @@
 """Escrow: units of hard ceilings that move between gateways by being given up first.
 
-A unit is in one bucket, on its way, or lost with a message; so whatever is heard or not, all gateways together
-never spend more than their buckets held and filled up with.
+A unit is in one bucket, on its way, or lost with a message; so whatever is heard or not, all gateways
+together never spend more than their buckets held and filled up with.
 """
 
 from __future__ import annotations
--- a/pepperrun/core/interface.py
+++ b/pepperrun/core/interface.py
@@ -131,9 +131,10 @@
     do at least `cold_from` of its work and all of it after `cold_ns`; sent more than `tip_multiple` times its
     capacity for `tip_for_ns` it falls over. `peer_intake` is how many messages a second a gateway takes in.
 
-    `seats`: among so many gateways hard ceilings are split where that is more than there are now. `lines` is how many services there are, each with its own backends, queues and bound. A further attempt is
-    paid for by `further_share` of each first one and by `further_burst` saved up; with `strict_further` each
-    that may reach a backend costs a whole one. `follows_best`: the bound's goal rises above a part of the aim
+    `seats`: among so many gateways hard ceilings are split where that is more than there are now. `lines` is
+    how many services there are, each with its own backends, queues and bound. A further attempt is paid for
+    by `further_share` of each first one and by `further_burst` saved up; with `strict_further` each that may
+    reach a backend costs a whole one. `follows_best`: the bound's goal rises above a part of the aim
     where the best latencies seen are near it (work alone takes that long). `marks`: gateways number classes
     alike, and tell each other of backends' failures.
     """
--- a/pepperrun/forager/ledger.py
+++ b/pepperrun/forager/ledger.py
@@ -88,12 +88,12 @@
     def _bounded(self, plan: Plan) -> Plan:
         """With the hard bound on what all gatekeepers together let through, whoever hears whom.
 
-        In a window of W seconds a tenant with rate r and surge s may have (r W + s)(1 + e) + q requests run, e
-        being `quota_excess` and q `quota_slack`. Each of n gatekeepers has a bucket of its own that fills at
-        r (1 + e / 2) / n, at most D / n deep and empty at its start; units move between buckets by being given
-        up first. So all together spend r (1 + e / 2) W + D at most. D is s (1 + e) + q / 2, or n where that is
-        more (a bucket has to hold one request), but never above s (1 + e) + q: e r W / 2 is always left for
-        moments in which two numbers of gatekeepers are held, mostly q / 2 too.
+        In a window of W seconds a tenant with rate r and surge s may have (r W + s)(1 + e) + q requests run,
+        e being `quota_excess` and q `quota_slack`. Each of n gatekeepers has a bucket of its own that fills
+        at r (1 + e / 2) / n, at most D / n deep and empty at its start; units move between buckets by being
+        given up first. So all together spend r (1 + e / 2) W + D at most. D is s (1 + e) + q / 2, or n where
+        that is more (a bucket has to hold one request), but never above s (1 + e) + q: e r W / 2 is always
+        left for moments in which two numbers of gatekeepers are held, mostly q / 2 too.
         """
         if plan.rate <= 0:
             return plan
--- a/pepperrun/foundation/settings.py
+++ b/pepperrun/foundation/settings.py
@@ -159,7 +159,7 @@
     where = path if path is not None else os.environ.get("PEPPERRUN_NODE_FILE", "/etc/pepperrun/node.yaml")
     loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
     try:
-        data = yaml.load(Path(where).read_text(), loader)  # noqa: S506  (a safe loader, in C where there is one)
+        data = yaml.load(Path(where).read_text(), loader)  # a safe loader, in C where there is one
     except (OSError, yaml.YAMLError) as error:
         raise HiveError("bad-settings", "settings", f"{where}: {error}") from None
     return parse(data)
