--- a/tests/test_forager.py
+++ b/tests/test_forager.py
@@ -24,6 +24,7 @@
 from pepperrun.forager.routes import Lot, Table, host_of
 from pepperrun.forager.stopping import drain
 from pepperrun.foundation.settings import Bounds, Settings, parse
+from pepperrun.guard import main
 
 ZONES = {"a": "r1", "b": "r2"}
 
@@ -430,3 +431,33 @@
     )
     late = [a for at in range(20, 400, 20) for a in gateway.handle(SECOND + at * MS, [TimerFired(0)])]
     assert any(isinstance(action, Send) for action in late)
+
+
+def test_the_program_checks_its_settings(tmp_path, capsys):
+    me = {"station": "g1", "role": "guard", "ip": HOST, "zone": "a", "region": "r1"}
+    network = {"sidings": [7600, 7615], "first_contacts": [], "postboxes": {"counter": f"{HOST}:1"}}
+    path = tmp_path / "node.yaml"
+    for text, code in (
+        ({"self": me, "network": network}, 0),
+        ({"self": me, "network": network | {"postboxes": {}}}, 2),
+    ):
+        path.write_text(json.dumps(text))
+        assert main(["--settings", str(path), "--check"]) == code
+    assert "postboxes.counter" in capsys.readouterr().err
+
+
+def test_an_idle_connection_is_used_no_longer_than_its_worker_says():
+    async def test():
+        hive, worker = (
+            Hive(route("r", "/p/")),
+            await StandIn(ok(b"x", b"i1", b"Keep-Alive: timeout=3")).start(),
+        )
+        hive.work("w1", worker.port)
+        assert (await (await hive.ask()).answer())[0] == 200
+        (kept,) = hive.plane.servers.connections
+        now = time.monotonic_ns()
+        assert hive.plane.servers._fit(kept, now + 2 * SECOND) and not hive.plane.servers._fit(
+            kept, now + 3 * SECOND
+        )
+
+    going(test)
