--- a/pepperrun/foundation/logs.py
+++ b/pepperrun/foundation/logs.py
@@ -5,7 +5,7 @@
 import json
 from typing import Any
 
-from absl import logging
+from absl import flags, logging
 
 from pepperrun import log
 from pepperrun.foundation.errors import HiveError
@@ -13,6 +13,7 @@
 
 def setup(verbose: bool = False) -> None:
     """Lines of the present program's parts become events too."""
+    flags.FLAGS.mark_as_parsed()  # absl's own flags stay as they are: argparse reads the command line
     logging.use_absl_handler()
     logging.set_verbosity(logging.DEBUG if verbose else logging.INFO)
     log.send_to(lambda kind, text, more: event("said", kind=kind, text=text, more=more))
