Beyond the quota is 429 with when a unit comes; who has had none for a second is told at once

Change: escrow.starved and short; a request shed for want of a unit is refused as beyond the quota, with the time until its own filling brings one.

--- a/pepperrun/core/escrow.py
+++ b/pepperrun/core/escrow.py
@@ -9,11 +9,12 @@
 from typing import Protocol
 
 from pepperrun.core import gossip
-from pepperrun.core.clock import Bucket
+from pepperrun.core.clock import SECOND, Bucket
 from pepperrun.core.interface import Plan
 from pepperrun.core.keepers import HEARD_FOR
 
 LOW = 1.0  # units: with fewer left not even one request can go out
+STARVED = SECOND  # without a unit for so long, though peers were asked: they have none to spare
 
 
 class Purse(Protocol):
@@ -23,11 +24,27 @@
     spread: int
     ceiling: Bucket
     told: gossip.Heard
+    fed_at: int  # when it last had a unit
 
 
 def hungry(account: Purse, now: int) -> bool:
     """Is there no unit left for a request?"""
-    return account.plan.ceiling_rate > 0 and account.ceiling.fill(now) < LOW
+    if account.plan.ceiling_rate <= 0 or account.ceiling.fill(now) >= LOW:
+        account.fed_at = now
+        return False
+    return True
+
+
+def starved(account: Purse, now: int) -> bool:
+    """Has there been no unit for so long that waiting for one is of no use?"""
+    return hungry(account, now) and now - account.fed_at > STARVED
+
+
+def short(account: Purse, units: float, now: int) -> float:
+    """Seconds until its own filling brings that many units; 0 where they are there."""
+    if account.plan.ceiling_rate <= 0:
+        return 0.0
+    return max(0.0, units - account.ceiling.fill(now)) / max(account.ceiling.rate, 1e-9)
 
 
 def hand_over(account: Purse, peer: int, now: int) -> float:
--- a/pepperrun/core/gateway.py
+++ b/pepperrun/core/gateway.py
@@ -10,6 +10,7 @@
 from pepperrun.core.asking import Asker
 from pepperrun.core.bound import PRESSURE_GOAL
 from pepperrun.core.clock import SECOND, Bucket, Seldom
+from pepperrun.core.escrow import short, starved
 from pepperrun.core.fleet import NEWS_FOR
 from pepperrun.core.interface import AttemptEnded, BackendList, BackendState, Cancel, ClientLeft, Fail, Gate
 from pepperrun.core.interface import ListKind, Log, Outcome, PeerMessage, Refuse, Request, Send, Settings
@@ -156,6 +157,8 @@
             self._refuse(held, (event.units - account.room(self.now)) / max(plan.rate, 1e-9), True)
         elif account.keepers:
             self._ask(held)
+        elif self.quotas.members is not None and starved(account, self.now):
+            self._refuse(held, short(account, event.units, self.now), True)
         else:
             self._admit(held)
 
@@ -171,7 +174,12 @@
         def gone() -> bool:
             return not held.waiting
 
-        self.agenda.add(shed, lambda: None if gone() else self._refuse(held, 0.0), gone)
+        self.agenda.add(shed, lambda: None if gone() else self._shed(held), gone)
+
+    def _shed(self, held: Held) -> None:
+        """It has waited too long: for a unit of its customer's quota, or for a place."""
+        wait = short(held.account, held.units, self.now) if self.quotas.members is not None else 0.0
+        self._refuse(held, wait, wait > 0)
 
     def _pump(self) -> None:
         """Sends what waits while the bound has room."""
--- a/pepperrun/core/quotas.py
+++ b/pepperrun/core/quotas.py
@@ -36,7 +36,7 @@
         self.granted: dict[tuple[int, int], int] = {}  # as keeper: peer and request, when granted
         # Not from 0: peers remember the count of an account that was dropped, and a lower one gives back.
         self.total, self.untold = quotas.counted, 0.0
-        self.out, self.seen, self.period = 0, now, quotas.period
+        self.out, self.seen, self.period, self.fed_at = 0, now, quotas.period, now
         self.told_at = self.asked_at = quotas.start - HEARD_FOR
         self.told, self.begged = gossip.Heard(), set[int]()  # and peers that are short of units
         self.used = Decayed(SHARE_HALF_LIFE, now)
