State on disk, crashes of it, and logs that explain a request or a change

Cause: an operator could not look at a core machine's disk, copy it or bring it back safely; formats had no way forward; kills and power cuts were only reasoned about; logs did not say why one request was refused or where a change was slow.

State: show, check, export, restore. Ruled out: restoring the same life from any copy (it may have promised more since), and restoring what was chosen as known (another system's file would be news to the others). Formats go forward by steps.

--- a/pepperrun/beekeeper.py
+++ b/pepperrun/beekeeper.py
@@ -8,7 +8,7 @@
 import sys
 from collections.abc import Callable
 
-from pepperrun.apiary import files, looking, nursery, problems
+from pepperrun.apiary import explain, files, looking, nursery, problems, state
 from pepperrun.apiary.calls import PATIENCE_S, Caller, Told, addresses
 from pepperrun.foundation.errors import HiveError
 from pepperrun.foundation.settings import address
@@ -142,6 +142,8 @@
     )
     one.add_argument("--folder", metavar="DIR", help="settings, disks and logs go there (else a new one)")
     one.add_argument("--for", dest="duration", type=float, metavar="SECONDS", help="end by itself")
+    state.register(commands)
+    explain.register(commands)
     return top
 
 
--- a/pepperrun/comb/control.py
+++ b/pepperrun/comb/control.py
@@ -193,11 +193,13 @@
         return self._ordered(op, patience)
 
     async def _ordered(self, op: Op, patience: int) -> Answer:
+        begun = self.core.now()
         verdict = await self.core.order(op, patience)
         if verdict is None:
             return not_now("uncertain", "It may be taken or not: ask again.")
         status, detail, *code = verdict
-        event("order", do=op["do"], edition=op.get("edition", 0), status=status, detail=detail)
+        took = (self.core.now() - begun) // MS
+        event("order", do=op["do"], edition=op.get("edition", 0), status=status, ms=took, detail=detail)
         return told(status, code[0] if code else ("ok" if status == 200 else "stale-base"), detail)
 
     async def read(self, call: Call) -> Answer:
--- a/pepperrun/forager/front.py
+++ b/pepperrun/forager/front.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from pepperrun.forager.ledger import Ledger
+    from pepperrun.forager.trace import Trace
 
 SECOND = 1_000_000_000
 UPLOAD_NS = 600 * SECOND  # a body that stands still ends within seconds; one that comes has this long
@@ -78,6 +79,7 @@
         self.rng = random.Random(seed)
         self.sure_ns = sure_ns  # what is held may be so old for a word on what there is not
         self.table: Table | None = None
+        self.trace: Trace | None = None  # where requests are logged
         self._times, self._keep = Times(), b""
 
     def take(self, table: Table) -> None:
@@ -222,8 +224,13 @@
         if isinstance(what[0], Lot):
             _, parts = what
             return self.front.gatekeeper, Exchange(request, self.final, **parts)
+        if self.front.trace is not None:
+            self.front.trace.at_once(request, what[0])
         return what
 
     def follow(self, final: Final[Any]) -> Step | Answer:
         assert self.taking is not None
-        return self.front.answer(self.taking[1], final)
+        answer = self.front.answer(self.taking[1], final)
+        if self.front.trace is not None:
+            self.front.trace.answered(self.taking[1], answer[0], final)
+        return answer
--- a/pepperrun/forager/plane.py
+++ b/pepperrun/forager/plane.py
@@ -17,6 +17,7 @@
 from pepperrun.forager.hum import Hum, Peers
 from pepperrun.forager.ledger import MS, Ledger
 from pepperrun.forager.routes import Table
+from pepperrun.forager.trace import Trace
 from pepperrun.forager.wire import WorkerWire
 from pepperrun.foundation.logs import event
 from pepperrun.foundation.settings import Settings
@@ -84,6 +85,12 @@
         self.listener.limits_of = self.front.times
         self.table: Table | None = None
 
+    def log_requests(self, most: float) -> None:
+        """A line for each request that was not served at the first try, `most` a second."""
+        if most > 0:
+            self.front.trace = Trace(self.front, most)
+            self.gatekeeper.observer = self.front.trace.over
+
     # News.
 
     def on_agreed(self, number: int, state: dict[str, Any], change: object = None) -> None:
--- /dev/null
+++ b/pepperrun/forager/trace.py
@@ -0,0 +1,156 @@
+"""Trace (request log): a line for each request that was not served at the first try, bounded a second.
+
+Off unless asked for: while it is off the request path has no more than a look at a name. What is left out for
+the bound is counted and told once a second has begun anew. A reason that the decisions do not tell is read
+from what holds when the request is over: whether the news is fresh, whether the service has workers, and
+whether all of them are cold.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from pepperrun.core.interface import Outcome
+from pepperrun.exchange import End, Exchange, Final
+from pepperrun.forager.ledger import MS
+from pepperrun.foundation.logs import event
+
+if TYPE_CHECKING:
+    from pepperrun.forager.front import Front
+    from pepperrun.forager.routes import Lot
+    from pepperrun.net.http1 import Request
+
+SECOND = 1_000_000_000
+VERBOSE = 20.0  # lines a second where only `--verbose` was said
+MOST_ID = 64  # characters of an attempt id
+
+
+class Spigot:
+    """Lets so many through a second, and as many at once; counts the others. `now` in steady ns."""
+
+    def __init__(self, rate: float, now: int) -> None:
+        self.rate, self.most, self.level, self.at, self.left_out = (
+            rate,
+            max(1.0, rate),
+            max(1.0, rate),
+            now,
+            0,
+        )
+
+    def let(self, now: int) -> bool:
+        """May one more go through?"""
+        self.level = min(self.most, self.level + self.rate * (now - self.at) / SECOND)
+        self.at = now
+        if self.level < 1:
+            self.left_out += 1
+            return False
+        self.level -= 1
+        return True
+
+
+class Trace:
+    """Requests of one front, as its lines. `tell(name, **pairs)` writes one."""
+
+    def __init__(self, front: Front, rate: float, tell: Callable[..., None] = event) -> None:
+        self.front, self.tell = front, tell
+        self.spigot = Spigot(rate, front.clock())
+        self.said: dict[int, tuple[int, Final[Any]]] = {}  # status and end, until the last attempt has ended
+
+    def answered(self, exchange: Exchange[Any, Any], status: int, final: Final[Any]) -> None:
+        """A final answer. One that was served at the first try costs no more than this look."""
+        if final.end is not End.SERVED or len(exchange.attempts) > 1:
+            self.said[exchange.id] = status, final
+
+    def at_once(self, request: Request, status: int) -> None:
+        """Answered without the decisions."""
+        reasons = {400: "bad", 401: "key", 404: "route", 503: "stale"}
+        now = self.front.clock()
+        if self._let(now):
+            table = self.front.table
+            more = {"edition": table.edition if table is not None else 0, "tries": "-"}
+            known = {"route": "-", "tenant": "-", "kind": "-", "status": status}
+            reason = "no-configuration" if table is None else reasons.get(status, "-")
+            took = (now - request.arrived) / MS
+            self.tell("request", id=_id(request), **known, reason=reason, ms=took, **more)
+
+    def over(self, exchange: Exchange[Any, Any]) -> None:
+        """It has its answer and no attempt is out (`Gatekeeper.observer`)."""
+        status, final = self.said.pop(exchange.id, (0, None))
+        if final is None and exchange.end is End.SERVED:
+            return
+        now = self.front.clock()
+        if not self._let(now):
+            return
+        lot: Lot = exchange.lot
+        ended = exchange.finished or now
+        table = self.front.table
+        self.tell(
+            "request",
+            id=_id(exchange.asked),
+            route=lot.way.name,
+            tenant=lot.sender.decode("latin-1") if lot.sender is not None else "-",
+            kind="safe" if lot.safe else "unsafe",
+            status=status,
+            reason=self._reason(exchange, final, now),
+            ms=(ended - exchange.started) / MS,
+            edition=table.edition if table is not None else 0,
+            tries=self._tries(exchange) or "-",
+        )
+
+    def _let(self, now: int) -> bool:
+        spigot = self.spigot
+        if not spigot.let(now):
+            return False
+        if spigot.left_out:
+            self.tell("requests-left-out", count=spigot.left_out)
+            spigot.left_out = 0
+        return True
+
+    def _tries(self, exchange: Exchange[Any, Any]) -> str:
+        """Of each attempt: worker, when it was sent, how it ended, how long that took (ms)."""
+        names = self.front.gate.crew.names
+        parts = []
+        for backend, sent, outcome, ended in exchange.trace or ():
+            how = outcome.value if outcome is not None else "out"
+            took = f"{(ended - sent) / MS:.0f}" if ended else "-"
+            at = (sent - exchange.started) / MS
+            parts.append(f"{names.get(backend, backend)}/{at:.0f}/{how}/{took}")
+        return ",".join(parts)
+
+    def _reason(self, exchange: Exchange[Any, Any], final: Final[Any] | None, now: int) -> str:
+        if exchange.end is End.SERVED:
+            return "served-later"
+        if exchange.end is End.LEFT:
+            return "left"
+        if final is not None and final.beyond:
+            return "quota"
+        if exchange.fault is not None:
+            return "worker-failed"
+        if exchange.ran:
+            return "may-have-run" if exchange.end is not End.OUT_OF_TIME else "out-of-time"
+        if self.front.gate.open(exchange.lot, now):
+            return "fence"
+        if exchange.end is End.OUT_OF_TIME or (final is not None and final.late):
+            return "out-of-time"
+        there = self._there(exchange.lot)
+        if not there:
+            return "no-worker"
+        if exchange.trace and any(one[2] in (Outcome.FULL, Outcome.CONNECT_FAILED) for one in exchange.trace):
+            return "budget" if len(exchange.attempts) < exchange.lot.way.tries else "tries"
+        crew = self.front.gate.crew
+        return "cold" if all(crew.cold(mate, now) for mate in there) else "full"
+
+    def _there(self, lot: Lot) -> list[Any]:
+        crew = self.front.gate.crew
+        return [
+            mate
+            for mate in crew.mates.values()
+            if mate.line == lot.line
+            and crew.address(mate.number) is not None
+            and (lot.homes is None or mate.region in lot.homes)
+        ]
+
+
+def _id(request: Request) -> str:
+    return request.names.get(b"attempt-id", b"-")[:MOST_ID].decode("latin-1")
--- a/pepperrun/guard.py
+++ b/pepperrun/guard.py
@@ -10,11 +10,13 @@
 import sys
 import time
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from pepperrun.comb.records import LEAVING, READY, STARTING, Guard
 from pepperrun.forager import showing
 from pepperrun.forager.plane import Plane
 from pepperrun.forager.stopping import drain, ready_listener
+from pepperrun.forager.trace import VERBOSE
 from pepperrun.foundation import logs
 from pepperrun.foundation.errors import HiveError
 from pepperrun.foundation.settings import Address, Settings, load
@@ -29,7 +31,7 @@
 class Program:
     """One life of a gatekeeper."""
 
-    def __init__(self, settings: Settings, path: str | None) -> None:
+    def __init__(self, settings: Settings, path: str | None, trace: float = 0) -> None:
         self.settings, self.path = settings, path
         self.life, self.serial, self.state = time.time_ns() // 1_000_000, 0, STARTING
         self.news = Subscriber(settings, self.life, self.row)
@@ -42,7 +44,9 @@
             lambda: book.fresh_at,
             lambda: book.cells_at,
         )
-        book.on_agreed.append(self.plane.on_agreed)
+        self.tracing, self.number = trace > 0, -1
+        self.plane.log_requests(trace)
+        book.on_agreed += [self.plane.on_agreed, self.on_agreed]
         book.on_workers.append(self.plane.on_workers)
         book.on_guards.append(self.on_guards)
         self.scouts = Scouts(settings, self.life, secrets.randbits(32), self.plane.hum.send, self.on_scouts)
@@ -58,6 +62,16 @@
         siding = f"{me.ip}:{self.settings.siding[1]}"
         return Guard(me.station, me.zone, me.region, counter, siding, self.life, self.serial, self.state)
 
+    def on_agreed(self, number: int, state: dict[str, Any], change: object = None) -> None:
+        """The plane has taken it: one line for each number, and how deep in the tree where more is logged."""
+        if number <= self.number:
+            return
+        self.number, me = number, self.settings.me
+        known = {"number": number, "edition": state.get("edition") or 0, "station": me.station}
+        if self.tracing:
+            known["depth"] = showing.depth(me.station, me.zone, self.news.book.guards.values())
+        logs.event("agreed", **known)
+
     def on_guards(self, changed: list[Guard]) -> None:
         """Records of gatekeepers that are new or have changed."""
         self.plane.on_guards(changed)
@@ -148,6 +162,8 @@
     parser.add_argument("--settings", metavar="FILE", help="instead of the one PEPPERRUN_NODE_FILE names")
     parser.add_argument("--check", action="store_true", help="only read and check the settings")
     parser.add_argument("--verbose", action="store_true", help="log more")
+    said = "log so many requests a second that were not served at the first try (0; 20 with --verbose)"
+    parser.add_argument("--trace", type=float, metavar="N", help=said)
     options = parser.parse_args(arguments)
     logs.setup(options.verbose)
     try:
@@ -161,8 +177,10 @@
         print(f"{settings.me.station}: settings are good")
         return 0
 
+    trace = options.trace if options.trace is not None else VERBOSE * options.verbose
+
     async def run() -> None:
-        await Program(settings, options.settings).run()
+        await Program(settings, options.settings, trace).run()
 
     asyncio.run(run())
     return 0
--- /dev/null
+++ b/tests/test_state.py
@@ -0,0 +1,199 @@
+"""The disk's formats, copies and crashes, and what the logs explain."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+from standins import SECOND, StandIn, answer, going
+from test_forager import Hive, ok, route
+from test_wax import CONTACTS, ME, filled
+
+from pepperrun import beekeeper
+from pepperrun.apiary import explain, state
+from pepperrun.core.interface import Outcome
+from pepperrun.forager.trace import Spigot, Trace
+from pepperrun.foundation import logs
+from pepperrun.foundation.errors import HiveError
+from pepperrun.queen.values import FIRST_LIFE, Ballot
+from pepperrun.swarm import crashes
+from pepperrun.wax import formats, records
+from pepperrun.wax.store import Wax
+
+
+def older(folder: Path) -> dict[bytes, bytes]:
+    """Records of a made-up format before the first: bodies stand in what names them."""
+    raw = state.raw_records(folder)
+    out: dict[bytes, bytes] = {}
+    for name in records.NAMES:
+        data = records.opened(raw[name.encode()], name)
+        if name == "life":
+            data = [0, *data[1:3]]
+        elif name != "promised":
+            data.append(records.opened(raw[f"body:{data[1][4]}".encode()], "body"))
+        out[name.encode()] = records.sealed(data)
+    return out
+
+
+def apart(old: dict[str, Any]) -> dict[str, Any]:
+    """The step from it."""
+    new = old | {"life": [1, *old["life"][1:]]}
+    for name in ("accepted", "chosen"):
+        ballot, value, body = old[name]
+        new |= {name: [ballot, value], f"body:{value[4]}": body}
+    return new
+
+
+def test_an_older_format_is_read_by_steps_and_written_as_the_present_one(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    memory = filled(tmp_path, 2000)
+    raw = older(tmp_path)
+    with pytest.raises(HiveError, match="no step leads on from format 0"):
+        records.recall(raw)
+    monkeypatch.setitem(formats.STEPS, 0, apart)
+    assert records.recall(raw) == memory
+    wax = Wax(str(tmp_path))
+    with wax._open().begin(write=True) as transaction:
+        for key in [bytes(key) for key in transaction.cursor().iternext(values=False)]:
+            transaction.delete(key)
+        for key, data in (raw | {b"extra": records.sealed(1)}).items():
+            transaction.put(key, data)
+    wax.close()
+    assert Wax(str(tmp_path)).begin("s", ME, []) == replace(memory, starts=memory.starts + 1)
+    monkeypatch.delitem(formats.STEPS, 0)
+    again = state.raw_records(tmp_path)
+    assert not records.faults(again) and b"extra" not in again
+    with pytest.raises(HiveError, match="disk-newer"):
+        records.recall({b"life": records.sealed([formats.FORMAT + 1])})
+
+
+def test_records_of_two_saves_are_no_memory(tmp_path: Path) -> None:
+    filled(tmp_path, 2000)
+    raw = state.raw_records(tmp_path)
+    assert not records.faults(raw)
+    mixed = raw | {b"promised": records.sealed(Ballot(2, "x"))}
+    assert records.faults(mixed) == ["It can't be read as a memory: the records are of different saves."]
+    assert len(records.faults({**raw, b"chosen": b"x" * 40})) == 1
+
+
+def test_a_copy_never_goes_on_as_the_same_life(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    memory, file = filled(tmp_path / "a", 2000), tmp_path / "copy.json"
+
+    def run(*words: object) -> int:
+        return beekeeper.main(["state", *map(str, words)])
+
+    assert run("check", tmp_path / "a") == 0 and run("export", tmp_path / "a", file) == 0
+    assert run("restore", tmp_path / "b", file, "--same-life") == 1 and "retire" in capsys.readouterr().err
+    assert run("restore", tmp_path / "a", file) == 1  # not empty
+    assert run("restore", tmp_path / "b", file) == 0
+    made = Wax(str(tmp_path / "b")).begin("s", ME, CONTACTS)
+    # Neither its votes nor what was chosen: both are for the others to say, even where first_run is true.
+    assert made.life not in (memory.life, FIRST_LIFE) and made.chosen is None and made.promised.round == -1
+    # Retired, a life goes on once, and not where it was.
+    assert run("export", tmp_path / "a", file, "--retire") == 0
+    assert run("restore", tmp_path / "c", file, "--same-life") == 0
+    assert run("restore", tmp_path / "d", file, "--same-life") == 1
+    assert Wax(str(tmp_path / "c")).begin("s", ME, []) == replace(memory, starts=memory.starts + 1)
+    assert Wax(str(tmp_path / "a")).begin("s", ME, CONTACTS).life not in (memory.life, FIRST_LIFE)
+    file.write_text(file.read_text().replace('"x"', '"y"', 1))
+    assert run("restore", tmp_path / "e", file) == 2
+
+
+def test_faults_of_a_folder_are_told(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    filled(tmp_path, 2000)
+    file = tmp_path / "data.mdb"
+    data = bytearray(file.read_bytes())
+    at = data.rindex("é".encode() * 100)
+    data[at : at + 2] = b"ab"
+    file.write_bytes(data)
+    assert beekeeper.main(["state", "check", str(tmp_path)]) == 1
+    assert capsys.readouterr().out.count("The checksum of body:") == 1
+    assert beekeeper.main(["state", "check", str(tmp_path / "none")]) == 2
+
+
+def test_what_was_synced_outlasts_kills_and_power_cuts(tmp_path: Path) -> None:
+    assert crashes.kills(5, 1, tmp_path) == {"whole": 5}
+    found = crashes.cuts(100, 1, tmp_path, saves=10)
+    assert not crashes.wrong(found) and found.total() == 111
+    assert {text.partition(":")[0] for text in found} == {"synced", "pages", "head"}
+
+
+# What the logs explain.
+
+
+def log(path: Path, *lines: tuple[float, str, dict[str, Any]]) -> Path:
+    head = "I0102 03:04:{:09.6f} 12345 logs.py:34] {}"
+    path.write_text(
+        "noise\n" + "\n".join(head.format(at, logs.line(name, pairs)) for at, name, pairs in lines)
+    )
+    return path
+
+
+def test_a_request_is_explained_and_one_served_at_once_costs_no_line(tmp_path: Path) -> None:
+    told: list[tuple[float, str, dict[str, Any]]] = []
+
+    async def test() -> None:
+        hive = Hive(route("r", "/p/", route_kind="unsafe", tries=1))
+        front = hive.plane.front
+        hive.plane.log_requests(100)
+        front.trace = Trace(front, 100, lambda name, **pairs: told.append((1, name, pairs)))
+        hive.plane.gatekeeper.observer = front.trace.over
+        full = answer(503, b"", b"Not-Run: 1", b"Attempt-Id: i1")
+        worker = await StandIn(ok(), full).start()
+        hive.work("w1", worker.port)
+        for want in (200, 503):
+            client = await hive.ask()
+            assert (await client.answer())[0] == want
+        assert (await (await hive.ask(key="none")).answer())[0] == 401
+        hive.fresh = 1
+        assert (await (await hive.ask(Attempt_Id="i9")).answer())[0] == 503
+        await asyncio.sleep(0)
+        assert not front.trace.said
+
+    going(test)
+    first, second, third = (pairs for _, _, pairs in told)
+    assert (first["status"], first["reason"], first["tenant"]) == (503, "tries", "ann")
+    assert first["tries"].startswith("w1/") and f"/{Outcome.FULL.value}/" in first["tries"]
+    assert (second["status"], second["reason"]) == (401, "key") and third["reason"] == "fence"
+    lines = explain.read([log(tmp_path / "g1.log", *told)])
+    text = "\n".join(explain.attempt("i1", lines))
+    assert "g1: answered 503" in text and "to w1: full" in text and "no such key" in text
+    assert "No line tells of i2" in explain.attempt("i2", lines)[0]
+
+
+def test_lines_are_bounded_and_what_is_left_out_is_counted() -> None:
+    spigot = Spigot(2, 0)
+    assert [spigot.let(0) for _ in range(5)] == [True, True, False, False, False]
+    assert spigot.let(SECOND // 2) and spigot.left_out == 3
+
+
+def test_a_change_is_followed_to_each_gatekeeper(tmp_path: Path) -> None:
+    agreed = {"number": 7, "edition": 40}
+    order = {"do": "replace", "edition": 40, "status": 200, "ms": 100, "detail": "a b"}
+    paths = [
+        log(
+            tmp_path / "c.log",
+            (1, "starting", {"station": "core 1"}),
+            (2.05, "agreed", agreed),
+            (2.1, "order", order),
+        ),
+        log(tmp_path / "g.log", (2.2, "agreed", agreed | {"station": "g1", "depth": 1})),
+        log(tmp_path / "h.log", (2.5, "agreed", agreed | {"station": "g2", "depth": 2})),
+        log(tmp_path / "i.log", (1.5, "agreed", {"number": 6, "edition": 30, "station": "g3"})),
+    ]
+    lines = explain.read(paths)
+    text = explain.change(7, lines)
+    assert "called at core 1 (replace), answered after 100 ms" in text
+    assert "  core core 1: 50 ms" in text and text[-1] == "slowest: g2, 500 ms"
+    assert "  gatekeeper g3: no line of it, it went on to a later one or never had it" in text
+    page = tmp_path / "page.html"
+    assert beekeeper.main(["report", *map(str, paths), "--out", str(page)]) == 0
+    assert page.read_text().count("data:image/png") == 3
+    assert json.dumps(explain.pairs_of(logs.line("x", {"a": 'q "1" \\', "b": ""}))) == json.dumps(
+        {"event": "x", "a": 'q "1" \\', "b": ""}
+    )
