--- a/pepperrun/swarm/waggle_days.py
+++ b/pepperrun/swarm/waggle_days.py
@@ -96,8 +96,8 @@
             cells = (gate.clock() - gate.book.cells_at) / 1e6
             if max(gate.age_ms(), cells) > FRESH_MS:
                 return f"{gate.station} knows its news to be {gate.age_ms():.0f} and {cells:.0f} ms old"
-            held = gate.book.guards[gate.station]
-            if any(skep.book.guards[gate.station] != held for skep in world.skeps):
+            said = gate.follower.core.said
+            if any(skep.book.guards[gate.station].wire() != said for skep in world.skeps):
                 return f"{gate.station} is not known as it is"
         books = [skep.book for skep in world.skeps] + [gate.book for gate in world.gates]
         if len({book.sums.whole() for book in books}) > 1:
