Precedence in the turns; who has had a unit lately is not starved

Change: rank of a request (tenant's before route's) orders a tenant's queue and comes before the below-goal turns, which go on among equals; a unit spent counts as fed.

--- a/pepperrun/core/gateway.py
+++ b/pepperrun/core/gateway.py
@@ -218,6 +218,7 @@
             if not held.account.keepers:
                 self.quotas.settle(held.account, held.units, self.now)
                 held.account.ceiling.level -= held.units
+                held.account.fed_at = self.now
             held.account.used.add(held.units, self.now)
             self.further.level = min(self.further.depth, self.further.level + self.settings.further_share)
         held.attempts.append(Attempt(server, self.now))
--- a/pepperrun/core/interface.py
+++ b/pepperrun/core/interface.py
@@ -236,7 +236,7 @@
     `left_ns` is the time until the client gives up, `units` what it draws from the quota (a guess where the
     settings say that units are settled by the answer). `once`: its body is longer than is held and still
     coming; it can be sent one time, and the client's time counts from its last byte. `line`: the service that
-    it is for; `lot`: what the gate goes by.
+    it is for; `lot`: what the gate goes by; `rank`: the lower, the sooner its turn.
     """
 
     id: int
@@ -250,6 +250,7 @@
     once: bool = False
     line: int = 0
     lot: object = None
+    rank: int = 0
 
 
 @dataclass(slots=True)
--- a/pepperrun/core/state.py
+++ b/pepperrun/core/state.py
@@ -74,7 +74,7 @@
     """A request taken and not yet ended, or ended with attempts still out."""
 
     def __init__(self, event: Request, account: Any, kind: RequestClass, lane: Any, now: int) -> None:
-        self.account, self.lane, self.lot = account, lane, event.lot
+        self.account, self.lane, self.lot, self.rank = account, lane, event.lot, event.rank
         self.id, self.cls, self.units, self.kind = event.id, event.cls, event.units, kind
         self.deadline, self.aim = now + event.left_ns, now + min(kind.aim_ns, event.left_ns)
         self.attempts: list[Attempt] = []
@@ -94,9 +94,13 @@
         self.waiting: dict[int, deque[Any]] = {}
 
     def add(self, customer: int, held: HeldState) -> None:
-        """To the end of a customer's queue."""
+        """To the end of a customer's queue, but before those of lower standing."""
         held.waiting = True
-        self.waiting.setdefault(customer, deque()).append(held)
+        queue = self.waiting.setdefault(customer, deque())
+        place = len(queue)
+        while place and queue[place - 1].rank > held.rank:
+            place -= 1
+        queue.insert(place, held)
 
     def head(self, customer: int) -> Any:
         """The first one still waiting, or None."""
--- a/pepperrun/core/turns.py
+++ b/pepperrun/core/turns.py
@@ -60,7 +60,9 @@
         heads: list[Held] = [head for key in keys if (head := self.head(key)) is not None]
         used = sum(head.account.used.read(now) for head in heads)
         weight = sum(head.account.weight for head in heads)
-        able = [head.account for head in heads if head.account.ready(head.units, now)]
+        ready = [head for head in heads if head.account.ready(head.units, now)]
+        best = min((head.rank for head in ready), default=0)
+        able = [head.account for head in ready if head.rank == best]
         below = [account for account in able if account.used.value * weight <= account.weight * used]
         turns = below if below or not able else [self.rng.choice(able)]
         self.round.extend(account.customer for account in turns)
--- a/pepperrun/exchange.py
+++ b/pepperrun/exchange.py
@@ -45,7 +45,7 @@
     __slots__ = (
         *("asked", "attempts", "cls", "cost", "customer", "deadline", "end", "first", "id", "on_final"),
         *("finished", "open", "passing", "patience", "plan", "spent", "spread", "started", "trace", "units"),
-        *("fault", "line", "lot", "ran"),
+        *("fault", "line", "lot", "ran", "rank"),
     )
 
     def __init__(
@@ -64,12 +64,13 @@
         patience: int = 0,
         line: int = 0,
         lot: Any = None,
+        rank: int = 0,
     ) -> None:
         self.asked, self.on_final = asked, on_final
         self.cls, self.plan, self.customer = cls, plan, customer
         self.started, self.deadline = started, deadline
         self.units, self.spread, self.first = units, spread, first
-        self.line, self.lot = line, lot  # its service, and what the gate goes by
+        self.line, self.lot, self.rank = line, lot, rank  # its service, what the gate goes by, its standing
         self.id = 0
         self.end: End | None = None
         self.attempts: list[int] = []  # when each was sent
--- a/pepperrun/forager/front.py
+++ b/pepperrun/forager/front.py
@@ -161,6 +161,7 @@
             "spread": self.ledger.gateways,
             "first": 0,
             "line": lot.line,
+            "rank": lot.rank,
             "lot": lot,
         }
         return lot, parts
--- a/pepperrun/forager/routes.py
+++ b/pepperrun/forager/routes.py
@@ -158,10 +158,13 @@
     return text.partition(b":")[0]
 
 
+RANKS = 1000  # of routes, within one of a tenant
+
+
 class Lot:
     """What decides where one request may go; read again when the configuration has moved on."""
 
-    __slots__ = ("homes", "host", "key", "line", "number", "path", "safe", "sender", "way")
+    __slots__ = ("homes", "host", "key", "line", "number", "path", "rank", "safe", "sender", "way")
 
     def __init__(
         self,
@@ -175,6 +178,9 @@
     ) -> None:
         self.number, self.way, self.line, self.safe = table.number, way, line, way.safe
         self.host, self.path, self.key = host, path, key
+        # A tenant's precedence goes before that of the route.
+        senders = tenant.sender.precedence if tenant is not None else None
+        self.rank = (senders or 0) * RANKS + min(RANKS - 1, way.route.precedence)
         self.sender = tenant.name if tenant is not None else None
         self.homes = bound(way.homes, tenant.homes if tenant is not None else None)
 
--- a/pepperrun/gatekeeper.py
+++ b/pepperrun/gatekeeper.py
@@ -264,6 +264,7 @@
             exchange.patience > 0,
             exchange.line,
             exchange.lot,
+            exchange.rank,
         )
 
     def _arm(self, due: int) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 import pytest
 from helpers import (
@@ -546,3 +547,54 @@
     counts = [entries(driver.ask(FREE, units=1.0, spread=3) + driver.run(50 * MS)) for _ in range(40)]
     assert 1 <= sum(counts) <= 4  # of 1000 units these are few
     assert driver.gateway.quotas.accounts[1].untold <= 20  # a second's use at most
+
+
+def test_the_better_rank_goes_first_and_below_goal_turns_hold_among_equals():
+    rng = random.Random(3)
+    turns = Turns(rng)
+    quotas = Quotas(make_settings())
+
+    def held(customer: int, number: int, rank: int) -> Held:
+        event = Request(number, customer, 0, 0, SECOND, rank=rank)
+        account = quotas.accounts.setdefault(customer, Account(event, START, quotas))
+        return Held(event, account, make_settings().classes[0], None, START)
+
+    for number, (customer, rank) in enumerate([(1, 2), (1, 2), (1, 0), (2, 1), (2, 2)]):
+        turns.add(customer, held(customer, number, rank))
+    order = [one.id for _ in range(5) if (one := turns.take(START)) is not None]
+    assert order[:2] == [2, 3]  # of customer 1 the late one of rank 0, then customer 2's of rank 1
+    assert sorted(order[2:]) == [0, 1, 4] and order.index(0) < order.index(
+        1
+    )  # each customer's own order stands
+
+
+def test_who_has_had_a_unit_lately_waits_and_who_has_not_is_told_at_once_when_to_come_back():
+    plan = Plan(
+        "tenant", rate=5.0, burst=5.0, ceiling_rate=5.0, ceiling_depth=8.0, ceiling_slack=16.0, over_cost=1.0
+    )
+    settings = replace(
+        make_settings(),
+        plans=(plan,),
+        gateways=8,
+        seats=8,
+        peer_messages=True,
+        retry_after=True,
+        max_retry_after_ns=5 * SECOND,
+    )
+    gateway = Gateway(settings, 1)
+    gateway.quotas.members = tuple(range(1, 8))
+    lines = tuple(Backend(number, 0) for number in range(4))
+    now = START
+    gateway.handle(now, [BackendList(ListKind.FULL, lines)])
+    sent, refused, numbers = 0, [], iter(range(10**6))
+    while now < START + 8 * SECOND:
+        now += SECOND // 20
+        events = [Request(next(numbers), 9, 0, 0, 20 * SECOND)]
+        for action in gateway.handle(now, events):
+            if isinstance(action, Send):
+                sent += 1
+                gateway.handle(now, [AttemptEnded(action.request, 0, action.backend, Outcome.OK, 1000, True)])
+            elif isinstance(action, Refuse):
+                refused.append((now - START, action))
+    assert sent <= 1 + 8 * 5.0 / 8  # its part of the rate among the seats, begun empty
+    assert refused and all(action.beyond and action.wait_ns > 0 for _, action in refused)
