--- a/pepperrun/swarm/crashes.py
+++ b/pepperrun/swarm/crashes.py
@@ -162,17 +162,22 @@
     return b"".join(out.get(at, bytes(PAGE)).ljust(PAGE, b"\0") for at in range(end)), moment
 
 
-def judged(folder: Path, image: Image, was: Memory | None, now: Memory, moment: str) -> str:
-    """A start on this file: `whole, before` or `whole, after` the save, `in doubt`, or what is wrong."""
+def judged(folder: Path, image: Image, known: list[Memory], moment: str) -> str:
+    """A start on this file: `whole, before` or `whole, after` the save, `in doubt`, or what is wrong.
+
+    `known`: the memories that were saved, oldest first; the last one by the save in which the power went.
+    """
     folder.mkdir(exist_ok=True)
     (folder / FILE).write_bytes(image)
     try:
         found = read(folder)
     except HiveError as error:
         return "in doubt" if moment == "unordered" else f"in doubt: {error.detail}"
-    if found == was:
-        return "whole, before"
-    return "whole, after" if found == now else "another memory"
+    if found == known[-1]:
+        return "whole, after"
+    if found in known:
+        return "whole, before" if found == known[-2] else "whole, of an earlier save"
+    return "a memory that never was"
 
 
 def apart(does: Callable[[], str]) -> str:
@@ -202,13 +207,14 @@
             wax.close()
             break
     for image, memory in images:
-        wrong = judged(ram, image, memory, memory, "synced")
+        wrong = judged(ram, image, [memory], "synced")
         found[f"synced: {wrong}"] += 1
     for _ in range(runs):
         at = rng.randrange(1, len(images))
         (before, was), (after, now) = images[at - 1 : at + 1]
+        known = [memory for _, memory in images[: at + 1]]
         image, moment = cut(before, after, rng, not (unordered and rng.random() < 0.5))
-        answer = apart(partial(judged, ram, image, was, now, moment))
+        answer = apart(partial(judged, ram, image, known, moment))
         if moment == "pages" and answer == "whole, after" and now != was:
             answer = "a save without its head"
         found[f"{moment}: {answer}"] += 1
--- a/pepperrun/wax/formats.py
+++ b/pepperrun/wax/formats.py
@@ -2,8 +2,8 @@
 
 A new format gets its number in `FORMAT` and one step in `STEPS`, from the format before it. Records come and
 go by name, opened (as JSON data): `life` (its first item is the format), `promised`, `accepted`, `chosen`,
-and `body:DIGEST`. A step changes what its format changed and sets the format; it never touches life, starts or
-ballots otherwise: what was promised stays promised.
+and `body:DIGEST`. A step changes what its format changed and sets the format; it touches no life, starts or
+ballots: what was promised stays promised.
 """
 
 from __future__ import annotations
@@ -28,8 +28,6 @@
         raise HiveError("disk-doubtful", "reading", f"format {form!r} is no number")
     if form > FORMAT:
         raise HiveError("disk-newer", "reading", f"it is of format {form}, {FORMAT} is known here")
-    if form < FORMAT:
-        records = records | {"life": records["life"][:3]}  # the mark over all records is the present format's
     while form < FORMAT:
         step = steps.get(form)
         if step is None:
--- a/pepperrun/wax/records.py
+++ b/pepperrun/wax/records.py
@@ -38,13 +38,11 @@
 def laid_out(memory: Memory) -> tuple[Records, dict[str, Body]]:
     """The records of a memory in the present format, and its bodies by their records' names."""
     records: Records = {
-        "life": [],
+        "life": [FORMAT, memory.life, memory.starts],
         "promised": memory.promised,
         "accepted": _named(memory.accepted),
         "chosen": _named(memory.chosen),
     }
-    # Records of two saves side by side, each whole, would be a memory that never was: one mark for all.
-    records["life"] = [FORMAT, memory.life, memory.starts, _mark(records)]
     both = (memory.accepted, memory.chosen)
     return records, {BODY + one.value.digest: one.body for one in both if one is not None}
 
@@ -70,9 +68,7 @@
 
 def put_together(records: Records) -> Memory:
     """The memory of opened records in the present format; HiveError, KeyError or alike where it is none."""
-    _, life, starts, *more = records["life"]
-    if more and more[0] != _mark(records):
-        raise HiveError("disk-doubtful", "reading", "the records are of different saves")
+    _, life, starts, *_ = records["life"]
     if not isinstance(life, str) or type(starts) is not int:
         raise HiveError("disk-doubtful", "reading", "life: no name or no count")
     accepted, chosen = (_held(records, name) for name in ("accepted", "chosen"))
@@ -120,10 +116,5 @@
     return Held(ballot, value, body)
 
 
-def _mark(records: Records) -> str:
-    text = json.dumps([records[name] for name in NAMES[1:]], separators=(",", ":"))
-    return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
-
-
 def _named(held: Held | None) -> Any:
     return None if held is None else [held.ballot, messages.wire(held.value)]
