--- a/pepperrun/comb/hub.py
+++ b/pepperrun/comb/hub.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from pepperrun.comb.cells import Cells
@@ -33,9 +33,16 @@
 class Hub:
     """`Core` for the control calls, `Source` for the publisher, `User` of all links."""
 
-    def __init__(self, settings: Settings, memory: Memory, store: Store, life: int) -> None:
-        self.settings, self.life = settings, life
-        me, now = settings.me, time.monotonic_ns()
+    def __init__(
+        self,
+        settings: Settings,
+        memory: Memory,
+        store: Store,
+        life: int,
+        clock: Callable[[], int] = time.monotonic_ns,
+    ) -> None:
+        self.settings, self.life, self.now = settings, life, clock
+        me, now = settings.me, clock()
         self.loop = asyncio.get_running_loop()
         self.cells = Cells(me.ip, settings.carrier.beat_ms, now)
         self.queen = Queen(
@@ -171,10 +178,6 @@
 
     # What calls need.
 
-    def now(self) -> int:
-        """Steady ns."""
-        return time.monotonic_ns()
-
     def minority(self) -> bool:
         """Is it not linked with a majority of those that decide?"""
         return self.queen.minority
--- a/pepperrun/scouts/service.py
+++ b/pepperrun/scouts/service.py
@@ -27,9 +27,10 @@
         seed: int,
         send: Callable[[bytes, Address], None],
         changed: Callable[[], None] = lambda: None,
+        clock: Callable[[], int] = time.monotonic_ns,
     ) -> None:
-        me = settings.me
-        self.scout = Scout(me.station, me.region, life, seed, time.monotonic_ns())
+        me, self.clock = settings.me, clock
+        self.scout = Scout(me.station, me.region, life, seed, self.clock())
         self.send = send
         self.seen: tuple[frozenset[str], bool] = (frozenset(), False)
         self.told = changed
@@ -53,12 +54,12 @@
     def received(self, data: bytes, where: Address) -> None:
         """A datagram has come."""
         if self.begun and not self.closed:
-            self.scout.receive(data, where, time.monotonic_ns())
+            self.scout.receive(data, where, self.clock())
             self._after()
 
     def heard(self, station: str) -> None:
         """Another message of that gatekeeper has come now."""
-        self.scout.heard(station, time.monotonic_ns())
+        self.scout.heard(station, self.clock())
 
     def there(self, station: str) -> bool:
         """Is that gatekeeper there, as far as is known here?"""
@@ -76,7 +77,7 @@
     def _turn(self) -> None:
         self.timer = None
         if not self.closed:
-            self.scout.tick(time.monotonic_ns())
+            self.scout.tick(self.clock())
             self._after()
 
     def _after(self) -> None:
@@ -89,7 +90,7 @@
                 self.seen = seen
                 self.told()
         loop = asyncio.get_running_loop()
-        wait = max(LEAST_S, (self.scout.due() - time.monotonic_ns()) / 1e9)
+        wait = max(LEAST_S, (self.scout.due() - self.clock()) / 1e9)
         if self.timer is None or loop.time() + wait < self.timer.when():
             if self.timer is not None:
                 self.timer.cancel()
@@ -98,7 +99,7 @@
     def leave(self) -> None:
         """This gatekeeper is to stop: the others need not find out."""
         if self.begun and not self.closed:
-            self.scout.leave(time.monotonic_ns())
+            self.scout.leave(self.clock())
             self._after()
 
     def close(self) -> None:
--- /dev/null
+++ b/pepperrun/swarm/bugs.py
@@ -0,0 +1,33 @@
+"""Bugs put in on purpose, to see that a day finds them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from pepperrun.forager.plane import Plane
+from pepperrun.foundation.netstring import Message
+from pepperrun.waggle.publisher import Port
+from pepperrun.waggle.service import Subscriber
+
+EMPTY_VOTES = "empty-votes"  # a voter with an empty disk goes on in its old life
+COLD_FOREVER = "cold-forever"  # a cold worker's share is not used up by what is sent
+BACKWARDS = "backwards"  # older news that comes late is applied
+BUGS = (EMPTY_VOTES, COLD_FOREVER, BACKWARDS)
+
+
+def put_in(bug: str, news: Subscriber, plane: Plane) -> None:
+    """Makes one gatekeeper behave so."""
+    if bug == COLD_FOREVER:
+        plane.shares.sent = lambda number, rate, now: None  # type: ignore[method-assign,assignment]
+    elif bug == BACKWARDS:
+        follower, heard, states = news.follower, news.follower.heard, dict[int, Any]()
+        news.book.on_agreed.append(lambda number, state, change: states.setdefault(number, state))
+
+        def backwards(port: Port, message: Message, now: int) -> None:
+            heard(port, message, now)
+            old = states.get(message.get("n", 0)) if message["k"] in ("change", "agreed") else None
+            if old is not None and plane.table is not None and message["n"] < plane.table.number:
+                plane.table = None
+                plane.on_agreed(message["n"], old)
+
+        follower.heard = backwards  # type: ignore[method-assign]
--- /dev/null
+++ b/pepperrun/swarm/folk.py
@@ -0,0 +1,316 @@
+"""Workers, clients and operators of a drawn day. What they see is told to the judges."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from pepperrun.comb.matchers import Answer, Call
+from pepperrun.core.interface import Outcome
+from pepperrun.net.http1 import Request
+from pepperrun.swarm.clockwork import MS, Machine
+from pepperrun.swarm.judges import Asked, Edition, Seen
+
+if TYPE_CHECKING:
+    from pepperrun.swarm.days import Day
+    from pepperrun.swarm.places import Gate
+
+SECOND = 1000 * MS
+BEAT = 1500 * MS
+PATIENCE = 1200 * MS  # until a caller turns to another core machine
+DEADLINE_MS = 2000
+Done = Callable[[Answer | None], None]
+
+
+class Worker:
+    """An address at which one life of a worker after the other serves."""
+
+    def __init__(self, day: Day, machine: Machine, line: str) -> None:
+        self.day, self.machine, self.line = day, machine, line
+        self.address = f"{machine.ip}:90"
+        self.lives, self.id, self.serial, self.state = 0, "", 0, "boarding"
+        self.cold_until, self.core = 0, 0
+        self.out: dict[int, Callable[[Outcome], None]] = {}
+
+    @property
+    def up(self) -> bool:
+        """Does it serve?"""
+        return bool(self.id) and self.machine.power
+
+    def start(self) -> None:
+        """A new life, cold at first, except on the first morning."""
+        day, world = self.day, self.day.world
+        self.lives += 1
+        self.id, self.serial, self.state = f"{self.machine.name}.{self.lives}", 0, "boarding"
+        self.machine.power = True
+        seen = Seen(self.id, self.line, self.machine.zone, self.machine.region)
+        day.judges.workers[self.id] = seen
+        self.cold_until = world.now + day.cold_ns if world.now else 0
+        if self.cold_until:
+            seen.cold.append([world.now, self.cold_until])
+        self.core = world.rng.randrange(len(day.cores))
+        self.beat(self.id)
+
+    def beat(self, life: str, again: bool = True) -> None:
+        """Tells a core machine of itself, the next one where that does not answer."""
+        world, day = self.day.world, self.day
+        if self.id != life or not self.up:
+            return
+        self.serial += 1
+        cold = max(0, self.cold_until - world.now) / MS
+        body = {
+            "address": self.address,
+            "notice": {"line": self.line, "zone": self.machine.zone, "edition": "1", "berths": 8},
+            "tracking": {"state": self.state, "serial": self.serial, "cold_ms": cold},
+        }
+        state = self.state
+
+        def done(answer: Answer | None) -> None:
+            if answer is None or answer.status != 200:
+                self.core = (self.core + 1) % len(day.cores)
+                world.at(world.now + 200 * MS, self.beat, life, False)
+                return
+            forward = json.loads(answer.body).get("forward_to")
+            if forward is not None:
+                ips = [core.machine.ip for core in day.cores]
+                self.core = ips.index(forward.partition(":")[0])
+            seen = day.judges.workers[life]
+            if state == "unloading" and not seen.unloading_acked:
+                seen.unloading_acked = world.now
+
+        call = Call("POST", ["crew", life, "beat"], body=json.dumps(body).encode())
+        day.call(self.machine, self.core, call, done)
+        if again:
+            world.at(world.now + BEAT, self.beat, life)
+
+    def unload(self) -> None:
+        """It is to leave in order; it ends 5 s later, the next life begins after that."""
+        self.state = "unloading"
+        self.beat(self.id, False)
+        self.day.world.at(self.day.world.now + 5 * SECOND, self._leave, self.id)
+
+    def _leave(self, life: str) -> None:
+        if self.id == life:
+            call = Call("POST", ["crew", life, "leave"])
+            self.day.call(self.machine, self.core, call, lambda answer: None)
+            self.end()
+            self.day.world.at(self.day.world.now + 500 * MS, self.start)
+
+    def end(self) -> None:
+        """It ends, with what it is at."""
+        self.id = ""
+        out, self.out = self.out, {}
+        for over in out.values():
+            over(Outcome.RESET)
+
+    def serve(self, id: str, expected: str, over: Callable[[Outcome], None], token: int) -> bool:
+        """A request has come; False where another worker was meant."""
+        world = self.day.world
+        if expected != self.id:
+            return False
+        self.day.judges.ran(id, self.id, world.now)
+        self.out[token] = over
+        span = world.rng.uniform(5, 60) if world.rng.random() < 0.97 else world.rng.uniform(200, 2500)
+
+        def ready() -> None:
+            if self.out.pop(token, None) is not None:
+                over(Outcome.OK)
+
+        world.at(world.now + int(span * MS), ready)
+        return True
+
+
+class Clients:
+    """All clients: each request goes to some gatekeeper near its zone, and some come again."""
+
+    def __init__(self, day: Day, rate: float) -> None:
+        self.day, self.rate, self.count = day, rate, 0
+
+    TENANTS = ("bounded", "bounded", "steady", "moving")
+
+    def turn(self) -> None:
+        """One more request; the next after a while."""
+        world, day = self.day.world, self.day
+        world.at(world.now + int(world.rng.expovariate(self.rate) * SECOND), self.turn)
+        route = world.rng.choices(["main", "pay", "home", "version"], [30, 25, 15, 30])[0]
+        tenant = "steady" if route == "version" else world.rng.choice(self.TENANTS)
+        keys = day.keys[tenant]
+        machine = world.rng.choice(day.client_machines)
+        self.send(machine, route, tenant, world.rng.choice(keys[-3:]), 3)
+
+    def send(self, machine: Machine, route: str, tenant: str, key: str, left: int) -> None:
+        """A request, which is another one each time that a client comes again."""
+        world, day = self.day.world, self.day
+        self.count += 1
+        id = f"q{self.count}"
+        near = [gate for gate in day.gates if gate.machine.region == machine.region]
+        gate = world.rng.choice(near if near and world.rng.random() < 0.8 else day.gates)
+        safe = route != "pay"
+        one = Asked(id, gate.machine.name, gate.starts, world.now, route, key, tenant, safe)
+        day.judges.asked[id] = one
+        names = {
+            b"attempt-id": id.encode(),
+            b"host": b"shop.test",
+            b"authorization": b"token " + key.encode(),
+        }
+        request = Request([], names, True, method=b"GET" if safe else b"POST", target=f"/{route}/x".encode())
+
+        def told(status: int) -> None:
+            """The gatekeeper's answer, on its way."""
+            if world.open(gate.machine.ip, machine.ip):
+                world.at(world.now + world.delay(gate.machine, machine), heard, status)
+
+        def heard(status: int) -> None:
+            if one.answered:
+                return
+            day.say(f"answer {id} {status}")
+            day.judges.answered(id, status, world.now)
+            if status in (429, 503) and left and world.rng.random() < 0.7:
+                wait = int(world.rng.uniform(100, 600) * MS)
+                world.at(world.now + wait, self.send, machine, route, tenant, key, left - 1)
+
+        def come() -> None:
+            loop = gate.machine.loop
+            if loop is not None and world.open(machine.ip, gate.machine.ip):
+                one.life = gate.starts
+                loop.do(gate.take, request, told)
+
+        world.at(world.now + world.delay(machine, gate.machine), come)
+
+
+class Operator:
+    """Puts configurations and evacuations, with the patience of a person's tool."""
+
+    def __init__(self, day: Day, machine: Machine) -> None:
+        self.day, self.machine = day, machine
+
+    def order(self, call: Call, done: Callable[[int], None], core: int, left: int = 8) -> None:
+        """Until there is a clear answer: 200, 400 or 412; 0 where none comes."""
+        day, world = self.day, self.day.world
+
+        def told(answer: Answer | None) -> None:
+            if answer is not None and answer.status in (200, 400, 404, 412):
+                done(answer.status)
+            elif left:
+                world.at(world.now + 200 * MS, self.order, call, done, core + 1, left - 1)
+            else:
+                done(0)
+
+        day.call(self.machine, core, call, told)
+
+    def read(self, core: int, then: Callable[[int], None], left: int = 8) -> None:
+        """The edition that is in force."""
+        day, world, asked_at = self.day, self.day.world, self.day.world.now
+
+        def told(answer: Answer | None) -> None:
+            if answer is not None and answer.status == 200:
+                number = json.loads(answer.body)["edition"]
+                day.say(f"read {number} at {day.cores[core % len(day.cores)].machine.name}")
+                day.judges.read(asked_at, number, world.now)
+                then(number)
+            elif left:
+                world.at(world.now + 200 * MS, self.read, core + 1, then, left - 1)
+
+        day.call(self.machine, core, Call("GET", ["timetable", "read"]), told)
+
+    def change(self, core: int) -> None:
+        """The next configuration, on top of what is read."""
+        self.read(core, lambda number: self.put(number, core + 1))
+
+    def race(self, core: int) -> None:
+        """Two configurations on top of one, at two core machines at once."""
+
+        def both(number: int) -> None:
+            self.put(number, core + 1)
+            self.put(number, core + 2)
+
+        self.read(core, both)
+
+    def put(self, on: int, core: int) -> None:
+        """A configuration on top of edition `on`."""
+        day, world = self.day, self.day.world
+        state = day.drawn(on)
+        number = state["edition"]
+        edition = Edition(
+            *(number, on, world.now),
+            keys={key: one["name"] for one in state["senders"].values() for key in one["stamps"]},
+            rates={one["name"]: (one["rate_per_s"], one["surge"]) for one in state["senders"].values()},
+            lines={one["name"]: one["line"] for one in state["routes"].values()},
+            homes={one["name"]: one.get("home_regions", []) for one in state["routes"].values()},
+        )
+        day.judges.editions[number] = edition
+        day.say(f"put {number} on {on}")
+
+        def done(status: int) -> None:
+            day.say(f"put {number} on {on}: {status}")
+            if status == 200:
+                day.judges.acknowledged(edition, world.now)
+            elif status:
+                edition.refused = True
+
+        body, headers = json.dumps(tables(state)).encode(), {"based-on": str(on)}
+        self.order(Call("POST", ["timetable", "replace"], headers=headers, body=body), done, core)
+
+    def evacuate(self, zone: str, core: int, span: int) -> None:
+        """Empties a zone, and takes that back after `span` ns, 0 for never."""
+        day, world = self.day, self.day.world
+        row: list[Any] = [zone, 0, 1 << 62]
+
+        def begun(status: int) -> None:
+            day.say(f"evacuate {zone}: {status}")
+            if status != 200:
+                return
+            row[1] = world.now
+            day.judges.evacuations.append(row)
+            if span:
+                world.at(world.now + span, back)
+
+        def back() -> None:
+            row[2] = world.now
+            self.order(Call("POST", ["evacuate", zone, "finish"]), lambda status: None, core)
+
+        self.order(Call("POST", ["evacuate", zone, "begin"]), begun, core)
+
+
+def tables(state: dict[str, Any]) -> dict[str, Any]:
+    """A configuration as operators write it."""
+    out: dict[str, Any] = {"edition": state["edition"], "limits": {}}
+    for kind in ("routes", "carrier_lines", "senders"):
+        rows = list(state[kind].values())
+        columns = sorted({column for row in rows for column in row})
+        out[kind] = {"columns": columns, "rows": [[row.get(column) for column in columns] for row in rows]}
+    return out
+
+
+def attempt(
+    day: Day, gate: Gate, exchange: Any, address: str, id: str, over: Callable[[Outcome], None]
+) -> None:
+    """Brings a request to a worker and its end back, as far as links allow."""
+    world, worker, loop = day.world, day.workers[address], gate.machine.loop
+    assert loop is not None
+    name = exchange.asked.names[b"attempt-id"].decode()
+    day.tokens += 1
+    do = loop.do
+    token = day.tokens
+
+    def back(outcome: Outcome) -> None:
+        if world.open(worker.machine.ip, gate.machine.ip):
+            at = world.now + world.delay(worker.machine, gate.machine)
+            world.at(at, do, over, outcome)
+
+    def comes() -> None:
+        if not world.open(gate.machine.ip, worker.machine.ip):
+            return
+        if not worker.up:
+            back(Outcome.CONNECT_FAILED)
+        elif not worker.serve(name, id, back, token):
+            day.say(f"astray {name} {id}")
+            number = gate.plane.crew.ids.get(id)
+            if number is not None:
+                do(gate.plane._astray, number)
+            back(Outcome.MOOT)
+
+    if loop.alive:
+        day.say(f"attempt {name} {gate.machine.name} {id}")
+        world.at(world.now + world.delay(gate.machine, worker.machine), comes)
--- /dev/null
+++ b/pepperrun/swarm/places.py
@@ -0,0 +1,264 @@
+"""Core machines and gatekeepers of a drawn day: the programs' own parts on virtual loops, with the disks.
+
+What `skep` and `guard` put together is put together here in the same way; the wire between gatekeepers and
+workers, and that of clients and callers, is a delay.
+"""
+
+from __future__ import annotations
+
+import inspect
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from pepperrun.comb.control import Control
+from pepperrun.comb.hub import Hub
+from pepperrun.comb.matchers import Answer, Call, Miss
+from pepperrun.comb.records import LEAVING, READY, STARTING, Guard
+from pepperrun.core.interface import Outcome
+from pepperrun.exchange import Exchange
+from pepperrun.forager.plane import Plane
+from pepperrun.forager.routes import Lot
+from pepperrun.foundation import link
+from pepperrun.foundation.settings import Settings, parse
+from pepperrun.net.http1 import Request, Response
+from pepperrun.queen.values import FIRST_LIFE, Memory, beginning
+from pepperrun.scouts.service import Scouts
+from pepperrun.scouts.wire import MARK
+from pepperrun.swarm import bugs
+from pepperrun.swarm.clockwork import MS, Loop, Machine, World, spawn
+from pepperrun.swarm.queens import Disk
+from pepperrun.waggle.service import Subscriber
+
+PORT = 7600
+LOOK_S = 0.2
+
+
+def settings_of(
+    machine: Machine, role: str, contacts: list[str], zones: dict[str, str], bounds: Any
+) -> Settings:
+    """The settings file of one machine."""
+    boxes = {"counter": f"{machine.ip}:80"} if role == "counter" else {"control_port": f"{machine.ip}:81"}
+    me = {
+        "station": machine.name,
+        "role": role,
+        "ip": machine.ip,
+        "zone": machine.zone,
+        "region": machine.region,
+    }
+    return parse(
+        {
+            "self": me,
+            "network": {
+                "sidings": [PORT, PORT + 9],
+                "first_contacts": [f"{ip}:81" for ip in contacts],
+                "postboxes": boxes,
+                "zones": zones,
+            },
+            "tariffs": {"bounds": bounds, "withstand": {"vehicles": 1}},
+        }
+    )
+
+
+class Core:
+    """A core machine with its disk."""
+
+    def __init__(self, machine: Machine, settings: Settings, contacts: list[str], bug: str) -> None:
+        self.machine, self.settings, self.contacts, self.bug = machine, settings, contacts, bug
+        self.disk, self.lives, self.life = Disk(), 0, ""
+        self.hub: Hub | None = None
+        self.tree: Any = None
+
+    def start(self, first: bool = False) -> None:
+        """A process starts on what the disk keeps."""
+        memory = replace(self.disk.synced) if self.disk.synced else self._fresh(first)
+        self.life, memory.starts = memory.life, memory.starts + 1
+        self.disk.save(memory)
+        self.machine.boot().do(self._make, memory)
+
+    def _fresh(self, first: bool) -> Memory:
+        ip = self.machine.ip
+        self.lives += 1
+        begins = first and ip in self.contacts
+        if self.bug == bugs.EMPTY_VOTES and self.life:
+            return Memory(self.life, 0)
+        memory = Memory(FIRST_LIFE if begins else f"{ip}#{self.lives}", 0)
+        if begins:
+            memory.accepted = memory.chosen = beginning(self.contacts)
+        return memory
+
+    def _make(self, memory: Memory) -> None:
+        loop = self.machine.loop
+        assert loop is not None
+        self.hub = Hub(self.settings, memory, self.disk, memory.starts, loop.clock)
+        self.tree = Control(self.hub).tree()
+        spawn(loop, link.listen(self.settings.siding, self.hub, self.hub.hello))
+        self.hub.start()
+
+    def stop(self, power: bool = False, wipe: bool = False) -> None:
+        """The process ends."""
+        self.machine.kill(power)
+        if wipe:
+            self.disk = Disk()
+
+    def answer(self, call: Call, done: Callable[[Answer], None]) -> None:
+        """A control call has come; runs in the process."""
+        loop, found = self.machine.loop, self.tree(call, 0)
+        assert loop is not None
+        if isinstance(found, Miss):
+            done(Answer(found.status))
+            return
+        result = found(call)
+        if inspect.isawaitable(result):
+
+            async def wait() -> None:
+                done(await result)
+
+            spawn(loop, wait())
+        else:
+            done(result)
+
+
+class Gate:
+    """A gatekeeper. `arrive` and `left` are what a day carries out: attempts at workers."""
+
+    def __init__(self, machine: Machine, settings: Settings, attempt: Callable[..., None], bug: str) -> None:
+        self.machine, self.settings, self.attempt, self.bug = machine, settings, attempt, bug
+        self.state, self.life, self.serial = STARTING, 0, 0
+        self.starts = 0
+
+    def start(self) -> None:
+        """A process starts, with nothing."""
+        world = self.machine.world
+        self.starts += 1
+        self.life, self.serial, self.state = world.now // MS + 1, 0, STARTING
+        self.machine.boot().do(self._make, world.rng.getrandbits(32))
+
+    def _make(self, seed: int) -> None:
+        loop = self.machine.loop
+        assert loop is not None
+        self.loop = loop
+        self.news = Subscriber(self.settings, self.life, self._row, loop.clock)
+        book = self.news.book
+        self.plane = Plane(
+            *(self.settings, seed, loop.clock, self._known_life),
+            *(lambda: book.fresh_at, lambda: book.cells_at),
+        )
+        self.plane.servers.sweeper.cancel()
+        self.plane.gatekeeper.backends = Backends(self, loop)
+        bugs.put_in(self.bug, self.news, self.plane)
+        book.on_agreed.append(self.plane.on_agreed)
+        book.on_workers.append(self.plane.on_workers)
+        book.on_guards.append(self._on_guards)
+        hum = self.plane.hum
+        self.scouts = Scouts(
+            *(self.settings, self.life, seed ^ 1, hum.send, self._on_scouts), clock=loop.clock
+        )
+        hum.others[MARK] = self.scouts.received
+        self.news.follower.standing = self.scouts.there
+        loop.datagrams(PORT, hum)
+        spawn(loop, self.news.start())
+        self._look()
+
+    def _row(self) -> Guard:
+        me, ip = self.settings.me, self.machine.ip
+        where = f"{ip}:80", f"{ip}:{PORT}"
+        return Guard(me.station, me.zone, me.region, *where, self.life, self.serial, self.state)
+
+    def _on_guards(self, changed: list[Guard]) -> None:
+        self.plane.on_guards(changed)
+        self.scouts.on_guards(changed)
+        self._on_scouts()
+
+    def _on_scouts(self) -> None:
+        self.plane.stand(self.scouts.absent(), self.scouts.doubt)
+        self.news.moved()
+
+    def _known_life(self) -> int:
+        held = self.news.book.guards.get(self.settings.me.station)
+        return held.life if held is not None else self.life
+
+    def _look(self) -> None:
+        plane, bounds = self.plane, self.settings.tariffs.bounds
+        fresh = plane.gate.fresh(self.loop.clock(), int(bounds.edition_ms * MS))
+        if self.state == STARTING and plane.table is not None and fresh:
+            self._say(READY)
+        self.loop.call_later(LOOK_S, self._look)
+
+    def _say(self, state: str) -> None:
+        self.state, self.serial = state, self.serial + 1
+        self.news.tell()
+
+    def leave(self) -> None:
+        """It is told to stop; the day ends it later."""
+        self._say(LEAVING)
+        self.scouts.leave()
+
+    def take(self, asked: Request, done: Callable[[int], None]) -> None:
+        """A client's request has come; runs in the process."""
+        front = self.plane.front
+        asked.arrived = self.loop.clock()
+        what = front.read(asked)
+        if not isinstance(what[0], Lot):
+            done(int(what[0]))
+            return
+        exchange: Any = None
+
+        def final(given: Any) -> None:
+            done(front.answer(exchange, given)[0])
+
+        exchange = Exchange(asked, final, **what[1])
+        self.plane.gatekeeper.take(exchange)
+
+
+class Backends:
+    """Attempts of one life of a gatekeeper."""
+
+    def __init__(self, gate: Gate, loop: Loop) -> None:
+        self.gate, self.loop = gate, loop
+
+    def send(self, exchange: Any, attempt: int, backend: int, timeout_ns: int) -> None:
+        """Waits for a connection now and then, and asks the gate again before it writes."""
+        rng = self.loop.world.rng
+        wait = rng.uniform(0.001, 0.3) if rng.random() < 0.2 else 0.0
+        left = timeout_ns - int(wait * 1e9)
+        self.loop.call_later(wait, self._write, exchange, attempt, backend, left)
+
+    def _write(self, exchange: Any, attempt: int, backend: int, left: int) -> None:
+        plane, now = self.gate.plane, self.loop.clock()
+        mate = plane.crew.mates.get(backend)
+        ended = plane.gatekeeper.ended
+        if exchange.end is not None or mate is None or not plane.gate.still(exchange.lot, backend, now):
+            ended(exchange, attempt, backend, Outcome.MOOT)
+            return
+
+        def over(outcome: Outcome) -> None:
+            if attempt in exchange.open:
+                ended(
+                    exchange,
+                    attempt,
+                    backend,
+                    outcome,
+                    Response([], {}, True) if outcome is Outcome.OK else None,
+                )
+
+        self.loop.call_later(max(0.0, left / 1e9), over, Outcome.TIMEOUT)
+        self.gate.attempt(self.gate, exchange, mate.worker.address, mate.worker.id, over)
+
+    def cancel(self, exchange: Any, attempt: int) -> None:
+        """What is cancelled runs on at the worker."""
+
+    def close_idle(self, backend: int) -> None:
+        """Connections are not modelled."""
+
+
+def machines(
+    world: World, count: int, kind: str, zones: list[str], regions: dict[str, str], net: int
+) -> list[Machine]:
+    """So many, spread over the zones."""
+    out = []
+    for at in range(count):
+        zone = zones[at % len(zones)]
+        ip = f"10.{net}.{at // 200}.{at % 200 + 1}"
+        out.append(Machine(world, f"{kind}-{at}", ip, zone, regions[zone]))
+    return out
--- a/pepperrun/waggle/service.py
+++ b/pepperrun/waggle/service.py
@@ -23,8 +23,8 @@
 class Alarm:
     """One timer of the loop: calls `ring` at the earliest time that was set (steady ns)."""
 
-    def __init__(self, ring: Callable[[], None]) -> None:
-        self.ring, self.due = ring, 0
+    def __init__(self, ring: Callable[[], None], clock: Callable[[], int]) -> None:
+        self.ring, self.clock, self.due = ring, clock, 0
         self.handle: asyncio.TimerHandle | None = None
 
     def set(self, due: int) -> None:
@@ -33,7 +33,7 @@
             return
         self.stop()
         self.due = due
-        wait = max(0, due - time.monotonic_ns()) / 1e9
+        wait = max(0, due - self.clock()) / 1e9
         self.handle = asyncio.get_running_loop().call_later(wait, self._rang)
 
     def _rang(self) -> None:
@@ -54,15 +54,15 @@
         self.owner, self.address = owner, address
 
     def opened(self, link: Link, hello: Message) -> None:
-        self.owner.follower.opened(self.address, link, hello, time.monotonic_ns())
+        self.owner.follower.opened(self.address, link, hello, self.owner.clock())
         self.owner.settle()
 
     def heard(self, link: Link, message: Message) -> None:
-        self.owner.follower.heard(link, message, time.monotonic_ns())
+        self.owner.follower.heard(link, message, self.owner.clock())
         self.owner.settle()
 
     def closed(self, link: Link) -> None:
-        self.owner.follower.closed(self.address, link, time.monotonic_ns())
+        self.owner.follower.closed(self.address, link, self.owner.clock())
         self.owner.settle()
 
 
@@ -74,16 +74,16 @@
 
     def opened(self, link: Link, hello: Message) -> None:
         if hello.get("class") != OPERATOR:
-            self.publisher.joined(link, hello, time.monotonic_ns())
+            self.publisher.joined(link, hello, self.owner.clock())
 
     def heard(self, link: Link, message: Message) -> None:
         if message["k"] == "show":
-            link.send(self.owner.shown(time.monotonic_ns()))
+            link.send(self.owner.shown(self.owner.clock()))
             return
-        self.publisher.heard(link, message, time.monotonic_ns())
+        self.publisher.heard(link, message, self.owner.clock())
 
     def closed(self, link: Link) -> None:
-        self.publisher.left(link, time.monotonic_ns())
+        self.publisher.left(link, self.owner.clock())
 
 
 class Subscriber:
@@ -93,18 +93,24 @@
     `shown(now)`: what an operator is told who asks what is held.
     """
 
-    def __init__(self, settings: Settings, life: int, row: Callable[[], Guard]) -> None:
-        me = settings.me
+    def __init__(
+        self,
+        settings: Settings,
+        life: int,
+        row: Callable[[], Guard],
+        clock: Callable[[], int] = time.monotonic_ns,
+    ) -> None:
+        me, self.clock = settings.me, clock
         self.siding = settings.siding
         self.hello_message: Message = {"station": me.station, "ip": me.ip, "zone": me.zone}
         self.hello_message |= {"class": "counter", "life": life}
         own = (me.station, me.zone, settings.siding)
-        now = time.monotonic_ns()
+        now = self.clock()
         self.follower = Follower(own, settings.network.zones, settings.contacts(), row, changes.apply, now)
         self.book = self.follower.book
-        self.alarm = Alarm(self._turn)
-        self.push = Alarm(self._push)
-        self.publisher = relay(self.follower, self.push.set, time.monotonic_ns)
+        self.alarm = Alarm(self._turn, clock)
+        self.push = Alarm(self._push, clock)
+        self.publisher = relay(self.follower, self.push.set, clock)
         self.dialers: dict[Address, Dialer] = {}
         self.server: asyncio.Server | None = None
         self.closing = False
@@ -128,18 +134,18 @@
                 self.dialers.pop(address).close()
             for address in wanted - self.dialers.keys():
                 self.dialers[address] = Dialer(address, _Up(self, address), self._hello, UP_S, AGAIN_S)
-        self.alarm.set(self.follower.due(time.monotonic_ns()))
+        self.alarm.set(self.follower.due(self.clock()))
 
     def _turn(self) -> None:
-        self.follower.turn(time.monotonic_ns())
+        self.follower.turn(self.clock())
         self.settle()
 
     def _push(self) -> None:
-        self.publisher.turn(time.monotonic_ns())
+        self.publisher.turn(self.clock())
 
     def moved(self) -> None:
         """Who of the other gatekeepers is thought to be there has changed: `follower.standing` says who."""
-        self.follower.moved(time.monotonic_ns())
+        self.follower.moved(self.clock())
         self.settle()
 
     def contacts(self, contacts: list[Address]) -> None:
@@ -148,7 +154,7 @@
 
     def tell(self) -> None:
         """The own row has changed (ready, leaving): said to the core now, not at the next tick."""
-        self.follower.tell(time.monotonic_ns())
+        self.follower.tell(self.clock())
 
     async def close(self) -> None:
         """Ends all links."""
