A disk in another machine than its own is left alone; operators' features after the move

Cause: the lives of the first contacts all have one name, so a disk (or a retired export) of one first contact in another's machine would vote as a life that promised other things. Ruled out: trusting the help text; emptying such a disk (two disks swapped by mistake would cost two votes). The life's record names its machine's ip; a disk that names none is taken as before.

--- a/features/steps/versions.py
+++ b/features/steps/versions.py
@@ -11,7 +11,7 @@
 from pepperrun.foundation.netstring import Decoder, encode
 from pepperrun.queen import messages
 from pepperrun.queen.values import Ballot
-from pepperrun.wax import store
+from pepperrun.wax import formats, store
 
 OPTIONAL = {"tick": ("g",), "tock": ("cores",), "ask": ("parts", "of"), "cells": ("of",)}
 
@@ -284,13 +284,13 @@
 
 @when("a core machine starts on a disk of a later format")
 def later_disk(context):
-    known, store.FORMAT = store.FORMAT, store.FORMAT + 1
+    known, formats.FORMAT = formats.FORMAT, formats.FORMAT + 1
     try:
         wax = store.Wax(str(context.folder), 1)
         wax.begin("s1", CORES[0], CORES)
         wax.close()
     finally:
-        store.FORMAT = known
+        formats.FORMAT = known
     context.disk = (context.folder / "data.mdb").read_bytes()
     try:
         store.Wax(str(context.folder), 1).begin("s1", CORES[0], CORES)
--- a/pepperrun/apiary/nursery.py
+++ b/pepperrun/apiary/nursery.py
@@ -140,6 +140,7 @@
                     (self.folder / "disks" / name).mkdir(exist_ok=True)
                 file = self.settings(name, role, ip, zone)
                 command = [sys.executable, "-m", f"pepperrun.{role}", "--settings", str(file)]
+                command += ["--trace", "20"] if role == "guard" else []
                 self.children.append(Child(name, role, ip, zone, command))
         control = ",".join(f"{host}:{port}" for host, port in self.control)
         for at, ip in enumerate(self.worker_hosts):
--- a/pepperrun/apiary/state.py
+++ b/pepperrun/apiary/state.py
@@ -25,7 +25,7 @@
 from pepperrun.comb.changes import written
 from pepperrun.foundation.errors import HiveError
 from pepperrun.queen.values import Memory
-from pepperrun.wax.records import BODY, faults, laid_out, opened, put_together, recall
+from pepperrun.wax.records import BODY, faults, laid_out, opened, owner_of, put_together, recall
 from pepperrun.wax.store import FILE, Wax, new_life
 
 KIND = "pepperrun-state"
@@ -74,9 +74,13 @@
     lines = [f"file: {size} bytes, {len(raw)} records of {sum(map(len, raw.values()))} bytes"]
     if found:
         return lines + [f"fault: {one}" for one in found]
-    form = opened(raw[b"life"], "life")[0]
+    life = opened(raw[b"life"], "life")
     memory = recall(raw)
-    lines += [f"format: {form}", f"life: {memory.life}, starts {memory.starts}"]
+    lines += [
+        f"format: {life[0]}",
+        f"machine: {owner_of(life) or 'none yet'}",
+        f"life: {memory.life}, starts {memory.starts}",
+    ]
     lines.append(f"promised: round {memory.promised.round} by {memory.promised.by or 'nobody'}")
     for name, held in (("taken", memory.accepted), ("chosen", memory.chosen)):
         if held is None:
@@ -101,9 +105,9 @@
     return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
 
 
-def write_file(path: Path, memory: Memory, final: bool) -> None:
+def write_file(path: Path, memory: Memory, owner: str, final: bool) -> None:
     """The export, synced, in the place of what was there; never half of it."""
-    records, bodies = laid_out(memory)
+    records, bodies = laid_out(memory, owner)
     content = {"kind": KIND, "final": final, "records": records, "bodies": bodies}
     content = json.loads(json.dumps(content))
     beside = path.with_name(path.name + ".new")
@@ -116,14 +120,15 @@
     _sync_folder(path.parent)
 
 
-def read_file(path: Path) -> tuple[Memory, bool]:
-    """An export's memory, and whether its life was ended where it came from. HiveError `bad-export`."""
+def read_file(path: Path) -> tuple[Memory, str, bool]:
+    """The memory, its machine's ip, whether its life was ended there. HiveError `bad-export`, `no-file`."""
     try:
         content = json.loads(path.read_text())
         told = content.pop("checksum")
         if told != _sum(content) or content["kind"] != KIND:
             raise HiveError("bad-export", STEP, f"{path}: the checksum is wrong")
-        return put_together(content["records"] | content["bodies"]), content["final"] is True
+        memory = put_together(content["records"] | content["bodies"])
+        return memory, owner_of(content["records"]["life"]), content["final"] is True
     except OSError as error:
         raise HiveError("no-file", STEP, f"{path}: {error.strerror or error}") from None
     except (ValueError, LookupError, TypeError, AttributeError) as error:
@@ -146,17 +151,21 @@
     raw, found = look(folder)
     if found:
         raise HiveError("disk-doubtful", STEP, f"{folder}: {found[0]}")
-    memory = recall(raw)
-    write_file(path, memory, False)
+    memory, owner = recall(raw), owner_of(opened(raw[b"life"], "life"))
+    if retire and not owner:
+        raise HiveError(
+            "no-owner", STEP, f"{folder}: it names no machine yet; start it once with this version"
+        )
+    write_file(path, memory, owner, False)
     if retire:
         # A power cut between any two of these steps leaves one life in one place, or none.
-        _fill(folder, Memory(new_life(str(folder)), 0))
-        write_file(path, memory, True)
+        _fill(folder, Memory(new_life(str(folder)), 0), owner)
+        write_file(path, memory, owner, True)
 
 
 def restore(folder: Path, path: Path, same_life: bool) -> str:
     """A folder from an export; says what it holds. HiveError `not-empty`, `not-safe`."""
-    memory, final = read_file(path)
+    memory, owner, final = read_file(path)
     if folder.exists() and any(folder.iterdir()):
         raise HiveError("not-empty", STEP, f"{folder} is not empty: nothing that was promised is overwritten")
     if same_life and not final:
@@ -165,11 +174,11 @@
         raise HiveError("not-safe", STEP, f"{path}: {detail}")
     folder.mkdir(parents=True, exist_ok=True)
     if same_life:
-        write_file(path, memory, False)  # first: twice the same life must never be
-        _fill(folder, memory)
-        return f"{folder}: life {memory.life} goes on here, at its old ip only"
+        write_file(path, memory, owner, False)  # first: twice the same life must never be
+        _fill(folder, memory, owner)
+        return f"{folder}: life {memory.life} goes on here, in the machine {owner} only"
     life = new_life(str(path))
-    _fill(folder, Memory(life, 0))
+    _fill(folder, Memory(life, 0), "")
     text = f"{folder}: new life {life}; it has no vote until the others let it in"
     if memory.chosen is None or "edition" not in memory.chosen.body:
         return text
@@ -179,8 +188,9 @@
     return f"{text}; the configuration lies in {beside.name}, for reading or for `put`"
 
 
-def _fill(folder: Path, memory: Memory) -> None:
+def _fill(folder: Path, memory: Memory, owner: str) -> None:
     wax = Wax(str(folder))
+    wax.owner = owner
     try:
         wax.save(memory)
         wax.sync_names()
--- a/pepperrun/wax/records.py
+++ b/pepperrun/wax/records.py
@@ -10,7 +10,8 @@
 from pepperrun.foundation.errors import HiveError
 from pepperrun.queen import messages
 from pepperrun.queen.values import Body, Held, Memory, digest_of
-from pepperrun.wax.formats import FORMAT, Records, Step, to_present
+from pepperrun.wax import formats
+from pepperrun.wax.formats import Records, Step, to_present
 
 CHECK = 16  # bytes of the checksum before each record
 NAMES = ("life", "promised", "accepted", "chosen")
@@ -35,10 +36,14 @@
         raise HiveError("disk-doubtful", "reading", f"{name}: {error}") from None
 
 
-def laid_out(memory: Memory) -> tuple[Records, dict[str, Body]]:
-    """The records of a memory in the present format, and its bodies by their records' names."""
+def laid_out(memory: Memory, owner: str) -> tuple[Records, dict[str, Body]]:
+    """The records of a memory in the present format, and its bodies by their records' names.
+
+    `owner`: the ip of its machine, "" while it has none. Lives of the first contacts have one name, so a disk
+    in the wrong machine could vote as a life that promised other things.
+    """
     records: Records = {
-        "life": [FORMAT, memory.life, memory.starts],
+        "life": [formats.FORMAT, memory.life, memory.starts, owner],
         "promised": memory.promised,
         "accepted": _named(memory.accepted),
         "chosen": _named(memory.chosen),
@@ -51,8 +56,8 @@
     """The memory that these records hold, of whatever format; HiveError `disk-doubtful` or `disk-newer`."""
     try:
         form, *_ = opened(raw[b"life"], "life")
-        if form != FORMAT:
-            if isinstance(form, int) and form < FORMAT:
+        if form != formats.FORMAT:
+            if isinstance(form, int) and form < formats.FORMAT:
                 records = {key.decode(): opened(data, key.decode()) for key, data in raw.items()}
                 return put_together(to_present(records, form, steps))
             to_present({}, form)  # says so before anything else is read: a later one may seal otherwise
@@ -66,6 +71,11 @@
         raise HiveError("disk-doubtful", "reading", f"{type(error).__name__}: {error}") from None
 
 
+def owner_of(life: Any) -> str:
+    """The ip that a record `life` names; "" where it names none (an earlier version wrote none)."""
+    return str(life[3]) if len(life) > 3 else ""
+
+
 def put_together(records: Records) -> Memory:
     """The memory of opened records in the present format; HiveError, KeyError or alike where it is none."""
     _, life, starts, *_ = records["life"]
--- a/pepperrun/wax/store.py
+++ b/pepperrun/wax/store.py
@@ -20,7 +20,7 @@
 from pepperrun.foundation.errors import HiveError
 from pepperrun.foundation.logs import event, trouble
 from pepperrun.queen.values import FIRST_LIFE, Memory, beginning
-from pepperrun.wax.records import BODY, laid_out, recall, sealed
+from pepperrun.wax.records import BODY, laid_out, opened, owner_of, recall, sealed
 
 MOST_MB = 64  # of the map: some dozens of bodies, and the pages of transactions
 FILE = "data.mdb"
@@ -32,6 +32,7 @@
     def __init__(self, folder: str, disk_mb: float = 0) -> None:
         self.folder = Path(folder)
         self.size = int(min(MOST_MB, disk_mb / 2 if disk_mb else MOST_MB) * 1024 * 1024)
+        self.owner = ""  # the ip of the machine whose memory this is
         self.env: lmdb.Environment | None = None
         self.saved: dict[bytes, Any] = {}  # by record, what it was made of
 
@@ -40,7 +41,7 @@
 
         `first_contacts`: ips, only where `first_run` is true, else none: who is among them, with an empty
         disk, begins as one of the first voters. A disk in doubt is emptied, and its life is over. One that a
-        later version wrote is left alone: HiveError `disk-newer`.
+        later version wrote, or another machine, is left alone: HiveError `disk-newer`, `disk-other`.
         """
         doubtful = False
         try:
@@ -58,6 +59,10 @@
             if first:
                 memory.accepted = memory.chosen = beginning(first_contacts)
             event("new-life", station=station, life=memory.life, doubtful=doubtful)
+        if self.owner not in ("", me):
+            self.close()
+            raise HiveError("disk-other", "reading", f"it holds the memory of {self.owner}, this is {me}")
+        self.owner = me
         memory.starts += 1
         self.save(memory)
         self.sync_names()
@@ -68,7 +73,7 @@
 
         After a failure nobody knows what the disk has: the next save opens it anew and writes all.
         """
-        named, held = laid_out(memory)
+        named, held = laid_out(memory, self.owner)
         records = {name.encode(): data for name, data in named.items()}
         bodies = {name.encode(): body for name, body in held.items()}
         changed = {
@@ -121,7 +126,9 @@
             raise HiveError("disk-doubtful", "opening", f"{type(error).__name__}: {error}") from None
         if not raw:
             return None  # nothing was ever synced, so nothing was ever said
-        return recall(raw)
+        memory = recall(raw)
+        self.owner = owner_of(opened(raw[b"life"], "life"))
+        return memory
 
     def _empty(self) -> None:
         self.close()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,6 @@
-"""Settings for hypothesis: the same examples each time. Lines of the log go to standard error anew."""
+"""Settings for hypothesis: the same examples each time. Lines go to standard error as text again."""
+
+from collections.abc import Iterator
 
 import pytest
 from hypothesis import settings
@@ -10,7 +12,7 @@
 
 
 @pytest.fixture(autouse=True)
-def lines_go_to_standard_error():
-    """A test that starts a program of the system leaves its sink of lines behind."""
+def plain_lines() -> Iterator[None]:
+    """A program's `main` sends lines to its logs, for the whole process."""
     yield
     log.send_to(None)
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -32,7 +32,7 @@
     for name in records.NAMES:
         data = records.opened(raw[name.encode()], name)
         if name == "life":
-            data = [0, *data[1:3]]
+            data = [0, *data[1:]]
         elif name != "promised":
             data.append(records.opened(raw[f"body:{data[1][4]}".encode()], "body"))
         out[name.encode()] = records.sealed(data)
@@ -89,6 +89,8 @@
     assert run("export", tmp_path / "a", file, "--retire") == 0
     assert run("restore", tmp_path / "c", file, "--same-life") == 0
     assert run("restore", tmp_path / "d", file, "--same-life") == 1
+    with pytest.raises(HiveError, match="disk-other"):
+        Wax(str(tmp_path / "c")).begin("s", "10.0.0.2", [])  # it, too, has a life named `first`
     assert Wax(str(tmp_path / "c")).begin("s", ME, []) == replace(memory, starts=memory.starts + 1)
     assert Wax(str(tmp_path / "a")).begin("s", ME, CONTACTS).life not in (memory.life, FIRST_LIFE)
     file.write_text(file.read_text().replace('"x"', '"y"', 1))
