--- a/pepperrun/core/escrow.py
+++ b/pepperrun/core/escrow.py
@@ -35,6 +35,12 @@
     return True
 
 
+def spend(account: Purse, units: float, now: int) -> None:
+    """Units go out with a request."""
+    account.ceiling.level -= units
+    account.fed_at = now
+
+
 def starved(account: Purse, now: int) -> bool:
     """Has there been no unit for so long that waiting for one is of no use?"""
     return hungry(account, now) and now - account.fed_at > STARVED
--- a/pepperrun/core/gateway.py
+++ b/pepperrun/core/gateway.py
@@ -10,7 +10,7 @@
 from pepperrun.core.asking import Asker
 from pepperrun.core.bound import PRESSURE_GOAL
 from pepperrun.core.clock import SECOND, Bucket, Seldom
-from pepperrun.core.escrow import short, starved
+from pepperrun.core.escrow import short, spend, starved
 from pepperrun.core.fleet import NEWS_FOR
 from pepperrun.core.interface import AttemptEnded, BackendList, BackendState, Cancel, ClientLeft, Fail, Gate
 from pepperrun.core.interface import ListKind, Log, Outcome, PeerMessage, Refuse, Request, Send, Settings
@@ -217,8 +217,7 @@
         if not held.attempts:
             if not held.account.keepers:
                 self.quotas.settle(held.account, held.units, self.now)
-                held.account.ceiling.level -= held.units
-                held.account.fed_at = self.now
+                spend(held.account, held.units, self.now)
             held.account.used.add(held.units, self.now)
             self.further.level = min(self.further.depth, self.further.level + self.settings.further_share)
         held.attempts.append(Attempt(server, self.now))
--- a/pepperrun/core/quotas.py
+++ b/pepperrun/core/quotas.py
@@ -185,7 +185,8 @@
                 continue
             # Where members come and go a hard bound stands behind the store: use need not be told at once.
             news = self.members is None and abs(account.untold) > NEWS * max(0.0, account.whole.fill(now))
-            wide = news or now - account.told_at >= (TELL_EACH // 4 if hungry(account, now) else TELL_EACH)
+            want = self.members is not None and hungry(account, now)
+            wide = news or now - account.told_at >= (TELL_EACH // 4 if want else TELL_EACH)
             if not wide and not account.begged:
                 if account.untold:
                     self.dirty[customer] = None
