--- a/pepperrun/swarm/__main__.py
+++ b/pepperrun/swarm/__main__.py
@@ -46,7 +46,7 @@
 
 def run(given: argparse.Namespace) -> int:
     """One day."""
-    day = Day(load(given.plan) if given.plan else drawn_plan(given.seed, given.gates, given.bug))
+    day = Day(load(given.plan) if given.plan else drawn_plan(given.seed, given.gates, given.bug, given.rate))
     broken = day.play()
     if given.log:
         Path(given.log).write_text("\n".join(day.lines) + "\n")
@@ -64,7 +64,7 @@
     first, _, last = given.seeds.partition("-")
     began, count, wrong = time.monotonic(), 0, 0
     for seed in range(int(first), int(last or first) + 1):
-        plan = drawn_plan(seed, given.gates, given.bug)
+        plan = drawn_plan(seed, given.gates, given.bug, given.rate)
         broken = Day(plan).play()
         count += 1
         if not broken:
@@ -114,6 +114,7 @@
         part.set_defaults(what=what)
         if name != "report":
             part.add_argument("--gates", type=int, default=8, help="gatekeepers")
+            part.add_argument("--rate", type=float, default=60.0, help="requests a second")
             part.add_argument("--bug", choices=BUGS, default="", help="put in on purpose")
         if name == "run":
             part.add_argument("--seed", type=int, default=1)
--- a/pepperrun/swarm/bugs.py
+++ b/pepperrun/swarm/bugs.py
@@ -11,7 +11,7 @@
 
 EMPTY_VOTES = "empty-votes"  # a voter with an empty disk goes on in its old life
 COLD_FOREVER = "cold-forever"  # a cold worker's share is not used up by what is sent
-BACKWARDS = "backwards"  # older news that comes late is applied
+BACKWARDS = "backwards"  # older news is gone back to: what came late, or what another machine still holds
 BUGS = (EMPTY_VOTES, COLD_FOREVER, BACKWARDS)
 
 
@@ -25,7 +25,7 @@
 
         def backwards(port: Port, message: Message, now: int) -> None:
             heard(port, message, now)
-            old = states.get(message.get("n", 0)) if message["k"] in ("change", "agreed") else None
+            old = states.get(message.get("n", 0)) if message["k"] in ("change", "agreed", "tock") else None
             if old is not None and plane.table is not None and message["n"] < plane.table.number:
                 plane.table = None
                 plane.on_agreed(message["n"], old)
--- a/pepperrun/swarm/days.py
+++ b/pepperrun/swarm/days.py
@@ -30,6 +30,19 @@
     **{"worker-crash": 5, "worker-unload": 4, "worker-handed": 3, "zone-power": 1},
     **{"change": 14, "race": 4, "evacuate": 4},
 }
+CORE_TROUBLES = {  # of days on which all goes against the core, with operators who do not rest
+    **{
+        "core-kill": 2,
+        "core-power": 3,
+        "core-freeze": 4,
+        "core-wipe": 1,
+        "dark-wipe": 2,
+        "dark-amnesia": 4,
+        "cut-core": 6,
+    },
+    **{"change": 12, "race": 2},
+}
+WIPES = ("core-wipe", "dark-wipe", "dark-amnesia")
 ORDERS = ("change", "race", "evacuate")
 FIGURES: dict[str, Any] = {
     **{"revocation_total": True, "cold_excess": 1.5, "cold_slack": 5.0, "retry_slack": 10.0},
@@ -63,17 +76,18 @@
         return asdict(self)
 
 
-def drawn_plan(seed: int, gates: int = 8, bug: str = "") -> Plan:
+def drawn_plan(seed: int, gates: int = 8, bug: str = "", rate: float = 60.0) -> Plan:
     """The plan that a seed gives."""
     rng = random.Random(f"plan {seed}")
-    plan = Plan(seed, gates, rng.choice([3, 3, 5]), bug)
-    kinds, weights = list(TROUBLES), list(TROUBLES.values())
+    plan = Plan(seed, gates, rng.choice([3, 3, 5]), bug, rate)
+    some = CORE_TROUBLES if rng.random() < 0.4 else TROUBLES
+    kinds, weights = list(some), list(some.values())
     wiped = dark = False
-    for _ in range(rng.randint(8, 18)):
+    for _ in range(rng.randint(8, 24 if some is CORE_TROUBLES else 18)):
         kind = rng.choices(kinds, weights)[0]
-        if kind == "core-wipe" and wiped or kind == "dark" and dark:
+        if kind in WIPES and wiped or kind.startswith("dark") and dark:
             continue  # no more disks than the core withstands
-        wiped, dark = wiped or kind == "core-wipe", dark or kind == "dark"
+        wiped, dark = wiped or kind in WIPES, dark or kind.startswith("dark")
         at = rng.randint(BEGIN * 1000, (MENDED - 8) * 1000)
         span = rng.choice([300, 1000, 2500, 4000, 7000])
         plan.troubles.append(Trouble(kind, at, span, rng.randrange(1 << 16)))
@@ -110,7 +124,7 @@
             Gate(one, settings_of(one, "counter", contacts, ZONES, FIGURES), attempt, plan.bug)
             for one in machines(world, plan.gates, "gate", zones, ZONES, 2)
         ]
-        lines = ["main"] * 12 + [f"v{at}" for at in range(LINES)]
+        lines = ["main"] * 12 + 2 * [f"v{at}" for at in range(LINES)]  # the second in another zone
         places = machines(world, len(lines), "worker", zones, ZONES, 3)
         self.workers = {
             one.address: one
@@ -265,6 +279,16 @@
             return self._process(rng.choice(self.gates), how)
         if what == "core":
             return self._process(rng.choice(self.cores), how)
+        if what == "dark" and how == "wipe":  # one disk is lost with it, and each comes back when it will
+            lost = rng.choice(self.cores)
+            for core in self.cores:
+                back = self._process(core, "wipe" if core is lost else "power")
+                if back is not None:
+                    self.world.at(self.world.now + int(one.span * rng.uniform(0.1, 1.0) * MS), back)
+            return None
+        if how == "amnesia":
+            self._amnesia(rng)
+            return None
         if what == "dark":
             return self._all(list(self.cores))
         if what == "worker":
@@ -315,12 +339,29 @@
             return None
         worker.end()
         if how == "handed":  # another service's worker gets the address at once
-            was, worker.line = worker.line, "main"
+            worker.line = "main"
             worker.start()
-            worker.line = was
             return None
         return lambda: None if worker.id else worker.start()
 
+    def _amnesia(self, rng: random.Random) -> None:
+        """One is down during a change; then all are; of those that took it one comes back empty, one late."""
+        world = self.world
+        lags, lost, late = rng.sample(self.cores[:3], 3)
+        returns = [(lags, self._process(lags, "power"), 0)]
+        world.at(world.now + 2 * SECOND, self.operator.change, self.cores.index(late))
+
+        def dark() -> None:
+            for core, how, after in ((lost, "wipe", 100), (late, "power", 5000)):
+                returns.append((core, self._process(core, how), after))
+            for core in self.cores[3:]:
+                returns.append((core, self._process(core, "power"), 5000))
+            for _, back, after in returns:
+                if back is not None:
+                    world.at(world.now + after * MS, back)
+
+        world.at(world.now + 4 * SECOND, dark)
+
     def _cut(self, how: str, rng: random.Random) -> Callable[[], None]:
         world, zone = self.world, rng.choice(list(ZONES))
         every = list(world.machines.values())
