Lists of keepers are marked as settled: who starts anew need not wait for others then

A gatekeeper that starts waited 5.5 s with its parts of quotas, since others may have kept them by earlier lists: after a restart of all no tenant had anything for so long. The core marks lists that it held for longer than that. Found beside it: one that had missed a list in between took a part for its own throughout; it waits now. Both with a test.

--- a/pepperrun/comb/changes.py
+++ b/pepperrun/comb/changes.py
@@ -7,6 +7,7 @@
 | `evacuate` | `zone`, `begin` (and none of these) | always |
 | `seats` | `count`, `instead` (and none of these) | `instead` is the number held |
 | `keepers` | `places`, `instead` (and none of these) | `instead` is the term held |
+| `settled` | `term` (and none of these) | it is the term held, and is not settled |
 
 A state is never changed in place, and a new one shares what did not change with the old one. Operations come
 from `checks.read_replace` and `checks.read_amend`, which have checked each item for itself.
@@ -49,6 +50,11 @@
         if op["instead"] != term:
             return None, [412, "Other lists of keepers are held."]
         return state | {"keepers": {"term": term + 1, "places": op["places"]}}, [200, "Keepers are listed."]
+    if op["do"] == "settled":
+        listed = state.get("keepers") or {}
+        if op["term"] != listed.get("term") or listed.get("settled"):
+            return None, [412, "Other lists of keepers are held, or these are settled."]
+        return state | {"keepers": listed | {"settled": True}}, [200, "Keepers are settled."]
     if op["do"] not in ("replace", "amend"):
         return None, [400, "This operation is of a later version."]  # who learns of it asks for the whole
     if [op["edition"], op["digest"]] in state["taken"]:
--- a/pepperrun/comb/rota.py
+++ b/pepperrun/comb/rota.py
@@ -4,7 +4,9 @@
 gatekeeper of each place keeps a part of it (`core.pots`), chosen from these lists. A place is a region, or a
 zone where there is one region. Each change makes the tenants that it moves wait until who kept them has
 surely stopped, so changes are seldom: new gatekeepers come in together, who is silent is replaced only after
-long, and a place of which most are silent is cut off rather than gone: its list stays.
+long, and a place of which most are silent is cut off rather than gone: its list stays. Lists that were held
+for so long that whoever kept anything by earlier ones has stopped are marked as settled: a gatekeeper that
+starts anew need not wait for anybody else then.
 """
 
 from __future__ import annotations
@@ -13,6 +15,7 @@
 from typing import Any
 
 from pepperrun.comb.records import GONE, Guard
+from pepperrun.core.pots import GRANT_NS
 from pepperrun.foundation.settings import Bounds
 
 SECOND = 1_000_000_000
@@ -53,7 +56,13 @@
         if there - self.there:
             self.since = now
         self.there = there
-        if now - self.asked_at < AGAIN_NS or now - self.since < SETTLED_NS:
+        if now - self.asked_at < AGAIN_NS:
+            return None
+        over = int(bounds.revoke_ms * 1_000_000) + GRANT_NS
+        if held["term"] and not held.get("settled") and now - self.changed_at > over:
+            self.asked_at = now
+            return {"do": "settled", "term": held["term"]}
+        if now - self.since < SETTLED_NS:
             return None
         if not held["term"]:
             places = first(known.values(), there)
--- a/pepperrun/core/pots.py
+++ b/pepperrun/core/pots.py
@@ -77,20 +77,31 @@
         number: Callable[[str], int],
     ) -> None:
         self.me, self.near, self.fence, self.fresh, self.number = me, near, fence, fresh, number
-        self.lists: list[tuple[int, Places]] = []  # since when each holds, oldest first; {}: no list
+        self.term = 0
+        self.lists: list[tuple[int, Places]] = []  # since when each holds, in their order; {}: none
         self.plans: Mapping[int, int] = {}
         self.chosen: dict[int, dict[str, str]] = {}  # by customer and place, by the newest list
         self.empty: dict[tuple[int, int], int] = {}  # customer and keeper: it has nothing until then
 
-    def learn(self, places: Mapping[str, Any] | None, now: int) -> bool:
-        """The list of a number that is now held; True where it is another one than before."""
-        new = {place: tuple(stations) for place, stations in sorted((places or {}).items()) if stations}
-        if self.lists and self.lists[-1][1] == new:
-            return False
+    def learn(self, listed: Mapping[str, Any] | None, now: int) -> bool:
+        """The lists that are now held; True where something of them is new. `settled`: the core has held them
+        for so long that whoever kept anything by earlier ones has stopped."""
+        listed = listed or {}
+        term, settled = (int(listed.get("term", 0)), bool(listed.get("settled")))
+        since = now - self.fence() if settled else now
+        if self.lists and self.term == term:
+            at, held = self.lists[-1]
+            self.lists[-1] = min(at, since), held
+            return since < at
+        places = (listed.get("places") or {}).items()
+        new = {place: tuple(stations) for place, stations in sorted(places) if stations}
+        if term != self.term + 1:
+            self.lists.clear()  # by some that were never held here others may have kept what is kept here
+        self.term = term
         past = [at for at, _ in self.lists if now - at > self.wait()]
         if past:  # of those that are over, one must be known: who kept it then still waits for nobody
             self.lists = [one for one in self.lists if one[0] >= past[-1]]
-        self.lists.append((now, new))
+        self.lists.append((since, new))
         self.chosen.clear()
         return True
 
--- a/pepperrun/forager/plane.py
+++ b/pepperrun/forager/plane.py
@@ -102,7 +102,7 @@
             return
         table = Table(number, state, self.ledger, self.table)
         self.ledger.agreed(int(state.get("seats", 0)))
-        self._keep((state.get("keepers") or {}).get("places"), table)
+        self._keep(state.get("keepers"), table)
         self._settle()
         moved = self.crew.evacuate(table.evacuated, self.clock())
         self.table = self.gate.table = table
@@ -110,11 +110,11 @@
         self._listed(moved)
         self._berths()
 
-    def _keep(self, places: dict[str, list[str]] | None, table: Table) -> None:
+    def _keep(self, listed: dict[str, Any] | None, table: Table) -> None:
         """Who keeps quotas, as agreed on."""
         pots, quotas = self.pots, self.gatekeeper.gateway.quotas
         pots.plans = {tenant.customer: tenant.plan for tenant in table.tenants.values()}
-        if pots.learn(places, self.clock()):
+        if pots.learn(listed, self.clock()):
             quotas.pots = pots if pots.places else None
             self.ledger.keep(bool(pots.places))
             self.ledger.changed = True
--- a/tests/test_pots.py
+++ b/tests/test_pots.py
@@ -18,7 +18,7 @@
 from pepperrun.core.gateway import Gateway
 from pepperrun.core.interface import AttemptEnded, Backend, BackendList, ListKind, Outcome, PeerMessage
 from pepperrun.core.interface import Request, Send, SetTimer, TellPeer, TimerFired
-from pepperrun.core.pots import ABSENT, Pots, weight
+from pepperrun.core.pots import ABSENT, GRANT_NS, Pots, weight
 from pepperrun.forager.ledger import Ledger, number_of
 from pepperrun.foundation.settings import Bounds
 
@@ -71,10 +71,9 @@
         """A word of the core: all that was chosen by now is held."""
         chosen = len(self.world.chosen)
         if chosen > self.known:
-            places = self.world.chosen[-1]
             self.known = chosen
             self.pots.plans = {CUSTOMER: self.ledger.plans["t"]}
-            if self.pots.learn(places, now):
+            if self.pots.learn(self.world.chosen[-1], now):
                 self.gateway.quotas.pots = self.pots if self.pots.places else None
                 self.ledger.keep(bool(self.pots.places))
         self.gateway.quotas.members = tuple(g.life for g in self.world.guards.values() if g is not self)
@@ -92,7 +91,7 @@
     load: float = 3.0  # times the quota
     fleet: int = 12
     now: int = 100 * SECOND
-    chosen: list[dict[str, list[str]]] = field(default_factory=list)
+    chosen: list[dict[str, Any]] = field(default_factory=list)
     guards: dict[str, Guarded] = field(default_factory=dict)
     spent: list[int] = field(default_factory=list)
 
@@ -161,18 +160,32 @@
         self.feed(guard, Request(self.ids, CUSTOMER, plan, guard.cls, 5 * SECOND, 1.0, self.fleet))
         self.at(self.now + int(self.rng.expovariate(self.load * RATE) * SECOND), self.ask)
 
+    def listed(self, places: dict[str, list[str]]) -> None:
+        """Lists are chosen; once nobody can go by others any more they are marked."""
+        term = len(self.chosen) + 1
+        self.chosen.append({"term": term, "places": places})
+
+        def settled() -> None:
+            if self.chosen[-1]["term"] == term:
+                self.chosen.append({"term": term, "places": places, "settled": True})
+
+        self.at(self.now + FENCE + GRANT_NS, settled)
+
     def choose(self) -> None:
         """The agreed lists change, by chance, so that the tenant moves; not all learn of it."""
         listed = [one for one in self.stations if self.rng.random() < 0.6]
         by = {place: [one for one in listed if one[0] == place] for place in "abc"}
-        self.chosen.append({place: by[place] or self.stations[at::3] for at, place in enumerate("abc")})
+        self.listed({place: by[place] or self.stations[at::3] for at, place in enumerate("abc")})
         self.at(self.now + self.rng.randrange(3000, 9000) * MS, self.choose)
 
     def strike(self) -> None:
         """One, often a keeper, is killed, frozen or cut off."""
         guard = self.rng.choice(list(self.guards.values()))
         if self.rng.random() < 0.7 and self.chosen:
-            kept = [max(held, key=lambda one: weight(CUSTOMER, one)) for held in self.chosen[-1].values()]
+            kept = [
+                max(held, key=lambda one: weight(CUSTOMER, one))
+                for held in self.chosen[-1]["places"].values()
+            ]
             guard = self.guards.get(self.rng.choice(kept), guard)
         kind, lasts = self.rng.randrange(4), self.rng.randrange(500, 9000) * MS
         if kind == 0 and len(self.guards) > self.fleet // 2:
@@ -226,12 +239,12 @@
     """One half has no news of the lists that name the other half, and goes on with the keepers before."""
     world = World(3, False, load=3.0)
     halves = world.stations[:6], world.stations[6:]
-    world.chosen.append({place: halves[0][at::3] for at, place in enumerate("abc")})
+    world.listed({place: halves[0][at::3] for at, place in enumerate("abc")})
     world.at(world.now, world.ask)
     world.run(12)
     for station in halves[0]:
         world.guards[station].deaf_until = world.now + 20 * SECOND
-    world.chosen.append({place: halves[1][at::3] for at, place in enumerate("abc")})
+    world.listed({place: halves[1][at::3] for at, place in enumerate("abc")})
     world.run(12)
     return world
 
@@ -245,10 +258,30 @@
     assert (parted().worst() > MOST) == (without != "nothing")
 
 
+def test_a_part_is_begun_with_once_nobody_else_can_have_it() -> None:
+    pots = Pots("a0", ("a",), lambda: FENCE, lambda now, most: True, lambda station: 0)
+    held = {"places": {"a": ["a0"], "b": ["b1"]}}
+    whole = FENCE + GRANT_NS
+    now = 10 * SECOND
+    assert pots.learn(None, 0) and pots.learn(held | {"term": 1}, now) and pots.begins(1) == now + whole
+    assert pots.learn({"term": 2, "places": held["places"] | {"b": ["b2"]}}, now + SECOND)
+    assert pots.begins(1) == now + whole  # it was its own all the time
+    assert pots.learn(held | {"term": 4}, now + 20 * SECOND)
+    assert pots.begins(1) == now + 20 * SECOND + whole  # by the third list it may have been another's
+    assert not pots.learn(held | {"term": 4}, now + 21 * SECOND)
+    assert pots.learn(held | {"term": 4, "settled": True}, now + 21 * SECOND)
+    assert pots.begins(1) == now + 21 * SECOND + GRANT_NS
+    assert (
+        pots.learn(held | {"term": 5, "places": {"a": ["a9"], "b": ["b1"]}}, now) and pots.begins(1) is None
+    )
+    anew = Pots("a0", ("a",), lambda: FENCE, lambda now, most: True, lambda station: 0)
+    assert anew.learn(held | {"term": 4, "settled": True}, now) and anew.begins(1) == now + GRANT_NS
+
+
 def test_in_calm_times_a_tenant_has_its_quota_and_what_lies_within_it_is_served() -> None:
     for load, least in ((0.7, 0.99 * 0.7), (3.0, 0.99)):
         world = World(1, False, load=load)
-        world.chosen.append({place: world.stations[at::3] for at, place in enumerate("abc")})
+        world.listed({place: world.stations[at::3] for at, place in enumerate("abc")})
         world.run(8)
         world.at(world.now, world.ask)
         world.run(20)
@@ -286,6 +319,7 @@
     assert turn(20, guards)["a"] == [one for one in lists["a"] if one != "a0"]
     silence.update({one.station: 2 * SILENT_NS for one in guards if one.region == "b"})
     assert turn(20, guards)["b"] == lists["b"]  # cut off
+    assert state["keepers"]["settled"]
     held = state
     state = apply(state, {"do": "evacuate", "zone": "z1", "begin": True})[0]
     assert state is not None and state["keepers"] == held["keepers"]
