--- a/tests/test_forager.py
+++ b/tests/test_forager.py
@@ -461,3 +461,26 @@
         )
 
     going(test)
+
+
+def test_where_gatekeepers_are_listed_as_keepers_a_tenant_has_its_unit_from_one_of_them():
+    async def test():
+        hive, worker = Hive(route("r", "/p/")), await StandIn(ok()).start()
+        hive.work("w1", worker.port)
+        senders = {name: {"name": name, "stamps": [key]} for name, key in (("ann", "k1"), ("bob", "k3"))}
+        senders["ann"] |= {"rate_per_s": 100.0, "surge": 50.0}
+        lists = {"term": 3, "places": {"r1": ["g1"], "r2": ["g2"]}, "settled": True}
+        hive.agree(route("r", "/p/"), senders=senders, keepers=lists)
+        status, fields, _ = await (await hive.ask()).answer()
+        assert status == 429 and 0 < float(fields["retry-after"]) <= 2  # its part has not begun, g2 is away
+        assert (await (await hive.ask(key="k3")).answer())[0] == 200  # no quota, nobody is asked
+        pots, quotas = hive.plane.pots, hive.plane.gatekeeper.gateway.quotas
+        (account,) = [one for one in quotas.accounts.values() if one.plan.rate]
+        begins = pots.begins(account.customer)
+        assert begins is not None and 0 < begins - time.monotonic_ns() <= SECOND
+        account.ceiling.at = begins - 2 * SECOND  # as if its time had come
+        account.closed_until, pots.empty = 0, {}
+        assert (await (await hive.ask()).answer())[0] == 200
+        assert account.ceiling.depth == pytest.approx((50 * 1.1) / 2) and account.keepers == [0, -1]
+
+    going(test)
