A part that is spent stays spent while lists change that do not move it

The list by which a part was begun is forgotten once it is old; the part then counted as begun by the next one, and filled up anew. With a test, which passes a level of 14 without.

--- a/pepperrun/core/pots.py
+++ b/pepperrun/core/pots.py
@@ -137,25 +137,24 @@
             begins = at
         return None if begins is None else begins + self.wait()
 
-    def seat(self, account: Share, start: int) -> float:
+    def seat(self, account: Share, now: int) -> float:
         """Whom an account asks, nearest first, and this gatekeeper's part of the hard bound."""
         places = self.places
         account.peers.clear()
         if not places or account.plan.ceiling_rate <= 0:
-            account.begins = start
             return 0.0  # it has no quota
         kept = self.keepers(account.customer)
         own = next((name for name in self.near if name in kept), "")
         order = sorted(kept, key=lambda place: (place != own, weight(account.customer, place)))
         account.keepers.extend(self.number(kept[place]) for place in order)
         begins = self.begins(account.customer)
-        if begins is None or begins != account.begins:
-            account.ceiling.level = 0.0
+        before, account.begins = account.begins, begins or 0
         if begins is None:
-            account.begins = 0
+            account.ceiling.level = 0.0
             return 0.0
-        if begins != account.begins:
-            account.begins = account.ceiling.at = begins
+        # What goes on stays as it is; that the list it began by is forgotten meanwhile changes nothing.
+        if not before or begins > before and begins > now or begins < before and now < before:
+            account.ceiling.level, account.ceiling.at = 0.0, begins
         return 1 / len(places)
 
     # Asking.
--- a/pepperrun/core/quotas.py
+++ b/pepperrun/core/quotas.py
@@ -51,7 +51,7 @@
         self.peers, self.keepers, hard = list[int](), list[int](), 1 / max(self.spread, quotas.settings.seats)
         if quotas.members is not None:
             self.peers = list(quotas.members)
-            hard = quotas.pots.seat(self, quotas.start) if quotas.pots else hard
+            hard = quotas.pots.seat(self, now) if quotas.pots else hard
         elif quotas.direct:
             members = [(self.first + step) % count for step in range(self.spread)]
             self.peers = [peer for peer in members if peer != me]
--- a/tests/test_pots.py
+++ b/tests/test_pots.py
@@ -162,7 +162,7 @@
 
     def listed(self, places: dict[str, list[str]]) -> None:
         """Lists are chosen; once nobody can go by others any more they are marked."""
-        term = len(self.chosen) + 1
+        term = (self.chosen[-1]["term"] if self.chosen else 0) + 1
         self.chosen.append({"term": term, "places": places})
 
         def settled() -> None:
@@ -278,6 +278,24 @@
     assert anew.learn(held | {"term": 4, "settled": True}, now) and anew.begins(1) == now + GRANT_NS
 
 
+def test_what_is_spent_stays_spent_while_lists_change_that_do_not_move_it() -> None:
+    world = World(4, False, load=3.0)
+    lists = {place: world.stations[at::3] for at, place in enumerate("abc")}
+    world.listed(lists)
+    world.at(world.now, world.ask)
+    world.run(12)
+    kept = [max(held, key=lambda one: weight(CUSTOMER, one)) for held in lists.values()]
+    for change in range(4):
+        world.listed(
+            {place: sorted({*held[change % 2 :], kept[at]}) for at, (place, held) in enumerate(lists.items())}
+        )
+        for station in kept:
+            account = world.guards[station].gateway.quotas.accounts[CUSTOMER]
+            world.guards[station].sync(world.now)
+            assert account.ceiling.fill(world.now) < 5  # of 14
+        world.run(8)
+
+
 def test_in_calm_times_a_tenant_has_its_quota_and_what_lies_within_it_is_served() -> None:
     for load, least in ((0.7, 0.99 * 0.7), (3.0, 0.99)):
         world = World(1, False, load=load)
