--- a/pepperrun/core/pots.py
+++ b/pepperrun/core/pots.py
@@ -27,6 +27,7 @@
 ABSENT = -1  # the number of a keeper that is not there
 MISSED_FOR = SECOND  # a keeper that let an ask go unanswered is passed over for so long
 EMPTY_FOR = SECOND  # that a keeper has nothing is believed no longer than this
+MOST_EMPTY = 1024  # so many are known before those that are over are forgotten: lives of keepers come and go
 NOT_MINE = SECOND // 2  # who is asked for what it does not keep (now) says so: somebody's list is older
 INTAKE_USED = 0.6  # part of a keeper's intake that asks for one tenant may fill
 RUSH = 4.0  # fewer asks than this in about a second say nothing of how much is asked
@@ -174,6 +175,8 @@
 
     def emptied(self, account: Share, keeper: int, wait: int, now: int) -> None:
         """A keeper has nothing for so long, ns."""
+        if len(self.empty) >= MOST_EMPTY:
+            self.empty = {key: at for key, at in self.empty.items() if at > now}
         self.empty[account.customer, keeper] = now + min(wait, EMPTY_FOR)
 
     def returns(self, account: Share, now: int) -> int:
@@ -181,10 +184,6 @@
         told = [self.empty.get((account.customer, keeper), 0) for keeper in account.keepers]
         return min((at for at in told if at > now), default=0)
 
-    def sweep(self, now: int) -> None:
-        """Forgets what is over."""
-        self.empty = {key: at for key, at in self.empty.items() if at > now}
-
     # Granting.
 
     def answer(self, quotas: Accounts, peer: int, ask: gossip.Ask, now: int) -> gossip.Answer:
