--- a/pepperrun/assembly.py
+++ b/pepperrun/assembly.py
@@ -26,7 +26,7 @@
 from pepperrun.handover.predecessor import Predecessor
 from pepperrun.handover.successor import Successor
 from pepperrun.log import say
-from pepperrun.net.backoff import Backoff
+from pepperrun.net.backoff import Backoff, Near
 from pepperrun.net.connection import Judge
 from pepperrun.net.directory import Directory
 from pepperrun.net.discovery import Discovery
@@ -274,7 +274,9 @@
 
 
 def calls_of(config: Config) -> Backoff:
-    """When to call discovery, which the other gatekeepers call too."""
+    """When to call discovery: others call it too, but where lists are pushed it is an agent of one's own."""
+    if not config.settings.must_ask_for_list:
+        return Near(config.settings.drain_grace_ns / SECOND)
     return Backoff(config.settings.gateways, random.Random(config.seed))
 
 
--- a/pepperrun/net/discovery.py
+++ b/pepperrun/net/discovery.py
@@ -2,6 +2,7 @@
 
 All gatekeepers of a tier may ask one service: whoever holds a list asks for its changes only, after pauses
 that `backoff` draws. Whole lists are asked for where none is held, or one that no readable answer follows.
+An agent of one's own, to which lists are pushed, is asked at once and without such pauses.
 """
 
 from __future__ import annotations
@@ -19,6 +20,8 @@
 
 WAIT_MS = 2000  # a watch that waits no longer shows a silent agent soon
 GRACE_S = 1.0  # an answer that comes later than this after its wait does not come
+LEAST_WAIT_MS = 1  # a call that shows whether the agent is there, whether or not it has news
+BESIDE = 8  # calls at once to an agent that is silent: two graces of patience with each, and few descriptors
 LEAST_S = 0.05  # between calls, should an agent answer watches at once with nothing
 MAX_LIST = 8 * 1024 * 1024
 
@@ -81,6 +84,24 @@
         finally:
             self.answer = None
 
+    def end(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+Begun = tuple[_Link, int | None, Response]
+
+
+def _drop(call: asyncio.Task[Begun]) -> None:
+    """Nobody waits for it any more."""
+
+    def end(over: asyncio.Task[Begun]) -> None:
+        if not over.cancelled() and over.exception() is None:
+            over.result()[0].end()
+
+    call.add_done_callback(end)
+    call.cancel()
+
 
 class Discovery:
     """Calls `told` with each list; `full` ones replace all.
@@ -120,18 +141,9 @@
 
     async def _watch(self) -> AsyncIterator[Listing]:
         """One connection's calls, the whole list first where none is held; yields after each answer."""
-        loop = asyncio.get_running_loop()
-        host = f"{self.address[0]}:{self.address[1]}"
-        async with asyncio.timeout(GRACE_S):
-            _, link = await loop.create_connection(_Link, *self.address)
+        link, held, response = await (self._begin(WAIT_MS) if self.backoff.near_s is None else self._hurry())
         try:
             while True:
-                held = self.version
-                query, wait_s = "", 0.0
-                if held is not None:
-                    query, wait_s = f"?index={held}&wait={WAIT_MS}", WAIT_MS / 1000
-                async with asyncio.timeout(wait_s + GRACE_S):
-                    response = await link.get(f"/v1/endpoints{query}", host)
                 if response.status != 200:
                     raise ValueError(f"status {response.status}")
                 listing = self._read(response.body, held)
@@ -140,9 +152,52 @@
                 else:
                     await asyncio.sleep(LEAST_S)
                 yield listing
+                held = self.version
+                response = await self._call(link, held, WAIT_MS)
+        finally:
+            link.end()
+
+    async def _call(self, link: _Link, held: int | None, wait_ms: int) -> Response:
+        """What came after `held`, for which the agent may wait; the whole list where none is held."""
+        query, wait_s = "", 0.0
+        if held is not None:
+            query, wait_s = f"?index={held}&wait={wait_ms}", wait_ms / 1000
+        async with asyncio.timeout(wait_s + GRACE_S):
+            return await link.get(f"/v1/endpoints{query}", f"{self.address[0]}:{self.address[1]}")
+
+    async def _begin(self, wait_ms: int) -> Begun:
+        """A connection and the answer to its first call, with the version that was held when it went out."""
+        async with asyncio.timeout(GRACE_S):
+            _, link = await asyncio.get_running_loop().create_connection(_Link, *self.address)
+        try:
+            held = self.version
+            return link, held, await self._call(link, held, wait_ms)
+        except BaseException:
+            link.end()
+            raise
+
+    async def _hurry(self) -> Begun:
+        """The first of several connections to be answered, each with a call that hardly waits.
+
+        An agent of one's own that does not answer at once is silent, and what it gets at its return counts as
+        told in that moment: calls go out a part of the grace apart. Earlier ones wait on beside them: one
+        that is slow has not failed.
+        """
+        calls: list[asyncio.Task[Begun]] = []
+        near_s = self.backoff.near_s
+        try:
+            while True:
+                if len(calls) == BESIDE:
+                    _drop(calls.pop(0))
+                    say("discovery", "discovery: the agent is silent; going on with the last list")
+                calls.append(asyncio.get_running_loop().create_task(self._begin(LEAST_WAIT_MS)))
+                done, _ = await asyncio.wait(calls, timeout=near_s, return_when=asyncio.FIRST_COMPLETED)
+                for call in done:
+                    calls.remove(call)
+                    return call.result()
         finally:
-            if link.transport is not None:
-                link.transport.abort()
+            for call in calls:
+                _drop(call)
 
     def _read(self, body: bytes, held: int | None) -> Listing:
         """The list in an answer; ValueError, and nothing changed, where it can't be one that follows."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -5,12 +5,30 @@
 import asyncio
 import json
 import random
+from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from standins import HOST, Backends, StandIn, answer, cut_short, going, line, listing, ok, reset, stall
+from standins import (
+    HOST,
+    MS,
+    SETTINGS,
+    Backends,
+    StandIn,
+    answer,
+    cut_short,
+    going,
+    line,
+    listing,
+    ok,
+    reset,
+    stall,
+    wait_then,
+)
 
+from pepperrun.assembly import calls_of
 from pepperrun.config import parse_address, read_listing
 from pepperrun.core.interface import BackendState, ListKind
 from pepperrun.net import discovery
@@ -309,3 +327,66 @@
         task.cancel()
 
     going(test)
+
+
+def calls_of_220(must_ask: bool) -> Backoff:
+    """As the program makes them, of a large fleet."""
+    settings = replace(SETTINGS, gateways=220, drain_grace_ns=250 * MS, must_ask_for_list=must_ask)
+    return calls_of(SimpleNamespace(settings=settings, seed=1))  # type: ignore[arg-type]
+
+
+def test_only_who_asks_a_service_that_others_ask_too_waits_for_their_sake():
+    asking, pushed = calls_of_220(True), calls_of_220(False)
+    assert asking.failed() > 2.0 and asking.near_s is None
+    assert pushed.move() == 0 and {pushed.failed() for _ in range(9)} == {pushed.near_s}
+
+
+@pytest.mark.parametrize(
+    "silence",
+    [
+        (stall,) * 4,  # from the start on, as while discovery is down
+        (told(41), stall, stall, stall, stall),  # under a watch that was open
+        (reset, cut_short(b"HTTP/1.1 200 OK\r\n"), answer(503), reset),
+    ],
+)
+def test_an_agent_of_ones_own_is_asked_again_well_within_the_grace_of_drains(silence, monkeypatch):
+    # What it gets at its return counts as told in that moment: of 220 gatekeepers those that still paused for
+    # each other's sake, up to 12 s, sent to workers of which they had been told that they drain.
+    monkeypatch.setattr(discovery, "WAIT_MS", 10)
+    monkeypatch.setattr(discovery, "GRACE_S", 0.05)
+
+    async def test():
+        loop = asyncio.get_running_loop()
+        agent = await StandIn(*silence, told(42, line("a", 1, "Terminating")), stall).start()
+        lists: asyncio.Queue = asyncio.Queue()
+        watch = Discovery((HOST, agent.port), lists.put_nowait, calls_of_220(False), known=41)
+        last, task = loop.time(), loop.create_task(watch.run())
+        for _ in range(len(silence) + 1):
+            assert b"?index=41&wait=" in await agent.arrived.get()
+            assert loop.time() - last < 0.25
+            last = loop.time()
+        assert (await lists.get()).version == 42 and loop.time() - last < 0.25
+        task.cancel()
+
+    going(test)
+
+
+def test_an_agent_that_answers_late_is_heard_and_the_calls_beside_are_given_up():
+    # A call that is slow is none that has failed: the watch goes on where the first answer came.
+    async def test():
+        agent = await StandIn(wait_then(told(42, line("a", 1))), stall).start()
+        lists: asyncio.Queue = asyncio.Queue()
+        watch = Discovery((HOST, agent.port), lists.put_nowait, calls_of_220(False), known=41)
+        task = asyncio.get_running_loop().create_task(watch.run())
+        for _ in range(4):
+            await agent.arrived.get()
+        agent.go.set()
+        assert (await lists.get()).version == 42
+        for _ in range(agent.connections - 1):
+            await agent.closed.get()
+        while b"?index=42&" not in await agent.arrived.get():
+            pass
+        assert len(agent.writers) == 1
+        task.cancel()
+
+    going(test)
