Report: worth lost by cause and second; evacuations explained; logs of all processes in one file

`explain change N` knew a call by its edition, which an evacuation leaves as it is, so the call was never told. Core machines now say what a number is (`do`, `zone`, `begin`), and the call is the one whose machine agreed on such a number within it.

--- a/pepperrun/apiary/explain.py
+++ b/pepperrun/apiary/explain.py
@@ -1,77 +1,19 @@
-"""Explaining (log analysis): what became of one request or one change, and a page with plots, from log files.
+"""Explaining (log analysis): what became of one request or one change, from log files.
 
-Lines of different machines are put side by side by their time of day, which differs and may jump: spans below
-the clocks' difference say nothing, and a negative one is told as it is.
+Spans between machines are as true as their times: see `lines`.
 """
 
 from __future__ import annotations
 
 import argparse
-import base64
-import html
-import io
-import json
-import re
-from collections import Counter, defaultdict
-from collections.abc import Iterable
-from datetime import datetime
+from collections import defaultdict
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from pepperrun.foundation.errors import HiveError
-
-# absl's head: letter, month and day, time, process, place in the source.
-_HEAD = re.compile(r"[IWEF](\d{4} \d\d:\d\d:\d\d\.\d{6}) +\S+ [^\]]*\] (event=.*)")
-_PAIR = re.compile(r'([\w-]+)=("(?:[^"\\]|\\.)*"|\S*)')
-LEAP_YEAR = 2000  # absl's head names no year
-
-
-class Line(NamedTuple):
-    """One event: when (s, by the writer's time of day), whose log, and its pairs."""
-
-    at: float
-    source: str
-    pairs: dict[str, str]
-
-
-def pairs_of(text: str) -> dict[str, str]:
-    """The pairs of one line, as `foundation.logs.line` writes them."""
-    out = {}
-    for name, value in _PAIR.findall(text):
-        try:
-            out[name] = str(json.loads(value)) if value.startswith('"') else value
-        except ValueError:
-            out[name] = value
-    return out
-
-
-def read(paths: Iterable[Path]) -> list[Line]:
-    """All events of these logs in the order of their times; HiveError `no-file`. Other lines are passed over.
-
-    A log is its process's: named by the station that a line of it tells, else by the file.
-    """
-    lines: list[Line] = []
-    for path in paths:
-        try:
-            texts = path.read_text(errors="replace").splitlines()
-        except OSError as error:
-            raise HiveError("no-file", "explaining", f"{path}: {error.strerror or error}") from None
-        source, mine = path.stem, []
-        for text in texts:
-            match = _HEAD.search(text)
-            if match is None:
-                continue
-            try:
-                when = datetime.strptime(f"{LEAP_YEAR} {match[1]}", "%Y %m%d %H:%M:%S.%f")
-            except ValueError:
-                continue
-            pairs = pairs_of(match[2])
-            if "station" in pairs and pairs["event"] in ("starting", "guard", "agreed"):
-                source = pairs["station"]
-            mine.append(((when - datetime(LEAP_YEAR, 1, 1)).total_seconds(), pairs))
-        lines += [Line(at, source, pairs) for at, pairs in mine]
-    return sorted(lines, key=lambda one: one.at)
+from pepperrun.apiary import losses
+from pepperrun.apiary.lines import Line, read
 
+SLACK_S = 0.01  # `ms` of a call is rounded
 
 WORDS = {
     "bad": "the request itself is no good",
@@ -87,6 +29,7 @@
     "out-of-time": "its time was up",
     "quota": "its tenant's quota was used up",
     "route": "no such route in the configuration",
+    "served-late": "a worker served it at the first try, after its aim",
     "served-later": "a further try served it",
     "stale": "what was held was not surely the newest, so nothing was said of what there is not",
     "tries": "no worker took it in as many tries as its route allows",
@@ -106,7 +49,7 @@
         why = WORDS.get(reason, reason)
         answer = f"answered {status}" if status != "0" else "not answered"
         out.append(f"{line.source}: {answer} after {pairs.get('ms')} ms: {why}")
-        told = ("route", "tenant", "kind", "edition")
+        told = ("route", "tenant", "kind", "aim", "edition")
         out.append("  " + ", ".join(f"{name} {pairs.get(name, '-')}" for name in told))
         for part in filter(lambda one: one != "-", pairs.get("tries", "-").split(",")):
             worker, at, how, took = part.rsplit("/", 3)
@@ -123,45 +66,75 @@
 
 
 class Change(NamedTuple):
-    """One number of the agreed state. `called`: the core's order line, where there is one."""
+    """One number of the agreed state. `what`: in words. `called`: the core's order line, if there is one."""
 
     number: int
     edition: int
+    what: str
     called: Line | None
     first: float
     core: dict[str, float]
     guards: dict[str, float]
 
 
+def _what(pairs: dict[str, str]) -> str:
+    """An operation in words."""
+    if pairs.get("do") != "evacuate":
+        return pairs.get("do", "")
+    began = pairs.get("begin") == "True"
+    return f"zone {pairs.get('zone')} is {'evacuated' if began else 'taken back'}"
+
+
 def changes(lines: list[Line]) -> dict[int, Change]:
-    """By number: who held it when for the first time."""
+    """By number: who held it when for the first time.
+
+    An order is the one of the number that its core machine agreed on within the call: with its edition, or,
+    as an evacuation leaves the edition as it is, with its zone.
+    """
     core: dict[int, dict[str, float]] = defaultdict(dict)
     guards: dict[int, dict[str, float]] = defaultdict(dict)
     editions: dict[int, int] = {}
+    what: dict[int, str] = {}
     orders: dict[int, Line] = {}
+    calls: dict[int, Line] = {}
     for line in lines:
         pairs = line.pairs
         if pairs["event"] == "agreed" and pairs.get("number", "").isdigit():
             number = int(pairs["number"])
             editions.setdefault(number, int(pairs.get("edition", 0)))
+            if "do" in pairs:
+                what.setdefault(number, _what(pairs))
             (guards if "station" in pairs else core)[number].setdefault(line.source, line.at)
         elif pairs["event"] == "order" and pairs.get("status") == "200":
-            orders.setdefault(int(pairs.get("edition", 0)), line)
+            if pairs.get("do") == "evacuate":
+                number = _evacuated(line, core, what)
+                if number:
+                    calls.setdefault(number, line)
+            else:
+                orders.setdefault(int(pairs.get("edition", 0)), line)
     out, before = {}, 0
     for number, edition in sorted(editions.items()):
-        called = orders.get(edition) if edition > before else None
+        called = orders.get(edition) if edition > before else calls.get(number)
         before = max(before, edition)
         seen = [*core[number].values(), *guards[number].values()]
-        out[number] = Change(number, edition, called, min(seen), core[number], guards[number])
+        word = what.get(number) or (_what(called.pairs) if called is not None else "")
+        out[number] = Change(number, edition, word, called, min(seen), core[number], guards[number])
     return out
 
 
+def _evacuated(order: Line, core: dict[int, dict[str, float]], what: dict[int, str]) -> int:
+    """The number that this call of an evacuation made, 0 where none was: the zone was so already."""
+    begun = order.at - float(order.pairs.get("ms", 0)) / 1000 - SLACK_S
+    made = [number for number, held in core.items() if begun <= held.get(order.source, begun - 1) <= order.at]
+    return max((number for number in made if what.get(number, "") in ("", _what(order.pairs))), default=0)
+
+
 def change(number: int, lines: list[Line]) -> list[str]:
     """From the operator's call until it was in force at each gatekeeper."""
     found = changes(lines).get(number)
     if found is None:
         return [f"No line tells of number {number}."]
-    out = [f"number {number}, edition {found.edition}"]
+    out = [f"number {number}, edition {found.edition}" + (f": {found.what}" if found.what else "")]
     order = found.called
     if order is not None and "ms" in order.pairs:
         start = order.at - float(order.pairs["ms"]) / 1000
@@ -183,72 +156,6 @@
     return out
 
 
-# The page.
-
-
-def _figures(lines: list[Line]) -> list[tuple[str, Any]]:
-    import matplotlib
-
-    matplotlib.use("Agg")
-    from matplotlib import pyplot
-
-    start = lines[0].at
-    found = []
-    figure, axis = pyplot.subplots(figsize=(9, 3.5))
-    for one in changes(lines).values():
-        begun = one.first
-        spans = [(at - begun) * 1000 for at in one.guards.values()]
-        axis.plot([begun - start] * len(spans), spans, "o", markersize=4, color="tab:blue", alpha=0.6)
-    axis.set(xlabel="s", ylabel="ms until in force", ylim=(0, None))
-    found.append(("Each change at each gatekeeper", figure))
-    figure, axis = pyplot.subplots(figsize=(9, 3.5))
-    depths = [
-        (line.at - start, int(line.pairs["depth"])) for line in lines if line.pairs.get("depth", "").isdigit()
-    ]
-    axis.plot([at for at, _ in depths], [depth for _, depth in depths], "o", markersize=4)
-    axis.set(xlabel="s", ylabel="links from the core", ylim=(0, None))
-    found.append(("Depth of the tree of relays", figure))
-    figure, axis = pyplot.subplots(figsize=(9, 3.5))
-    causes: dict[str, Counter[int]] = defaultdict(Counter)
-    for line in lines:
-        if line.pairs["event"] == "request":
-            causes[line.pairs.get("reason", "-")][int(line.at - start)] += 1
-        elif line.pairs["event"] == "requests-left-out":
-            causes["left out"][int(line.at - start)] += int(line.pairs.get("count", 0))
-    for cause, counted in sorted(causes.items()):
-        seconds = range(min(counted), max(counted) + 1)
-        axis.plot(seconds, [counted[second] for second in seconds], marker=".", label=cause)
-    axis.set(xlabel="s", ylabel="requests a second", ylim=(0, None))
-    if causes:
-        axis.legend(fontsize="small")
-    found.append(("Requests not served at the first try, by cause", figure))
-    return found
-
-
-def report(lines: list[Line], out: Path) -> None:
-    """Writes the page. HiveError `no-lines`, `no-matplotlib`."""
-    if not lines:
-        raise HiveError("no-lines", "report", "the logs hold no events")
-    parts = ["<!doctype html><meta charset=utf-8><title>pepperrun</title>"]
-    parts.append(
-        "<style>body{font:15px sans-serif;max-width:60em;margin:2em auto}pre{background:#f4f4f4}</style>"
-    )
-    try:
-        figures = _figures(lines)
-    except ImportError:
-        raise HiveError("no-matplotlib", "report", "plots need matplotlib") from None
-    for title, figure in figures:
-        data = io.BytesIO()
-        figure.tight_layout()
-        figure.savefig(data, format="png", dpi=100)
-        figure.clear()
-        text = base64.b64encode(data.getvalue()).decode()
-        parts.append(f"<h2>{html.escape(title)}</h2><img alt='' src='data:image/png;base64,{text}'>")
-    for number in changes(lines):
-        parts.append(f"<pre>{html.escape(chr(10).join(change(number, lines)))}</pre>")
-    out.write_text("\n".join(parts))
-
-
 # The command.
 
 
@@ -261,7 +168,11 @@
 
 
 def _report(options: argparse.Namespace) -> int:
-    report(read(options.logs), options.out)
+    from pepperrun.apiary import page
+
+    lines = read(options.logs)
+    page.write(lines, options.out)
+    print("\n".join(losses.table(lines)))
     print(options.out)
     return 0
 
--- a/pepperrun/comb/control.py
+++ b/pepperrun/comb/control.py
@@ -199,7 +199,9 @@
             return not_now("uncertain", "It may be taken or not: ask again.")
         status, detail, *code = verdict
         took = (self.core.now() - begun) // MS
-        event("order", do=op["do"], edition=op.get("edition", 0), status=status, ms=took, detail=detail)
+        where = {name: op[name] for name in ("zone", "begin") if name in op}
+        known = {"do": op["do"], "edition": op.get("edition", 0), **where}
+        event("order", **known, status=status, ms=took, detail=detail)
         return told(status, code[0] if code else ("ok" if status == 200 else "stale-base"), detail)
 
     async def read(self, call: Call) -> Answer:
--- a/pepperrun/comb/hub.py
+++ b/pepperrun/comb/hub.py
@@ -297,7 +297,8 @@
             self.cells.doubt(zone, now)
         self.evacuated = held
         known = (change.base, change.op) if change.op is not None else None
-        event("agreed", number=change.number, edition=self.queen.body.get("edition", 0))
+        what = _told(change.op) if change.op is not None else {}
+        event("agreed", number=change.number, edition=self.queen.body.get("edition", 0), **what)
         self.publisher.agreed(known, now)
         wanted = self.contacts | self.queen.voters
         if wanted - {self.settings.me.ip} != self.mesh.wanted:
@@ -351,6 +352,11 @@
         self.mesh.close()
 
 
+def _told(op: Op) -> dict[str, Any]:
+    """What a line of the log says of an operation."""
+    return {"do": op["do"]} | {name: op[name] for name in ("zone", "begin") if name in op}
+
+
 def _losses(settings: Settings) -> int:
     """Core machines that may be lost at once: a region may hold several zones, each with some."""
     bear, zones = settings.tariffs.withstand, settings.network.zones
--- a/pepperrun/forager/trace.py
+++ b/pepperrun/forager/trace.py
@@ -1,4 +1,4 @@
-"""Trace (request log): a line for each request that was not served at the first try, bounded a second.
+"""Trace (request log): a line for each request not served at the first try within its aim, bounded a second.
 
 Off unless asked for: while it is off the request path has no more than a look at a name. What is left out for
 the bound is counted and told once a second has begun anew. A reason that the decisions do not tell is read
@@ -58,8 +58,9 @@
         self.said: dict[int, tuple[int, Final[Any]]] = {}  # status and end, until the last attempt has ended
 
     def answered(self, exchange: Exchange[Any, Any], status: int, final: Final[Any]) -> None:
-        """A final answer. One that was served at the first try costs no more than this look."""
-        if final.end is not End.SERVED or len(exchange.attempts) > 1:
+        """A final answer. One that was served at the first try, in time, costs no more than this look."""
+        late = self.front.clock() - exchange.started > exchange.lot.way.route.target_ms * MS
+        if late or final.end is not End.SERVED or len(exchange.attempts) > 1:
             self.said[exchange.id] = status, final
 
     def at_once(self, request: Request, status: int) -> None:
@@ -69,7 +70,7 @@
         if self._let(now):
             table = self.front.table
             more = {"edition": table.edition if table is not None else 0, "tries": "-"}
-            known = {"route": "-", "tenant": "-", "kind": "-", "status": status}
+            known = {"route": "-", "tenant": "-", "kind": "-", "aim": "-", "status": status}
             reason = "no-configuration" if table is None else reasons.get(status, "-")
             took = (now - request.arrived) / MS
             self.tell("request", id=_id(request), **known, reason=reason, ms=took, **more)
@@ -91,6 +92,7 @@
             route=lot.way.name,
             tenant=lot.sender.decode("latin-1") if lot.sender is not None else "-",
             kind="safe" if lot.safe else "unsafe",
+            aim=lot.way.route.target_ms,
             status=status,
             reason=self._reason(exchange, final, now),
             ms=(ended - exchange.started) / MS,
@@ -120,7 +122,7 @@
 
     def _reason(self, exchange: Exchange[Any, Any], final: Final[Any] | None, now: int) -> str:
         if exchange.end is End.SERVED:
-            return "served-later"
+            return "served-later" if len(exchange.attempts) > 1 else "served-late"
         if exchange.end is End.LEFT:
             return "left"
         if final is not None and final.beyond:
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -14,7 +14,8 @@
 from test_wax import CONTACTS, ME, filled
 
 from pepperrun import beekeeper
-from pepperrun.apiary import explain, state
+from pepperrun.apiary import explain, losses, page, state
+from pepperrun.apiary.lines import pairs_of, read
 from pepperrun.core.interface import Outcome
 from pepperrun.forager.trace import Spigot, Trace
 from pepperrun.foundation import logs
@@ -157,7 +158,7 @@
     assert (first["status"], first["reason"], first["tenant"]) == (503, "tries", "ann")
     assert first["tries"].startswith("w1/") and f"/{Outcome.FULL.value}/" in first["tries"]
     assert (second["status"], second["reason"]) == (401, "key") and third["reason"] == "fence"
-    lines = explain.read([log(tmp_path / "g1.log", *told)])
+    lines = read([log(tmp_path / "g1.log", *told)])
     text = "\n".join(explain.attempt("i1", lines))
     assert "g1: answered 503" in text and "to w1: full" in text and "no such key" in text
     assert "No line tells of i2" in explain.attempt("i2", lines)[0]
@@ -183,14 +184,77 @@
         log(tmp_path / "h.log", (2.5, "agreed", agreed | {"station": "g2", "depth": 2})),
         log(tmp_path / "i.log", (1.5, "agreed", {"number": 6, "edition": 30, "station": "g3"})),
     ]
-    lines = explain.read(paths)
+    lines = read(paths)
     text = explain.change(7, lines)
     assert "called at core 1 (replace), answered after 100 ms" in text
     assert "  core core 1: 50 ms" in text and text[-1] == "slowest: g2, 500 ms"
     assert "  gatekeeper g3: no line of it, it went on to a later one or never had it" in text
-    page = tmp_path / "page.html"
-    assert beekeeper.main(["report", *map(str, paths), "--out", str(page)]) == 0
-    assert page.read_text().count("data:image/png") == 3
-    assert json.dumps(explain.pairs_of(logs.line("x", {"a": 'q "1" \\', "b": ""}))) == json.dumps(
+    out = tmp_path / "page.html"
+    assert beekeeper.main(["report", *map(str, paths), "--out", str(out)]) == 0
+    assert out.read_text().count("data:image/png") == 4
+    assert [round(ms) for _, number, ms in page.in_force(lines) if number == 7] == [200, 500]
+    assert json.dumps(pairs_of(logs.line("x", {"a": 'q "1" \\', "b": ""}))) == json.dumps(
         {"event": "x", "a": 'q "1" \\', "b": ""}
     )
+
+
+def test_an_evacuation_is_followed_in_a_file_of_all_processes(tmp_path: Path) -> None:
+    """It leaves the edition as it is, and the clocks of these machines are hours apart."""
+
+    def line(at: float, who: str, name: str, **pairs: Any) -> str:
+        hour = len(who)
+        head = f"I0102 {hour:02}:00:00.000000 1 logs.py:37]"
+        return f"{at:9.4f} {who} {head} {logs.line(name, pairs)}"
+
+    begun = {"do": "evacuate", "zone": "z1", "begin": True}
+    ended = begun | {"begin": False}
+    order = {"edition": 0, "status": 200, "detail": "done"}
+    path = tmp_path / "all.txt"
+    path.write_text(
+        "\n".join(
+            [
+                "played in 3 s",
+                line(-1, "s1", "agreed", number=3, edition=9, do="replace"),
+                line(4.0, "s1", "agreed", number=4, edition=9, **begun),
+                line(4.02, "s1", "order", ms=30, **begun, **order),
+                line(4.1, "gate-1", "agreed", number=4, edition=9, station="gate-1"),
+                line(5.0, "s1", "order", ms=2, **begun, **order),  # once more: it was so already
+                line(8.0, "s2", "agreed", number=5, edition=9, **ended),
+                line(8.01, "s2", "order", ms=20, **ended, **order),
+                line(8.5, "gate-1", "agreed", number=5, edition=9, station="gate-1"),
+            ]
+        )
+    )
+    lines = read([path])
+    assert explain.change(4, lines)[:2] == [
+        "number 4, edition 9: zone z1 is evacuated",
+        "called at s1 (evacuate), answered after 30 ms",
+    ]
+    assert "slowest: gate-1, 110 ms" in explain.change(4, lines)
+    assert "number 5, edition 9: zone z1 is taken back" in explain.change(5, lines)
+    assert "called at s2 (evacuate), answered after 20 ms" in explain.change(5, lines)
+
+
+@pytest.mark.parametrize(
+    ("reason", "status", "ms", "lost"),
+    [
+        ("served-later", 200, 399, 0),
+        ("served-late", 200, 401, 0.5),
+        ("full", 503, 100, 0.25),
+        ("full", 503, 101, 1),
+        ("out-of-time", 504, 90, 1),
+        ("quota", 429, 400, 0),
+        ("left", 0, 900, 0),
+    ],
+)
+def test_worth_is_lost_by_cause_and_second(
+    tmp_path: Path, reason: str, status: int, ms: int, lost: float
+) -> None:
+    pairs = {"id": "i", "aim": 400, "ms": ms, "status": status, "reason": reason}
+    told = [(at, "request", pairs) for at in (1.0, 1.2, 3.0)]
+    lines = read([log(tmp_path / "g.log", *told, (3.5, "requests-left-out", {"count": 7}))])
+    text = losses.table(lines)
+    rows = [row.split() for row in text[1:3]]
+    assert [f"{3 * lost:.2f}", "3", reason] in rows and ["0.00", "7", "left", "out"] in rows
+    assert losses.by_second(losses.found(lines), lines[0].at)[reason] == {0: 200 * lost, 2: 100 * lost}
+    assert sum(row.startswith("second") for row in text) == (2 if lost else 0)
