Hard cases: a minority that is read, a call repeated elsewhere, both sides of a cut, moved keys

Each is a test by concern; none showed a fault. A change cut off at each moment of its round: what either side tells meanwhile is chosen. The same call at another machine after ten seconds, its first taker without power and others gone on: the answer of then, once. Amend and replace with one edition on top of one: the first of them. A worker that beats to both sides of a cut in turn, a gatekeeper back before its death is known, a key moved between tenants in one edition with requests held, back, and removed.

--- a/tests/test_comb.py
+++ b/tests/test_comb.py
@@ -7,6 +7,7 @@
 import itertools
 import json
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -19,6 +20,7 @@
 from pepperrun.comb.matchers import Answer, Call, answer_to, parse_target
 from pepperrun.comb.mesh import FORGET, Mesh
 from pepperrun.comb.records import Guard, Worker
+from pepperrun.comb.seats import Seats
 from pepperrun.comb.server import Caller, Server
 from pepperrun.foundation.errors import HiveError
 from pepperrun.foundation.settings import parse
@@ -141,6 +143,11 @@
     new, verdict = apply(state, up := amend({"edition": 9, "upsert": {"routes": ROUTES}}, 3))
     assert verdict[0] == 200 and new is not None and apply(new, first)[1][0] == 200  # also later
     assert apply(new, amend({"edition": 12, "withdraw": {"routes": ["a"]}}, 3))[1][0] == 412
+    # Edition 9 on top of 3 as a whole, too: neither goes for the other, whichever was first.
+    over = put(whole(9, routes=ROUTES), on=3)
+    assert apply(new, over)[1][0] == 412 and apply(new, up)[1][0] == 200
+    other_way, _ = apply(state, over)
+    assert apply(other_way, up)[1][0] == 412 and apply(other_way, over)[1][0] == 200
     assert state == frozen and new["carrier_lines"] is state["carrier_lines"] and apply(new, up)[0] is None
 
 
@@ -317,6 +324,54 @@
     assert len(world.cells[B].take_held()) == 1 and world.states("w1") == {"gone"}
 
 
+def test_a_worker_that_beats_to_both_sides_of_a_cut_ends_as_its_last_word_said() -> None:
+    """Each beat reaches the other side; neither takes it for lost, and no word is undone."""
+    world = World(3)
+    world.cells[A].beat(beat("w1", 1), 0, world.now)
+    world.cells[A].beat(beat("w2", 1), 0, world.now)
+    world.settle()
+    world.part(C)
+    for serial in range(2, 10):  # three seconds between two beats on one side
+        world.cells[C if serial % 2 else A].beat(beat("w1", serial), 0, world.now)
+        world.cells[A if serial % 2 else C].beat(beat("w2", serial), 0, world.now)
+        world.run(1.5)
+        assert world.states("w1") == world.states("w2") == {"boarding"}
+    assert world.cells[B].beat(beat("w1", 10, "unloading"), 1, world.now) is not None  # the majority's side
+    world.cells[C].beat(beat("w2", 10, cold=3 * SECOND), 0, world.now)  # the other one's
+    world.run(0.3)
+    world.cells[C].beat(beat("w1", 9), 0, world.now)  # late
+    assert world.cells[C].workers["w1"].state == "boarding"
+    world.join(C)
+    world.run(1.2)
+    assert world.states("w1") == {"unloading"} and world.states("w2") == {"boarding"}
+    assert {cells.workers["w2"].cold_until > world.now for cells in world.cells.values()} == {True}
+    assert len({cells.sums.whole() for cells in world.cells.values()}) == 1
+
+
+def test_a_gatekeeper_that_comes_back_before_its_death_is_known_is_one_and_is_there() -> None:
+    world, seats = World(3), Seats()
+    state, _ = apply(None, put(whole()))
+    state = (state or {}) | {"seats": 2}
+    row, late = guard("g1"), []
+
+    def tick() -> None:
+        for at, one in ((A, row), (B, guard("g2", "z1"))):
+            world.cells[at].guard(one, world.now)
+        for old in late:
+            world.cells[C].merge([], [old], world.now)  # the earlier life's, from a copy that was cut off
+        for cells in world.cells.values():
+            assert seats.wanted(cells.guards.values(), state, world.now) is None
+
+    world.run(2, tick)
+    row, late = replace(row, life=2, counter="g1:81"), [row]
+    world.run(GUARD_SILENT / SECOND + 1, tick)
+    for cells in world.cells.values():
+        assert {one.counter for one in cells.ready_guards(world.now)} == {"g1:81", "g2:80"}
+        assert cells.guards["g1"].life == 2
+    world.run(GUARD_GONE / SECOND + 3, tick)  # of the silence of the life before nothing follows
+    assert {one.state for cells in world.cells.values() for one in cells.guards.values()} == {"ready"}
+
+
 def test_an_address_belongs_to_its_newest_life() -> None:
     world = World(2)
     world.cells[A].beat(beat("w1", 7, address="10.9.0.9:80"), 0, world.now)
--- a/tests/test_forager.py
+++ b/tests/test_forager.py
@@ -337,6 +337,49 @@
     going(test)
 
 
+def test_a_key_that_moves_between_tenants_takes_name_and_quota_along_at_once():
+    """In one edition. What is held under the tenant before is refused, and never runs under either name."""
+
+    def owners(tight: str = "", **stamps: list[str]) -> dict[str, Any]:
+        rate = {name: {"rate_per_s": 0.01, "surge": 1.0} if name == tight else {} for name in stamps}
+        return {name: {"name": name, "stamps": keys} | rate[name] for name, keys in stamps.items()}
+
+    async def test():
+        way = route("r", "/p/", route_kind="unsafe")
+        hive = Hive(way, senders=owners(ann=["k1", "k2"], bob=["k3"]))
+        held = await hive.ask()  # there is no worker yet
+        stays = await hive.ask(key="k2", Attempt_Id="i2")
+        while len(hive.plane.gatekeeper.exchanges) < 2:
+            await asyncio.sleep(0)
+        hive.agree(way, senders=owners(ann=["k2"], bob=["k1", "k3"]))
+        worker = await StandIn(*(ok(b"fine", b"i%d" % number) for number in (2, 3, 4, 5))).start()
+        hive.work("w1", worker.port)
+
+        async def ask(key: str, number: int) -> Any:
+            return await (await hive.ask(key=key, Attempt_Id=f"i{number}")).answer()
+
+        status, fields, _ = await held.answer()
+        assert status == 503 and float(fields["retry-after"]) > 0
+        assert (await stays.answer())[0] == (await ask("k1", 3))[0] == 200
+        assert [b"Sender: ann\r\n" in head for head in worker.heads] == [True, False]
+        assert b"Sender: bob\r\n" in worker.heads[1]
+        hive.agree(way, senders=owners("bob", ann=["k2"], bob=["k1", "k3"]))
+        assert (await ask("k1", 9))[0] == 429 and (await ask("k2", 4))[0] == 200
+        hive.agree(way, senders=owners("bob", ann=["k1"], bob=["k2", "k3"]))
+        assert (await ask("k2", 9))[0] == 429 and (await ask("k1", 5))[0] == 200
+        assert b"Sender: ann\r\n" in worker.heads[-1] and len(worker.heads) == 4
+        # Moved and then removed: what was read while it was one tenant's stands under no other.
+        waits = lot(hive.plane.table)
+        hive.agree(way, senders=owners(ann=["k2"], bob=["k1", "k3"]))
+        moved, now = lot(hive.plane.table), time.monotonic_ns()
+        assert hive.plane.gate.open(waits, now) > 0 and hive.plane.gate.open(moved, now) == 0
+        hive.agree(way, senders=owners(ann=["k2"], bob=["k3"]))
+        assert hive.plane.gate.open(waits, now) > 0 and hive.plane.gate.open(moved, now) > 0
+        assert (await ask("k1", 9))[0] == 401
+
+    going(test)
+
+
 def guards(count: int) -> list[Guard]:
     zones = list(ZONES)
     return [
--- a/tests/test_queen.py
+++ b/tests/test_queen.py
@@ -143,6 +143,55 @@
     ends_well(world)
 
 
+def test_what_a_minority_reads_is_never_what_loses() -> None:
+    """A change is cut off at each moment of its round; what a side tells meanwhile is chosen."""
+    ended = set()
+    for moment in range(0, 120, 6):
+        world = calm(3)
+        ips = sorted(world.machines)
+        mine = world.change(0, 1, ips[:2])
+        world.run(moment)
+        world.cut(ips[:2])
+        world.run(300)
+        rival = world.change(0, 2, ips[2:])
+        world.run(2500)
+        read = {ip: world.machines[ip].queen.body.get("taken", []) for ip in ips}  # type: ignore[union-attr]
+        world.heal()
+        ends_well(world)
+        chosen = world.machines[ips[0]].queen.body["taken"]  # type: ignore[union-attr]
+        assert all(chosen[: len(taken)] == taken for taken in read.values()), (moment, read, chosen)
+        assert sorted([mine.answer, rival.answer]) == [200, 412]
+        ended.add(mine.answer)
+    assert ended == {200, 412}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_call_repeated_unchanged_elsewhere_after_ten_seconds_gets_the_answer_of_then(seed: int) -> None:
+    """Whoever took it lost power with the answer on its way, and others have gone on, or raced, meanwhile."""
+    ended = set()
+    for moment in range(0, 90, 9):
+        world = calm(seed)
+        ips = sorted(world.machines)
+        lost = world.change(0, 1, ips[:1], mark="call")
+        world.run(moment)
+        world.kill(ips[0], power=True)
+        world.run(2500)
+        rival = world.change(0, 2, ips[1:])
+        world.run(2000)
+        on = rival.op["edition"] if rival.answer == 200 else 1
+        later = world.change(on, 7, ips[2:])
+        world.run(6000)
+        lost.to = ips[1:]  # until now it has called the lost one only
+        again = world.change(0, 1, ips[seed:][1:], mark="call")
+        world.run(3000)
+        assert later.answer == 200 and sorted([again.answer, rival.answer]) == [200, 412]
+        assert lost.answer == again.answer
+        taken = world.machines[ips[2]].queen.body["taken"]  # type: ignore[union-attr]
+        assert taken.count("call") == (again.answer == 200)
+        ended.add(again.answer)
+    assert ended == {200, 412}
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_the_first_contacts_are_replaced_one_by_one(seed: int) -> None:
     world = calm(seed)
