--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -21,7 +21,7 @@
 from pepperrun.foundation import logs
 from pepperrun.foundation.errors import HiveError
 from pepperrun.queen.values import FIRST_LIFE
-from pepperrun.swarm import crashes
+from pepperrun.swarm import crashes, replays
 from pepperrun.wax import formats, records
 from pepperrun.wax.store import Wax
 
@@ -121,6 +121,22 @@
     assert {text.partition(":")[0] for text in found} == {"synced", "pages", "head"}
 
 
+def test_each_crash_point_of_recorded_saves_starts_whole_and_agrees(tmp_path: Path) -> None:
+    disk = replays.recorded(tmp_path / "disk", 2, 2)
+    disk.saves_seen = disk.saves_seen[-4:]
+    found = replays.replay(tmp_path, disk)
+    assert not replays.wrong(disk, found) and found.total() > 100 and disk.said.total() > 4
+    assert {text.partition(":")[0] for text in found} > {"page cut", "page written", "head cut", "synced"}
+    # A save that says it is synced and has written nothing, or all but the head, is found.
+    save = disk.saves_seen[-1]
+    for after in (
+        save.before,
+        [image for moment, image in replays.states(save) if moment == "page written"][-1],
+    ):
+        disk.saves_seen = [save._replace(after=after)]
+        assert replays.wrong(disk, replays.replay(tmp_path, disk)) == 1
+
+
 # What the logs explain.
 
 
