--- a/features/playing.py
+++ b/features/playing.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import heapq
 import json
@@ -16,15 +17,35 @@
 from pepperrun.comb import changes
 from pepperrun.comb.cells import Beat, Cells
 from pepperrun.comb.checks import read_amend, read_replace
+from pepperrun.comb.hub import Hub
 from pepperrun.comb.records import READY, UNLOADING, Guard, Worker
+from pepperrun.comb.timetable import Sender
+from pepperrun.core.gateway import Gateway
+from pepperrun.core.interface import (
+    AttemptEnded,
+    Backend,
+    BackendList,
+    ListKind,
+    Outcome,
+    PeerMessage,
+    Request,
+    Send,
+    TellPeer,
+    TimerFired,
+)
+from pepperrun.forager.hum import Hum, Peers
+from pepperrun.forager.ledger import Ledger, number_of
 from pepperrun.foundation.link import Link
-from pepperrun.foundation.netstring import Decoder
+from pepperrun.foundation.netstring import Decoder, encode
+from pepperrun.foundation.settings import Bounds, parse
+from pepperrun.guard import Program
 from pepperrun.queen.queen import Queen
 from pepperrun.queen.values import FIRST_LIFE, Ballot, Held, Memory, RamStore, beginning, digest_of
 from pepperrun.scouts.scout import Scout
 from pepperrun.waggle.book import NewsBook
 from pepperrun.waggle.follower import Follower
 from pepperrun.waggle.publisher import Publisher
+from pepperrun.waggle.service import _Down
 from pepperrun.wax.store import Wax
 
 MS = 1_000_000
@@ -32,6 +53,7 @@
 ZONES = {"a": "r1", "b": "r2", "c": "r3"}
 CORES = ["10.0.0.1", "10.0.0.2", "10.0.0.3"]
 SIDING = 7600
+TENANT = Sender("ann", ["k1"], rate_per_s=5.0, surge=10.0)
 
 
 def configuration(edition=5, **more):
@@ -248,6 +270,103 @@
     return scouts, log
 
 
+class Air(asyncio.DatagramTransport):
+    """A datagram socket that keeps what is sent."""
+
+    def __init__(self):
+        super().__init__()
+        self.sent = []
+
+    def sendto(self, data, addr=None):
+        self.sent.append(bytes(data))
+
+
+class Hums:
+    """Two gatekeepers tell each other of a tenant's requests, three seconds long; most come to the first.
+
+    With `hear` the datagrams of the first one are these, not what it says now; `deaf`: nobody hears anything.
+    """
+
+    def __init__(self, hear=None, deaf=False):
+        self.gateways, self.hums, self.log, self.least = {}, {}, [], TENANT.surge
+        for name in ("g1", "g2"):
+            ledger = Ledger(Bounds())
+            self.plan, self.line = ledger.plan(TENANT), ledger.line("ant")
+            self.kind = ledger.kind(self.line, True, 400 * MS, 1500 * MS, 2)
+            ledger.meet(2)
+            peers, gateway = Peers(name), Gateway(ledger.settings(), 1)
+            peers.take([guard("g1"), guard("g2")])
+            gateway.quotas.members = peers.members
+            hum = Hum(peers, lambda: 7, lambda number, data, name=name: self.heard(name, number, data))
+            hum.connection_made(Air())
+            self.gateways[name], self.hums[name] = gateway, hum
+            gateway.handle(START, [BackendList(ListKind.DELTA, (Backend(7, 0, line=self.line),))])
+        self.now, number = START, 0
+        for step in range(300):
+            self.now += 10 * MS
+            for name in ("g1", "g2"):
+                events = [TimerFired(0)]
+                if step % (5 if name == "g1" else 1000) == 0:
+                    number += 1
+                    events.append(Request(number, number_of(TENANT.name), self.plan, self.kind, 1500 * MS))
+                self.does(name, events)
+                said = [data.hex() for data in self.hums[name].transport.sent]
+                self.hums[name].transport.sent.clear()
+                if name == "g1" and hear is not None:
+                    said = [data for at, speaker, data in hear if (at, speaker) == (step, "g1")]
+                self.log += [[step, name, data] for data in said]
+                for data in said if not deaf else ():
+                    other = "g2" if name == "g1" else "g1"
+                    self.hums[other].datagram_received(bytes.fromhex(data), ("10.1.0.9", SIDING))
+            if step > 100:  # what the second one would let through of the tenant's quota, at the least
+                account = self.gateways["g2"].quotas.accounts[number_of(TENANT.name)]
+                self.least = min(self.least, account.room(self.now))
+
+    def does(self, name, events):
+        for action in self.gateways[name].handle(self.now, events):
+            if isinstance(action, TellPeer):
+                self.hums[name].tell(action.peer, action.data)
+            elif isinstance(action, Send):  # served at once
+                self.does(name, [AttemptEnded(action.request, 0, 7, Outcome.OK, MS, True)])
+
+    def heard(self, name, number, data):
+        self.does(name, [PeerMessage(number, data)])
+
+
+def settings(kind):
+    """Of a core machine or a gatekeeper."""
+    me = {"station": "s1" if kind == "sorting" else "g1", "role": kind, "ip": CORES[0]}
+    me |= {"zone": "a", "region": "r1", "class": kind}
+    boxes = {"counter": "10.0.0.1:80", "control_port": "10.0.0.1:81"}
+    network = {"sidings": [SIDING, SIDING + 9], "first_contacts": [f"{CORES[0]}:81"], "zones": ZONES}
+    return parse({"self": me, "network": network | {"postboxes": boxes}})
+
+
+def shown():
+    """What an operator's link is answered by a core machine and by a gatekeeper: one message each."""
+    state = Core().book.state
+    rows = [worker("w1"), worker("w2", state=UNLOADING)], [guard("g2")]
+
+    async def ask():
+        memory = Memory(FIRST_LIFE)
+        memory.accepted = memory.chosen = beginning(CORES[:1])
+        hub = Hub(settings("sorting"), memory, RamStore(), 1, lambda: START)
+        hub.merge(*rows, START)
+        program = Program(settings("counter"), None)
+        program.news.book.take_agreed(1, state)
+        program.news.book.take_cells(*rows)
+        ears = Ear("operator"), Ear("operator")
+        for ear, does in zip(
+            ears, (hub.heard, _Down(program.news, program.news.publisher).heard), strict=True
+        ):
+            ear.send = lambda message, ear=ear: ear.write(encode(message))
+            does(ear, {"k": "show"})
+        hub.close()
+        return [one for ear in ears for one in ear.take()]
+
+    return asyncio.run(ask())
+
+
 def disk(folder):
     """A core machine that has taken more than it knows as chosen; the bytes of its disk, as text."""
     wax = Wax(str(folder), 1)
--- a/features/record.py
+++ b/features/record.py
@@ -40,6 +40,8 @@
         "cells": samples([message for _, message in playing.cells_talk()[1]], "k"),
         "queen": samples(trio.log, "t"),
         "scouts": playing.scouts_talk()[1],
+        "hum": playing.Hums().log,
+        "shown": playing.shown(),
         "wax": disk,
     }
 
--- a/features/steps/versions.py
+++ b/features/steps/versions.py
@@ -7,6 +7,9 @@
 from behave import given, then, when
 from playing import CORES, MS, SIDING, START
 
+from pepperrun.apiary import looking
+from pepperrun.core import gossip
+from pepperrun.forager import hum
 from pepperrun.foundation.errors import HiveError
 from pepperrun.foundation.netstring import Decoder, encode
 from pepperrun.queen import messages
@@ -266,6 +269,57 @@
     assert len(kinds) >= 4
 
 
+# Quotas.
+
+
+@when("a gatekeeper hears the counts of the version before")
+def old_counts(context):
+    context.hears, context.deaf = playing.Hums(context.said["hum"]), playing.Hums(deaf=True)
+
+
+@then("it leaves less of the tenant's quota than one that hears nothing")
+def leaves_less(context):
+    assert context.hears.least <= context.deaf.least - 0.5
+
+
+@then("those counts are the same, byte by byte, when read and written again")
+def same_counts(context):
+    told = 0
+    for _, speaker, text in context.said["hum"]:
+        data = bytes.fromhex(text)
+        peers = context.hears.hums["g2" if speaker == "g1" else "g1"].peers
+        tag, station, life = hum.HEAD.unpack_from(data)
+        message = gossip.unpack(data[hum.HEAD.size :])
+        assert tag == hum.TAG and peers.of(station, life) is not None and message is not None
+        assert gossip.pack(message) == data[hum.HEAD.size :]
+        told += len(message.entries)
+    assert told > 5
+
+
+# Operators' links.
+
+
+@when("an operator of this version is shown what its processes hold")
+def old_shown(context):
+    context.texts = [looking.text(one) for one in context.said["shown"]]
+
+
+@then("the text names each process, its number and its workers")
+def text_names(context):
+    core, guard = context.texts
+    assert core.startswith("s1 (sorting, zone a)") and guard.startswith("g1 (counter, zone a)")
+    assert "workers of ant: boarding 1, unloading 1" in core and "number: 1" in guard.split("\n")
+    assert "workers of ant: " in guard and "boarding 1" in guard
+
+
+@then("this version's processes show every field that those did")
+def shows_all(context):
+    for old, new in zip(context.said["shown"], playing.shown(), strict=True):
+        assert old.keys() <= new.keys() and all(
+            type(old[name]) is type(new[name]) for name in old if None not in (old[name], new[name])
+        ), (old, new)
+
+
 # Disk.
 
 
