A disk in trouble: what is chosen is followed in a word; voters' bound tested at twelve machines

Now it remembers what it was asked to take, says nothing as a voter, and follows at once. Tests: fails without; two lost disks with all dark, and a region, at seven of twelve.

--- a/pepperrun/comb/hub.py
+++ b/pepperrun/comb/hub.py
@@ -50,7 +50,7 @@
             *(me.ip, memory, store, apply),
             zone=me.zone,
             regions=settings.network.zones,
-            most=2 * _losses(settings) + 1,
+            most=2 * losses(settings) + 1,
             seed=life,
             now=now,
         )
@@ -357,7 +357,7 @@
         self.mesh.close()
 
 
-def _losses(settings: Settings) -> int:
+def losses(settings: Settings) -> int:
     """Core machines that may be lost at once: a region may hold several zones, each with some."""
     bear, zones = settings.tariffs.withstand, settings.network.zones
     sizes: dict[str, int] = {}
--- a/pepperrun/queen/voter.py
+++ b/pepperrun/queen/voter.py
@@ -60,6 +60,7 @@
         self.pace, self.now = pace, now
         self.unsynced = self.unsaved = False  # must be synced before more is said; may be saved later
         self.broken = False  # the disk fails
+        self.offered: tuple[Held, Steps] | None = None  # what it was asked to take meanwhile
         self.chosen_when = now
         self.steps: dict[Ballot, Steps] = {}  # of what was taken and not yet chosen
         self.latest = max(memory.promised, memory.accepted.ballot if memory.accepted else NONE)
@@ -127,7 +128,13 @@
 
     def _put(self, ip: str, message: Message) -> None:
         memory, ballot, value = self.memory, message["b"], message["v"]
-        if self.broken or not any(self.life in group for group in value.sets):
+        if not any(self.life in group for group in value.sets):
+            return
+        if self.broken:
+            body = self._build(message)
+            if body is not None:  # not taken; but if it is chosen, this machine is told so in a word
+                steps = Steps(message.get("f", ""), message.get("o", []))
+                self.offered = Held(ballot, value, body), steps
             return
         if ballot < memory.promised:
             self._send(ip, {"t": "refuse", "b": ballot, "a": memory.promised})
@@ -185,6 +192,9 @@
         if accepted is not None and accepted.ballot == ballot:
             self._choose(accepted, self.steps.get(ballot))
             return
+        if self.offered is not None and self.offered[0].ballot == ballot:
+            self._choose(*self.offered)
+            return
         body = self._build(message) if "v" in message else None
         if body is None:
             self.ask_news(ip)
@@ -263,3 +273,4 @@
             if self.broken:
                 event("disk-well", ip=self.me)  # all is written anew: it votes again
             self.unsynced = self.unsaved = self.broken = False
+            self.offered = None
--- a/tests/test_comb.py
+++ b/tests/test_comb.py
@@ -17,6 +17,7 @@
 from pepperrun.comb.checks import Op, read_amend, read_replace, timetable
 from pepperrun.comb.control import Control, read_beat
 from pepperrun.comb.directory import choose
+from pepperrun.comb.hub import losses
 from pepperrun.comb.matchers import Answer, Call, answer_to, parse_target
 from pepperrun.comb.mesh import FORGET, Mesh
 from pepperrun.comb.records import Guard, Worker
@@ -719,3 +720,16 @@
     )  # on another edition: nothing to spare
     gone = put(whole(7, limits={}), 3)
     assert lean(state, gone) is gone  # what an amendment can't take away
+
+
+def test_as_many_vote_as_bear_the_losses_that_are_told() -> None:
+    zones = {f"{region}{zone}": region for region in "abc" for zone in range(3)}
+    for bear, most in (
+        ({"vehicles": 2, "zones": 1, "regions": 1}, 7),
+        ({"vehicles": 2}, 5),
+        ({"vehicles": 1}, 3),
+    ):
+        me = {"station": "s", "role": "skep", "ip": "10.0.0.1", "zone": "a0", "region": "a"}
+        network = {"sidings": [7600, 7610], "first_contacts": [], "postboxes": {}, "zones": zones}
+        settings = parse({"self": me, "network": network, "tariffs": {"bounds": {}, "withstand": bear}})
+        assert 2 * losses(settings) + 1 == most
--- a/tests/test_queen.py
+++ b/tests/test_queen.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections import Counter
 from dataclasses import replace
 from typing import Any
 
@@ -75,6 +76,39 @@
     assert all(one.queen and one.queen.votes for one in world.machines.values())
 
 
+@pytest.mark.parametrize("fault", ["two disks, all dark", "region"])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_seven_of_twelve_vote_and_bear_two_lost_disks_or_a_region(seed: int, fault: str) -> None:
+    world = World(12, seed, most=7)
+    world.run(4000)
+    assert not world.settled()
+    queen = world.machines[first(world)].queen
+    assert queen is not None
+    voters = sorted(queen.voters)
+    region = {ip: world.regions[one.zone] for ip, one in world.machines.items()}
+    shares = Counter(region[ip] for ip in voters)
+    assert len(voters) == 7 and max(shares.values()) == 3
+    if fault == "region":
+        lost = [ip for ip in region if region[ip] == f"r{seed % 3}"]
+        for ip in lost:
+            world.kill(ip, power=True)
+        assert until(world, world.change(0, 1, [ip for ip in region if ip not in lost])) == 200
+    else:
+        lost = [voters[seed], voters[seed + 3]]
+        assert until(world, world.change(0, 1, lost[:1])) == 200
+        for ip in region:
+            world.kill(ip, power=True)
+        for ip in lost:
+            world.wipe(ip)
+        world.run(1000)
+    for ip in region:
+        if world.machines[ip].queen is None:
+            world.start(ip)
+    ends_well(world, 8000)
+    newest = world.machines[voters[1]].queen
+    assert newest is not None and newest.number == 1 and len(newest.voters) == 7
+
+
 def test_a_disk_that_syncs_too_late_is_found_out() -> None:
     """The same fault loses what was acknowledged where answers go out before the sync."""
     wrongs = []
@@ -366,10 +400,15 @@
     world.run(1000)
     assert queen.register.broken and machine.disk.synced and machine.disk.synced.promised.round < 99
     assert until(world, world.change(0, 1, [ips[1]])) == 200  # the others decide
+    queen.register.asked_news.clear()
+    for edition in (2, 3):  # and in quick succession it follows them, without asking for the whole each time
+        assert until(world, world.change(edition - 1, edition, [ips[2]])) == 200
+    world.run(50)
+    assert queen.body["edition"] == 3 and not queen.register.asked_news
     machine.disk.save = save  # type: ignore[method-assign]
     ends_well(world)
     assert not queen.register.broken and machine.disk.synced.promised.round >= 99
-    assert machine.disk.synced.accepted and machine.disk.synced.accepted.value.number == 1
+    assert machine.disk.synced.accepted and machine.disk.synced.accepted.value.number == 3
 
 
 def test_the_first_value_is_the_same_wherever_it_is_made() -> None:
