--- a/pepperrun/swarm/queen_days.py
+++ b/pepperrun/swarm/queen_days.py
@@ -1,7 +1,7 @@
 """Days of the core drawn by a seed: operators race, machines are killed, frozen, cut off, replaced.
 
-Never more disks are lost than may be: one, and the next only after all machines that vote are lives that are
-there. Everything else comes as it likes, all dark at once included.
+Never more disks are lost than may be: one, or `--lost` at once, and the next only after all machines that
+vote are lives that are there. Everything else comes as it likes, all dark at once included.
 
 `python3 -m pepperrun.swarm.queen_days --seeds 200` plays them.
 """
@@ -15,7 +15,7 @@
 
 from pepperrun.swarm.queens import World
 
-TROUBLES = ("kill", "power", "wipe", "freeze", "cut", "herd", "dark", "replace", "race", "retire")
+TROUBLES = ("kill", "power", "wipe", "freeze", "cut", "herd", "dark", "replace", "race", "retire", "roll")
 
 
 def readmitted(world: World) -> bool:
@@ -37,9 +37,12 @@
 class Day:
     """One of them."""
 
-    def __init__(self, seed: int, late_disks: bool = False) -> None:
+    def __init__(
+        self, seed: int, late_disks: bool = False, machines: int = 5, most: int = 5, lost: int = 1
+    ) -> None:
         self.rng = random.Random(seed)
-        self.world = World(5, seed, late_disks=late_disks)
+        self.machines, self.lost = machines, lost
+        self.world = World(machines, seed, most=most, late_disks=late_disks)
         self.kinds: Counter[str] = Counter()
         self.edition = 0
 
@@ -92,7 +95,10 @@
         elif kind == "wipe":
             for ip in ips[: self.rng.choice([1, len(ips)])]:
                 world.kill(ip, power=True)
-            world.wipe(ips[0])
+            for ip in ips[: self.rng.randint(1, self.lost)]:
+                if world.machines[ip].queen is not None:
+                    world.kill(ip, power=True)
+                world.wipe(ip)
         elif kind == "freeze":
             for ip in ips[: self.rng.randint(1, 2)]:
                 world.freeze(ip)
@@ -101,7 +107,7 @@
         elif kind in ("herd", "dark"):
             for ip in ips:
                 world.kill(ip, power=kind == "dark")
-        elif kind == "replace" and len(world.machines) < 9:
+        elif kind == "replace" and len(world.machines) < self.machines + 4:
             world.wipe(ips[0])
             world.machines[ips[0]].gone = True
             world.start(world.add())
@@ -109,6 +115,13 @@
             on = self._newest()
             for at in range(2):
                 world.change(on, self._next(), ips[at:] + ips[:at])
+        elif kind == "roll":
+            for ip in ips:
+                if world.machines[ip].queen is not None and not world.machines[ip].frozen:
+                    world.retire(ip)
+                    self._operate()
+                    world.run(1000)
+                    world.start(ip)
         elif kind == "retire":
             for one in world.machines.values():
                 if one.queen is not None and not one.frozen:
@@ -133,11 +146,14 @@
     parser.add_argument("--seeds", type=int, default=200)
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--troubles", type=int, default=8)
+    parser.add_argument("--machines", type=int, default=5)
+    parser.add_argument("--most", type=int, default=5, help="of them vote")
+    parser.add_argument("--lost", type=int, default=1, help="disks that may be lost at once")
     parser.add_argument("--late-disks", action="store_true", help="a bug put in on purpose")
     given = parser.parse_args()
     began, kinds, broken, tries = time.monotonic(), Counter[str](), 0, Counter[str]()
     for seed in range(given.first, given.first + given.seeds):
-        day = Day(seed, given.late_disks)
+        day = Day(seed, given.late_disks, given.machines, given.most, given.lost)
         wrong = day.play(given.troubles)
         kinds += day.kinds
         tries += Counter(str(one.answer) for one in day.world.tries)
--- a/tests/test_queen.py
+++ b/tests/test_queen.py
@@ -109,6 +109,28 @@
     assert newest is not None and newest.number == 1 and len(newest.voters) == 7
 
 
+def test_a_roll_of_the_whole_core_holds_up_no_change_and_moves_no_vote() -> None:
+    world = World(12, 5, most=7)
+    world.run(4000)
+    ips = sorted(world.machines)
+    queen = world.machines[ips[-1]].queen
+    assert queen is not None and queen.value is not None
+    voters = queen.value.voters
+    for edition, ip in enumerate(ips):
+        others = [one for one in ips if one != ip]
+        world.retire(ip)
+        assert until(world, world.change(edition, edition + 1, others), 500) == 200
+        world.run(200)  # it has not ended yet, and its duty is another's
+        held = [one.queen.keeper for other, one in world.machines.items() if one.queen and other != ip]
+        assert ip not in held and len(set(held)) == 1
+        world.run(1000)
+        world.start(ip)
+        world.run(500)
+    ends_well(world)
+    last = world.machines[ips[0]].queen
+    assert last is not None and last.value is not None and last.value.voters == voters
+
+
 def test_a_disk_that_syncs_too_late_is_found_out() -> None:
     """The same fault loses what was acknowledged where answers go out before the sync."""
     wrongs = []
