--- a/pepperrun/foundation/netstring.py
+++ b/pepperrun/foundation/netstring.py
@@ -34,13 +34,18 @@
     return b"%d:%b," % (len(body), body)
 
 
-@lru_cache(maxsize=2)
+@lru_cache(maxsize=8)
 def packed(frame: bytes) -> bytes:
     """A frame deflated, once for all links it goes to; itself where that makes it no shorter."""
     body = zlib.compress(frame[frame.index(b":") + 1 : -1], LEVEL)
     return b"%d:%b," % (len(body), body) if len(body) < len(frame) else frame
 
 
+def length(frame: bytes) -> int:
+    """Bytes of a frame on a link."""
+    return len(packed(frame)) if len(frame) > LONG else len(frame)
+
+
 def _unpacked(body: bytes, most: int) -> bytes:
     """What is in a deflated frame; it may grow to `most` bytes."""
     inflate = zlib.decompressobj()
--- a/pepperrun/swarm/narrow.py
+++ b/pepperrun/swarm/narrow.py
@@ -7,8 +7,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from pepperrun.foundation.netstring import LONG, Decoder, packed
+from pepperrun.foundation.netstring import Decoder, length
 from pepperrun.swarm.waggles import MS, Gate, Node, Port, World
+from pepperrun.waggle.service import PASS_S
+from pepperrun.waggle.tree import FAN_OUT
 
 ZONES = {f"{region}{zone}": region for zone in range(3) for region in "abc"}
 CORES = [*ZONES, "a0", "b0", "c0"]
@@ -19,14 +21,21 @@
 class Narrow(World):
     """A world whose links carry so many bits, one frame after the other on each machine's own link."""
 
-    def __init__(self, seed: int, mbps: float, packs: bool = True) -> None:
-        self.mbps, self.packs = mbps, packs
+    def __init__(self, seed: int, mbps: float, packs: bool = True, straight: bool = True) -> None:
+        self.mbps, self.packs, self.straight = mbps, packs, straight
         self.out: dict[str, int] = {}  # until when a machine's link is busy, by ip
         self.into: dict[str, int] = {}
         self.sizes: Counter[str] = Counter()  # bytes out and in, by station
         self.heard: Counter[str] = Counter()  # messages in, by station
         super().__init__(seed, ZONES, CORES)
 
+    def gate(self, index: int, zone: str) -> Gate:
+        """Another gatekeeper starts, with a narrow link."""
+        gate = super().gate(index, zone)
+        if self.straight:
+            gate.room = gate.publisher.room = int(self.mbps * 125_000 * PASS_S / FAN_OUT)
+        return gate
+
     def _over(self, busy: dict[str, int], node: Node, size: int, at: int) -> int:
         """When a frame that comes to a machine's link at `at` is over it."""
         rate = self.mbps * (CORE_MBPS if node.station.startswith("core") else 1)
@@ -42,11 +51,13 @@
         """As the model's, on links that are narrow."""
         if not port.up:
             return
-        size = len(packed(frame)) if self.packs and len(frame) > LONG else len(frame)
+        size = length(frame) if self.packs else len(frame)
         gone = self._over(self.out, port.mine, size, self.now) + self._delay(port.mine, port.other)
         port.last = max(port.last, self._over(self.into, port.other, size, gone))
         for node in (port.mine, port.other):
             self.sizes[node.station] += size
+        if self.cut(port.mine, port.other):
+            return
         there = port.peer
         for at in range(max(gone, self.now + PART), port.last, PART):
             self.at(at, port.other, lambda: self._part(there))
--- a/pepperrun/swarm/waggles.py
+++ b/pepperrun/swarm/waggles.py
@@ -58,6 +58,7 @@
         self.world, self.station, self.ip, self.zone = world, station, ip, zone
         self.alive, self.skew = True, world.random.randrange(10**6) * MS
         self.publisher: Publisher
+        self.room = 0
 
     def clock(self) -> int:
         """Its own steady clock: another beginning on each."""
@@ -67,7 +68,7 @@
         self.world.at(due - self.skew, self, lambda: self.publisher.turn(self.clock()))
 
     def joined(self, port: Port) -> None:
-        self.publisher.joined(port, {"k": "hello"}, self.clock())
+        self.publisher.joined(port, {"k": "hello", "room": port.other.room}, self.clock())
 
     def left(self, port: Port) -> None:
         self.publisher.left(port, self.clock())
--- a/pepperrun/waggle/publisher.py
+++ b/pepperrun/waggle/publisher.py
@@ -13,7 +13,7 @@
 from typing import Any, Protocol
 
 from pepperrun.comb.records import Guard, Worker
-from pepperrun.foundation.netstring import Message, encode
+from pepperrun.foundation.netstring import Message, encode, length
 from pepperrun.waggle import repair
 from pepperrun.waggle.digests import Record, Sums, record_id
 
@@ -22,6 +22,7 @@
 UNDER_WAY_NS = 2_000_000_000  # what was sent so lately is not sent again: it is on its way
 HISTORY = 16  # changes kept for those who are a little behind
 HISTORY_BYTES = 256 * 1024
+PASSED_NS = 600_000_000  # what is too long to be passed on has come from the core by then, or is passed on
 
 
 class Port(Protocol):
@@ -90,13 +91,20 @@
     pushed: bool = False  # it attaches for the pushes
     guard: Guard | None = None
     cores: list[list[str]] | None = None  # as last told
+    room: int = 0  # bytes: longer changes are not passed on to it by relays; 0: they are
 
 
 class Publisher:
-    """Sends `source`'s news to links. `alarm(due)` asks for a `turn` at that time (steady ns)."""
+    """Sends `source`'s news to links. `alarm(due)` asks for a `turn` at that time (steady ns).
 
-    def __init__(self, source: Source, alarm: Callable[[int], None]) -> None:
-        self.source, self.alarm = source, alarm
+    `room`: bytes that the own link carries to all that attach here before answers to clients wait for long. A
+    longer change is not passed on: the core, whose links are wide, sends it to each gatekeeper that ticks
+    there and told its own `room`. 0: all is passed on.
+    """
+
+    def __init__(self, source: Source, alarm: Callable[[int], None], room: int = 0) -> None:
+        self.source, self.alarm, self.room = source, alarm, room
+        self.grown_at = 0
         self.peers: dict[Port, _Peer] = {}
         self.batch: dict[str, Record] = {}
         self.due = 0  # when the batch goes; 0 for no batch
@@ -106,7 +114,7 @@
 
     def joined(self, port: Port, hello: Message, now: int) -> None:
         """A link to a gatekeeper has come up."""
-        self.peers[port] = _Peer(now)
+        self.peers[port] = _Peer(now, room=int(hello.get("room") or 0))
 
     def left(self, port: Port, now: int) -> None:
         """It has ended."""
@@ -128,7 +136,7 @@
             whole = bool(message.get("whole"))
             if whole or peer.number < self.source.number or now - peer.sent_at > UNDER_WAY_NS:
                 peer.number = int(message["n"])
-                self._bring(port, peer, now, whole)
+                self._bring(port, peer, now, whole, asked=True)
         elif kind in ("ask", "cells", "digests"):
             for back in repair.heard(self.source, self.source.merge, message, now):
                 port.write(encode(back))
@@ -166,6 +174,7 @@
     def agreed(self, change: tuple[int, dict[str, Any]] | None, now: int) -> None:
         """`source.number` has grown, by `change` (base, op) where that was one operation. Pushed at once."""
         number, state = self.source.number, self.source.state
+        self.grown_at = now
         if change is None or state is None or (self.history and self.history[-1][1] != change[0]):
             self.history.clear()
         if change is not None and state is not None:
@@ -175,10 +184,17 @@
             while len(self.history) > HISTORY or sum(len(one[2]) for one in self.history) > HISTORY_BYTES:
                 del self.history[0]
         for port, peer in list(self.peers.items()):
-            if peer.pushed:
+            if peer.pushed or (peer.room and peer.guard is not None):
                 self._bring(port, peer, now)
 
-    def _bring(self, port: Port, peer: _Peer, now: int, whole: bool = False) -> None:
+    def _passed_on(self, peer: _Peer, frames: list[bytes], now: int) -> bool:
+        """Is that for this process to send to a peer that has not asked?"""
+        if peer.pushed and (not self.room or now - self.grown_at >= PASSED_NS):
+            return True
+        size = sum(length(frame) for frame in frames)
+        return size <= self.room if peer.pushed else size > peer.room
+
+    def _bring(self, port: Port, peer: _Peer, now: int, whole: bool = False, asked: bool = False) -> None:
         """Sends what a peer lacks: the changes on top of what it holds, else the whole."""
         number, state = self.source.number, self.source.state
         if state is None or peer.number >= number:
@@ -193,6 +209,8 @@
             if self.whole[0] != number:
                 self.whole = (number, encode({"k": "agreed", "n": number, "state": state}))
             missing = [self.whole[1]]
+        if not asked and not self._passed_on(peer, missing, now):
+            return
         peer.number, peer.sent_at = number, now
         for frame in missing:
             port.write(frame)
--- a/pepperrun/waggle/relay.py
+++ b/pepperrun/waggle/relay.py
@@ -51,9 +51,11 @@
         self.follower.merge(workers, guards, now)
 
 
-def relay(follower: Follower, alarm: Callable[[int], None], clock: Callable[[], int]) -> Publisher:
-    """A publisher that passes on what the follower takes, as soon as it has it."""
-    publisher = Publisher(Relay(follower), alarm)
+def relay(
+    follower: Follower, alarm: Callable[[int], None], clock: Callable[[], int], room: int = 0
+) -> Publisher:
+    """A publisher that passes on what the follower takes, as soon as it has it. `room` as the publisher's."""
+    publisher = Publisher(Relay(follower), alarm, room)
     follower.book.on_agreed.insert(0, lambda number, state, change: publisher.agreed(change, clock()))
     follower.book.on_workers.insert(0, lambda changed: publisher.changed(changed, clock()))
     follower.book.on_guards.insert(0, lambda changed: publisher.changed(changed, clock()))
--- a/pepperrun/waggle/service.py
+++ b/pepperrun/waggle/service.py
@@ -14,8 +14,10 @@
 from pepperrun.waggle.follower import Follower
 from pepperrun.waggle.publisher import Publisher
 from pepperrun.waggle.relay import relay
+from pepperrun.waggle.tree import FAN_OUT
 
 
+PASS_S = 0.1  # of the own link's time to pass a change on: answers wait behind it, with aims from 0.3 s on
 UP_S = 0.4  # for a link to come up: the first try at a machine that is just coming back is lost
 AGAIN_S = 0.2  # between two tries: who is tried was chosen, and is given up within a second
 
@@ -104,14 +106,15 @@
         me, self.clock = settings.me, clock
         self.siding = settings.siding
         self.hello_message: Message = {"station": me.station, "ip": me.ip, "zone": me.zone}
-        self.hello_message |= {"class": "counter", "life": life}
+        room = int(me.limits.link_mbps * 125_000 * PASS_S / FAN_OUT)
+        self.hello_message |= {"class": "counter", "life": life, "room": room}
         own = (me.station, me.zone, settings.siding)
         now = self.clock()
         self.follower = Follower(own, settings.network.zones, settings.contacts(), row, changes.apply, now)
         self.book = self.follower.book
         self.alarm = Alarm(self._turn, clock)
         self.push = Alarm(self._push, clock)
-        self.publisher = relay(self.follower, self.push.set, clock)
+        self.publisher = relay(self.follower, self.push.set, clock, room)
         self.dialers: dict[Address, Dialer] = {}
         self.server: asyncio.Server | None = None
         self.closing = False
--- a/tests/test_waggle.py
+++ b/tests/test_waggle.py
@@ -328,3 +328,24 @@
     world.run(3000)
     world.check()
     assert all(gate.age_ms() < 1500 for gate in world.gates)
+
+
+def test_a_long_change_goes_straight_from_the_core_and_round_a_cut_by_the_relay():
+    world = Narrow(3, 2.0)
+    for at in range(27):
+        world.gate(at, list(NARROW)[at % 3])
+    world.change()
+    world.run(4000)
+    lone = next(gate for gate in world.gates if gate.follower.parent and not children(world, gate))
+    world.cut_off(lone, world.skeps)
+    world.run(3000)
+    relay = next(gate for gate in world.gates if gate.station == lone.follower.parent.station)
+    world.sizes.clear()
+    times = told(world, 1400, 3)
+    assert len(times) == 27 and times[-2] < 200 and times[-1] < 1200
+    length = world.sizes[lone.station]  # 0.13 s of its link, once
+    assert all(world.sizes[gate.station] < 1.2 * length for gate in world.gates if gate is not relay)
+    world.check()
+    world.sizes.clear()
+    assert len(told(world, 1, 3)) == 27  # a short one goes down the tree
+    assert sum(world.sizes[skep.station] for skep in world.skeps) < 10_000
