--- a/pepperrun/swarm/waggles.py
+++ b/pepperrun/swarm/waggles.py
@@ -73,6 +73,7 @@
         self.alive, self.skew = True, world.random.randrange(10**6) * MS
         self.busy = 0  # until when its own link is
         self.publisher: Publisher
+        self.room = 0
 
     def clock(self) -> int:
         """Its own steady clock: another beginning on each."""
@@ -82,7 +83,7 @@
         self.world.at(due - self.skew, self, lambda: self.publisher.turn(self.clock()))
 
     def joined(self, port: Port) -> None:
-        self.publisher.joined(port, {"k": "hello"}, self.clock())
+        self.publisher.joined(port, {"k": "hello", "room": port.other.room}, self.clock())
 
     def left(self, port: Port) -> None:
         self.publisher.left(port, self.clock())
