--- a/pepperrun/lab/ballots.py
+++ b/pepperrun/lab/ballots.py
@@ -12,11 +12,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from pepperrun.swarm.explorer import Action, Found, Game
 from pepperrun.zones.register import FIRST, Ballot, Kind, Message, Phase, Register, Round, Value
 
 Make = Callable[[int, int, int, int, int], Register]
 Sent = tuple[int, int, Message]  # by whom, to whom, what
-Action = tuple[Any, ...]
 SETTLES_IN = 400  # steps of a fair run, from any state that was reached
 
 
@@ -157,24 +157,6 @@
     return world.collect()
 
 
-@dataclass(slots=True)
-class Found:
-    """What the search came to. `broken`: what was wrong, after which actions."""
-
-    states: int = 0
-    again: int = 0
-    deepest: int = 0
-    settled: int = 0
-    broken: str = ""
-    trace: list[Action] = field(default_factory=list)
-    whole: bool = True
-
-    def row(self, seed: int) -> dict[str, Any]:
-        """For tables."""
-        row = {"seed": seed, "states": self.states, "reached again": self.again, "deepest": self.deepest}
-        return row | {"whole": self.whole, "settled": self.settled, "broken": self.broken}
-
-
 def worded(action: Action) -> str:
     """For people."""
     what, arg = action
@@ -200,39 +182,13 @@
     With a `seed` the order is drawn: searches that are not whole look at other parts. From every
     `settle_each`-th state a run without faults has to end with all in agreement.
     """
-    found, seen, rng = Found(), dict[Any, int](), random.Random(seed)
-    stack: list[tuple[World, list[Action]]] = [(begun(count, make), [])]
-    while stack:
-        world, trace = stack.pop()
-        key = world.key()
-        if seen.get(key, depth + 1) <= len(trace):
-            found.again += 1
-            continue
-        seen[key] = len(trace)
-        found.states += 1
-        found.deepest = max(found.deepest, len(trace))
-        if settle_each and found.states % settle_each == 0:
-            found.settled += 1
-            if wrong := settle(world.fork(), make, rng):
-                found.broken, found.trace = wrong, trace
-                return found
-        if found.states >= most:
-            found.whole = False
-            return found
-        if len(trace) >= depth:
-            found.whole = False
-            continue
-        possible = sorted(actions(world, rounds, restarts), key=repr)
-        if seed:
-            rng.shuffle(possible)
-        for action in possible:
-            next_world = world.fork()
-            wrong = act(next_world, action, make)
-            if wrong:
-                found.broken, found.trace = wrong, [*trace, action]
-                return found
-            stack.append((next_world, [*trace, action]))
-    return found
+    game = Game(
+        lambda: begun(count, make),
+        lambda world: actions(world, rounds, restarts),
+        lambda world, action: act(world, action, make),
+        lambda world, rng: settle(world, make, rng),
+    )
+    return game.search(depth, most, settle_each, seed)
 
 
 def settle(world: World, make: Make, rng: random.Random) -> str:
--- a/pepperrun/swarm/clockwork.py
+++ b/pepperrun/swarm/clockwork.py
@@ -11,27 +11,29 @@
 import heapq
 import random
 from asyncio import events
+from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import Any
 
 MS = 1_000_000
 BREAKS = 2000 * MS  # unacknowledged bytes for so long: this end gives the link up
 REPEAT = 200 * MS  # a lost packet of a link comes so much later
+FAR = ("zone", "zones", "regions")
 Address = tuple[str, int]
 
 
 class World:
-    """The queue of what happens, and the network."""
+    """The queue of what happens, and the network. `most`: longest delays in a zone, a region, beyond (ms)."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, most: tuple[float, float, float] = (1.0, 4.0, 40.0)) -> None:
         self.rng, self.now, self.turn = random.Random(seed), 0, 0
         self.queue: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
         self.machines: dict[str, Machine] = {}
         self.cuts: set[tuple[str, str]] = set()  # nothing comes from the first ip to the second
-        self.loss = 0.0
+        self.loss, self.most = 0.0, most
         self.crashes: list[str] = []
         self.dead: list[Loop] = []  # kept, so that nothing of them is finished at a moment chosen by chance
-        self.bytes = 0
+        self.bytes = Counter[str]()  # by what carries them and how far
 
     def at(self, when: int, what: Callable[..., None], *args: Any) -> None:
         """Happens then."""
@@ -50,8 +52,17 @@
         """Ns from one machine to another."""
         if one is two:
             return MS // 20
-        most = 1.0 if one.zone == two.zone else 4.0 if one.region == two.region else 40.0
-        return int(self.rng.uniform(0.5, 1.0) * most * MS)
+        return int(self.rng.uniform(0.5, 1.0) * self.most[self.far(one, two)] * MS)
+
+    @staticmethod
+    def far(one: Machine, two: Machine) -> int:
+        """0: in one zone, 1: in one region, 2: farther."""
+        return 0 if one.zone == two.zone else 1 if one.region == two.region else 2
+
+    def carry(self, what: str, one: Machine, two: Machine, size: int) -> None:
+        """Counts bytes."""
+        if one is not two:
+            self.bytes[f"{what} {FAR[self.far(one, two)]}"] += size
 
     def open(self, one: str, two: str) -> bool:
         """Does anything come from one to the other?"""
@@ -87,6 +98,10 @@
             self.skew = self.world.rng.randrange(1, 10**6) * MS - self.world.now
         self.power, self.starts = True, self.starts + 1
         self.loop = Loop(self)  # type: ignore[abstract]
+        for other in self.world.machines.values():
+            if other.loop is not None:
+                for end in [one for one in other.loop.ends if one.peer.loop.machine is self]:
+                    end.flush()
         return self.loop
 
     def kill(self, power: bool = False) -> None:
@@ -94,7 +109,7 @@
         loop, self.loop, self.power = self.loop, None, not power
         if loop is None:
             return
-        loop.alive = False
+        loop.alive, loop.over = False, self.world.now
         self.world.dead.append(loop)
         for end in list(loop.ends):
             end.vanish(told=not power)
@@ -106,6 +121,7 @@
     def __init__(self, machine: Machine) -> None:
         self.machine, self.world = machine, machine.world
         self.alive, self.frozen = True, False
+        self.began, self.over = self.world.now, 1 << 62  # when this process ran
         self.backlog: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
         self.servers: dict[int, Callable[[], Any]] = {}
         self.ends: dict[End, None] = {}
@@ -255,7 +271,7 @@
         if self.closed:
             return
         world, (mine, other) = self.world, self._ways()
-        world.bytes += len(data)
+        world.carry("link", self.loop.machine, self.peer.loop.machine, len(data))
         if not self.stuck and not (world.open(mine, other) and world.open(other, mine)):
             self.stuck = world.now
             world.at(world.now + BREAKS, self._overdue, self.stuck)
@@ -269,7 +285,7 @@
         if self.closed or self.stuck != since:
             return
         if self.world.open(mine, other) and self.world.open(other, mine):
-            self.stuck = 0
+            self.flush()
         else:
             self.vanish(told=True)
             self.loop.do(self.protocol.connection_lost, None)
@@ -289,7 +305,10 @@
             self.protocol.data_received(data)
 
     def flush(self) -> None:
-        """Cuts have ended."""
+        """A cut has ended, or the other machine has its power again: what was held up is sent again."""
+        mine, other = self._ways()
+        if not (self.world.open(mine, other) and self.world.open(other, mine)):
+            return
         self.stuck = 0
         held, self.held = self.held, []
         for data in held:
@@ -328,8 +347,9 @@
 
     def sendto(self, data: Any, addr: Any = None) -> None:
         world, mine = self.loop.world, self.loop.machine
-        world.bytes += len(data)
         other = world.machines.get(addr[0])
+        if other is not None:
+            world.carry("datagram", mine, other, len(data))
         if other is not None and world.open(mine.ip, other.ip) and world.rng.random() >= world.loss:
             at = world.now + world.delay(mine, other)
             world.at(at, self._comes, other, addr[1], bytes(data), (mine.ip, self.port))
--- a/pepperrun/swarm/days.py
+++ b/pepperrun/swarm/days.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import hashlib
+import importlib
 import random
 from collections import Counter
-from collections.abc import Callable, Iterable
-from dataclasses import asdict, dataclass, field
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from absl import logging
@@ -17,103 +18,42 @@
 from pepperrun.swarm import folk
 from pepperrun.swarm.clockwork import MS, Machine, World
 from pepperrun.swarm.judges import Judges
+from pepperrun.swarm.measures import Measures
 from pepperrun.swarm.places import Core, Gate, machines, settings_of
+from pepperrun.swarm.plans import ORDERS, Plan, Trouble
 
 SECOND = 1000 * MS
-ZONES = {f"z{at}": f"r{at % 3}" for at in range(6)}
-LINES = 8  # services of which each edition names another one, so that a worker tells editions apart
-COLD_PER_S, COLD_S = 5.3, 6.0
-BEGIN, MENDED, TAIL, END = 8, 40, 54, 62  # s: troubles between the first two, all is well from the third
-TROUBLES = {
-    **{"gate-kill": 5, "gate-power": 3, "gate-freeze": 5, "core-kill": 3, "core-power": 3, "core-freeze": 4},
-    **{"core-wipe": 2, "dark": 1, "cut-zone": 3, "cut-region": 3, "cut-way": 4, "cut-core": 4, "loss": 2},
-    **{"worker-crash": 5, "worker-unload": 4, "worker-handed": 3, "zone-power": 1},
-    **{"change": 14, "race": 4, "evacuate": 4},
-}
-CORE_TROUBLES = {  # of days on which all goes against the core, with operators who do not rest
-    **{
-        "core-kill": 2,
-        "core-power": 3,
-        "core-freeze": 4,
-        "core-wipe": 1,
-        "dark-wipe": 2,
-        "dark-amnesia": 4,
-        "cut-core": 6,
-    },
-    **{"change": 12, "race": 2},
-}
-WIPES = ("core-wipe", "dark-wipe", "dark-amnesia")
-ORDERS = ("change", "race", "evacuate")
 FIGURES: dict[str, Any] = {
     **{"revocation_total": True, "cold_excess": 1.5, "cold_slack": 5.0, "retry_slack": 10.0},
     **{"quota_excess": 0.1, "quota_slack": 10.0},
 }
 
 
-@dataclass
-class Trouble:
-    """Something that happens at `at` and is over `span` later (ms). `who` chooses whom it meets."""
-
-    kind: str
-    at: int
-    span: int
-    who: int
-
-
-@dataclass
-class Plan:
-    """All that a day follows from."""
-
-    seed: int
-    gates: int = 8
-    cores: int = 3
-    bug: str = ""
-    rate: float = 60.0
-    troubles: list[Trouble] = field(default_factory=list)
-
-    def written(self) -> dict[str, Any]:
-        """As JSON."""
-        return asdict(self)
-
-
-def drawn_plan(seed: int, gates: int = 8, bug: str = "", rate: float = 60.0) -> Plan:
-    """The plan that a seed gives."""
-    rng = random.Random(f"plan {seed}")
-    plan = Plan(seed, gates, rng.choice([3, 3, 5]), bug, rate)
-    some = CORE_TROUBLES if rng.random() < 0.4 else TROUBLES
-    kinds, weights = list(some), list(some.values())
-    wiped = dark = False
-    for _ in range(rng.randint(8, 24 if some is CORE_TROUBLES else 18)):
-        kind = rng.choices(kinds, weights)[0]
-        if kind in WIPES and wiped or kind.startswith("dark") and dark:
-            continue  # no more disks than the core withstands
-        wiped, dark = wiped or kind in WIPES, dark or kind.startswith("dark")
-        at = rng.randint(BEGIN * 1000, (MENDED - 8) * 1000)
-        span = rng.choice([300, 1000, 2500, 4000, 7000])
-        plan.troubles.append(Trouble(kind, at, span, rng.randrange(1 << 16)))
-    plan.troubles.sort(key=lambda one: one.at)
-    return plan
-
-
 class Day:
     """A plan, played. `broken`: by rule, what was seen; `lines`: the log."""
 
     def __init__(self, plan: Plan) -> None:
         self.plan, self.lines, self.tokens, self.edition = plan, list[str](), 0, 0
-        self.world = World(plan.seed)
-        bounds = Bounds(**FIGURES)
-        self.cold_ns = int(COLD_S * SECOND)
-        self.judges = Judges(bounds, COLD_PER_S)
+        shape = self.shape = plan.shape
+        self.zones = list(shape.zones)
+        self.world = World(plan.seed, (shape.in_zone_ms, shape.cross_zone_ms, shape.cross_region_ms))
+        self.world.loss = shape.loss
+        self.figures_of = FIGURES | shape.bounds
+        self.cold_ns = int(shape.cold_s * SECOND)
+        self.judges = Judges(Bounds(**self.figures_of), shape.cold_per_s)
+        self.measures = Measures(shape)
         self.states: dict[int, dict[str, Any]] = {}
         self.keys = {"bounded": ["b0"], "steady": ["s0"], "moving": ["m0"]}
-        self._people(bounds)
+        if shape.tenants:
+            self.keys = {f"t{at + 1}": [f"k{at + 1}"] for at in range(shape.tenants)}
+        self._people()
 
-    def _people(self, bounds: Bounds) -> None:
-        world, plan, zones = self.world, self.plan, list(ZONES)
-        cores = machines(world, plan.cores, "core", zones, ZONES, 1)
+    def _people(self) -> None:
+        world, plan, zones, regions = self.world, self.plan, self.zones, self.shape.zones
+        cores = machines(world, plan.cores, "core", zones, regions, 1)
         contacts = [one.ip for one in cores[:3]]
         self.cores = [
-            Core(one, settings_of(one, "sorting", contacts, ZONES, FIGURES), contacts, plan.bug)
+            Core(one, settings_of(one, "sorting", contacts, regions, self.figures_of), contacts, plan.bug)
             for one in cores
         ]
 
@@ -121,17 +61,24 @@
             folk.attempt(self, *args)
 
         self.gates = [
-            Gate(one, settings_of(one, "counter", contacts, ZONES, FIGURES), attempt, plan.bug)
-            for one in machines(world, plan.gates, "gate", zones, ZONES, 2)
+            Gate(
+                one,
+                settings_of(one, "counter", contacts, regions, self.figures_of),
+                attempt,
+                plan.bug,
+                self.measures,
+            )
+            for one in machines(world, plan.gates, "gate", zones, regions, 2)
         ]
-        lines = ["main"] * 12 + 2 * [f"v{at}" for at in range(LINES)]  # the second in another zone
-        places = machines(world, len(lines), "worker", zones, ZONES, 3)
+        lines = [line for line, count in self.shape.lines.items() for _ in range(count)]
+        lines += 2 * [f"v{at}" for at in range(self.shape.versions)]  # the second in another zone
+        places = machines(world, len(lines), "worker", zones, regions, 3)
         self.workers = {
             one.address: one
             for one in (folk.Worker(self, place, line) for place, line in zip(places, lines, strict=True))
         }
-        self.client_machines = machines(world, 6, "client", zones, ZONES, 4)
-        self.operator = folk.Operator(self, machines(world, 1, "operator", zones, ZONES, 5)[0])
+        self.client_machines = machines(world, 6, "client", zones, regions, 4)
+        self.operator = folk.Operator(self, machines(world, 1, "operator", zones, regions, 5)[0])
         self.clients = folk.Clients(self, plan.rate)
 
     def say(self, text: str) -> None:
@@ -142,6 +89,8 @@
         """The next configuration on top of another one: another service, other keys, now and then a quota."""
         rng = self.world.rng
         self.edition += 1
+        if self.shape.tenants:
+            return self._state(self._quotas())
         keys = [*self.states[on]["senders"]["moving"]["stamps"]] if on else []
         if rng.random() < 0.7 or not keys:
             keys = [*keys, f"m{self.edition}"][-2:]
@@ -149,25 +98,46 @@
         rates = self.states[on]["senders"]["bounded"] if on else {"rate_per_s": 20.0, "surge": 20.0}
         if rng.random() < 0.3:
             rates = {"rate_per_s": rng.choice([8.0, 14.0, 20.0]), "surge": rng.choice([10.0, 20.0])}
-        common: dict[str, Any] = {"depot": "shop.test", "deadline_ms": folk.DEADLINE_MS, "target_ms": 500}
-        lines = {"main": "main", "pay": "main", "home": "main", "version": f"v{self.edition % LINES}"}
-        routes = {}
-        for name, line in lines.items():
-            kind = "unsafe" if name == "pay" else "safe"
-            routes[name] = {**common, "name": name, "prefix": f"/{name}/", "route_kind": kind, "line": line}
-            routes[name]["tries"] = 2
-        routes["home"]["home_regions"] = ["r0", "r1"]
-        names = ["main", *(f"v{at}" for at in range(LINES))]
-        senders = {
-            "bounded": {"stamps": ["b0"], "rate_per_s": rates["rate_per_s"], "surge": rates["surge"]},
-            "steady": {"stamps": ["s0"], "rate_per_s": 0.0, "surge": 0.0},
-            "moving": {"stamps": keys, "rate_per_s": 0.0, "surge": 0.0},
-        }
+        return self._state(
+            {
+                "bounded": {"stamps": ["b0"], "rate_per_s": rates["rate_per_s"], "surge": rates["surge"]},
+                "steady": {"stamps": ["s0"], "rate_per_s": 0.0, "surge": 0.0},
+                "moving": {"stamps": keys, "rate_per_s": 0.0, "surge": 0.0},
+            }
+        )
+
+    def _quotas(self) -> dict[str, dict[str, Any]]:
+        """Of tenants of unlike size: `weight` says."""
+        total = sum(self.weight(at) for at in range(len(self.keys)))
+        out: dict[str, dict[str, Any]] = {}
+        for at, (name, stamps) in enumerate(self.keys.items()):
+            rate = self.plan.rate * self.shape.quota_x * self.weight(at) / total
+            out[name] = {"stamps": stamps, "rate_per_s": rate, "surge": rate}
+        return out
+
+    @staticmethod
+    def weight(at: int) -> float:
+        """How much a tenant sends: a few are large."""
+        return 1 / (1 + at)
+
+    def _state(self, senders: dict[str, dict[str, Any]]) -> dict[str, Any]:
+        """The next configuration, with these tenants."""
+        routes, shape = {}, self.shape
+        for name, one in shape.routes.items():
+            routes[name] = {
+                **{"depot": "shop.test", "deadline_ms": one.deadline_ms, "target_ms": one.aim_ms},
+                **{"name": name, "prefix": one.prefix or f"/{name}/", "tries": 2},
+                **{"route_kind": "safe" if one.safe else "unsafe"},
+                "line": one.line or f"v{self.edition % shape.versions}",
+            }
+            if one.homes:
+                routes[name]["home_regions"] = one.homes
+        names = [*shape.lines, *(f"v{at}" for at in range(shape.versions))]
         self.states[self.edition] = {
             "edition": self.edition,
             "routes": routes,
             "carrier_lines": {
-                name: {"name": name, "cold_per_s": COLD_PER_S, "cold_s": COLD_S} for name in names
+                name: {"name": name, "cold_per_s": shape.cold_per_s, "cold_s": shape.cold_s} for name in names
             },
             "senders": {name: {"name": name, **row} for name, row in senders.items()},
         }
@@ -185,11 +155,13 @@
 
         def back(answer: Answer | None) -> None:
             if world.open(other.ip, machine.ip):
+                world.carry("call", other, machine, len(answer.body) if answer is not None else 0)
                 world.at(world.now + world.delay(other, machine), once, answer)
 
         def come() -> None:
             if not world.open(machine.ip, other.ip):
                 return
+            world.carry("call", machine, other, len(call.body))
             if other.loop is None or core.hub is None:
                 back(None)
             else:
@@ -200,9 +172,13 @@
 
     # The day.
 
-    def play(self) -> dict[str, str]:
-        """What was broken, by rule."""
-        world = self.world
+    def play(self, until: str = "") -> dict[str, str]:
+        """What was broken, by rule. `until`: this rule is all that is asked for."""
+        with held(self.shape.constants):
+            return self._play(until)
+
+    def _play(self, until: str) -> dict[str, str]:
+        world, shape = self.world, self.shape
         random.seed(self.plan.seed)
         logging.set_verbosity(logging.FATAL)
         log.send_to(self._heard)
@@ -214,14 +190,18 @@
             world.at(3 * SECOND // 2, self.operator.put, 0, 0)
             for gate in self.gates:
                 world.at(2 * SECOND, gate.start)
-            world.at(5 * SECOND, self.clients.turn)
+            world.at(int(shape.clients_s * SECOND), self.clients.turn)
             for one in self.plan.troubles:
                 world.at(one.at * MS, self._happens, one)
-            world.at(MENDED * SECOND, self._mend)
-            world.at((TAIL - 1) * SECOND, self.operator.change, 1)
-            world.at((TAIL + 4) * SECOND, self.operator.read, 2, lambda number: None)
-            world.run(END * SECOND)
-            self.judges.end(TAIL * SECOND, world.now)
+            tail, end = int(shape.tail_s * SECOND), int(shape.end_s * SECOND)
+            world.at(int(shape.mended_s * SECOND), self._mend)
+            world.at(tail - SECOND, self.operator.change, 1)
+            world.at(tail + 4 * SECOND, self.operator.read, 2, lambda number: None)
+            while world.now < end:
+                world.run(min(end, world.now + SECOND))
+                if until in self.judges.broken:
+                    return self.judges.broken
+            self.judges.end(tail, end)
         finally:
             log._sink = None
         if world.crashes:
@@ -243,11 +223,18 @@
         statuses = Counter(one.status for one in self.judges.asked.values())
         return {"requests": len(self.judges.asked), "statuses": dict(sorted(statuses.items()))}
 
+    def row(self) -> dict[str, Any]:
+        """What there was, for experiments."""
+        return self.measures.row(self.judges, self.world) | {
+            "digest": self.digest(),
+            "findings": self.judges.broken,
+        }
+
     # Troubles.
 
     def _mend(self) -> None:
         self.world.heal()
-        self.world.loss = 0.0
+        self.world.loss = self.shape.loss
 
     def _happens(self, one: Trouble) -> None:
         """A trouble begins, and its end is put down."""
@@ -257,7 +244,7 @@
             core = rng.randrange(len(self.cores))
             if one.kind == "evacuate":
                 span = 0 if one.span < 1000 else one.span * MS + 6 * SECOND
-                self.operator.evacuate(rng.choice(list(ZONES)), core, span)
+                self.operator.evacuate(rng.choice(self.zones), core, span)
             elif one.kind == "race":
                 self.operator.race(core)
             else:
@@ -294,9 +281,10 @@
         if what == "worker":
             return self._worker(rng.choice(list(self.workers.values())), how)
         if what == "zone":
-            zone = rng.choice(list(ZONES))
+            zone = rng.choice(self.zones)
             places: list[Core | Gate] = [*self.gates, *self.cores]
-            return self._all([one for one in places if one.machine.zone == zone])
+            ends = self._all([one for one in places if one.machine.zone == zone])
+            return ends if how == "power" else self._zone_lost(zone, ends)
         if what == "loss":
             self.world.loss = 0.05
             return self._mend
@@ -344,6 +332,21 @@
             return None
         return lambda: None if worker.id else worker.start()
 
+    def _zone_lost(self, zone: str, ends: Callable[[], None]) -> Callable[[], None]:
+        """Its workers lose their power too."""
+        lost = [one for one in self.workers.values() if one.machine.zone == zone and one.up]
+        for one in lost:
+            one.machine.power = False
+            one.end()
+
+        def back() -> None:
+            ends()
+            for one in lost:
+                if not one.id:
+                    one.start()
+
+        return back
+
     def _amnesia(self, rng: random.Random) -> None:
         """One is down during a change; then all are; of those that took it one comes back empty, one late."""
         world = self.world
@@ -363,14 +366,16 @@
         world.at(world.now + 4 * SECOND, dark)
 
     def _cut(self, how: str, rng: random.Random) -> Callable[[], None]:
-        world, zone = self.world, rng.choice(list(ZONES))
+        world, zone = self.world, rng.choice(self.zones)
         every = list(world.machines.values())
         if how == "core":
             mine = [rng.choice(self.cores).machine]
             others = [core.machine for core in self.cores if core.machine not in mine]
         else:
             mine = [
-                one for one in every if (one.region == ZONES[zone] if how == "region" else one.zone == zone)
+                one
+                for one in every
+                if (one.region == self.shape.zones[zone] if how == "region" else one.zone == zone)
             ]
             others = [one for one in every if one not in mine]
         ways = {(one.ip, two.ip) for one in mine for two in others}
@@ -378,3 +383,19 @@
             ways |= {(two, one) for one, two in ways}
         world.cut(ways)
         return world.heal
+
+
+@contextmanager
+def held(constants: dict[str, float]) -> Iterator[None]:
+    """While a day is played these have other values: "waggle.follower:TICK_NS". AttributeError: none such."""
+    before: list[tuple[Any, str, Any]] = []
+    try:
+        for where, value in constants.items():
+            module = importlib.import_module("pepperrun." + where.partition(":")[0])
+            name = where.partition(":")[2]
+            before.append((module, name, getattr(module, name)))
+            setattr(module, name, type(before[-1][2])(value))
+        yield
+    finally:
+        for module, name, value in before:
+            setattr(module, name, value)
--- a/pepperrun/swarm/folk.py
+++ b/pepperrun/swarm/folk.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import math
+from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
@@ -15,11 +17,11 @@
 if TYPE_CHECKING:
     from pepperrun.swarm.days import Day
     from pepperrun.swarm.places import Gate
+    from pepperrun.swarm.plans import Route
 
 SECOND = 1000 * MS
 BEAT = 1500 * MS
 PATIENCE = 1200 * MS  # until a caller turns to another core machine
-DEADLINE_MS = 2000
 Done = Callable[[Answer | None], None]
 
 
@@ -32,6 +34,8 @@
         self.lives, self.id, self.serial, self.state = 0, "", 0, "boarding"
         self.cold_until, self.core = 0, 0
         self.out: dict[int, Callable[[Outcome], None]] = {}
+        self.waits: deque[tuple[int, float]] = deque()  # for a slot: token, ms of work
+        self.busy = 0
 
     @property
     def up(self) -> bool:
@@ -61,7 +65,12 @@
         cold = max(0, self.cold_until - world.now) / MS
         body = {
             "address": self.address,
-            "notice": {"line": self.line, "zone": self.machine.zone, "edition": "1", "berths": 8},
+            "notice": {
+                "line": self.line,
+                "zone": self.machine.zone,
+                "edition": "1",
+                "berths": day.shape.slots or 8,
+            },
             "tracking": {"state": self.state, "serial": self.serial, "cold_ms": cold},
         }
         state = self.state
@@ -99,7 +108,8 @@
 
     def end(self) -> None:
         """It ends, with what it is at."""
-        self.id = ""
+        self.id, self.busy = "", 0
+        self.waits.clear()
         out, self.out = self.out, {}
         for over in out.values():
             over(Outcome.RESET)
@@ -107,18 +117,43 @@
     def serve(self, id: str, expected: str, over: Callable[[Outcome], None], token: int) -> bool:
         """A request has come; False where another worker was meant."""
         world = self.day.world
+        slots = self.day.shape.slots
         if expected != self.id:
             return False
+        if slots and len(self.waits) >= self.day.shape.queue:
+            over(Outcome.FULL)  # it says Not-Run
+            return True
         self.day.judges.ran(id, self.id, world.now)
         self.out[token] = over
-        span = world.rng.uniform(5, 60) if world.rng.random() < 0.97 else world.rng.uniform(200, 2500)
+        span = self._span(self.day.shape.routes[self.day.judges.asked[id].route])
+        if slots and self.busy >= slots:
+            self.waits.append((token, span))
+        else:
+            self._work(token, span)
+        return True
+
+    def _span(self, route: Route) -> float:
+        """Ms of work."""
+        rng = self.day.world.rng
+        if route.work_ms:
+            return rng.lognormvariate(math.log(route.work_ms) - route.spread**2 / 2, route.spread)
+        return rng.uniform(5, 60) if rng.random() < 0.97 else rng.uniform(200, 2500)
+
+    def _work(self, token: int, span: float) -> None:
+        world, life = self.day.world, self.id
+        self.busy += 1
 
         def ready() -> None:
-            if self.out.pop(token, None) is not None:
+            if self.id != life:
+                return
+            self.busy -= 1
+            if self.waits:
+                self._work(*self.waits.popleft())
+            over = self.out.pop(token, None)
+            if over is not None:
                 over(Outcome.OK)
 
         world.at(world.now + int(span * MS), ready)
-        return True
 
 
 class Clients:
@@ -126,6 +161,9 @@
 
     def __init__(self, day: Day, rate: float) -> None:
         self.day, self.rate, self.count = day, rate, 0
+        self.routes = list(day.shape.routes)
+        self.shares = [one.share for one in day.shape.routes.values()]
+        self.weights = [day.weight(at) for at in range(len(day.keys))]
 
     TENANTS = ("bounded", "bounded", "steady", "moving")
 
@@ -133,28 +171,36 @@
         """One more request; the next after a while."""
         world, day = self.day.world, self.day
         world.at(world.now + int(world.rng.expovariate(self.rate) * SECOND), self.turn)
-        route = world.rng.choices(["main", "pay", "home", "version"], [30, 25, 15, 30])[0]
-        tenant = "steady" if route == "version" else world.rng.choice(self.TENANTS)
+        route = world.rng.choices(self.routes, self.shares)[0]
+        if day.shape.tenants:
+            tenant = world.rng.choices(list(day.keys), self.weights)[0]
+        else:
+            tenant = "steady" if route == "version" else world.rng.choice(self.TENANTS)
         keys = day.keys[tenant]
         machine = world.rng.choice(day.client_machines)
-        self.send(machine, route, tenant, world.rng.choice(keys[-3:]), 3)
+        self.send(machine, route, tenant, world.rng.choice(keys[-3:]), day.shape.repeats)
 
-    def send(self, machine: Machine, route: str, tenant: str, key: str, left: int) -> None:
-        """A request, which is another one each time that a client comes again."""
+    def send(self, machine: Machine, route: str, tenant: str, key: str, left: int, root: str = "") -> None:
+        """A request, which is another one each time that a client comes again; `root` was the first."""
         world, day = self.day.world, self.day
         self.count += 1
         id = f"q{self.count}"
+        if not root:
+            day.measures.wished(id, route, world.now)
+        first = root or id
         near = [gate for gate in day.gates if gate.machine.region == machine.region]
         gate = world.rng.choice(near if near and world.rng.random() < 0.8 else day.gates)
-        safe = route != "pay"
+        kind = day.shape.routes[route]
+        safe = kind.safe
         one = Asked(id, gate.machine.name, gate.starts, world.now, route, key, tenant, safe)
         day.judges.asked[id] = one
+        target = f"{kind.prefix or f'/{route}/'}x".encode()
         names = {
             b"attempt-id": id.encode(),
             b"host": b"shop.test",
             b"authorization": b"token " + key.encode(),
         }
-        request = Request([], names, True, method=b"GET" if safe else b"POST", target=f"/{route}/x".encode())
+        request = Request([], names, True, method=b"GET" if safe else b"POST", target=target)
 
         def told(status: int) -> None:
             """The gatekeeper's answer, on its way."""
@@ -166,9 +212,13 @@
                 return
             day.say(f"answer {id} {status}")
             day.judges.answered(id, status, world.now)
-            if status in (429, 503) and left and world.rng.random() < 0.7:
+            if status == 200:
+                day.measures.served(first, world.now)
+            elif status == 401:
+                day.measures.wishes.pop(first, None)  # its key had been taken away
+            if status in (429, 503) and left and world.rng.random() < day.shape.repeat_share:
                 wait = int(world.rng.uniform(100, 600) * MS)
-                world.at(world.now + wait, self.send, machine, route, tenant, key, left - 1)
+                world.at(world.now + wait, self.send, machine, route, tenant, key, left - 1, first)
 
         def come() -> None:
             loop = gate.machine.loop
@@ -312,5 +362,8 @@
             back(Outcome.MOOT)
 
     if loop.alive:
+        day.measures.attempts += 1
+        size = day.shape.routes[day.judges.asked[name].route].bytes
+        world.carry("work", gate.machine, worker.machine, size)
         day.say(f"attempt {name} {gate.machine.name} {id}")
         world.at(world.now + world.delay(gate.machine, worker.machine), comes)
--- a/pepperrun/swarm/orders.py
+++ b/pepperrun/swarm/orders.py
@@ -12,6 +12,7 @@
 import argparse
 import json
 import random
+import sys
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
 from functools import partial
@@ -21,11 +22,11 @@
 from pepperrun.queen.register import Phase, Register
 from pepperrun.queen.values import FIRST_LIFE, NONE, Ballot, Body, Held, Life, Memory, Op, Value, beginning
 from pepperrun.queen.voter import MS
+from pepperrun.swarm.explorer import Action, Found, Game
 
 SETTLES_IN = 600  # steps of a fair run, from any state that was reached
 DELIVERED = 0.8  # of the steps of a walk
 Sent = tuple[str, str, str]  # by whom, to whom, what (JSON)
-Action = tuple[Any, ...]
 
 
 def mark(body: Body, op: Op) -> tuple[Body | None, Any]:
@@ -320,55 +321,12 @@
     one.begin(one.now)
 
 
-@dataclass(slots=True)
-class Found:
-    """What the search came to. `broken`: what was wrong, after which actions."""
-
-    states: int = 0
-    again: int = 0
-    deepest: int = 0
-    settled: int = 0
-    broken: str = ""
-    trace: list[Action] = field(default_factory=list)
-    whole: bool = True
-
-
 def search(rules: Rules, depth: int = 60, most: int = 50_000, settle_each: int = 0, seed: int = 1) -> Found:
-    """Depth first over all that may happen, each state once, in an order that the seed draws.
+    """Over all that may happen, in an order that the seed draws; `Game.search` tells of the figures.
 
-    `most`: states to look at; then it is not whole. From every `settle_each`-th state a run without faults
-    has to end with all in agreement and with all that was acknowledged.
+    A run without faults has to end with all in agreement and with all that was acknowledged.
     """
-    found, seen, rng = Found(), dict[int, int](), random.Random(seed)
-    stack: list[tuple[World, list[Action]]] = [(begun(rules), [])]
-    while stack:
-        world, trace = stack.pop()
-        key = world.key()
-        if seen.get(key, depth + 1) <= len(trace):
-            found.again += 1
-            continue
-        seen[key] = len(trace)
-        found.states += 1
-        found.deepest = max(found.deepest, len(trace))
-        if settle_each and found.states % settle_each == 0:
-            found.settled += 1
-            if wrong := settle(world.fork(), rng):
-                found.broken, found.trace = wrong, trace
-                return found
-        if found.states >= most or len(trace) >= depth:
-            found.whole = False
-            if found.states >= most:
-                return found
-            continue
-        possible = sorted(actions(world), key=repr)
-        rng.shuffle(possible)
-        for action in possible:
-            follows = world.fork()
-            if wrong := act(follows, action):
-                found.broken, found.trace = wrong, [*trace, action]
-                return found
-            stack.append((follows, [*trace, action]))
-    return found
+    return Game(lambda: begun(rules), actions, act, settle).search(depth, most, settle_each, seed)
 
 
 def walk(rules: Rules, walks: int, depth: int = 60, seed: int = 1) -> Found:
@@ -455,9 +413,8 @@
     return " ".join(str(part) for part in action)
 
 
-def main() -> None:
-    """The search from the command line; a line for each seed, and how it broke."""
-    parser = argparse.ArgumentParser(description=(__doc__ or "").splitlines()[0])
+def arguments(parser: argparse.ArgumentParser) -> None:
+    """What may be said of a search."""
     for name, default in (("voters", 3), ("spares", 0), ("rounds", 2), ("restarts", 0), ("wipes", 1)):
         parser.add_argument(f"--{name}", type=int, default=default)
     parser.add_argument("--bug", choices=BUGS, default="")
@@ -466,7 +423,11 @@
     parser.add_argument("--settle-each", type=int, default=500)
     parser.add_argument("--walks", type=int, default=0, help="walks by chance instead, so many")
     parser.add_argument("--seeds", type=int, nargs="+", default=[1])
-    given = parser.parse_args()
+
+
+def explore(given: argparse.Namespace) -> int:
+    """The search of the agreement; a line for each seed, and how it broke."""
+    broken = 0
     rules = Rules(given.voters, given.spares, given.rounds, given.restarts, given.wipes, given.bug)
     for seed in given.seeds:
         if given.walks:
@@ -479,7 +440,16 @@
         )
         for action in found.trace:
             print("   ", worded(action))
+        broken += bool(found.broken)
+    return 1 if broken else 0
+
+
+def main() -> int:
+    """The search from the command line."""
+    parser = argparse.ArgumentParser(description=(__doc__ or "").splitlines()[0])
+    arguments(parser)
+    return explore(parser.parse_args())
 
 
 if __name__ == "__main__":
-    main()
+    sys.exit(main())
--- a/pepperrun/swarm/places.py
+++ b/pepperrun/swarm/places.py
@@ -19,6 +19,7 @@
 from pepperrun.exchange import Exchange
 from pepperrun.forager.plane import Plane
 from pepperrun.forager.routes import Lot
+from pepperrun.forager.trace import Trace
 from pepperrun.foundation import link
 from pepperrun.foundation.settings import Settings, parse
 from pepperrun.net.http1 import Request, Response
@@ -27,11 +28,13 @@
 from pepperrun.scouts.wire import MARK
 from pepperrun.swarm import bugs
 from pepperrun.swarm.clockwork import MS, Loop, Machine, World, spawn
+from pepperrun.swarm.measures import Measures
 from pepperrun.swarm.queens import Disk
 from pepperrun.waggle.service import Subscriber
 
 PORT = 7600
 LOOK_S = 0.2
+EVERY = 1e9  # lines a second of a trace that leaves nothing out
 
 
 def settings_of(
@@ -122,8 +125,11 @@
 class Gate:
     """A gatekeeper. `arrive` and `left` are what a day carries out: attempts at workers."""
 
-    def __init__(self, machine: Machine, settings: Settings, attempt: Callable[..., None], bug: str) -> None:
+    def __init__(
+        self, machine: Machine, settings: Settings, attempt: Callable[..., None], bug: str, seen: Measures
+    ) -> None:
         self.machine, self.settings, self.attempt, self.bug = machine, settings, attempt, bug
+        self.seen = seen
         self.state, self.life, self.serial = STARTING, 0, 0
         self.starts = 0
 
@@ -147,6 +153,10 @@
         self.plane.servers.sweeper.cancel()
         self.plane.gatekeeper.backends = Backends(self, loop)
         bugs.put_in(self.bug, self.news, self.plane)
+        self.trace = self.plane.front.trace = Trace(self.plane.front, EVERY, self.seen.cause)
+        self.plane.gatekeeper.observer = self.trace.over
+        held, world = self.seen.starts(loop), loop.world
+        book.on_agreed.append(lambda number, state, change: held.append((world.now, state["edition"])))
         book.on_agreed.append(self.plane.on_agreed)
         book.on_workers.append(self.plane.on_workers)
         book.on_guards.append(self._on_guards)
@@ -200,12 +210,15 @@
         asked.arrived = self.loop.clock()
         what = front.read(asked)
         if not isinstance(what[0], Lot):
+            self.trace.at_once(asked, int(what[0]))
             done(int(what[0]))
             return
         exchange: Any = None
 
         def final(given: Any) -> None:
-            done(front.answer(exchange, given)[0])
+            status = front.answer(exchange, given)[0]
+            self.trace.answered(exchange, status, given)
+            done(status)
 
         exchange = Exchange(asked, final, **what[1])
         self.plane.gatekeeper.take(exchange)
--- a/pepperrun/swarm/waggles.py
+++ b/pepperrun/swarm/waggles.py
@@ -17,10 +17,9 @@
 from pepperrun.foundation.netstring import Decoder, Message
 from pepperrun.foundation.settings import Address
 from pepperrun.waggle.book import NewsBook
-from pepperrun.waggle.digests import Sums
 from pepperrun.waggle.follower import Follower
 from pepperrun.waggle.publisher import Publisher
-from pepperrun.waggle.relay import relay
+from pepperrun.waggle.relay import Held, publish, relay
 
 MS = 1_000_000
 PORT = 7600
@@ -76,37 +75,14 @@
         self.publisher.heard(port, message, self.clock())
 
 
-class Skep(Node):
+class Skep(Node, Held):
     """A core machine: the source of a publisher."""
 
     def __init__(self, world: World, station: str, ip: str, zone: str) -> None:
         super().__init__(world, station, ip, zone)
         self.book, self.cores = NewsBook(), world.cores
         self.known_at: int | None = None
-        self.publisher = Publisher(self, self.flush_at)
-        self.book.on_agreed.append(lambda number, state, change: self.publisher.agreed(change, self.clock()))
-        self.book.on_workers.append(lambda changed: self.publisher.changed(changed, self.clock()))
-        self.book.on_guards.append(lambda changed: self.publisher.changed(changed, self.clock()))
-
-    @property
-    def number(self) -> int:
-        return self.book.number
-
-    @property
-    def state(self) -> dict[str, Any] | None:
-        return self.book.state
-
-    @property
-    def workers(self) -> Mapping[str, Worker]:
-        return self.book.workers
-
-    @property
-    def guards(self) -> Mapping[str, Guard]:
-        return self.book.guards
-
-    @property
-    def sums(self) -> Sums:
-        return self.book.sums
+        self.publisher = publish(self, self.book, self.flush_at, self.clock)
 
     def age_ms(self, now: int) -> float | None:
         return None if self.known_at is None else (self.world.now - self.known_at) / MS
--- a/pepperrun/waggle/relay.py
+++ b/pepperrun/waggle/relay.py
@@ -6,16 +6,18 @@
 from typing import Any
 
 from pepperrun.comb.records import Guard, Worker
+from pepperrun.waggle.book import NewsBook
 from pepperrun.waggle.digests import Sums
 from pepperrun.waggle.follower import Follower
-from pepperrun.waggle.publisher import Publisher
+from pepperrun.waggle.publisher import Publisher, Source
 
+Clock = Callable[[], int]
 
-class Relay:
-    """A follower's book as a source for the gatekeepers under it."""
 
-    def __init__(self, follower: Follower) -> None:
-        self.follower, self.book = follower, follower.book
+class Held:
+    """What a book holds, as a source."""
+
+    book: NewsBook
 
     @property
     def number(self) -> int:
@@ -37,6 +39,22 @@
     def sums(self) -> Sums:
         return self.book.sums
 
+
+def publish(source: Source, book: NewsBook, alarm: Callable[[int], None], clock: Clock) -> Publisher:
+    """A publisher that passes on what the book takes, before others hear of it."""
+    publisher = Publisher(source, alarm)
+    book.on_agreed.insert(0, lambda number, state, change: publisher.agreed(change, clock()))
+    book.on_workers.insert(0, lambda changed: publisher.changed(changed, clock()))
+    book.on_guards.insert(0, lambda changed: publisher.changed(changed, clock()))
+    return publisher
+
+
+class Relay(Held):
+    """A follower's book as a source for the gatekeepers under it."""
+
+    def __init__(self, follower: Follower) -> None:
+        self.follower, self.book = follower, follower.book
+
     @property
     def cores(self) -> list[list[str]]:
         return self.book.cores
@@ -51,10 +69,6 @@
         self.follower.merge(workers, guards, now)
 
 
-def relay(follower: Follower, alarm: Callable[[int], None], clock: Callable[[], int]) -> Publisher:
+def relay(follower: Follower, alarm: Callable[[int], None], clock: Clock) -> Publisher:
     """A publisher that passes on what the follower takes, as soon as it has it."""
-    publisher = Publisher(Relay(follower), alarm)
-    follower.book.on_agreed.insert(0, lambda number, state, change: publisher.agreed(change, clock()))
-    follower.book.on_workers.insert(0, lambda changed: publisher.changed(changed, clock()))
-    follower.book.on_guards.insert(0, lambda changed: publisher.changed(changed, clock()))
-    return publisher
+    return publish(Relay(follower), follower.book, alarm, clock)
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -1,14 +1,20 @@
 """Drawn days of the whole system: clean ones, put-in bugs that are found, the same day twice."""
 
+import asyncio
 import json
 import subprocess
 import sys
 
 import pytest
 
+from pepperrun.foundation.errors import HiveError
 from pepperrun.foundation.settings import Bounds
-from pepperrun.swarm.days import Day, Plan, Trouble, drawn_plan
+from pepperrun.swarm import experiments, results
+from pepperrun.swarm.clockwork import Machine, World, spawn
+from pepperrun.swarm.days import Day
 from pepperrun.swarm.judges import Asked, Edition, Judges, Seen
+from pepperrun.swarm.plans import Plan, Trouble, drawn_plan
+from pepperrun.swarm.shrinking import shrunk
 
 SECOND = 1_000_000_000
 
@@ -86,3 +92,98 @@
     court.ran("q2", "w", 7 * SECOND)
     court.read(5 * SECOND, 1, 5 * SECOND)
     assert set(court.broken) >= {"TWICE", "REFUSED", "CONFIG-revoke", "LOST-config"}, json.dumps(court.broken)
+
+
+class Heard(asyncio.Protocol):
+    """Whether it is over."""
+
+    lost = False
+
+    def connection_lost(self, exc):
+        self.lost = True
+
+
+def test_a_link_ends_when_the_other_machine_is_back_from_a_loss_of_power():
+    world = World(1)
+    one, two = (Machine(world, name, name, "z0", "r0") for name in ("one", "two"))
+    kept = Heard()
+    two.boot().servers[1] = Heard
+
+    async def dial():
+        transport, _ = await one.loop.create_connection(lambda: kept, "two", 1)
+        two.kill(power=True)
+        transport.write(b"is held up")
+
+    spawn(one.boot(), dial())
+    world.run(SECOND)
+    assert not kept.lost
+    two.boot()
+    world.run(2 * SECOND)
+    assert kept.lost, "the other machine knows nothing of this link any more"
+
+
+def test_halves_and_then_single_troubles_are_left_out():
+    needed = {3, 17}
+    plan = Plan(1, 8, troubles=[Trouble("change", at, 300, at) for at in range(24)])
+    tried = []
+
+    def breaks(less, rule):
+        tried.append(less)
+        return needed <= {one.who for one in less.troubles} and less.gates >= 2
+
+    small = shrunk(plan, "RULE", breaks)
+    assert {one.who for one in small.troubles} == needed and small.gates == 2
+    assert len(tried) < 24
+
+
+EXPERIMENT = """
+name = "ticks"
+seeds = "1-2"
+[plan]
+gates = 2
+rate = 4.0
+troubles = [{ kind = "change", at = 8000, span = 300 }]
+[plan.shape]
+clients_s = 3.0
+mended_s = 10.0
+tail_s = 11.0
+end_s = 17.0
+[variants.now]
+[variants.slow]
+set = { "shape.constants" = { "waggle.follower:TICK_NS" = 900000000 } }
+"""
+
+
+def test_an_experiment_goes_on_where_it_was_and_pairs_its_variants(tmp_path):
+    path = tmp_path / "ticks.toml"
+    path.write_text(EXPERIMENT)
+    wanted, said = experiments.load(path), []
+    base = experiments.opened(tmp_path / "ticks.sqlite")
+    some = list(experiments.cells(wanted, tmp_path))
+    assert [(one.variant, one.seed) for one in some] == [("now", 1), ("slow", 1), ("now", 2), ("slow", 2)]
+    half = experiments.Experiment(**vars(wanted) | {"seeds": "1"})
+    assert experiments.run(half, tmp_path, base, said.append) == 0
+    assert experiments.run(wanted, tmp_path, base, said.append) == 0
+    assert [line for line in said if line.startswith("days=")] == ["days=2 stand=0", "days=2 stand=2"]
+    rows = dict(base.execute("select variant || seed, own_between_mb from days"))
+    (table,) = results.tables(base)
+    key = some[0].point
+    pair = results.paired(
+        table.figures[key, "now"]["own_between_mb"], table.figures[key, "slow"]["own_between_mb"]
+    )
+    gap = (rows["slow1"] - rows["now1"] + rows["slow2"] - rows["now2"]) / 2
+    assert pair.difference.mean == pytest.approx(gap) and pair.more + pair.less == 2
+    assert all(0.9 < worth <= 1 for worth in table.figures[key, "now"]["worth"].values())
+    assert "variant=slow days=2" in "\n".join(results.lines(table))
+    assert "<img" in results.page([table])
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "name = 'x'\nseeds = '1'\nspeed = 1", "name = 'x'\nseeds = '1'\n[grid]\n'shape.los' = [0.1]"],
+)
+def test_an_experiment_that_names_what_there_is_not_is_refused(tmp_path, text):
+    path = tmp_path / "x.toml"
+    path.write_text(text)
+    with pytest.raises(HiveError, match="bad-experiment"):
+        list(experiments.cells(experiments.load(path), tmp_path))
