--- a/tests/test_comb.py
+++ b/tests/test_comb.py
@@ -7,21 +7,26 @@
 import itertools
 import json
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import pytest
 
 from pepperrun.comb.cells import BATCH, GUARD_GONE, GUARD_SILENT, ROUND, Beat, Cells
-from pepperrun.comb.changes import apply, evacuation, written
+from pepperrun.comb import checks
+from pepperrun.comb.changes import apply, evacuation, lean, written
 from pepperrun.comb.checks import Op, read_amend, read_replace, timetable
 from pepperrun.comb.control import Control, read_beat
 from pepperrun.comb.directory import choose
+from pepperrun.comb.hub import losses
 from pepperrun.comb.matchers import Answer, Call, answer_to, parse_target
 from pepperrun.comb.mesh import FORGET, Mesh
 from pepperrun.comb.records import Guard, Worker
+from pepperrun.comb.seats import Seats
 from pepperrun.comb.server import Caller, Server
 from pepperrun.foundation.errors import HiveError
 from pepperrun.foundation.settings import parse
+from pepperrun.queen.values import digest_of
 
 MS = 1_000_000
 SECOND = 1000 * MS
@@ -141,6 +146,11 @@
     new, verdict = apply(state, up := amend({"edition": 9, "upsert": {"routes": ROUTES}}, 3))
     assert verdict[0] == 200 and new is not None and apply(new, first)[1][0] == 200  # also later
     assert apply(new, amend({"edition": 12, "withdraw": {"routes": ["a"]}}, 3))[1][0] == 412
+    # Edition 9 on top of 3 as a whole, too: neither goes for the other, whichever was first.
+    over = put(whole(9, routes=ROUTES), on=3)
+    assert apply(new, over)[1][0] == 412 and apply(new, up)[1][0] == 200
+    other_way, _ = apply(state, over)
+    assert apply(other_way, up)[1][0] == 412 and apply(other_way, over)[1][0] == 200
     assert state == frozen and new["carrier_lines"] is state["carrier_lines"] and apply(new, up)[0] is None
 
 
@@ -317,6 +327,54 @@
     assert len(world.cells[B].take_held()) == 1 and world.states("w1") == {"gone"}
 
 
+def test_a_worker_that_beats_to_both_sides_of_a_cut_ends_as_its_last_word_said() -> None:
+    """Each beat reaches the other side; neither takes it for lost, and no word is undone."""
+    world = World(3)
+    world.cells[A].beat(beat("w1", 1), 0, world.now)
+    world.cells[A].beat(beat("w2", 1), 0, world.now)
+    world.settle()
+    world.part(C)
+    for serial in range(2, 10):  # three seconds between two beats on one side
+        world.cells[C if serial % 2 else A].beat(beat("w1", serial), 0, world.now)
+        world.cells[A if serial % 2 else C].beat(beat("w2", serial), 0, world.now)
+        world.run(1.5)
+        assert world.states("w1") == world.states("w2") == {"boarding"}
+    assert world.cells[B].beat(beat("w1", 10, "unloading"), 1, world.now) is not None  # the majority's side
+    world.cells[C].beat(beat("w2", 10, cold=3 * SECOND), 0, world.now)  # the other one's
+    world.run(0.3)
+    world.cells[C].beat(beat("w1", 9), 0, world.now)  # late
+    assert world.cells[C].workers["w1"].state == "boarding"
+    world.join(C)
+    world.run(1.2)
+    assert world.states("w1") == {"unloading"} and world.states("w2") == {"boarding"}
+    assert {cells.workers["w2"].cold_until > world.now for cells in world.cells.values()} == {True}
+    assert len({cells.sums.whole() for cells in world.cells.values()}) == 1
+
+
+def test_a_gatekeeper_that_comes_back_before_its_death_is_known_is_one_and_is_there() -> None:
+    world, seats = World(3), Seats()
+    state, _ = apply(None, put(whole()))
+    state = (state or {}) | {"seats": 2}
+    row, late = guard("g1"), []
+
+    def tick() -> None:
+        for at, one in ((A, row), (B, guard("g2", "z1"))):
+            world.cells[at].guard(one, world.now)
+        for old in late:
+            world.cells[C].merge([], [old], world.now)  # the earlier life's, from a copy that was cut off
+        for cells in world.cells.values():
+            assert seats.wanted(cells.guards.values(), state, world.now) is None
+
+    world.run(2, tick)
+    row, late = replace(row, life=2, counter="g1:81"), [row]
+    world.run(GUARD_SILENT / SECOND + 1, tick)
+    for cells in world.cells.values():
+        assert {one.counter for one in cells.ready_guards(world.now)} == {"g1:81", "g2:80"}
+        assert cells.guards["g1"].life == 2
+    world.run(GUARD_GONE / SECOND + 3, tick)  # of the silence of the life before nothing follows
+    assert {one.state for cells in world.cells.values() for one in cells.guards.values()} == {"ready"}
+
+
 def test_an_address_belongs_to_its_newest_life() -> None:
     world = World(2)
     world.cells[A].beat(beat("w1", 7, address="10.9.0.9:80"), 0, world.now)
@@ -451,9 +509,6 @@
     def body(self) -> dict[str, Any] | None:
         return apply(None, put(whole()))[0]
 
-    def alone_since(self) -> int | None:
-        return None
-
     def other(self) -> str | None:
         return "10.0.0.9:81"
 
@@ -641,3 +696,92 @@
     world.settle()
     assert [len(message["w"]) for _, _, message in world.sent if "w" in message] == [20]
     assert ROUND > BATCH
+
+
+def many(count: int, edition: int = 3) -> dict[str, Any]:
+    """A whole configuration with so many routes more."""
+    body = whole(edition)
+    more = [
+        [
+            f"r{at}",
+            f"h{at % 9}.example",
+            f"/p{at}/",
+            "safe",
+            1500,
+            400.5,
+            at % 3,
+            None,
+            2,
+            False,
+            [],
+            "x",
+            None,
+        ]
+        for at in range(count)
+    ]
+    body["routes"]["rows"] += more
+    return body
+
+
+def test_thousands_of_routes_are_read_without_dacite_and_rarities_with_it(monkeypatch: Any) -> None:
+    asked: list[Any] = []
+    real = checks.dacite.from_dict
+    monkeypatch.setattr(checks.dacite, "from_dict", lambda *args: asked.append(args) or real(*args))
+    put(many(1400))
+    assert not asked  # a fifth of a second of a core, in which a core machine answers nobody
+    odd: list[Any] = [
+        3.0,
+        -1,
+        1 << 60,
+        10**400,
+        True,
+        "3",
+        None,
+        [],
+        ["x"],
+        [3],
+        {},
+        [{"line": "x", "share": True}],
+    ]
+    for kind, table in (("routes", ROUTES), ("carrier_lines", LINES), ("senders", SENDERS)):
+        for column in table["columns"][1:]:
+            for value in odd:
+                body = cell(whole(), kind, 0, column, value)
+                item = checks.items(kind, body[kind])[body[kind]["rows"][0][0]]
+                if checks.plain(checks.KINDS[kind], item):
+                    checks.typed(checks.KINDS[kind], item, "item")  # dacite takes all that is plain
+
+
+def test_a_whole_configuration_goes_on_as_what_differs_and_means_the_same() -> None:
+    state, _ = apply(None, put(many(300)))
+    assert state is not None
+    body = many(300, 7)
+    cell(body, "routes", 5, "target_ms", 77)
+    del body["routes"]["rows"][9:12]
+    body["routes"]["rows"].append(["new", *body["routes"]["rows"][4][1:]])
+    body["limits"] = {"dwell_ms": 9, "parcel_bytes": 5}
+    sent = put(body, 3)
+    less = lean(state, sent)
+    (new, verdict), (other, same) = apply(state, sent), apply(state, less)
+    assert new is not None and other is not None and verdict == same
+    assert digest_of(new) == digest_of(other) and other["routes"]["r20"] is state["routes"]["r20"]
+    assert len(json.dumps(less)) < len(json.dumps(sent)) / 20
+    assert apply(other, less)[1] == apply(new, sent)[1] == [200, "Edition 7 has been taken already."]
+    assert lean(other, sent) is sent and lean(None, put(body)) == put(
+        body
+    )  # on another edition: nothing to spare
+    gone = put(whole(7, limits={}), 3)
+    assert lean(state, gone) is gone  # what an amendment can't take away
+
+
+def test_as_many_vote_as_bear_the_losses_that_are_told() -> None:
+    zones = {f"{region}{zone}": region for region in "abc" for zone in range(3)}
+    for bear, most in (
+        ({"vehicles": 2, "zones": 1, "regions": 1}, 7),
+        ({"vehicles": 2}, 5),
+        ({"vehicles": 1}, 3),
+    ):
+        me = {"station": "s", "role": "skep", "ip": "10.0.0.1", "zone": "a0", "region": "a"}
+        network = {"sidings": [7600, 7610], "first_contacts": [], "postboxes": {}, "zones": zones}
+        settings = parse({"self": me, "network": network, "tariffs": {"bounds": {}, "withstand": bear}})
+        assert 2 * losses(settings) + 1 == most
