--- a/pepperrun/swarm/places.py
+++ b/pepperrun/swarm/places.py
@@ -233,7 +233,7 @@
     def send(self, exchange: Any, attempt: int, backend: int, timeout_ns: int) -> None:
         """Waits for a connection now and then, and asks the gate again before it writes."""
         rng = self.loop.world.rng
-        wait = rng.uniform(0.001, 0.3) if rng.random() < 0.2 else 0.0
+        wait = rng.uniform(0.001, 0.3) if rng.random() < self.gate.seen.shape.waits else 0.0
         left = timeout_ns - int(wait * 1e9)
         self.loop.call_later(wait, self._write, exchange, attempt, backend, left)
 
--- a/pepperrun/swarm/plans.py
+++ b/pepperrun/swarm/plans.py
@@ -98,6 +98,7 @@
     repeats: int = 3  # a client comes again after 429 or 503 so often at most
     repeat_share: float = 0.7
     near: float = 0.8  # share of requests that go to a gatekeeper of the client's region
+    waits: float = 0.2  # share of attempts that wait for a connection, up to 300 ms
     clients_s: float = 5.0  # traffic begins
     begin_s: float = 8.0  # drawn troubles begin between this
     mended_s: float = 40.0  # and 8 s before this, when all cuts and losses end
