swarm: what a worker ran is put down to the oldest edition that fits

The services that tell editions apart come again each eight editions; 12 was on its way, named the same one as 4 and was refused a moment later, so a request under 4 counted as one under 12. Ruled out: the gatekeeper (it held 4, then 9). A fault of the judge: it now takes the oldest edition that fits and is not older than the one before.

--- a/pepperrun/swarm/judges.py
+++ b/pepperrun/swarm/judges.py
@@ -133,7 +133,7 @@
         if homes and at.region not in homes:
             self.wrong("HOME", f"{id} on {one.route} ran in {at.region}")
         self._key(one)
-        self._edition(one, max(edition.number for edition in may), now)
+        self._edition(one, [edition.number for edition in may], now)
         since = at.unloading_acked
         if since and now > since + int(bounds.drain_ms * MS) and self.calm(since, now):
             self.wrong("DRAIN", f"{id} reached {worker} {(now - since) / MS:.0f} ms after it said unloading")
@@ -155,16 +155,22 @@
             late = (one.sent - min(gone)) / MS
             self.wrong("CONFIG-revoke", f"{one.id} at {one.gate}: sent {late:.0f} ms after its key went")
 
-    def _edition(self, one: Asked, edition: int, now: int) -> None:
-        """`edition`: the newest that allows what was seen. Only one route tells editions apart."""
+    def _edition(self, one: Asked, may: list[int], now: int) -> None:
+        """`may`: the editions that allow what was seen. Only one route tells editions apart.
+
+        The gatekeeper holds the oldest of them that is not older than what it held: a later one of the same
+        service may be on its way and be refused yet.
+        """
         if one.route != "version":
             return
         newest, at = self.newest.get((one.gate, one.life), (0, 0))
         slack = int(self.bounds.revert_slack_ms * MS)
+        edition = max(may)
         if edition < newest and one.sent > at + slack:
             self.wrong("CONFIG-back", f"{one.gate} served {edition} at {now / SECOND:.3f} s, {newest} before")
-        if edition > newest:
-            self.newest[one.gate, one.life] = edition, now
+        held = min((number for number in may if number >= newest), default=newest)
+        if held > newest:
+            self.newest[one.gate, one.life] = held, now
         later = [e.acked for e in self.editions.values() if e.acked and e.number > edition]
         if later and one.sent > min(later) + int(self.bounds.edition_ms * MS) and self.calm(min(later), now):
             self.wrong("CONFIG-late", f"{one.id} at {one.gate} was served by {edition}, which is old")
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -103,6 +103,23 @@
     assert set(court.broken) >= {"TWICE", "REFUSED", "CONFIG-revoke", "LOST-config"}, json.dumps(court.broken)
 
 
+def test_what_is_refused_later_was_not_served_and_what_is_old_is_not_served_again():
+    court = Judges(Bounds(), 1.0)
+    row = {"keys": {}, "rates": {}, "homes": {}}
+    for number, line in ((4, "v4"), (9, "v1"), (12, "v4")):  # the last may be in force, for all one knows
+        court.editions[number] = Edition(number, 0, 0, lines={"version": line}, **row)
+    for line in ("v1", "v4"):
+        court.workers[line] = Seen(line, line, "z0", "r0")
+    for at in range(1, 5):
+        court.asked[f"q{at}"] = Asked(f"q{at}", "g", 1, at * SECOND, "version", "", "", True)
+    court.ran("q1", "v4", SECOND)
+    court.editions[12].refused = True
+    court.ran("q2", "v1", 2 * SECOND)
+    assert court.broken == {}
+    court.ran("q4", "v4", 4 * SECOND)
+    assert set(court.broken) == {"CONFIG-back"}
+
+
 class Heard(asyncio.Protocol):
     """Whether it is over."""
 
