--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import subprocess
 import sys
 
@@ -102,6 +103,23 @@
     assert set(court.broken) >= {"TWICE", "REFUSED", "CONFIG-revoke", "LOST-config"}, json.dumps(court.broken)
 
 
+def test_what_is_refused_later_was_not_served_and_what_is_old_is_not_served_again():
+    court = Judges(Bounds(), 1.0)
+    row = {"keys": {}, "rates": {}, "homes": {}}
+    for number, line in ((4, "v4"), (9, "v1"), (12, "v4")):  # the last may be in force, for all one knows
+        court.editions[number] = Edition(number, 0, 0, lines={"version": line}, **row)
+    for line in ("v1", "v4"):
+        court.workers[line] = Seen(line, line, "z0", "r0")
+    for at in range(1, 5):
+        court.asked[f"q{at}"] = Asked(f"q{at}", "g", 1, at * SECOND, "version", "", "", True)
+    court.ran("q1", "v4", SECOND)
+    court.editions[12].refused = True
+    court.ran("q2", "v1", 2 * SECOND)
+    assert court.broken == {}
+    court.ran("q4", "v4", 4 * SECOND)
+    assert set(court.broken) == {"CONFIG-back"}
+
+
 class Heard(asyncio.Protocol):
     """Whether it is over."""
 
@@ -195,3 +213,17 @@
     path.write_text(text)
     with pytest.raises(HiveError, match="bad-experiment"):
         list(experiments.cells(experiments.load(path), tmp_path))
+
+
+def test_a_bug_that_drawn_days_find_is_shrunk_and_kept_as_a_plan_that_finds_it_again(tmp_path):
+    """An empty disk that goes on voting: two troubles are enough of the eight that were drawn."""
+    kinds = ["dark-amnesia", "change", "core-wipe", "core-power"]
+    words = ["fuzz", "--seeds", "7", "--gates", "1", "--rate", "2", "--bug", "empty-votes", "--only", *kinds]
+    command = [sys.executable, "-m", "pepperrun.swarm", *words]
+    where = {"cwd": tmp_path, "env": os.environ | {"PYTHONPATH": str(experiments.ROOT)}}
+    out = subprocess.run(command, capture_output=True, text=True, timeout=120, **where).stdout
+    (path,) = (tmp_path / "found").glob("*.json")
+    kept = json.loads(path.read_text())
+    assert "rule=LOST-config" in out and "troubles=8 shrunk=2" in out
+    assert len(kept["plan"]["troubles"]) == 2
+    assert "rule=LOST-config" in played("run", "--plan", str(path))
