Homes of route and tenant without a region in common: refused at once, not waited for

Each refusal was logged with what the decisions held (a debugging clone): 258 requests of `reservation-confirm`, the homes of their route and their tenant (the largest) have no region in common, so no worker of any service may run them (HOME: both bind). Each try waited a fifth of its aim in the queue with 12 of 12 workers idle and was refused then. Ruled out: the bound (1 of 6.5 out), quota, failures, cold workers, the news.

Change: what has no home in common is given up where it is read, with the longest wait that is told (5 s), and costs no place in a queue and no unit of a quota.

--- a/pepperrun/forager/front.py
+++ b/pepperrun/forager/front.py
@@ -9,7 +9,7 @@
 
 from pepperrun.exchange import End, Exchange, Final
 from pepperrun.forager.gate import AGAIN_NS, Gate
-from pepperrun.forager.ledger import MS, number_of
+from pepperrun.forager.ledger import MOST_WAIT_NS, MS, number_of
 from pepperrun.forager.routes import Lot, Table, Way, host_of
 from pepperrun.fronts.http_client import NOT_PASSED_ON, TEXT, Answer, Fields, HttpClient
 from pepperrun.fronts.kept import Step
@@ -148,6 +148,9 @@
             dropped = dropped | {b"authorization"}  # it may be a key, and no worker is to see one
         at = way.draw(self.rng)
         lot = Lot(table, way, host, path, key if tenant is not None else None, tenant, way.lines[at])
+        if lot.homes is not None and not lot.homes:
+            # Homes of its route and of its tenant have no region in common: no wait could bring it a worker.
+            return self.back_later(MOST_WAIT_NS)
         request.fields = fields_less(request.fields, request.names, dropped)
         # One whose body is still coming has the time that it takes, and its client's from its last byte on.
         more_ns = 0 if request.whole else UPLOAD_NS
--- a/tests/test_forager.py
+++ b/tests/test_forager.py
@@ -179,6 +179,8 @@
         heads = b"".join(worker.heads)
         assert (status, heads.count(b"Expect-Worker")) == ((200, 1) if to else (503, 0))
         assert to is None or b"Expect-Worker: " + to in heads
+        # Homes without a region in common: refused at once, and no wait for a worker that can't be.
+        assert to or not hive.plane.gatekeeper.gateway.quotas.accounts
 
     going(test)
 
