Ill workers are found by outcomes that a zone's gatekeepers share, not by their word

Cause: on the grown fleets one of 84 gatekeepers sees a worker of its window once in about three seconds, so each paid for itself to learn that a worker fails, hangs or forgets rested connections; troubles last 5 to 7 s. Marks between gatekeepers are off in the system, as classes are numbered unlike.

Change: forager/nurse.py judges, forager/rounds.py hears how attempts end and tells the zone's others by datagrams, only of workers that have failed. The gate asks the nurse; policy is unchanged. Requests that may repeat leave an ill worker once late. Resets of rested connections are told likewise; `at once` counts from the way to the worker and back (between regions none was ever counted); safe is what the route says, not GET.

--- /dev/null
+++ b/benchmarks/ill_workers.py
@@ -0,0 +1,224 @@
+"""What ill workers cost one region of a grown fleet, the decisions alone, with outcomes shared and without.
+
+    python3 benchmarks/ill_workers.py [--seeds N] [--rate R] [--part P] [KIND ...]
+
+27 gatekeepers in three zones send R requests a second each: half of them may repeat and go to `wide` (25
+workers), a fifth may not and go to `narrow` (10), the others to `mixed` (20), half of which may repeat.
+From the fourth second on a part P of each service's workers is ill for 6.5 s. Prints the share of requests
+that were served in time from then until 2 s after, and how many of the attempts were further ones.
+"""
+
+from __future__ import annotations
+
+import argparse
+import heapq
+import random
+import sys
+from collections.abc import Callable
+from itertools import count
+from pathlib import Path
+
+sys.path[:0] = [str(Path(__file__).resolve().parent.parent)]
+
+from pepperrun.core.gateway import Gateway  # noqa: E402
+from pepperrun.core.interface import (  # noqa: E402
+    AttemptEnded,
+    Backend,
+    BackendList,
+    Event,
+    ListKind,
+    Outcome,
+    Request,
+    Send,
+    SetTimer,
+    TimerFired,
+)
+from pepperrun.forager.ledger import Ledger  # noqa: E402
+from pepperrun.forager.nurse import Nurse  # noqa: E402
+from pepperrun.foundation.settings import Bounds  # noqa: E402
+
+MS, SECOND = 1_000_000, 1_000_000_000
+ZONES, EACH = 3, 9
+SERVICES = {"wide": 25, "narrow": 10, "mixed": 20}
+KINDS = {  # name: repeatable, service, share, mean work in ms, aim, deadline
+    "read": (True, "wide", 0.5, 310, 1200, 5000),
+    "book": (False, "narrow", 0.2, 407, 1522, 6000),
+    "cancel": (False, "mixed", 0.15, 222, 806, 3000),
+    "fetch": (True, "mixed", 0.15, 1210, 4032, 15000),
+}
+FROM, FOR, END = 4 * SECOND, int(6.5 * SECOND), 14 * SECOND
+TROUBLES = {  # name: part of the requests that fail, how
+    "none": (0.0, "errors"),
+    "errors": (0.45, "errors"),
+    "lying": (1.0, "errors"),
+    "hang": (0.45, "hang"),
+    "dead": (1.0, "hang"),
+    "slow": (1.0, "slow"),
+    "spoilt": (0.03, "errors"),
+}
+
+
+class Gate:
+    """Only what the nurse says."""
+
+    def __init__(self, nurse: Nurse | None) -> None:
+        self.nurse, self.safe_at = nurse, dict[int, int]()
+
+    def open(self, lot: object, now: int) -> int:
+        return 0
+
+    def may(self, lot: tuple[int, bool], backend: int, now: int) -> bool:
+        safe = lot[1] or now - self.safe_at.get(lot[0], -5 * SECOND) >= 5 * SECOND
+        return self.nurse is None or self.nurse.may(backend, now, safe)
+
+    def sent(self, lot: tuple[int, bool], backend: int, now: int) -> None:
+        if lot[1]:
+            self.safe_at[lot[0]] = now
+        if self.nurse is not None:
+            self.nurse.sent(backend, now)
+
+
+class Day:
+    """One run."""
+
+    def __init__(self, trouble: str, seed: int, rate: float, part: float, shares: bool) -> None:
+        self.rng, self.now, self.order = random.Random(seed), 0, count()
+        self.fails, self.how = TROUBLES[trouble]
+        self.agenda: list[tuple[int, int, Callable[[], None]]] = []
+        self.rate, self.shares = rate, shares
+        self.ledger = Ledger(Bounds(retry_ratio=0.2, retry_slack=208))
+        self.ledger.seats = self.ledger.gateways = 84
+        self.classes = {}
+        for name, (safe, service, _, _, aim, deadline) in KINDS.items():
+            line = self.ledger.line(service)
+            self.classes[name] = self.ledger.kind(line, safe, aim * MS, deadline * MS, 2)
+        self.rows, self.of, self.ill = list[Backend](), dict[int, list[int]](), set[int]()
+        for service, number in SERVICES.items():
+            line = self.ledger.line(service)
+            own = [self.rng.getrandbits(32) for _ in range(number)]
+            self.of |= {one: own for one in own}
+            self.rows += [Backend(one, at % ZONES, line=line) for at, one in enumerate(own)]
+            self.ill |= set(self.rng.sample(own, round(part * number)))
+        self.gates: list[Gate] = []
+        self.guards: list[Gateway] = []
+        self.served = self.asked = self.further = self.sends = 0
+        self.timers = [0] * (ZONES * EACH)
+        self.out: list[dict[tuple[int, int], tuple[int, int, int]]] = [{} for _ in self.timers]
+        self.late: set[tuple[int, int, int]] = set()
+        self.info: dict[int, tuple[str, int]] = {}
+        for guard in range(ZONES * EACH):
+            nurse = Nurse(lambda one: self.of[one], self.rng.random) if shares else None
+            if nurse is not None:
+                nurse.sharers = EACH
+            self.gates.append(Gate(nurse))
+            self.guards.append(Gateway(self.ledger.settings(), self.rng.getrandbits(32), self.gates[-1]))
+            zone = guard // EACH
+            rows = [
+                Backend(b.id, b.zone, line=b.line, far=1.0 if b.zone == zone else 1.02) for b in self.rows
+            ]
+            self.tell(guard, BackendList(ListKind.DELTA, tuple(rows)))
+            self.at(self.rng.expovariate(rate), lambda guard=guard: self.ask(guard))
+        self.at(0.05, self.rounds)
+
+    def at(self, seconds: float, what: Callable[[], None]) -> None:
+        heapq.heappush(self.agenda, (self.now + int(seconds * SECOND), next(self.order), what))
+
+    def play(self) -> None:
+        while self.agenda and self.agenda[0][0] < END:
+            self.now, _, what = heapq.heappop(self.agenda)
+            what()
+
+    def ask(self, guard: int) -> None:
+        self.at(self.rng.expovariate(self.rate), lambda: self.ask(guard))
+        name = self.rng.choices(list(KINDS), [row[2] for row in KINDS.values()])[0]
+        safe, service, _, _, _, deadline = KINDS[name]
+        line, id = self.ledger.line(service), next(self.order)
+        self.info[id] = name, self.now
+        self.asked += FROM <= self.now < FROM + FOR + 2 * SECOND
+        self.tell(guard, Request(id, 1, 0, self.classes[name], deadline * MS, line=line, lot=(line, safe)))
+
+    def tell(self, guard: int, event: Event) -> None:
+        for action in self.guards[guard].handle(self.now + SECOND, [event]):
+            if isinstance(action, Send):
+                self.send(guard, action)
+            elif isinstance(action, SetTimer):
+                self.at(action.delay_ns / SECOND, lambda: self.tell(guard, TimerFired(0)))
+
+    def send(self, guard: int, send: Send) -> None:
+        number = 0
+        while (send.request, number) in self.out[guard] or (guard, send.request, -1 - number) in self.late:
+            number += 1
+        self.late.add((guard, send.request, -1 - number))  # numbers are used once
+        self.out[guard][send.request, number] = self.now, send.backend, send.timeout_ns
+        self.sends, self.further = self.sends + 1, self.further + (number > 0)
+        work_ms = KINDS[self.info[send.request][0]][3]
+        takes, outcome = work_ms / 1000 * min(5.0, self.rng.lognormvariate(-0.08, 0.4)), Outcome.OK
+        struck = FROM <= self.now < FROM + FOR and send.backend in self.ill
+        if struck and self.rng.random() < self.fails:
+            if self.how == "errors":
+                takes, outcome = 0.01, Outcome.ERROR
+            else:
+                takes = takes * 8 if self.how == "slow" else 1e9
+        if takes * SECOND >= send.timeout_ns:
+            takes, outcome = send.timeout_ns / SECOND, Outcome.TIMEOUT
+        self.at(takes, lambda: self.end(guard, send.request, number, outcome))
+
+    def end(self, guard: int, request: int, number: int, outcome: Outcome) -> None:
+        sent, backend, _ = self.out[guard].pop((request, number), (0, 0, 0))
+        if not backend:
+            return
+        name, asked = self.info[request]
+        nurse = self.gates[guard].nurse
+        if nurse is not None:
+            if outcome is Outcome.OK:
+                nurse.took(self.classes[name], self.now - sent)
+            if (guard, request, number) not in self.late and outcome is not Outcome.CANCELLED:
+                nurse.saw(backend, outcome is Outcome.OK, self.now)
+        in_time = outcome is Outcome.OK and self.now - asked <= KINDS[name][4] * MS
+        self.served += in_time and FROM <= asked < FROM + FOR + 2 * SECOND
+        elapsed = self.now - sent
+        self.tell(guard, AttemptEnded(request, number, backend, outcome, elapsed, outcome is Outcome.OK))
+
+    def rounds(self) -> None:
+        self.at(0.05, self.rounds)
+        for guard, gate in enumerate(self.gates):
+            nurse = gate.nurse
+            if nurse is None:
+                continue
+            for (request, number), (sent, backend, _) in list(self.out[guard].items()):
+                name = self.info[request][0]
+                if self.now - sent > nurse.late_ns(self.classes[name]):
+                    if (guard, request, number) not in self.late:
+                        self.late.add((guard, request, number))
+                        nurse.saw(backend, False, self.now)
+                    if nurse.out(backend, self.now) and KINDS[name][0]:
+                        self.end(guard, request, number, Outcome.CANCELLED)
+            counts = nurse.take_out()
+            zone = guard // EACH * EACH
+            for other in range(zone, zone + EACH) if counts else ():
+                mate = self.gates[other].nurse
+                if other != guard and mate is not None:
+                    mate.told(guard + 1, counts, self.now)
+
+
+def main() -> None:
+    """The command."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--rate", type=float, default=12.0)
+    parser.add_argument("--part", type=float, default=0.12)
+    parser.add_argument("kinds", nargs="*", default=list(TROUBLES))
+    options = parser.parse_args()
+    for kind in options.kinds:
+        for shares in (False, True):
+            served = asked = further = sends = 0
+            for seed in range(options.seeds):
+                day = Day(kind, seed, options.rate, options.part, shares)
+                day.play()
+                served, asked = served + day.served, asked + day.asked
+                further, sends = further + day.further, sends + day.sends
+            print(f"{kind:7} shared={shares!s:5} in time {served / asked:.4f} further {further / sends:.4f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/pepperrun/forager/gate.py
+++ b/pepperrun/forager/gate.py
@@ -11,10 +11,12 @@
 from pepperrun.forager.cold import ColdShares
 from pepperrun.forager.crew import Crew
 from pepperrun.forager.ledger import MS
+from pepperrun.forager.nurse import Nurse
 from pepperrun.forager.routes import Lot, Table
 from pepperrun.foundation.settings import Bounds
 
 SPARE_MS = 500  # before a removed key's time is over nothing is sent with a key
+SAFE_NS = 5000 * MS  # a service that had no repeatable request for so long is tried with others
 AGAIN_NS = 500 * MS  # until what is held may be fresh again
 UNHEARD_MS = 4000  # of workers of which nothing has been heard for so long any may have turned cold
 
@@ -32,6 +34,8 @@
     ) -> None:
         self.crew, self.shares, self.fresh_at, self.cells_at = crew, shares, fresh_at, cells_at
         self.table: Table | None = None
+        self.nurse: Nurse | None = None
+        self.safe_at: dict[int, int] = {}  # by service: when a repeatable request last went out
         self.bind(bounds)
 
     def bind(self, bounds: Bounds) -> None:
@@ -64,6 +68,10 @@
             return False
         if lot.homes is not None and mate.region not in lot.homes:
             return False
+        if self.nurse is not None:
+            safe = lot.safe or now - self.safe_at.get(lot.line, -SAFE_NS) >= SAFE_NS
+            if not self.nurse.may(backend, now, safe):
+                return False
         if not self._cold(backend, now):
             self.shares.warm(backend)
             return True
@@ -72,6 +80,11 @@
 
     def sent(self, lot: object, backend: int, now: int) -> None:
         """It goes there."""
+        assert isinstance(lot, Lot)
+        if lot.safe:
+            self.safe_at[lot.line] = now
+        if self.nurse is not None:
+            self.nurse.sent(backend, now)
         mate = self.crew.mates.get(backend)
         if mate is not None and self._cold(backend, now):
             rate = self._cold_per_s(mate.line)
--- a/pepperrun/forager/plane.py
+++ b/pepperrun/forager/plane.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import re
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -16,6 +17,7 @@
 from pepperrun.forager.gate import Gate
 from pepperrun.forager.hum import Hum, Peers
 from pepperrun.forager.ledger import MS, Ledger
+from pepperrun.forager.rounds import Rounds
 from pepperrun.forager.routes import Table
 from pepperrun.forager.trace import Trace
 from pepperrun.forager.wire import WorkerWire
@@ -63,6 +65,10 @@
         self.gatekeeper.gateway.quotas.members = ()
         self.gatekeeper.gateway.further.level = 1.0  # the life before may have spent what was saved up
         self.hum = Hum(self.peers, life, self.gatekeeper.heard)
+        self.rounds = Rounds(
+            loop, clock, self.crew, self.hum, self.gatekeeper.ended, random.Random(seed).random
+        )
+        self.gate.nurse = self.rounds.nurse
         limits = me.limits
         budget = Budget(max(4, int((limits.memory_mb - BASE_MB) / 2) if limits.memory_mb else 64) << 20)
         sockets = max(64, (limits.file_handles or 2048) - KEPT_FILES)
@@ -71,13 +77,14 @@
             loop,
             clock,
             self.crew,
-            self.gatekeeper.ended,
+            self.rounds.ended,
             wire,
             sockets // 2,
             KEEPALIVE_NS,
             CONNECT_NS,
             budget,
         )
+        self.rounds.start(self.servers)
         self.gatekeeper.backends = self.servers
         sure_ns = int(max(bounds.edition_ms - ANSWER_NS / MS, bounds.edition_ms / 2) * MS)
         self.front = Front(self.ledger, self.gate, self.gatekeeper, clock, budget, seed, sure_ns)
@@ -112,12 +119,15 @@
         self._settle()
         self._listed(listing)
         self.shares.forget(self.crew.mates)
+        self.rounds.nurse.forget(self.crew.mates)
 
     def on_guards(self, changed: Iterable[Guard]) -> None:
         """Records of gatekeepers that are new or have changed."""
         changed = list(changed)
         self.shares.take(changed)
-        if self.peers.take(changed):
+        others = self.peers.take(changed)
+        self.rounds.meet(self.shares.guards.values(), self.settings.me.station, self.settings.me.zone)
+        if others:
             members = self.peers.members
             self.gatekeeper.catch_up()
             self.gatekeeper.gateway.quotas.members = members
@@ -199,4 +209,5 @@
         """Ends it all."""
         self.listener.close()
         self.servers.close()
+        self.rounds.close()
         self.hum.close()
--- /dev/null
+++ b/pepperrun/forager/rounds.py
@@ -0,0 +1,225 @@
+"""Rounds (sharing of outcomes): what the nurse is told, by own attempts and by the others of the zone.
+
+A datagram is a tag, the hash of the sender's station and its life, as the counts of the stores have them; two
+numbers, of rows and of rests; rows of a worker's number and what was seen of it, good and bad; a byte for
+each length of rest after which a kept connection was reset unanswered (`net.wear`). What follows is passed
+over. It stays within a zone, goes out only where there is something to tell, and is lost without harm.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from pepperrun.comb.records import BOARDING, READY, STARTING, Guard
+from pepperrun.core.interface import Outcome
+from pepperrun.exchange import Exchange
+from pepperrun.forager.crew import Crew
+from pepperrun.forager.hum import HEAD, Hum
+from pepperrun.forager.ledger import MS, number_of
+from pepperrun.forager.nurse import Chart, Count, Nurse
+from pepperrun.foundation.logs import event
+from pepperrun.foundation.settings import Address
+from pepperrun.net.server_side import Ended, ServerSide
+from pepperrun.net.wear import Wear
+
+MARK = 0xB4
+_NUMBERS = struct.Struct("<BB")
+_ROW = struct.Struct("<IBB")
+MOST_ROWS = 32  # in a datagram
+MOST_TOLD = 16  # gatekeepers that one tells: of larger zones those next to it by hash
+TELL_S = 0.05  # what is seen within this goes together: short against the time between two of its requests
+LOOK_S = 0.25  # between looks for late attempts
+FAILED = (Outcome.ERROR, Outcome.RESET, Outcome.TIMEOUT, Outcome.CONNECT_FAILED)
+
+
+class ToldWear(Wear):
+    """What is learnt of rested connections, here and by the others of the zone."""
+
+    def __init__(self, tell: Callable[[int], None]) -> None:
+        super().__init__()
+        self.tell = tell
+
+    def saw(self, idle_ns: int, stale: bool) -> None:
+        super().saw(idle_ns, stale)
+        if stale:
+            self.tell(self._step(idle_ns))
+
+    def heard(self, step: int) -> None:
+        """Another has met one: as if it were the first here. Who has met more knows better."""
+        if step < len(self.shares):
+            self.shares[step] = max(self.shares[step], self.ONE)
+
+
+def pack(station: int, life: int, counts: list[Count], rests: list[int]) -> bytes:
+    """The bytes of a datagram."""
+    rows = b"".join(_ROW.pack(*count) for count in counts)
+    head = HEAD.pack(MARK, station, life) + _NUMBERS.pack(len(counts), len(rests))
+    return head + rows + bytes(rests)
+
+
+def unpack(data: bytes) -> tuple[int, int, list[Count], bytes] | None:
+    """Station, life, counts and rests; None where it is cut short."""
+    at = HEAD.size + _NUMBERS.size
+    if len(data) < at:
+        return None
+    _, station, life = HEAD.unpack_from(data)
+    rows, rests = _NUMBERS.unpack_from(data, HEAD.size)
+    end = at + rows * _ROW.size
+    if len(data) < end + rests:
+        return None
+    counts = [Count(*row) for row in _ROW.iter_unpack(data[at:end])]
+    return station, life, counts, data[end : end + rests]
+
+
+class Rounds:
+    """Stands between the attempts and the decisions, and sees how each ends. `passed`: who is told next."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        clock: Callable[[], int],
+        crew: Crew,
+        hum: Hum,
+        passed: Ended,
+        draw: Callable[[], float],
+    ) -> None:
+        self.loop, self.clock, self.crew, self.hum, self.passed = loop, clock, crew, hum, passed
+        self.nurse = Nurse(self._ward, draw, self._verdict)
+        self.wear = ToldWear(self._rest)
+        self.servers: ServerSide | None = None
+        self.mates: list[int] = []  # peers' numbers: whom this one tells
+        self.rests: set[int] = set()
+        self.late: set[tuple[int, int]] = set()  # attempts that were counted before their end
+        self.telling: asyncio.TimerHandle | None = None
+        self.looked = clock()
+        self.looker = loop.call_later(LOOK_S, self.look)
+        hum.others[MARK] = self.received
+
+    def start(self, servers: ServerSide) -> None:
+        """These carry out the attempts."""
+        self.servers = servers
+        servers.wear = self.wear
+
+    # Who there is.
+
+    def meet(self, guards: Iterable[Guard], station: str, zone: str) -> None:
+        """The gatekeepers that there are: those of this zone share what they see."""
+        there = [one.station for one in guards if one.zone == zone and one.state in (READY, STARTING)]
+        names = sorted({*there, station}, key=number_of)
+        self.nurse.sharers = len(names)
+        at = names.index(station)
+        lives = self.hum.peers.lives
+        next_ones = (names[at + 1 :] + names[:at])[:MOST_TOLD]
+        self.mates = [lives[name][1] for name in next_ones if name in lives]
+
+    def _ward(self, worker: int) -> list[int]:
+        crew, now, one = self.crew, self.clock(), self.crew.mates.get(worker)
+        if one is None:
+            return []
+        return [
+            number
+            for number, mate in crew.mates.items()
+            if (mate.line, mate.region) == (one.line, one.region)
+            and mate.worker.state == BOARDING
+            and not crew.cold(mate, now)
+            and crew.address(number) is not None
+        ]
+
+    def _verdict(self, worker: int, chart: Chart) -> None:
+        name = self.crew.names.get(worker, "?")
+        event("ill", worker=name, ms=chart.out_ns // MS, seen_by=len(chart.sources))
+
+    # What is seen.
+
+    def ended(
+        self,
+        exchange: Exchange[Any, Any],
+        attempt: int,
+        backend: int,
+        outcome: Outcome,
+        given: object = None,
+        units: float = 0.0,
+    ) -> None:
+        """An attempt has ended."""
+        now, key = self.clock(), (exchange.id, attempt)
+        if outcome is Outcome.OK:
+            self.nurse.took(exchange.cls, now - exchange.attempts[attempt])
+        if key in self.late:
+            self.late.discard(key)
+        elif outcome is Outcome.OK or outcome in FAILED and not self._own_doing(exchange, backend, outcome):
+            self._saw(backend, outcome is Outcome.OK, now)
+        self.passed(exchange, attempt, backend, outcome, given, units)
+
+    def _own_doing(self, exchange: Exchange[Any, Any], backend: int, outcome: Outcome) -> bool:
+        """It got no connection: none may go there now, or all that this gatekeeper may have were busy."""
+        if outcome is not Outcome.CONNECT_FAILED:
+            return False
+        return self.crew.address(backend) is None or self.clock() >= exchange.deadline - MS
+
+    def _saw(self, backend: int, good: bool, now: int) -> None:
+        self.nurse.saw(backend, good, now)
+        self._soon()
+
+    def _rest(self, step: int) -> None:
+        self.rests.add(step)
+        self._soon()
+
+    def look(self) -> None:
+        """Attempts that are out for too long count at once; what may run again leaves an ill worker."""
+        self.looker = self.loop.call_later(LOOK_S, self.look)
+        now, servers, nurse = self.clock(), self.servers, self.nurse
+        stood, self.looked = now - self.looked > 3 * LOOK_S * 1e9, now
+        if servers is None or stood:  # this process stood still: that they are late is its own doing
+            return
+        for key, attempt in list(servers.attempts.items()):
+            exchange = attempt.exchange
+            if attempt.connection is None or exchange.patience:
+                continue
+            if now - exchange.attempts[attempt.number] <= nurse.late_ns(exchange.cls):
+                continue
+            if key not in self.late:
+                self.late.add(key)
+                self._saw(attempt.backend, False, now)
+            if nurse.out(attempt.backend, now) and exchange.lot is not None and exchange.lot.safe:
+                servers.cancel(exchange, attempt.number)
+
+    # Between gatekeepers.
+
+    def _soon(self) -> None:
+        if self.telling is None and (self.nurse.tally or self.rests):
+            self.telling = self.loop.call_later(TELL_S, self.tell)
+
+    def tell(self) -> None:
+        """What is new goes to the others of the zone."""
+        self.telling = None
+        counts, rests = self.nurse.take_out(), sorted(self.rests)
+        self.rests.clear()
+        peers = self.hum.peers
+        for first in range(0, max(1, len(counts)), MOST_ROWS):
+            some = counts[first : first + MOST_ROWS]
+            data = pack(self.hum.own, self.hum.life(), some, rests if not first else [])
+            for number in self.mates:
+                if (where := peers.where.get(number)) is not None:
+                    self.hum.send(data, where)
+
+    def received(self, data: bytes, addr: Address) -> None:
+        """A datagram of another gatekeeper."""
+        word = unpack(data)
+        if word is None:
+            return
+        source = self.hum.peers.of(word[0], word[1])
+        if source is None:
+            return
+        known = [count for count in word[2] if count.worker in self.crew.mates]
+        self.nurse.told(source, known, self.clock())
+        for step in word[3]:
+            self.wear.heard(step)
+
+    def close(self) -> None:
+        """Ends it."""
+        self.looker.cancel()
+        if self.telling is not None:
+            self.telling.cancel()
--- a/pepperrun/forager/showing.py
+++ b/pepperrun/forager/showing.py
@@ -92,4 +92,5 @@
         if mate.worker.state == BOARDING:
             counted["cold"] += plane.crew.cold(mate, now)
             counted["astray"] += bool(mate.astray)
+            counted["ill"] += plane.rounds.nurse.out(mate.number, now)
     return {line: dict(sorted(counted.items())) for line, counted in sorted(out.items())}
--- a/pepperrun/forager/wire.py
+++ b/pepperrun/forager/wire.py
@@ -58,6 +58,9 @@
             more += b"Sender: %b\r\n" % lot.sender
         return write_asked(exchange.asked, more)
 
+    def safe(self, attempt: Attempt) -> bool:
+        return bool(attempt.exchange.lot.safe)
+
     def name(self, attempt: Attempt) -> object:
         return attempt.exchange.asked.names[b"attempt-id"]
 
--- a/pepperrun/net/connection.py
+++ b/pepperrun/net/connection.py
@@ -33,6 +33,7 @@
 from pepperrun.net.stream import MOST, Budget, Stream
 from pepperrun.net.wear import Wear as Wear
 
+SAFE = (b"GET", b"HEAD")  # to send again, by HTTP's own word
 STALE_NS = SECOND // 100  # a kept connection that was no longer one breaks this soon under a request
 HELD = 64 * 1024  # bytes of an answer up to which it is held whole, so that a break can be made good
 PIECES_ROOM = MAX_HEAD + MOST
@@ -97,6 +98,10 @@
         """Does it belong to another request, or to none? Its connection is of no more use."""
         return False
 
+    def safe(self, attempt: Attempt) -> bool:
+        """May its request simply be sent again?"""
+        return attempt.exchange.asked.method in SAFE
+
     def idle_ns(self, response: Response) -> int:
         """How long the backend keeps the connection now; 0 where it does not say."""
         return 0
@@ -162,8 +167,9 @@
 class Connection(asyncio.BufferedProtocol):
     """A connection to a backend."""
 
-    def __init__(self, side: Side, pool: Pool) -> None:
+    def __init__(self, side: Side, pool: Pool, up_ns: int = 0) -> None:
         self.side, self.pool = side, pool
+        self.up_ns = up_ns  # how long it took to come up: a way there and back
         self.transport: asyncio.Transport | None = None
         budget = side.budget
         if budget is None:
@@ -461,7 +467,7 @@
     def _broke(self) -> Outcome:
         """How an attempt ended whose connection broke under it: a kept one that did so at once was stale."""
         now = self.side.clock()
-        if self.heard_at >= self.started_at or now - self.started_at > STALE_NS:
+        if self.heard_at >= self.started_at or now - self.started_at > STALE_NS + self.up_ns:
             return Outcome.RESET
         if not self.served:
             self.side.wear.saw_new(True)
--- a/pepperrun/net/server_side.py
+++ b/pepperrun/net/server_side.py
@@ -26,7 +26,6 @@
 STALE_UNSAFE = 0.03  # the same for a request that may not simply be sent anew
 IDLE_PART = 0.8  # of the time after which the other side closes an idle connection: closed here before
 SWEEP_S = 1.0
-SAFE = (b"GET", b"HEAD")  # to send again, by HTTP's own word
 
 Ended = Callable[[Exchange[Any, Any], int, int, Outcome, object, float], None]
 
@@ -111,7 +110,7 @@
             # A machine that is cut off says nothing, and once it is back its old connections may stay silent:
             # a new connection tells within its time-out, a kept one only at the client's deadline.
             self.close_idle(backend)
-        safe = exchange.asked.method in SAFE
+        safe = self.wire.safe(attempt)
         while pool.idle:
             connection = pool.idle[-1]
             if not self._fit(connection, now):
@@ -281,9 +280,12 @@
     async def _connect(self, pool: Pool) -> None:
         self.opened += 1
         failed = accepted = False
+        begun = self.clock()
         try:
             async with asyncio.timeout(self.connect_s):
-                await self.loop.create_connection(lambda: Connection(self, pool), *pool.address)
+                await self.loop.create_connection(
+                    lambda: Connection(self, pool, self.clock() - begun), *pool.address
+                )
         except ConnectionResetError:
             failed = accepted = True
         except OSError:  # refused, unreachable, or not up in time
--- a/pepperrun/net/wear.py
+++ b/pepperrun/net/wear.py
@@ -12,6 +12,7 @@
     """
 
     UNIT = 8_000_000  # each step is twice as long as the one before
+    ONE = 0.1  # weight of one use
 
     def __init__(self) -> None:
         self.shares = [0.0] * 16
@@ -23,11 +24,11 @@
     def saw(self, idle_ns: int, stale: bool) -> None:
         """One was used that had been idle for so long."""
         step = self._step(idle_ns)
-        self.shares[step] += (stale - self.shares[step]) / 10
+        self.shares[step] += (stale - self.shares[step]) * self.ONE
 
     def saw_new(self, broke: bool) -> None:
         """A new one was used."""
-        self.new += (broke - self.new) / 10
+        self.new += (broke - self.new) * self.ONE
 
     def trusted(self, idle_ns: int, most: float) -> bool:
         """Is the share of stale ones among those idle for so long, or less, at most this?
--- a/tests/test_server_side.py
+++ b/tests/test_server_side.py
@@ -221,6 +221,32 @@
     going(test)
 
 
+@pytest.mark.parametrize(("up_ms", "outcome"), [(0, Outcome.RESET), (40, Outcome.STALE)])
+def test_a_reset_that_takes_the_way_there_and_back_is_at_once(up_ms, outcome):
+    # Between regions each reset of a rested connection took more than 10 ms: nothing was learnt of it.
+    async def reset_then(worker, reader, writer):
+        await worker.go.wait()
+        writer.transport.abort()
+
+    async def test():
+        backends, worker = Backends(), await StandIn(ok(), reset_then).start()
+        backends.list(line("w", worker.port))
+        backends.send()
+        assert await backends.outcome() is Outcome.OK
+        (kept,) = backends.side.connections
+        kept.up_ns = up_ms * MS
+        backends.send()
+        await worker.arrived.get()
+        await worker.arrived.get()
+        clock = backends.side.clock
+        backends.side.clock = lambda: clock() + 30 * MS
+        worker.go.set()
+        assert await backends.outcome() is outcome
+        assert any(backends.side.wear.shares) is (outcome is Outcome.STALE)
+
+    going(test)
+
+
 def test_connections_that_wear_out_early_are_not_used_for_what_is_not_safe_to_repeat():
     # Workers closed idle connections long before the settings' time and reset what was written to them then:
     # kept ones served on, and requests that may not simply be sent anew failed.
