--- a/benchmarks/ill_workers.py
+++ b/benchmarks/ill_workers.py
@@ -14,9 +14,11 @@
 import heapq
 import random
 import sys
+from collections import deque
 from collections.abc import Callable
 from itertools import count
 from pathlib import Path
+from typing import Any
 
 sys.path[:0] = [str(Path(__file__).resolve().parent.parent)]
 
@@ -34,11 +36,12 @@
     TimerFired,
 )
 from pepperrun.forager.ledger import Ledger  # noqa: E402
-from pepperrun.forager.nurse import Nurse  # noqa: E402
+from pepperrun.forager.nurse import Chart, Nurse  # noqa: E402
 from pepperrun.foundation.settings import Bounds  # noqa: E402
 
 MS, SECOND = 1_000_000, 1_000_000_000
 ZONES, EACH = 3, 9
+SLOTS, WAITS = 6, 8  # of a worker: requests at once, and more that wait there
 SERVICES = {"wide": 25, "narrow": 10, "mixed": 20}
 KINDS = {  # name: repeatable, service, share, mean work in ms, aim, deadline
     "read": (True, "wide", 0.5, 310, 1200, 5000),
@@ -106,8 +109,10 @@
         self.out: list[dict[tuple[int, int], tuple[int, int, int]]] = [{} for _ in self.timers]
         self.late: set[tuple[int, int, int]] = set()
         self.info: dict[int, tuple[str, int]] = {}
+        self.queues: dict[int, Any] = {}  # by worker: slots taken, and what waits for one
+        self.verdicts = 0
         for guard in range(ZONES * EACH):
-            nurse = Nurse(lambda one: self.of[one], self.rng.random) if shares else None
+            nurse = Nurse(lambda one: self.of[one], self.rng.random, self.left_out) if shares else None
             if nurse is not None:
                 nurse.sharers = EACH
             self.gates.append(Gate(nurse))
@@ -120,6 +125,9 @@
             self.at(self.rng.expovariate(rate), lambda guard=guard: self.ask(guard))
         self.at(0.05, self.rounds)
 
+    def left_out(self, worker: int, chart: Chart) -> None:
+        self.verdicts += 1
+
     def at(self, seconds: float, what: Callable[[], None]) -> None:
         heapq.heappush(self.agenda, (self.now + int(seconds * SECOND), next(self.order), what))
 
@@ -159,9 +167,28 @@
                 takes, outcome = 0.01, Outcome.ERROR
             else:
                 takes = takes * 8 if self.how == "slow" else 1e9
-        if takes * SECOND >= send.timeout_ns:
-            takes, outcome = send.timeout_ns / SECOND, Outcome.TIMEOUT
-        self.at(takes, lambda: self.end(guard, send.request, number, outcome))
+        self.at(send.timeout_ns / SECOND, lambda: self.end(guard, send.request, number, Outcome.TIMEOUT))
+        if takes > END:
+            return
+        queue = self.queues.setdefault(send.backend, [0, deque()])
+        if queue[0] < SLOTS:
+            self.begin(queue, takes, lambda: self.end(guard, send.request, number, outcome))
+        elif len(queue[1]) < WAITS:
+            queue[1].append((takes, lambda: self.end(guard, send.request, number, outcome)))
+        else:
+            self.at(0.001, lambda: self.end(guard, send.request, number, Outcome.FULL))
+
+    def begin(self, queue: Any, takes: float, over: Callable[[], None]) -> None:
+        """A worker's slot is taken; the next one that waits for one follows."""
+
+        def done() -> None:
+            over()
+            queue[0] -= 1
+            if queue[1]:
+                self.begin(queue, *queue[1].popleft())
+
+        queue[0] += 1
+        self.at(takes, done)
 
     def end(self, guard: int, request: int, number: int, outcome: Outcome) -> None:
         sent, backend, _ = self.out[guard].pop((request, number), (0, 0, 0))
@@ -172,7 +199,8 @@
         if nurse is not None:
             if outcome is Outcome.OK:
                 nurse.took(self.classes[name], self.now - sent)
-            if (guard, request, number) not in self.late and outcome is not Outcome.CANCELLED:
+            told = outcome in (Outcome.OK, Outcome.ERROR, Outcome.TIMEOUT)
+            if told and (guard, request, number) not in self.late:
                 nurse.saw(backend, outcome is Outcome.OK, self.now)
         in_time = outcome is Outcome.OK and self.now - asked <= KINDS[name][4] * MS
         self.served += in_time and FROM <= asked < FROM + FOR + 2 * SECOND
@@ -211,13 +239,15 @@
     options = parser.parse_args()
     for kind in options.kinds:
         for shares in (False, True):
-            served = asked = further = sends = 0
+            served = asked = further = sends = verdicts = 0
             for seed in range(options.seeds):
                 day = Day(kind, seed, options.rate, options.part, shares)
                 day.play()
                 served, asked = served + day.served, asked + day.asked
                 further, sends = further + day.further, sends + day.sends
-            print(f"{kind:7} shared={shares!s:5} in time {served / asked:.4f} further {further / sends:.4f}")
+                verdicts += day.verdicts
+            parts = f"in time {served / asked:.4f} further {further / sends:.4f} verdicts {verdicts}"
+            print(f"{kind:7} shared={shares!s:5} {parts}", flush=True)
 
 
 if __name__ == "__main__":
