--- a/tests/test_nurse.py
+++ b/tests/test_nurse.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
-from standins import SECOND, StandIn, answer, going, reset
+import test_forager
+from standins import HOST, SECOND, StandIn, answer, going, reset
 from test_forager import Hive, route
 
+from pepperrun.comb.records import READY, Guard
 from pepperrun.core.interface import Outcome
 from pepperrun.forager.hum import HEAD
 from pepperrun.forager.nurse import BAD, ILL, OUT_NS, Count, Nurse
@@ -167,6 +171,42 @@
     going(test)
 
 
+def test_what_one_gatekeeper_meets_the_others_of_its_zone_hear_and_no_others(monkeypatch):
+    async def test():
+        hives, guards = [], []
+        for station, zone in (("g1", "a"), ("g2", "a"), ("g3", "b")):
+            told = test_forager.settings()
+            own = replace(told, me=replace(told.me, station=station, zone=zone))
+            monkeypatch.setattr(test_forager, "settings", lambda own=own: own)
+            hive = Hive(route("r", "/p/"))
+            monkeypatch.undo()
+            loop, hum = asyncio.get_running_loop(), hive.plane.hum
+            transport, _ = await loop.create_datagram_endpoint(lambda hum=hum: hum, (HOST, 0))
+            siding = f"{HOST}:{transport.get_extra_info('sockname')[1]}"
+            guards.append(Guard(station, zone, "r1", f"{HOST}:1", siding, 1, state=READY))
+            hive.work("w1", 1)
+            hives.append(hive)
+        for hive in hives:
+            hive.plane.on_guards(guards)
+        one, two, three = (hive.plane.rounds for hive in hives)
+        assert one.nurse.sharers == 2 and len(one.mates) == 1 and not three.mates
+        heard = asyncio.Event()
+        two.hum.others[MARK] = lambda data, addr: (two.received(data, addr), heard.set())
+        worker = hives[0].plane.crew.ids["w1"]
+        one._saw(worker, False, one.clock())
+        one.wear.saw(400 * MS, True)
+        one.tell()
+        await heard.wait()
+        assert two.nurse.charts[worker].score == BAD and two.nurse.charts[worker].sources == {
+            hives[1].plane.peers.lives["g1"][1]
+        }
+        assert not two.wear.trusted(400 * MS, 0.03) and not three.nurse.charts and not two.nurse.tally
+        two.received(pack(one.hum.own, 99, [Count(worker, 0, 9)], []), (HOST, 1))  # of no life that is there
+        assert two.nurse.charts[worker].score == BAD
+
+    going(test)
+
+
 def test_an_attempt_that_is_out_for_too_long_counts_before_its_end():
     async def test():
         worker = await StandIn(b"").start()  # takes the request and says nothing
