--- a/pepperrun/guard.py
+++ b/pepperrun/guard.py
@@ -24,7 +24,7 @@
 from pepperrun.scouts.wire import MARK
 from pepperrun.waggle.service import Subscriber
 
-LOOK_S = 0.2  # between looks at whether this gatekeeper is ready
+LOOK_S, FIRST_LOOK_S = 0.2, 0.05  # between looks at whether this gatekeeper is ready; until it first is
 AGAIN_S = 0.3  # between tries for an address that an earlier process still has
 
 
@@ -129,7 +129,7 @@
             if plane.ready():
                 self.say(READY)
             try:
-                async with asyncio.timeout(LOOK_S):
+                async with asyncio.timeout(LOOK_S if self.state == READY else FIRST_LOOK_S):
                     await self.stop.wait()
             except TimeoutError:
                 pass
--- a/pepperrun/waggle/follower.py
+++ b/pepperrun/waggle/follower.py
@@ -29,6 +29,7 @@
 
 MS = 1_000_000
 TICK_NS = 400 * MS
+FIRST_TICK_NS = 100 * MS  # until what is held is first known to be fresh: nothing is served before
 SILENT_NS = 1000 * MS  # two ticks without an answer and a half: the other machine is gone, cut off or stuck
 DOWN_NS, QUIET_NS = 250 * MS, 600 * MS  # not up, or a tock late: another one is tried beside it
 STALE_MS = 1200  # a core machine that knows no better than this has lost the others
@@ -443,7 +444,7 @@
             self._mend(link, now)
         self._try_another(now)
         if now >= self.next_tick:
-            self.next_tick = now + TICK_NS
+            self.next_tick = now + (TICK_NS if self.book.fresh_at else FIRST_TICK_NS)
             if now - self.swept > SWEEP_NS:
                 self.swept = now
                 self.book.sweep()
--- a/tests/test_waggle.py
+++ b/tests/test_waggle.py
@@ -170,6 +170,21 @@
     assert oldest < 1150  # a tick, what is quiet, the way to another
 
 
+def test_who_starts_with_the_core_is_fresh_soon_after_it():
+    world = World(13, ZONES, CORES)
+    world.change()
+    for skep in world.skeps:  # as after a loss of power: none has heard the others yet
+        skep.known_at = None
+        world.cut_off(skep, world.skeps)
+    for index in range(6):
+        world.gate(index, "a1")
+    world.run(450)
+    assert not any(gate.book.fresh_at for gate in world.gates)
+    world.cuts.clear()
+    world.run(200)
+    assert all(gate.book.fresh_at for gate in world.gates)
+
+
 def test_who_stood_still_takes_nobody_else_for_silent():
     world = fleet(8, {"a1": 4})
     gate = next(one for one in world.gates if not one.follower.root)
