--- a/pepperrun/swarm/places.py
+++ b/pepperrun/swarm/places.py
@@ -31,7 +31,7 @@
 from pepperrun.waggle.service import Subscriber
 
 PORT = 7600
-LOOK_S, FIRST_LOOK_S = 0.2, 0.05
+LOOK_S = 0.2
 
 
 def settings_of(
@@ -183,7 +183,7 @@
         fresh = plane.gate.fresh(self.loop.clock(), int(bounds.edition_ms * MS))
         if self.state == STARTING and plane.table is not None and fresh:
             self._say(READY)
-        self.loop.call_later(LOOK_S if self.state == READY else FIRST_LOOK_S, self._look)
+        self.loop.call_later(LOOK_S, self._look)
 
     def _say(self, state: str) -> None:
         self.state, self.serial = state, self.serial + 1
