--- a/pepperrun/wax/store.py
+++ b/pepperrun/wax/store.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import hashlib
 import os
 import secrets
@@ -25,8 +26,12 @@
 
 MOST_MB = 64  # of the map: some dozens of bodies, and the pages of transactions
 FILE = "data.mdb"
-# What lies there is not what was written. Any other error is the disk's own trouble, which passes.
-DAMAGED = (lmdb.CorruptedError, lmdb.InvalidError, lmdb.PageNotFoundError, lmdb.VersionMismatchError)
+TROUBLE = [os.strerror(one) for one in (errno.EIO, errno.ENOSPC, errno.EROFS, errno.EACCES)]
+
+
+def in_trouble(error: Exception) -> bool:
+    """Is it the disk that refuses just now? Any other error at reading tells of damage to what lies there."""
+    return isinstance(error, lmdb.DiskError) or any(text in str(error) for text in TROUBLE)
 
 
 class Wax:
@@ -128,7 +133,7 @@
             with self._open().begin() as transaction:
                 raw = {bytes(key): bytes(data) for key, data in transaction.cursor()}
         except (lmdb.Error, OSError) as error:
-            code = "disk-doubtful" if isinstance(error, DAMAGED) else "disk-failed"
+            code = "disk-failed" if in_trouble(error) else "disk-doubtful"
             raise HiveError(code, "opening", f"{type(error).__name__}: {error}") from None
         if not raw:
             return None  # nothing was ever synced, so nothing was ever said
--- a/tests/test_wax.py
+++ b/tests/test_wax.py
@@ -117,11 +117,14 @@
     assert Wax(str(tmp_path), 1).begin("s", ME, []).promised == Ballot(9, "z")
 
 
-def test_a_disk_that_can_not_be_read_just_now_keeps_its_memory(tmp_path: Path, monkeypatch: Any) -> None:
+@pytest.mark.parametrize("error", [lmdb.DiskError("full"), lmdb.Error("x: Input/output error")])
+def test_a_disk_that_can_not_be_read_just_now_keeps_its_memory(
+    tmp_path: Path, monkeypatch: Any, error: Exception
+) -> None:
     memory = filled(tmp_path)
 
     def refuses(*args: Any, **options: Any) -> None:
-        raise lmdb.DiskError("Input/output error")
+        raise error
 
     with monkeypatch.context() as patch:
         patch.setattr(lmdb, "open", refuses)
