--- a/pepperrun/comb/hub.py
+++ b/pepperrun/comb/hub.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from pepperrun.comb.cells import Cells
-from pepperrun.comb.changes import Verdict, apply
+from pepperrun.comb.changes import Verdict, apply, lean
 from pepperrun.comb.checks import Op
 from pepperrun.comb.mesh import CORE, Mesh
 from pepperrun.comb.records import Guard, Worker
@@ -27,6 +27,7 @@
 from pepperrun.waggle.publisher import Publisher
 
 MS = 1_000_000
+WATCH = 100 * MS  # between two counts of who is up: that needs 1,200 ms of silence (`queen.voter.Pace`)
 SEATS_PATIENCE = 1_500_000_000  # ns: then it is proposed anew
 
 
@@ -49,7 +50,7 @@
             *(me.ip, memory, store, apply),
             zone=me.zone,
             regions=settings.network.zones,
-            most=2 * _losses(settings) + 1,
+            most=2 * losses(settings) + 1,
             seed=life,
             now=now,
         )
@@ -63,7 +64,7 @@
         self.evacuated: set[str] = set(self.queen.body.get("evacuated", ()))
         self.contacts = {ip for ip, _ in settings.contacts()}
         self.alone: int | None = now
-        self.publish_at = 0
+        self.publish_at = self.watch_at = 0
         self.timer: asyncio.TimerHandle | None = None
         self.timer_at = 0
         self.inside = False
@@ -126,6 +127,7 @@
         """Another core machine is linked: the others learn of it."""
         now = self.now()
         event("peer-up", ip=ip, zone=zone)
+        self.watch_at = 0
         self.queen.connected(ip, zone, now)
         self.cells.connected(ip, zone, now)
         frame = encode({"k": "peers", "cores": [[ip, zone]]})
@@ -137,6 +139,7 @@
         """No link to it is left."""
         now = self.now()
         event("peer-down", ip=ip)
+        self.watch_at = 0
         self.queen.disconnected(ip, now)
         self.cells.disconnected(ip, now)
 
@@ -198,7 +201,7 @@
 
     def order(self, op: Op, patience: int) -> asyncio.Future[Verdict | None]:
         """An operator's change; None where nothing is certain."""
-        token = self.queen.propose(op, self.now(), patience)
+        token = self.queen.propose(lean(self.queen.body, op), self.now(), patience)
         future: asyncio.Future[Verdict | None] = self.loop.create_future()
         self.orders[token] = future
         self.after()
@@ -267,7 +270,10 @@
         self.set_timer()
 
     def watch(self, now: int) -> None:
-        """Notes whether there is a majority."""
+        """Notes whether there is a majority: at once where a link has come or gone, else now and then."""
+        if now < self.watch_at:
+            return
+        self.watch_at = now + WATCH
         alone = self.queen.minority
         if alone != (self.alone is not None):
             self.alone = now if alone else None
@@ -357,7 +363,7 @@
     return {"do": op["do"]} | {name: op[name] for name in ("zone", "begin") if name in op}
 
 
-def _losses(settings: Settings) -> int:
+def losses(settings: Settings) -> int:
     """Core machines that may be lost at once: a region may hold several zones, each with some."""
     bear, zones = settings.tariffs.withstand, settings.network.zones
     sizes: dict[str, int] = {}
