--- a/pepperrun/swarm/__main__.py
+++ b/pepperrun/swarm/__main__.py
@@ -15,7 +15,7 @@
 from pepperrun.swarm import experiments, orders
 from pepperrun.swarm.bugs import BUGS
 from pepperrun.swarm.days import Day
-from pepperrun.swarm.plans import Plan, Shape, drawn_plan
+from pepperrun.swarm.plans import CORE_TROUBLES, TROUBLES, Plan, Shape, drawn_plan
 from pepperrun.swarm.shrinking import keep, load, shrunk
 
 
@@ -49,7 +49,10 @@
 
 def fuzz(given: argparse.Namespace) -> int:
     """Many days; each that breaks a rule is shrunk and kept."""
-    plans = [drawn_plan(seed, given.gates, given.bug, given.rate) for seed in experiments.seeds(given.seeds)]
+    shape = Shape(kinds=dict.fromkeys(given.only or (), 1.0))
+    plans = [
+        drawn_plan(seed, given.gates, given.bug, given.rate, shape) for seed in experiments.seeds(given.seeds)
+    ]
     began, count, wrong = time.monotonic(), 0, 0
     for plan, broken in _days(plans, given.processes):
         count += 1
@@ -107,18 +110,20 @@
     """How fast days are. A day that is shorter than the usual 62 s has its troubles nearer to each other."""
     shape = Shape()
     if given.seconds:
+        if given.seconds < 25:
+            raise HiveError("bad-length", "speed", "--seconds: 25 at the least, as troubles begin after 8")
         shape.end_s, shape.tail_s, shape.mended_s = given.seconds, given.seconds - 6, given.seconds - 8
     for gates in given.sizes:
-        began, days = time.monotonic(), 0
+        began, used, days = time.monotonic(), time.process_time(), 0
         while days < given.days:
             days += 1
             broken = Day(drawn_plan(days, gates, rate=given.rate, shape=shape)).play()
             if broken:
                 print(f"seed={days} gates={gates} broken={json.dumps(broken)}")
-        took = time.monotonic() - began
+        took, used = time.monotonic() - began, time.process_time() - used
         print(
             f"gates={gates} rate={given.rate:g} seconds={shape.end_s:g} days={days} took_s={took:.1f} "
-            f"days_a_minute={60 * days / took:.2f}",
+            f"days_a_minute={60 * days / took:.2f} cpu_s={used:.1f} days_a_cpu_minute={60 * days / used:.2f}",
             flush=True,
         )
     return 0
@@ -145,6 +150,8 @@
     of["fuzz"].add_argument("--seeds", default="1-20", metavar="A-B")
     of["fuzz"].add_argument("--whole", action="store_true", help="keep what is found as it is")
     of["fuzz"].add_argument("--first", action="store_true", help="stop at the first find")
+    kinds = sorted({*TROUBLES, *CORE_TROUBLES})
+    of["fuzz"].add_argument("--only", nargs="+", choices=kinds, help="kinds of trouble, equally often")
     of["fuzz"].add_argument("--processes", type=int, default=1)
     orders.arguments(of["explore"])
     of["experiment"].add_argument("file", help="TOML; see pepperrun/swarm/experiments.py")
@@ -157,7 +164,7 @@
     of["speed"].add_argument("--sizes", type=int, nargs="+", default=[16, 96, 400])
     of["speed"].add_argument("--days", type=int, default=1, help="of each size")
     of["speed"].add_argument("--rate", type=float, default=60.0, help="requests a second")
-    of["speed"].add_argument("--seconds", type=float, default=0.0, help="of a day, 20 at the least")
+    of["speed"].add_argument("--seconds", type=float, default=0.0, help="of a day, 25 at the least")
     return parser.parse_args()
 
 
--- a/pepperrun/swarm/days.py
+++ b/pepperrun/swarm/days.py
@@ -115,10 +115,9 @@
             out[name] = {"stamps": stamps, "rate_per_s": rate, "surge": rate}
         return out
 
-    @staticmethod
-    def weight(at: int) -> float:
+    def weight(self, at: int) -> float:
         """How much a tenant sends: a few are large."""
-        return 1 / (1 + at)
+        return float((1 + at) ** -self.shape.slope)
 
     def _state(self, senders: dict[str, dict[str, Any]]) -> dict[str, Any]:
         """The next configuration, with these tenants."""
--- a/pepperrun/swarm/folk.py
+++ b/pepperrun/swarm/folk.py
@@ -189,7 +189,7 @@
             day.measures.wished(id, route, world.now)
         first = root or id
         near = [gate for gate in day.gates if gate.machine.region == machine.region]
-        gate = world.rng.choice(near if near and world.rng.random() < 0.8 else day.gates)
+        gate = world.rng.choice(near if near and world.rng.random() < day.shape.near else day.gates)
         kind = day.shape.routes[route]
         safe = kind.safe
         one = Asked(id, gate.machine.name, gate.starts, world.now, route, key, tenant, safe)
--- a/pepperrun/swarm/plans.py
+++ b/pepperrun/swarm/plans.py
@@ -94,8 +94,10 @@
     cold_s: float = 6.0
     tenants: int = 0  # with quotas of `quota_x` times their use, instead of the three of drawn days
     quota_x: float = 1.6
+    slope: float = 1.0  # of the tenants' sizes: the n-th sends 1 / n ** slope of what the first does
     repeats: int = 3  # a client comes again after 429 or 503 so often at most
     repeat_share: float = 0.7
+    near: float = 0.8  # share of requests that go to a gatekeeper of the client's region
     clients_s: float = 5.0  # traffic begins
     begin_s: float = 8.0  # drawn troubles begin between this
     mended_s: float = 40.0  # and 8 s before this, when all cuts and losses end
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import subprocess
 import sys
 
@@ -195,3 +196,17 @@
     path.write_text(text)
     with pytest.raises(HiveError, match="bad-experiment"):
         list(experiments.cells(experiments.load(path), tmp_path))
+
+
+def test_a_bug_that_drawn_days_find_is_shrunk_and_kept_as_a_plan_that_finds_it_again(tmp_path):
+    """An empty disk that goes on voting: two troubles are enough of the eight that were drawn."""
+    kinds = ["dark-amnesia", "change", "core-wipe", "core-power"]
+    words = ["fuzz", "--seeds", "7", "--gates", "1", "--rate", "2", "--bug", "empty-votes", "--only", *kinds]
+    command = [sys.executable, "-m", "pepperrun.swarm", *words]
+    where = {"cwd": tmp_path, "env": os.environ | {"PYTHONPATH": str(experiments.ROOT)}}
+    out = subprocess.run(command, capture_output=True, text=True, timeout=120, **where).stdout
+    (path,) = (tmp_path / "found").glob("*.json")
+    kept = json.loads(path.read_text())
+    assert "rule=LOST-config" in out and "troubles=8 shrunk=2" in out
+    assert len(kept["plan"]["troubles"]) == 2
+    assert "rule=LOST-config" in played("run", "--plan", str(path))
