--- a/features/playing.py
+++ b/features/playing.py
@@ -87,7 +87,7 @@
     """A link's sending side that keeps what was said."""
 
     def __init__(self, name=""):
-        self.name, self.said, self.closed, self.came = name, [], False, 0
+        self.name, self.said, self.closed = name, [], False
         self.decoder = Decoder()
 
     def write(self, frame):
--- a/pepperrun/__init__.py
+++ b/pepperrun/__init__.py
@@ -1,7 +1,7 @@
 """Decisions of an admission gateway for a service sold by plan.
 
-The decisions are loaded when they are first asked for: a core machine, which decides nothing of the kind, starts
-without them, and after a loss of all machines nobody is served before the core machines are back.
+The decisions are loaded when they are first asked for: a core machine, which decides nothing of the kind,
+starts without them, and after a loss of all machines nobody is served before the core machines are back.
 """
 
 from typing import TYPE_CHECKING, Any
--- a/pepperrun/swarm/waggles.py
+++ b/pepperrun/swarm/waggles.py
@@ -25,6 +25,7 @@
 PORT = 7600
 SAME_MS, ZONE_MS, REGION_MS = 0.3, 1.4, 12.0  # one way, within a zone, between zones, between regions
 SHARE_MS = 50  # between two rounds of the core
+PART = 100 * MS  # between parts of what comes in slowly
 
 
 def apply(state: dict[str, Any] | None, op: dict[str, Any]) -> tuple[dict[str, Any], Any]:
@@ -42,20 +43,12 @@
         self.world, self.mine, self.other, self.name = world, mine, other, other.station
         self.address, self.up, self.last = address, True, 0
         self.peer = self
-        self.flight: list[tuple[int, int, int]] = []  # what comes in here: from when to when, how many bytes
-        self.read = 0  # bytes of frames that are whole here
-
-    @property
-    def came(self) -> int:
-        """Bytes that have come by now."""
-        now, parts = self.world.now, 0.0
-        for begun, done, size in self.flight:
-            parts += size * min(1.0, max(0.0, (now - begun) / max(1, done - begun)))
-        return self.read + int(parts)
+        self.out: list[tuple[int, int]] = []  # what is on its way out: until when, how many bytes
 
     def unsent(self) -> int:
         """Bytes that have not gone out."""
-        return sum(size for _, done, size in self.peer.flight if done > self.world.now)
+        self.out = [one for one in self.out if one[0] > self.world.now]
+        return sum(size for _, size in self.out)
 
     def write(self, frame: bytes) -> None:
         self.world.send(self, frame)
@@ -284,18 +277,23 @@
         one.busy = begun + (int(len(frame) / self.rate * MS) if self.rate else 0)
         delay = self._delay(one, port.other)
         port.last = max(port.last, one.busy + delay)
-        flown = (begun + delay, port.last, len(frame))
-        there.flight.append(flown)
+        if self.rate:
+            port.out.append((one.busy, len(frame)))
+            for part in range(begun + delay + PART, port.last, PART):
+                self.at(part, port.other, lambda: self._stir(there))
 
         def arrive() -> None:
-            there.flight.remove(flown)
-            there.read += len(frame)
             for message in Decoder().feed(frame):
                 if there.up and not self.cut(port.mine, port.other):
                     there.mine.take(there, message)
 
         self.at(port.last, port.other, arrive)
 
+    def _stir(self, port: Port) -> None:
+        """A part of a long frame has come in there."""
+        if port.up and isinstance(port.mine, Gate) and port.address is not None:
+            port.mine.follower.stirred(port, port.mine.clock())
+
     def break_link(self, port: Port) -> None:
         """It ends at both ends; the other one does not learn of it across a cut."""
         for end in (port, port.peer):
--- a/pepperrun/waggle/publisher.py
+++ b/pepperrun/waggle/publisher.py
@@ -30,11 +30,6 @@
 
     name: str
 
-    @property
-    def came(self) -> int:
-        """Bytes that have come, parts of a message too."""
-        ...
-
     def write(self, frame: bytes) -> None: ...
 
     def unsent(self) -> int:
--- a/tests/test_waggle.py
+++ b/tests/test_waggle.py
@@ -280,7 +280,7 @@
 def test_the_first_change_builds_on_nothing():
     """Asked for again and again, as who holds no state could not take it, it filled the links."""
     written = []
-    port = SimpleNamespace(name="s", came=0, write=written.append, close=lambda: None)
+    port = SimpleNamespace(name="s", write=written.append, close=lambda: None)
     row = Guard("g", "z", "r", "1.1.1.1:1", "1.1.1.1:7600", 1)
     core = ("1.1.1.2", 7600)
     own = ("g", "z", ("1.1.1.1", 7600))
