--- a/pepperrun/foundation/link.py
+++ b/pepperrun/foundation/link.py
@@ -43,8 +43,8 @@
         self.transport: asyncio.Transport | None = None
         self.decoder = Decoder()
         self.name, self.greeted, self.packs = "", False, False
-        self.came = 0  # bytes that have come, parts of a message too
         self.done: asyncio.Future[None] | None = None
+        self.on_part: Callable[[], None] | None = None  # bytes came, and the message that they begin has not
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -56,9 +56,11 @@
         self.send({"k": "hello", "v": VERSION, "packs": [PACKS]} | self.hello())
 
     def data_received(self, data: bytes) -> None:
-        self.came += len(data)
         try:
-            for message in self.decoder.feed(data):
+            messages = self.decoder.feed(data)
+            if not messages and self.greeted and self.on_part is not None:
+                self.on_part()
+            for message in messages:
                 if self.transport is None:
                     return
                 if self.greeted:
--- a/pepperrun/swarm/narrow.py
+++ b/pepperrun/swarm/narrow.py
@@ -44,7 +44,8 @@
 
     def _part(self, there: Port) -> None:
         """A part of a frame has come."""
-        there.read += 1
+        if there.up and there.address is not None and isinstance(there.mine, Gate):
+            there.mine.follower.stirred(there, there.mine.clock())
 
     def send(self, port: Port, frame: bytes) -> None:
         """As the model's, on links that are narrow."""
--- a/pepperrun/waggle/follower.py
+++ b/pepperrun/waggle/follower.py
@@ -29,6 +29,7 @@
 
 MS = 1_000_000
 TICK_NS = 400 * MS
+FIRST_NS = TICK_NS // 4  # until a tock has proved anything: keyed requests wait for it
 SILENT_NS = 1000 * MS  # two ticks without an answer and a half: the other machine is gone, cut off or stuck
 DOWN_NS, QUIET_NS = 250 * MS, 600 * MS  # not up, or a tock late: another one is tried beside it
 STALE_MS = 1200  # a core machine that knows no better than this has lost the others
@@ -54,7 +55,6 @@
     since: int  # when it was chosen
     port: Port | None = None
     heard_at: int = 0  # since when it is silent
-    came: int = 0  # bytes of it that have been noticed
     number: int = 0  # what it holds, by its last tock
     stale_since: int = 0
     behind_since: int = 0  # since when this process lacks its number
@@ -252,12 +252,18 @@
     def _link(self, port: Port) -> Uplink | None:
         return next((link for link in self._links() if link.port is port), None)
 
+    def stirred(self, port: Port, now: int) -> None:
+        """A long message is on its way up, with the answers behind it: whoever sends it is not silent."""
+        link = self._link(port)
+        if link is not None:
+            link.heard_at = now
+
     def heard(self, port: Port, message: Message, now: int) -> None:
         """A message came up on one of the own uplinks. KeyError and the like where it can't be meant."""
         link = self._link(port)
         if link is None:
             return
-        link.heard_at, link.came = now, port.came
+        link.heard_at = now
         kind = message["k"]
         if kind == "tock":
             self._tock(link, message, now)
@@ -408,12 +414,6 @@
         """The own row has changed: the core hears of it now."""
         self._tick(self.core, now)
 
-    def _coming(self, now: int) -> None:
-        """What comes in parts, over a link at its limit, is a word too: who sends it is not silent."""
-        for link in self._links():
-            if link.port is not None and link.port.came != link.came:
-                link.came, link.heard_at = link.port.came, now
-
     def _core_well(self, now: int) -> bool:
         core = self.core
         return core.port is not None and now - core.heard_at <= SILENT_NS and not core.stale_since
@@ -425,7 +425,6 @@
                 link.heard_at, link.since = (now if link.heard_at else 0), now
                 link.stale_since = 0
         self.turned_at = now
-        self._coming(now)
         core = self.core
         if core.port is None:
             if now - core.since > SILENT_NS:
@@ -443,7 +442,7 @@
             self._mend(link, now)
         self._try_another(now)
         if now >= self.next_tick:
-            self.next_tick = now + TICK_NS
+            self.next_tick = now + (TICK_NS if self.book.fresh_at else FIRST_NS)
             if now - self.swept > SWEEP_NS:
                 self.swept = now
                 self.book.sweep()
