Two orders to empty one zone are two: it is in use again once both are taken back

The second begin changed nothing, so the first finish ended both.

Change: the agreed state counts the orders that stand for a zone. A begin within 2 s of one that was taken is its repeat (callers move on after a second of silence and pause for less than another); the operation says how many stand after it, so that two machines which pass on one call agree. Where a repeat is taken for another order, the zone stays empty until one more finish; the answer says so. The test fails without it.

--- a/pepperrun/comb/changes.py
+++ b/pepperrun/comb/changes.py
@@ -4,7 +4,7 @@
 | --- | --- | --- |
 | `replace` | `routes`, `carrier_lines`, `senders`, `limits` | `on` is the current edition |
 | `amend` | `upsert`, `withdraw`, `limits` (if given) | likewise, and the result is valid |
-| `evacuate` | `zone`, `begin` (and none of these) | always |
+| `evacuate` | `zone`, `begin`, `count` (and none of these) | always |
 | `seats` | `count`, `instead` (and none of these) | `instead` is the number held |
 | `keepers` | `places`, `instead` (and none of these) | `instead` is the term held |
 | `settled` | `term` (and none of these) | it is the term held, and is not settled |
@@ -31,9 +31,9 @@
 KEPT = 64  # changes that are still known by their digests, so that a repeated call gets its 200
 
 
-def evacuation(zone: str, begin: bool) -> Op:
-    """The operation that empties a zone, or takes it back."""
-    return {"do": "evacuate", "zone": zone, "begin": begin}
+def evacuation(zone: str, begin: bool, count: int | None = None) -> Op:
+    """The operation that empties a zone, or takes that back; `count` orders to empty it stand afterwards."""
+    return {"do": "evacuate", "zone": zone, "begin": begin} | ({} if count is None else {"count": count})
 
 
 def apply(state: State | None, op: Op) -> tuple[State | None, Verdict]:
@@ -103,13 +103,17 @@
 
 def _evacuate(state: State, op: Op) -> tuple[State | None, Verdict]:
     zone, held = op["zone"], state["evacuated"]
-    if (zone in held) == op["begin"]:
-        return None, [200, f"Zone {zone} is {'evacuated' if op['begin'] else 'in use'} already."]
-    zones = sorted([*held, zone]) if op["begin"] else [one for one in held if one != zone]
-    return state | {"evacuated": zones}, [
-        200,
-        f"Zone {zone} is {'evacuated' if op['begin'] else 'in use again'}.",
-    ]
+    standing = held.count(zone)
+    count = op.get("count", max(1, standing) if op["begin"] else 0)
+    if (standing >= count) if op["begin"] else (standing <= count):
+        return None, [200, f"Zone {zone} is {'evacuated' if standing else 'in use'} already."]
+    zones = sorted([*held, zone])
+    if not op["begin"]:
+        zones = [one for one in held if one != zone] + [zone] * (standing - 1)
+        zones.sort()
+    other = standing > 1 and not op["begin"]
+    said = "evacuated" if op["begin"] else "still evacuated by another order" if other else "in use again"
+    return state | {"evacuated": zones}, [200, f"Zone {zone} is {said}."]
 
 
 def _replace(op: Op) -> State:
--- a/pepperrun/comb/hub.py
+++ b/pepperrun/comb/hub.py
@@ -13,6 +13,7 @@
 from pepperrun.comb.cells import Cells
 from pepperrun.comb.changes import Verdict, apply, lean
 from pepperrun.comb.checks import Op
+from pepperrun.comb.evacuations import Evacuations
 from pepperrun.comb.mesh import CORE, Mesh
 from pepperrun.comb.records import Guard, Worker
 from pepperrun.comb.rota import Rota
@@ -62,7 +63,8 @@
         self.orders: dict[int, asyncio.Future[Verdict | None]] = {}
         self.waits: dict[int, asyncio.Future[None]] = {}
         self.readers: list[tuple[int, asyncio.Future[None]]] = []
-        self.evacuated: set[str] = set(self.queen.body.get("evacuated", ()))
+        self.evacuated: list[str] = list(self.queen.body.get("evacuated", ()))
+        self.evacuations = Evacuations(now)
         self.contacts = {ip for ip, _ in settings.contacts()}
         self.alone = True
         self.publish_at = self.watch_at = 0
@@ -202,7 +204,11 @@
 
     def order(self, op: Op, patience: int) -> asyncio.Future[Verdict | None]:
         """An operator's change; None where nothing is certain."""
-        token = self.queen.propose(lean(self.queen.body, op), self.now(), patience)
+        op, now = lean(self.queen.body, op), self.now()
+        if op["do"] == "evacuate":
+            held = self.queen.body.get("evacuated", ())
+            op = op | {"count": self.evacuations.count(op["zone"], op["begin"], held, now)}
+        token = self.queen.propose(op, now, patience)
         future: asyncio.Future[Verdict | None] = self.loop.create_future()
         self.orders[token] = future
         self.after()
@@ -295,9 +301,10 @@
 
     def changed(self, change: Change, now: int) -> None:
         """The agreed state went on."""
-        held = set(self.queen.body.get("evacuated", ()))
-        for zone in self.evacuated - held:
+        held = list(self.queen.body.get("evacuated", ()))
+        for zone in set(self.evacuated) - set(held):
             self.cells.doubt(zone, now)
+        self.evacuations.note(self.evacuated, held, now)
         self.evacuated = held
         known = (change.base, change.op) if change.op is not None else None
         what = _told(change.op) if change.op is not None else {}
--- a/tests/test_comb.py
+++ b/tests/test_comb.py
@@ -15,6 +15,7 @@
 from pepperrun.comb.cells import BATCH, GUARD_GONE, GUARD_SILENT, ROUND, Beat, Cells
 from pepperrun.comb import checks
 from pepperrun.comb.changes import apply, evacuation, lean, written
+from pepperrun.comb.evacuations import Evacuations
 from pepperrun.comb.checks import Op, read_amend, read_replace, timetable
 from pepperrun.comb.control import Control, read_beat
 from pepperrun.comb.directory import choose
@@ -185,6 +186,37 @@
     assert done and done["evacuated"] == [] and apply(done, evacuation("z1", False))[0] is None
 
 
+def test_two_orders_to_empty_a_zone_need_two_to_take_it_back_and_repeats_are_told_from_them() -> None:
+    second = 1_000_000_000
+    orders, state = Evacuations(0), apply(None, put(whole()))[0]
+
+    def call(begin: bool, at: float) -> tuple[list[str], str]:
+        nonlocal state
+        assert state is not None
+        held, now = state["evacuated"], int(at * second)
+        new, verdict = apply(state, evacuation("z1", begin, orders.count("z1", begin, held, now)))
+        assert verdict[0] == 200
+        if new is not None:
+            orders.note(held, new["evacuated"], now)
+            state = new
+        return state["evacuated"], verdict[1]
+
+    assert call(True, 5.28) == (["z1"], "Zone z1 is evacuated.")
+    assert call(True, 6.4) == (
+        ["z1"],
+        "Zone z1 is evacuated already.",
+    )  # came again, unanswered
+    assert call(True, 7.45) == (["z1", "z1"], "Zone z1 is evacuated.")  # another operator's
+    assert call(False, 13.33) == (["z1"], "Zone z1 is still evacuated by another order.")
+    assert call(False, 14.5)[0] == ["z1"]  # repeated
+    assert call(False, 15.45) == ([], "Zone z1 is in use again.")
+    assert call(False, 16.0) == ([], "Zone z1 is in use already.")
+    assert call(True, 17.0) == (["z1"], "Zone z1 is evacuated.")
+    anew = Evacuations(18 * second)  # a machine that starts does not know when it was taken
+    assert anew.count("z1", True, ["z1"], 19 * second) == 1
+    assert anew.count("z1", False, ["z1"], 19 * second) == 0
+
+
 class World:
     """Core machines, linked unless cut, in virtual time."""
 
