--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -20,18 +20,19 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from pepperrun.comb import changes, checks
-from pepperrun.comb.matchers import Call
-from pepperrun.forager.ledger import Ledger
-from pepperrun.forager.routes import Table
+from pepperrun.simulation import virtual_time
+from pepperrun.control import validation
+from pepperrun.control import changes
+from pepperrun.control.matchers import Call
+from pepperrun.dataplane.numbering import Ledger
+from pepperrun.dataplane.routes import Table
 from pepperrun.foundation.netstring import Decoder, encode, packed
 from pepperrun.foundation.settings import Bounds
-from pepperrun.queen.texts import Texts
-from pepperrun.queen.values import digest_of
-from pepperrun.swarm import clockwork
-from pepperrun.swarm.clockwork import MS, World
-from pepperrun.swarm.narrow import ZONES, route
-from pepperrun.swarm.places import Core, Gate, machines, settings_of
+from pepperrun.consensus.canonical_json import Texts
+from pepperrun.consensus.values import digest_of
+from pepperrun.simulation.virtual_time import MS, World
+from pepperrun.simulation.narrow_links import ZONES, route
+from pepperrun.simulation.nodes import Core, Gate, machines, settings_of
 
 
 def best(make: Callable[[], Any]) -> tuple[float, Any]:
@@ -47,19 +48,19 @@
 def sent(rng: random.Random, edition: int, count: int) -> dict[str, Any]:
     """Routes as operators send them."""
     items = {one["name"]: one for one in (route(rng, at) for at in range(count))}
-    return {"edition": edition, "routes": checks.table(items)}
+    return {"edition": edition, "routes": validation.table(items)}
 
 
 def change(routes: int) -> None:
     """Each step of a long change."""
     rng = random.Random(1)
-    lines = checks.table({f"line{at}": {"name": f"line{at}", "cold_s": 3} for at in range(3)})
+    lines = validation.table({f"line{at}": {"name": f"line{at}", "cold_s": 3} for at in range(3)})
     first = sent(rng, 1, 190) | {"carrier_lines": lines, "limits": {}}
     more = {"edition": 2, "upsert": {"routes": sent(rng, 2, routes)["routes"]}}
-    held, _ = changes.apply(None, checks.read_replace(json.dumps(first).encode(), 0))
+    held, _ = changes.apply(None, validation.read_replace(json.dumps(first).encode(), 0))
     assert held is not None
     data = json.dumps(more).encode()
-    took, op = best(lambda: checks.read_amend(data, 1))
+    took, op = best(lambda: validation.read_amend(data, 1))
     print(f"read and checked by the core machine that is called ms={took:.1f} bytes={len(data)}")
     new, _ = changes.apply(held, op)
     assert new is not None
@@ -89,18 +90,18 @@
     zones = list(ZONES)
     core_machines = machines(world, cores, "core", zones, ZONES, 1)
     contacts = [one.ip for one in core_machines[:3]]
-    skeps = [
+    control_nodes = [
         Core(one, settings_of(one, "sorting", contacts, ZONES, {}), contacts, "") for one in core_machines
     ]
     gate_machines = machines(world, gates, "gate", zones, ZONES, 2)
-    guards = [
+    gateways = [
         Gate(one, settings_of(one, "counter", contacts, ZONES, {}), lambda *_: None, "")
         for one in gate_machines
     ]
     places = machines(world, workers, "worker", zones, ZONES, 3)
     spent: Counter[str] = Counter()
     messages: Counter[str] = Counter()
-    do, write = clockwork.Loop.do, clockwork.End.write
+    do, write = virtual_time.Loop.do, virtual_time.End.write
 
     def timed(loop: Any, what: Any, *args: Any) -> None:
         began = time.process_time()
@@ -111,7 +112,7 @@
         messages[end.loop.machine.name] += 1
         write(end, data)
 
-    clockwork.Loop.do, clockwork.End.write = timed, counted  # type: ignore[method-assign]
+    virtual_time.Loop.do, virtual_time.End.write = timed, counted  # type: ignore[method-assign]
     calls = dict(enumerate(at % cores for at in range(workers)))
 
     def beat(at: int, serial: int) -> None:
@@ -127,16 +128,16 @@
             elif answer.status != 200:
                 calls[at] = (calls[at] + 1) % cores
 
-        skep = skeps[calls[at]]
-        assert skep.machine.loop is not None
+        control_node = control_nodes[calls[at]]
+        assert control_node.machine.loop is not None
         call = Call("POST", ["crew", f"i-{at}", "beat"], body=json.dumps(body).encode())
-        skep.machine.loop.do(skep.answer, call, done)
+        control_node.machine.loop.do(control_node.answer, call, done)
         world.at(world.now + 1500 * MS, beat, at, serial + 1)
 
-    for skep in skeps:
-        skep.start(True)
-    for guard in guards:
-        guard.start()
+    for control_node in control_nodes:
+        control_node.start(True)
+    for gateway in gateways:
+        gateway.start()
     for at in range(workers):
         world.at(world.now + 500 * MS + at * 9 * MS, beat, at, 1)
     world.run(6000 * MS)
--- a/benchmarks/control_scale.py
+++ b/benchmarks/control_scale.py
@@ -16,8 +16,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from pepperrun.swarm.narrow import ZONES, Narrow, told
-from pepperrun.swarm.waggles import MS
+from pepperrun.simulation.narrow_links import ZONES, Narrow, told
+from pepperrun.simulation.distribution_world import MS
 
 
 def measure(gates: int, routes: int, mbps: float, seed: int) -> dict[str, float]:
@@ -34,7 +34,7 @@
     world.run(15_000)
     world.heard.clear(), world.sizes.clear()
     world.run(5000)
-    row["core_msgs_s"] = max(world.heard[one.station] for one in world.skeps) / 5
+    row["core_msgs_s"] = max(world.heard[one.station] for one in world.control_nodes) / 5
     row["gate_bytes_s"] = max(world.sizes[one.station] for one in world.gates) / 5
     for name, count in (("one", 1), ("many", routes)):
         world.sizes.clear()
--- a/benchmarks/ill_workers.py
+++ b/benchmarks/ill_workers.py
@@ -35,8 +35,8 @@
     SetTimer,
     TimerFired,
 )
-from pepperrun.forager.ledger import Ledger  # noqa: E402
-from pepperrun.forager.nurse import Chart, Nurse  # noqa: E402
+from pepperrun.dataplane.numbering import Ledger  # noqa: E402
+from pepperrun.dataplane.ejection import Chart, OutlierEjection  # noqa: E402
 from pepperrun.foundation.settings import Bounds  # noqa: E402
 
 MS, SECOND = 1_000_000, 1_000_000_000
@@ -62,23 +62,23 @@
 
 
 class Gate:
-    """Only what the nurse says."""
+    """Only what the ejection says."""
 
-    def __init__(self, nurse: Nurse | None) -> None:
-        self.nurse, self.safe_at = nurse, dict[int, int]()
+    def __init__(self, ejection: OutlierEjection | None) -> None:
+        self.ejection, self.safe_at = ejection, dict[int, int]()
 
     def open(self, lot: object, now: int) -> int:
         return 0
 
     def may(self, lot: tuple[int, bool], backend: int, now: int) -> bool:
         safe = lot[1] or now - self.safe_at.get(lot[0], -5 * SECOND) >= 5 * SECOND
-        return self.nurse is None or self.nurse.may(backend, now, safe)
+        return self.ejection is None or self.ejection.may(backend, now, safe)
 
     def sent(self, lot: tuple[int, bool], backend: int, now: int) -> None:
         if lot[1]:
             self.safe_at[lot[0]] = now
-        if self.nurse is not None:
-            self.nurse.sent(backend, now)
+        if self.ejection is not None:
+            self.ejection.sent(backend, now)
 
 
 class Day:
@@ -103,7 +103,7 @@
             self.rows += [Backend(one, at % ZONES, line=line) for at, one in enumerate(own)]
             self.ill |= set(self.rng.sample(own, round(part * number)))
         self.gates: list[Gate] = []
-        self.guards: list[Gateway] = []
+        self.nodes: list[Gateway] = []
         self.served = self.asked = self.further = self.sends = 0
         self.timers = [0] * (ZONES * EACH)
         self.out: list[dict[tuple[int, int], tuple[int, int, int]]] = [{} for _ in self.timers]
@@ -111,18 +111,20 @@
         self.info: dict[int, tuple[str, int]] = {}
         self.queues: dict[int, Any] = {}  # by worker: slots taken, and what waits for one
         self.verdicts = 0
-        for guard in range(ZONES * EACH):
-            nurse = Nurse(lambda one: self.of[one], self.rng.random, self.left_out) if shares else None
-            if nurse is not None:
-                nurse.sharers = EACH
-            self.gates.append(Gate(nurse))
-            self.guards.append(Gateway(self.ledger.settings(), self.rng.getrandbits(32), self.gates[-1]))
-            zone = guard // EACH
+        for node in range(ZONES * EACH):
+            ejection = (
+                OutlierEjection(lambda one: self.of[one], self.rng.random, self.left_out) if shares else None
+            )
+            if ejection is not None:
+                ejection.sharers = EACH
+            self.gates.append(Gate(ejection))
+            self.nodes.append(Gateway(self.ledger.settings(), self.rng.getrandbits(32), self.gates[-1]))
+            zone = node // EACH
             rows = [
                 Backend(b.id, b.zone, line=b.line, far=1.0 if b.zone == zone else 1.02) for b in self.rows
             ]
-            self.tell(guard, BackendList(ListKind.DELTA, tuple(rows)))
-            self.at(self.rng.expovariate(rate), lambda guard=guard: self.ask(guard))
+            self.tell(node, BackendList(ListKind.DELTA, tuple(rows)))
+            self.at(self.rng.expovariate(rate), lambda node=node: self.ask(node))
         self.at(0.05, self.rounds)
 
     def left_out(self, worker: int, chart: Chart) -> None:
@@ -136,28 +138,28 @@
             self.now, _, what = heapq.heappop(self.agenda)
             what()
 
-    def ask(self, guard: int) -> None:
-        self.at(self.rng.expovariate(self.rate), lambda: self.ask(guard))
+    def ask(self, node: int) -> None:
+        self.at(self.rng.expovariate(self.rate), lambda: self.ask(node))
         name = self.rng.choices(list(KINDS), [row[2] for row in KINDS.values()])[0]
         safe, service, _, _, _, deadline = KINDS[name]
         line, id = self.ledger.line(service), next(self.order)
         self.info[id] = name, self.now
         self.asked += FROM <= self.now < FROM + FOR + 2 * SECOND
-        self.tell(guard, Request(id, 1, 0, self.classes[name], deadline * MS, line=line, lot=(line, safe)))
+        self.tell(node, Request(id, 1, 0, self.classes[name], deadline * MS, line=line, lot=(line, safe)))
 
-    def tell(self, guard: int, event: Event) -> None:
-        for action in self.guards[guard].handle(self.now + SECOND, [event]):
+    def tell(self, node: int, event: Event) -> None:
+        for action in self.nodes[node].handle(self.now + SECOND, [event]):
             if isinstance(action, Send):
-                self.send(guard, action)
+                self.send(node, action)
             elif isinstance(action, SetTimer):
-                self.at(action.delay_ns / SECOND, lambda: self.tell(guard, TimerFired(0)))
+                self.at(action.delay_ns / SECOND, lambda: self.tell(node, TimerFired(0)))
 
-    def send(self, guard: int, send: Send) -> None:
+    def send(self, node: int, send: Send) -> None:
         number = 0
-        while (send.request, number) in self.out[guard] or (guard, send.request, -1 - number) in self.late:
+        while (send.request, number) in self.out[node] or (node, send.request, -1 - number) in self.late:
             number += 1
-        self.late.add((guard, send.request, -1 - number))  # numbers are used once
-        self.out[guard][send.request, number] = self.now, send.backend, send.timeout_ns
+        self.late.add((node, send.request, -1 - number))  # numbers are used once
+        self.out[node][send.request, number] = self.now, send.backend, send.timeout_ns
         self.sends, self.further = self.sends + 1, self.further + (number > 0)
         work_ms = KINDS[self.info[send.request][0]][3]
         takes, outcome = work_ms / 1000 * min(5.0, self.rng.lognormvariate(-0.08, 0.4)), Outcome.OK
@@ -167,16 +169,16 @@
                 takes, outcome = 0.01, Outcome.ERROR
             else:
                 takes = takes * 8 if self.how == "slow" else 1e9
-        self.at(send.timeout_ns / SECOND, lambda: self.end(guard, send.request, number, Outcome.TIMEOUT))
+        self.at(send.timeout_ns / SECOND, lambda: self.end(node, send.request, number, Outcome.TIMEOUT))
         if takes > END:
             return
         queue = self.queues.setdefault(send.backend, [0, deque()])
         if queue[0] < SLOTS:
-            self.begin(queue, takes, lambda: self.end(guard, send.request, number, outcome))
+            self.begin(queue, takes, lambda: self.end(node, send.request, number, outcome))
         elif len(queue[1]) < WAITS:
-            queue[1].append((takes, lambda: self.end(guard, send.request, number, outcome)))
+            queue[1].append((takes, lambda: self.end(node, send.request, number, outcome)))
         else:
-            self.at(0.001, lambda: self.end(guard, send.request, number, Outcome.FULL))
+            self.at(0.001, lambda: self.end(node, send.request, number, Outcome.FULL))
 
     def begin(self, queue: Any, takes: float, over: Callable[[], None]) -> None:
         """A worker's slot is taken; the next one that waits for one follows."""
@@ -190,43 +192,43 @@
         queue[0] += 1
         self.at(takes, done)
 
-    def end(self, guard: int, request: int, number: int, outcome: Outcome) -> None:
-        sent, backend, _ = self.out[guard].pop((request, number), (0, 0, 0))
+    def end(self, node: int, request: int, number: int, outcome: Outcome) -> None:
+        sent, backend, _ = self.out[node].pop((request, number), (0, 0, 0))
         if not backend:
             return
         name, asked = self.info[request]
-        nurse = self.gates[guard].nurse
-        if nurse is not None:
+        ejection = self.gates[node].ejection
+        if ejection is not None:
             if outcome is Outcome.OK:
-                nurse.took(self.classes[name], self.now - sent)
+                ejection.took(self.classes[name], self.now - sent)
             told = outcome in (Outcome.OK, Outcome.ERROR, Outcome.TIMEOUT)
-            if told and (guard, request, number) not in self.late:
-                nurse.saw(backend, outcome is Outcome.OK, self.now)
+            if told and (node, request, number) not in self.late:
+                ejection.saw(backend, outcome is Outcome.OK, self.now)
         in_time = outcome is Outcome.OK and self.now - asked <= KINDS[name][4] * MS
         self.served += in_time and FROM <= asked < FROM + FOR + 2 * SECOND
         elapsed = self.now - sent
-        self.tell(guard, AttemptEnded(request, number, backend, outcome, elapsed, outcome is Outcome.OK))
+        self.tell(node, AttemptEnded(request, number, backend, outcome, elapsed, outcome is Outcome.OK))
 
     def rounds(self) -> None:
         self.at(0.05, self.rounds)
-        for guard, gate in enumerate(self.gates):
-            nurse = gate.nurse
-            if nurse is None:
+        for node, gate in enumerate(self.gates):
+            ejection = gate.ejection
+            if ejection is None:
                 continue
-            for (request, number), (sent, backend, _) in list(self.out[guard].items()):
+            for (request, number), (sent, backend, _) in list(self.out[node].items()):
                 name = self.info[request][0]
-                if self.now - sent > nurse.late_ns(self.classes[name]):
-                    if (guard, request, number) not in self.late:
-                        self.late.add((guard, request, number))
-                        nurse.saw(backend, False, self.now)
-                    if nurse.out(backend, self.now) and KINDS[name][0]:
-                        self.end(guard, request, number, Outcome.CANCELLED)
-            counts = nurse.take_out()
-            zone = guard // EACH * EACH
+                if self.now - sent > ejection.late_ns(self.classes[name]):
+                    if (node, request, number) not in self.late:
+                        self.late.add((node, request, number))
+                        ejection.saw(backend, False, self.now)
+                    if ejection.out(backend, self.now) and KINDS[name][0]:
+                        self.end(node, request, number, Outcome.CANCELLED)
+            counts = ejection.take_out()
+            zone = node // EACH * EACH
             for other in range(zone, zone + EACH) if counts else ():
-                mate = self.gates[other].nurse
-                if other != guard and mate is not None:
-                    mate.told(guard + 1, counts, self.now)
+                mate = self.gates[other].ejection
+                if other != node and mate is not None:
+                    mate.told(node + 1, counts, self.now)
 
 
 def main() -> None:
--- a/features/playing.py
+++ b/features/playing.py
@@ -14,12 +14,12 @@
 from itertools import count
 from pathlib import Path
 
-from pepperrun.comb import changes
-from pepperrun.comb.cells import Beat, Cells
-from pepperrun.comb.checks import read_amend, read_replace
-from pepperrun.comb.hub import Hub
-from pepperrun.comb.records import READY, UNLOADING, Guard, Worker
-from pepperrun.comb.timetable import Sender
+from pepperrun.control import changes
+from pepperrun.control.cells import Beat, Cells
+from pepperrun.control.validation import read_amend, read_replace
+from pepperrun.control.hub import Hub
+from pepperrun.control.records import READY, UNLOADING, GatewayRecord, Worker
+from pepperrun.control.configuration import Sender
 from pepperrun.core.gateway import Gateway
 from pepperrun.core.interface import (
     AttemptEnded,
@@ -33,20 +33,20 @@
     TellPeer,
     TimerFired,
 )
-from pepperrun.forager.hum import Hum, Peers
-from pepperrun.forager.ledger import Ledger, number_of
+from pepperrun.dataplane.peer_messages import PeerMessages, Peers
+from pepperrun.dataplane.numbering import Ledger, number_of
 from pepperrun.foundation.link import Link
 from pepperrun.foundation.netstring import Decoder, encode
 from pepperrun.foundation.settings import Bounds, parse
-from pepperrun.guard import Program
-from pepperrun.queen.queen import Queen
-from pepperrun.queen.values import FIRST_LIFE, Ballot, Held, Memory, RamStore, beginning, digest_of
-from pepperrun.scouts.scout import Scout
-from pepperrun.waggle.book import NewsBook
-from pepperrun.waggle.follower import Follower
-from pepperrun.waggle.publisher import Publisher
-from pepperrun.waggle.service import _Down
-from pepperrun.wax.store import Wax
+from pepperrun.gateway_node import Program
+from pepperrun.consensus.replica import Replica
+from pepperrun.consensus.values import FIRST_LIFE, Ballot, Held, Memory, RamStore, beginning, digest_of
+from pepperrun.membership.gateway_prober import GatewayProber
+from pepperrun.distribution.book import NewsBook
+from pepperrun.distribution.follower import Follower
+from pepperrun.distribution.publisher import Publisher
+from pepperrun.distribution.service import _Down
+from pepperrun.storage.store import DiskStore
 
 MS = 1_000_000
 START = 1_000_000 * MS
@@ -75,8 +75,10 @@
     return json.dumps(data).encode()
 
 
-def guard(name, zone="a"):
-    return Guard(name, zone, ZONES[zone], f"10.1.0.{name[-1]}:80", f"10.1.0.{name[-1]}:{SIDING}", 7, 1, READY)
+def gateway_record(name, zone="a"):
+    return GatewayRecord(
+        name, zone, ZONES[zone], f"10.1.0.{name[-1]}:80", f"10.1.0.{name[-1]}:{SIDING}", 7, 1, READY
+    )
 
 
 def worker(name, serial=4, **more):
@@ -111,7 +113,9 @@
         self.book, self.cores = NewsBook(), [[ip, zone] for ip, zone in zip(CORES, ZONES, strict=True)]
         self.first, _ = changes.apply(None, read_replace(body(configuration()), 0))
         self.book.take_agreed(1, self.first)
-        self.book.take_cells([worker("w1"), worker("w2", cold_until=START + 2000 * MS)], [guard("g2")])
+        self.book.take_cells(
+            [worker("w1"), worker("w2", cold_until=START + 2000 * MS)], [gateway_record("g2")]
+        )
         self.publisher = Publisher(self, lambda due: None)
 
     def __getattr__(self, name):
@@ -120,11 +124,11 @@
     def age_ms(self, now):
         return 12.0
 
-    def beat(self, guard, now):
-        self.book.take_cells([], [guard])
+    def beat(self, gateway_row, now):
+        self.book.take_cells([], [gateway_row])
 
-    def merge(self, workers, guards, now):
-        self.book.take_cells(workers, guards)
+    def merge(self, workers, gateway_rows, now):
+        self.book.take_cells(workers, gateway_rows)
 
     def amend(self):
         change = {"edition": 7, "withdraw": {"routes": ["r-two"]}}
@@ -143,7 +147,7 @@
 def follower():
     own = ("g1", "a", ("10.1.0.1", SIDING))
     contacts = [(CORES[0], SIDING)]
-    return Follower(own, ZONES, contacts, lambda: guard("g1"), changes.apply, START)
+    return Follower(own, ZONES, contacts, lambda: gateway_record("g1"), changes.apply, START)
 
 
 class News:
@@ -182,7 +186,7 @@
     cells = {ip: Cells(ip, 1500, START) for ip in CORES[:2]}
     one, two = CORES[:2]
     cells[one].beat(Beat("w1", "ant", "10.2.0.9:80", "a", "v1", 2, "boarding", 0, 4), 0, START)
-    cells[one].guard(guard("g1"), START)
+    cells[one].gateway(gateway_record("g1"), START)
     log, now = [], START
     for step in range(4):
         if step == 1:
@@ -207,36 +211,36 @@
 
     def __init__(self, over=lambda sender, message: message):
         self.now, self.events, self.turn, self.over, self.log = START, [], count(), over, []
-        self.queens, self.told = {}, {}
+        self.replicas, self.told = {}, {}
         for at, (ip, zone) in enumerate(zip(CORES, ZONES, strict=True)):
             memory = Memory(FIRST_LIFE)
             memory.accepted = memory.chosen = beginning(CORES)
             how = {"zone": zone, "regions": ZONES, "most": 3, "seed": at, "now": self.now}
-            self.queens[ip] = Queen(ip, memory, RamStore(), changes.apply, **how)
-        for ip, queen in self.queens.items():
+            self.replicas[ip] = Replica(ip, memory, RamStore(), changes.apply, **how)
+        for ip, replica in self.replicas.items():
             for other, zone in zip(CORES, ZONES, strict=True):
                 if other != ip:
-                    queen.connected(other, zone, self.now)
+                    replica.connected(other, zone, self.now)
         self.run(1000)
 
     def propose(self, ip, op):
-        return ip, self.queens[ip].propose(op, self.now)
+        return ip, self.replicas[ip].propose(op, self.now)
 
     def pump(self):
-        for ip, queen in self.queens.items():
-            for to, message in queen.take_out():
+        for ip, replica in self.replicas.items():
+            for to, message in replica.take_out():
                 self.log.append(message)
                 wire = json.loads(json.dumps(message))
                 heapq.heappush(self.events, (self.now + 5 * MS, next(self.turn), ip, to, wire))
-            for result in queen.take_results():
+            for result in replica.take_results():
                 self.told[ip, result.token] = result.verdict
-            queen.take_changes()
+            replica.take_changes()
 
     def run(self, ms):
         end = self.now + int(ms * MS)
         while True:
             self.pump()
-            due = min(queen.due() for queen in self.queens.values())
+            due = min(replica.due() for replica in self.replicas.values())
             at = min(due, self.events[0][0]) if self.events else due
             if at > end:
                 self.now = end
@@ -244,30 +248,30 @@
             self.now = max(self.now, at)
             if self.events and self.events[0][0] <= self.now:
                 _, _, sender, to, message = heapq.heappop(self.events)
-                self.queens[to].receive(sender, self.over(sender, message), self.now)
-            for queen in self.queens.values():
-                if queen.due() <= self.now:
-                    queen.tick(self.now)
+                self.replicas[to].receive(sender, self.over(sender, message), self.now)
+            for replica in self.replicas.values():
+                if replica.due() <= self.now:
+                    replica.tick(self.now)
 
 
-def scouts_talk(hear=None):
-    """Two scouts for three seconds. With `hear` the first one's datagrams are these, not what it says now."""
+def probes_talk(hear=None):
+    """Two probes for three seconds. With `hear` the first one's datagrams are these, not what it says now."""
     addresses = {name: (f"10.1.0.{name[-1]}", SIDING) for name in ("g1", "g2")}
-    scouts = {name: Scout(name, "r1", 5000, at, START) for at, name in enumerate(addresses)}
-    for scout in scouts.values():
-        scout.take([guard("g1"), guard("g2")])
+    probes = {name: GatewayProber(name, "r1", 5000, at, START) for at, name in enumerate(addresses)}
+    for prober in probes.values():
+        prober.take([gateway_record("g1"), gateway_record("g2")])
     log = []
     for step in range(300):
         now = START + step * 10 * MS
-        for name, scout in scouts.items():
-            scout.tick(now)
-            said = [data for _, data in scout.take_out()]
+        for name, prober in probes.items():
+            prober.tick(now)
+            said = [data for _, data in prober.take_out()]
             if name == "g1" and hear is not None:
                 said = [bytes.fromhex(data) for at, speaker, data in hear if (at, speaker) == (step, "g1")]
             log += [[step, name, data.hex()] for data in said]
             for data in said:
-                scouts["g2" if name == "g1" else "g1"].receive(data, addresses[name], now)
-    return scouts, log
+                probes["g2" if name == "g1" else "g1"].receive(data, addresses[name], now)
+    return probes, log
 
 
 class Air(asyncio.DatagramTransport):
@@ -281,7 +285,7 @@
         self.sent.append(bytes(data))
 
 
-class Hums:
+class PeerMessagesPair:
     """Two gatekeepers tell each other of a tenant's requests, three seconds long; most come to the first.
 
     With `hear` the datagrams of the first one are these, not what it says now; `deaf`: nobody hears anything.
@@ -295,11 +299,13 @@
             self.kind = ledger.kind(self.line, True, 400 * MS, 1500 * MS, 2)
             ledger.meet(2)
             peers, gateway = Peers(name), Gateway(ledger.settings(), 1)
-            peers.take([guard("g1"), guard("g2")])
+            peers.take([gateway_record("g1"), gateway_record("g2")])
             gateway.quotas.members = peers.members
-            hum = Hum(peers, lambda: 7, lambda number, data, name=name: self.heard(name, number, data))
-            hum.connection_made(Air())
-            self.gateways[name], self.hums[name] = gateway, hum
+            peer_messages = PeerMessages(
+                peers, lambda: 7, lambda number, data, name=name: self.heard(name, number, data)
+            )
+            peer_messages.connection_made(Air())
+            self.gateways[name], self.hums[name] = gateway, peer_messages
             gateway.handle(START, [BackendList(ListKind.DELTA, (Backend(7, 0, line=self.line),))])
         self.now, number = START, 0
         for step in range(300):
@@ -345,7 +351,7 @@
 def shown():
     """What an operator's link is answered by a core machine and by a gatekeeper: one message each."""
     state = Core().book.state
-    rows = [worker("w1"), worker("w2", state=UNLOADING)], [guard("g2")]
+    rows = [worker("w1"), worker("w2", state=UNLOADING)], [gateway_record("g2")]
 
     async def ask():
         memory = Memory(FIRST_LIFE)
@@ -369,13 +375,13 @@
 
 def disk(folder):
     """A core machine that has taken more than it knows as chosen; the bytes of its disk, as text."""
-    wax = Wax(str(folder), 1)
-    memory = wax.begin("s1", CORES[0], CORES)
+    disk = DiskStore(str(folder), 1)
+    memory = disk.begin("s1", CORES[0], CORES)
     first, _ = changes.apply(None, read_replace(body(configuration()), 0))
     value = replace(memory.chosen.value, number=1, digest=digest_of(first))
     memory.promised, memory.accepted = Ballot(3, "s1#1"), Held(Ballot(3, "s1#1"), value, first)
-    wax.save(memory)
-    wax.close()
+    disk.save(memory)
+    disk.close()
     return base64.b64encode(zlib.compress((Path(folder) / "data.mdb").read_bytes(), 9)).decode()
 
 
--- a/features/record.py
+++ b/features/record.py
@@ -29,7 +29,7 @@
     trio = playing.Trio()
     trio.propose(playing.CORES[0], playing.read_replace(playing.body(playing.configuration()), 0))
     trio.run(3000)
-    trio.queens[playing.CORES[0]].retire(trio.now)
+    trio.replicas[playing.CORES[0]].retire(trio.now)
     trio.run(500)
     link = playing.link(playing.Told())
     with tempfile.TemporaryDirectory() as folder:
@@ -39,8 +39,8 @@
         "news": playing.News().log,
         "cells": samples([message for _, message in playing.cells_talk()[1]], "k"),
         "queen": samples(trio.log, "t"),
-        "scouts": playing.scouts_talk()[1],
-        "hum": playing.Hums().log,
+        "scouts": playing.probes_talk()[1],
+        "hum": playing.PeerMessagesPair().log,
         "shown": playing.shown(),
         "wax": disk,
     }
--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -7,10 +7,10 @@
 from behave import given, then, when
 from playing import CORES
 
-from pepperrun.apiary import problems
-from pepperrun.comb.cells import Cells
-from pepperrun.comb.control import Control
-from pepperrun.comb.matchers import Call, answer_to
+from pepperrun.operator import problems
+from pepperrun.control.cells import Cells
+from pepperrun.control.handlers import Control
+from pepperrun.control.matchers import Call, answer_to
 from pepperrun.foundation.settings import Settings, parse
 
 
@@ -19,7 +19,7 @@
 
     def __init__(self, trio, ip):
         self.trio, self.ip, self.retiring = trio, ip, False
-        me = {"station": "s", "role": "skep", "ip": ip, "zone": "a", "region": "r1"}
+        me = {"station": "s", "role": "control_node", "ip": ip, "zone": "a", "region": "r1"}
         network = {"sidings": [7600, 7615], "first_contacts": [], "zones": playing.ZONES}
         self.settings: Settings = parse({"self": me, "network": network})
         self.cells = Cells(ip, 1500, trio.now)
@@ -30,7 +30,7 @@
         return self.trio.now
 
     def minority(self):
-        return self.trio.queens[self.ip].minority
+        return self.trio.replicas[self.ip].minority
 
     def order(self, op, patience):
         future = asyncio.get_running_loop().create_future()
@@ -43,7 +43,7 @@
         return future
 
     def body(self):
-        return self.trio.queens[self.ip].body
+        return self.trio.replicas[self.ip].body
 
     def settle(self):
         for future, token in self.waiting:
--- a/features/steps/versions.py
+++ b/features/steps/versions.py
@@ -7,14 +7,14 @@
 from behave import given, then, when
 from playing import CORES, MS, SIDING, START
 
-from pepperrun.apiary import looking
+from pepperrun.operator import inspection
 from pepperrun.core import gossip
-from pepperrun.forager import hum
-from pepperrun.foundation.errors import HiveError
+from pepperrun.dataplane import peer_messages
+from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.netstring import Decoder, encode
-from pepperrun.queen import messages
-from pepperrun.queen.values import Ballot
-from pepperrun.wax import formats, store
+from pepperrun.consensus import messages
+from pepperrun.consensus.values import Ballot
+from pepperrun.storage import formats, store
 
 OPTIONAL = {"tick": ("g",), "tock": ("cores",), "ask": ("parts", "of"), "cells": ("of",)}
 
@@ -66,11 +66,11 @@
     held = cells[CORES[0]]
     held.take_out(START)
     held.receive(CORES[1], odd, START)
-    queen = trio.queens[CORES[0]]
-    queen.take_out()
-    queen.receive(CORES[1], {"t": "smoke"}, trio.now)
+    replica = trio.replicas[CORES[0]]
+    replica.take_out()
+    replica.receive(CORES[1], {"t": "smoke"}, trio.now)
     context.ears = [news.up, news.down]
-    context.answers = [news.up.take(), news.down.take(), held.take_out(START), queen.take_out()]
+    context.answers = [news.up.take(), news.down.take(), held.take_out(START), replica.take_out()]
 
 
 @then("nobody is told anything and no link ends")
@@ -184,18 +184,21 @@
         assert context.cells.receive(CORES[0], message, START), message
 
 
-@then('worker "{worker}" is unloading and gatekeeper "{guard}" is ready there')
-def records(context, worker, guard):
+@then('worker "{worker}" is unloading and gatekeeper "{gateway}" is ready there')
+def records(context, worker, gateway):
     assert context.cells.workers[worker].state == "unloading"
-    assert context.cells.guards[guard].state == "ready"
+    assert context.cells.gateways[gateway].state == "ready"
 
 
 @then("the rows of this version begin with the columns of that one")
 def rows_begin(context):
-    for name, now in (("w", context.cells.workers["w1"].wire(START)), ("g", playing.guard("g1").wire())):
+    for name, now in (
+        ("w", context.cells.workers["w1"].wire(START)),
+        ("g", playing.gateway_record("g1").wire()),
+    ):
         old = next(one[name][0] for one in context.said["cells"] if name in one)
         assert [type(value) for value in now[: len(old)]] == [type(value) for value in old]
-    assert playing.guard("g1").wire()[: len(old)] == old
+    assert playing.gateway_record("g1").wire()[: len(old)] == old
 
 
 # Agreement.
@@ -212,7 +215,7 @@
     context.trio = playing.Trio(adds if how.startswith("adds") else leaves_out)
     if how.startswith("adds"):
         for ip in (CORES[0], CORES[2]):
-            context.trio.queens[ip].receive(CORES[1], {"t": "smoke", "s": 1}, context.trio.now)
+            context.trio.replicas[ip].receive(CORES[1], {"t": "smoke", "s": 1}, context.trio.now)
 
 
 @when("an operator puts edition 5 at each in turn")
@@ -226,8 +229,8 @@
 
 @then("all three hold edition 5")
 def all_hold(context):
-    assert [queen.body["edition"] for queen in context.trio.queens.values()] == [5, 5, 5]
-    assert all(context.trio.now - queen.fresh_at < 1000 * MS for queen in context.trio.queens.values())
+    assert [replica.body["edition"] for replica in context.trio.replicas.values()] == [5, 5, 5]
+    assert all(context.trio.now - replica.fresh_at < 1000 * MS for replica in context.trio.replicas.values())
 
 
 @then("each of its messages of the agreement is read, and this version says the same kinds")
@@ -244,25 +247,25 @@
         assert any(set(old) <= set(one) for one in said.get(old["t"], ())) or "q" in old, old
 
 
-# Scouts.
+# GatewayProbes.
 
 
-@when("a scout hears the datagrams of the version before")
-def old_scouts(context):
-    context.scouts, _ = playing.scouts_talk(context.said["scouts"])
+@when("a prober hears the datagrams of the version before")
+def old_probes(context):
+    context.probes, _ = playing.probes_talk(context.said["scouts"])
 
 
 @then("it takes the other for a member that is there")
 def is_there(context):
-    scout = context.scouts["g2"]
-    assert scout.settled and not scout.doubt and not scout.absent()
+    prober = context.probes["g2"]
+    assert prober.settled and not prober.doubt and not prober.absent()
 
 
 @then("its datagrams are the same, byte by byte, when read and written again")
 def same_bytes(context):
     kinds = set()
     for _, speaker, text in context.said["scouts"]:
-        wire = context.scouts["g2" if speaker == "g1" else "g1"].wire
+        wire = context.probes["g2" if speaker == "g1" else "g1"].wire
         datagram = wire.unpack(bytes.fromhex(text))
         assert datagram is not None and wire.pack(datagram).hex() == text
         kinds.add(datagram.kind)
@@ -274,7 +277,10 @@
 
 @when("a gatekeeper hears the counts of the version before")
 def old_counts(context):
-    context.hears, context.deaf = playing.Hums(context.said["hum"]), playing.Hums(deaf=True)
+    context.hears, context.deaf = (
+        playing.PeerMessagesPair(context.said["hum"]),
+        playing.PeerMessagesPair(deaf=True),
+    )
 
 
 @then("it leaves less of the tenant's quota than one that hears nothing")
@@ -288,10 +294,10 @@
     for _, speaker, text in context.said["hum"]:
         data = bytes.fromhex(text)
         peers = context.hears.hums["g2" if speaker == "g1" else "g1"].peers
-        tag, station, life = hum.HEAD.unpack_from(data)
-        message = gossip.unpack(data[hum.HEAD.size :])
-        assert tag == hum.TAG and peers.of(station, life) is not None and message is not None
-        assert gossip.pack(message) == data[hum.HEAD.size :]
+        tag, station, life = peer_messages.HEAD.unpack_from(data)
+        message = gossip.unpack(data[peer_messages.HEAD.size :])
+        assert tag == peer_messages.TAG and peers.of(station, life) is not None and message is not None
+        assert gossip.pack(message) == data[peer_messages.HEAD.size :]
         told += len(message.entries)
     assert told > 5
 
@@ -301,15 +307,15 @@
 
 @when("an operator of this version is shown what its processes hold")
 def old_shown(context):
-    context.texts = [looking.text(one) for one in context.said["shown"]]
+    context.texts = [inspection.text(one) for one in context.said["shown"]]
 
 
 @then("the text names each process, its number and its workers")
 def text_names(context):
-    core, guard = context.texts
-    assert core.startswith("s1 (sorting, zone a)") and guard.startswith("g1 (counter, zone a)")
-    assert "workers of ant: boarding 1, unloading 1" in core and "number: 1" in guard.split("\n")
-    assert "workers of ant: " in guard and "boarding 1" in guard
+    core, gateway = context.texts
+    assert core.startswith("s1 (sorting, zone a)") and gateway.startswith("g1 (counter, zone a)")
+    assert "workers of ant: boarding 1, unloading 1" in core and "number: 1" in gateway.split("\n")
+    assert "workers of ant: " in gateway and "boarding 1" in gateway
 
 
 @then("this version's processes show every field that those did")
@@ -326,7 +332,7 @@
 @when("a core machine starts on its disk")
 def old_disk(context):
     playing.undisk(context.said["wax"], context.folder)
-    context.memory = store.Wax(str(context.folder), 1).begin("s1", CORES[0], [])
+    context.memory = store.DiskStore(str(context.folder), 1).begin("s1", CORES[0], [])
 
 
 @then("it remembers its life, its promise and what it had taken, and counts one start more")
@@ -340,15 +346,15 @@
 def later_disk(context):
     known, formats.FORMAT = formats.FORMAT, formats.FORMAT + 1
     try:
-        wax = store.Wax(str(context.folder), 1)
-        wax.begin("s1", CORES[0], CORES)
-        wax.close()
+        disk = store.DiskStore(str(context.folder), 1)
+        disk.begin("s1", CORES[0], CORES)
+        disk.close()
     finally:
         formats.FORMAT = known
     context.disk = (context.folder / "data.mdb").read_bytes()
     try:
-        store.Wax(str(context.folder), 1).begin("s1", CORES[0], CORES)
-    except HiveError as error:
+        store.DiskStore(str(context.folder), 1).begin("s1", CORES[0], CORES)
+    except PepperrunError as error:
         context.refused = error
 
 
--- a/features/versions.feature
+++ b/features/versions.feature
@@ -79,9 +79,9 @@
       | first     |
       | landing-6 |
 
-  Scenario Outline: Scouts of two versions find each other
+  Scenario Outline: GatewayProbes of two versions find each other
     Given what version "<version>" said
-    When a scout hears the datagrams of the version before
+    When a prober hears the datagrams of the version before
     Then it takes the other for a member that is there
     And its datagrams are the same, byte by byte, when read and written again
 
--- a/pepperrun/apiary/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Apiary (operators' tools): checks of files, calls to the core, what a process holds, a nursery."""
--- a/pepperrun/assembly.py
+++ b/pepperrun/assembly.py
@@ -36,8 +36,8 @@
 from pepperrun.net.server_side import ServerSide, platform_judge
 
 if TYPE_CHECKING:
-    from pepperrun.members.config import MembersConfig
-    from pepperrun.members.service import Service
+    from pepperrun.membership.config import MembersConfig
+    from pepperrun.membership.service import Service
     from pepperrun.parking.config import ClientsConfig
     from pepperrun.parking.lot import Lot
 
@@ -244,7 +244,7 @@
 
 def start_members(config: Config, members: MembersConfig, core: Core, before: Any = None) -> Service:
     """Membership, over the socket of the ordinary messages; `before`: what a process before this one knew."""
-    from pepperrun.members.service import Service
+    from pepperrun.membership.service import Service
 
     names = members.names or [f"gatekeeper {number}" for number in range(config.settings.gateways)]
     service = Service(members, config.name, names, core.gatekeeper, core._tell, config.seed, before)
--- a/pepperrun/comb/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Comb (control state): records of workers and gatekeepers by zone, the configuration and its checks."""
--- a/pepperrun/config.py
+++ b/pepperrun/config.py
@@ -206,7 +206,7 @@
     connect_timeout_ns: int
     admin: Address | None = None  # where operators call
     memory_mb: float = 192.0  # the limit on the process
-    members: Mapping[str, Any] | None = None  # `pepperrun.members.config` reads it where it is there
+    members: Mapping[str, Any] | None = None  # `pepperrun.membership.config` reads it where it is there
 
 
 def read_config(text: str, env: Mapping[str, str]) -> Config:
--- a/pepperrun/queen/texts.py
+++ b/pepperrun/consensus/canonical_json.py
@@ -1,8 +1,8 @@
 """The JSON text of a body, item by item: what did not change since the body before is not written again.
 
-A change touches a few items of thousands, and states share what did not change (`comb.changes`). So the text
-of an item is kept for as long as the item itself, that very object, is in the last bodies. Items are never
-changed in place.
+A change touches a few items of thousands, and states share what did not change (`control.changes`). So the
+text of an item is kept for as long as the item itself, that very object, is in the last bodies. Items are
+never changed in place.
 """
 
 from __future__ import annotations
--- a/pepperrun/queen/hearing.py
+++ b/pepperrun/consensus/liveness.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from pepperrun.queen.values import Life, Value
+from pepperrun.consensus.values import Life, Value
 
 
 class Opinion(NamedTuple):
--- a/pepperrun/queen/messages.py
+++ b/pepperrun/consensus/messages.py
@@ -19,8 +19,8 @@
 
 from typing import Any
 
-from pepperrun.foundation.errors import HiveError
-from pepperrun.queen.values import Ballot, Life, Value
+from pepperrun.foundation.errors import PepperrunError
+from pepperrun.consensus.values import Ballot, Life, Value
 
 Message = dict[str, Any]
 MOST_TEXT = 200  # characters of a life, an ip, a digest
@@ -43,8 +43,8 @@
 }
 
 
-def _bad(what: str) -> HiveError:
-    return HiveError("bad-message", "agreement", what)
+def _bad(what: str) -> PepperrunError:
+    return PepperrunError("bad-message", "agreement", what)
 
 
 def _text(data: Any) -> str:
@@ -99,7 +99,7 @@
 
 
 def read(data: Any) -> Message:
-    """A message with its fields checked, ballots and values made; HiveError where it can't be meant."""
+    """A message with its fields checked, ballots and values made; PepperrunError where it can't be meant."""
     if not isinstance(data, dict) or data.get("t") not in _NEEDED:
         raise _bad("unknown kind")
     kind: str = data["t"]
--- a/pepperrun/queen/register.py
+++ b/pepperrun/consensus/register.py
@@ -29,9 +29,9 @@
 from dataclasses import dataclass, field, replace
 from typing import Any, NamedTuple
 
-from pepperrun.queen.messages import Message, wire
-from pepperrun.queen.values import NONE, Ballot, Body, Held, Life, Memory, Op, Store, Value, digest_of
-from pepperrun.queen.voter import Apply, Pace, Steps, Voter
+from pepperrun.consensus.messages import Message, wire
+from pepperrun.consensus.values import NONE, Ballot, Body, Held, Life, Memory, Op, Store, Value, digest_of
+from pepperrun.consensus.voter import Apply, Pace, Steps, Voter
 
 MOST_DOUBLED = 4
 MOST_OPS = 4  # in one round: each may be a whole configuration
--- a/pepperrun/queen/queen.py
+++ b/pepperrun/consensus/replica.py
@@ -16,15 +16,15 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
-from pepperrun.queen import messages
-from pepperrun.queen.hearing import Hearing, Opinion
-from pepperrun.queen.messages import Message
-from pepperrun.queen.register import Phase, Register, Result
-from pepperrun.queen.upkeep import successors, wanted
-from pepperrun.queen.values import NONE, Ballot, Body, Life, Memory, Op, Store, Value
-from pepperrun.queen.voter import Apply, Change, Pace
+from pepperrun.consensus import messages
+from pepperrun.consensus.liveness import Hearing, Opinion
+from pepperrun.consensus.messages import Message
+from pepperrun.consensus.register import Phase, Register, Result
+from pepperrun.consensus.voter_selection import successors, wanted
+from pepperrun.consensus.values import NONE, Ballot, Body, Life, Memory, Op, Store, Value
+from pepperrun.consensus.voter import Apply, Change, Pace
 
-__all__ = ["Apply", "Change", "Pace", "Queen", "Result"]
+__all__ = ["Apply", "Change", "Pace", "Replica", "Result"]
 
 MOST_ASKED = 4  # read rounds whose answers still count
 
@@ -37,11 +37,11 @@
     taken: dict[Life, Ballot] = field(default_factory=dict)
 
 
-class Queen:
+class Replica:
     """One core machine, `me` by its ip. After each call take out what is there: messages, results, changes.
 
-    `memory` comes from the disk (`wax.Wax.begin`) and `store.save` syncs it before messages are given out.
-    `regions`: the region of each zone. `most`: voters at most (odd).
+    `memory` comes from the disk (`storage.DiskStore.begin`) and `store.save` syncs it before messages are
+    given out. `regions`: the region of each zone. `most`: voters at most (odd).
     """
 
     def __init__(
@@ -69,7 +69,7 @@
         self.later, self.later_since = NONE, now  # taken by somebody, and not known as chosen
         self.look = False  # at whether the voters are as they should be
         self.stopping = False
-        self.crown = ""  # who should be the keeper instead of the one there is
+        self.next_keeper = ""  # who should be the keeper instead of the one there is
 
     # What is held.
 
@@ -160,7 +160,7 @@
         self.register.others = set(self.hearing.links)
 
     def receive(self, ip: str, message: Message, now: int) -> None:
-        """A message (`m`) of another core machine; HiveError, and nothing done, where it can't be meant.
+        """A message (`m`) of another core machine; PepperrunError, and nothing done, where it can't be meant.
 
         Kinds of a later version are passed over, so that its machines and this one can agree meanwhile.
         """
@@ -216,14 +216,14 @@
             self.register.flush(self.register.broken or now - self.register.chosen_when >= self.pace.lazy)
         self._start()
 
-    # Rounds.
+    # SharedOutcomes.
 
     def _start(self) -> None:
         """Begins a round where there is need of one, fails what waits where none can succeed."""
         register, value = self.register, self.value
-        if value is not None and value.keeper == self.crown:
-            self.crown = ""
-        look = self.look and value is not None and (bool(self.crown) or self.me == value.keeper)
+        if value is not None and value.keeper == self.next_keeper:
+            self.next_keeper = ""
+        look = self.look and value is not None and (bool(self.next_keeper) or self.me == value.keeper)
         self.look = False
         if not (register.wishes or look or self.later > register.chosen_at):
             return
@@ -250,8 +250,8 @@
         """What should be changed of who votes and who keeps."""
         if value.was and known:
             value = replace(value, was=())
-        if self.crown and self.value is not None and self.value.keeper == value.keeper:
-            value = replace(value, keeper=self.crown)
+        if self.next_keeper and self.value is not None and self.value.keeper == value.keeper:
+            value = replace(value, keeper=self.next_keeper)
         if value.keeper != self.me or value.was or self.stopping:
             return value
         up = self._up()
@@ -262,13 +262,13 @@
 
     def _succession(self, up: Mapping[str, str]) -> None:
         """Should another be the keeper? The one there is says who, or a majority finds it silent."""
-        self.crown, value = "", self.value
+        self.next_keeper, value = "", self.value
         if value is None:
             return  # no chosen value, no keeper
         order = [ip for ip in successors(value, set(up)) if ip != value.keeper]
         if value.keeper == self.me:
             if self.stopping and order:
-                self.crown = order[0]
+                self.next_keeper = order[0]
             return
         silence = self.hearing.silence(value.keeper, self.now)
         if silence < self.pace.silent or self.me not in order or self.stopping:
@@ -276,7 +276,7 @@
         if not self.hearing.agreed_silent(value, self.votes, self.now, self.pace.up):
             return
         if silence >= self.pace.silent + order.index(self.me) * self.pace.round * 2:
-            self.crown = self.me
+            self.next_keeper = self.me
 
     # Freshness.
 
--- a/pepperrun/queen/values.py
+++ b/pepperrun/consensus/values.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple, Protocol
 
-from pepperrun.queen.texts import Texts
+from pepperrun.consensus.canonical_json import Texts
 
 Body = dict[str, Any]
 Op = dict[str, Any]
@@ -85,7 +85,7 @@
     """Keeps the memory."""
 
     def save(self, memory: Memory) -> None:
-        """Returns when all of it is synced; HiveError where that can't be had."""
+        """Returns when all of it is synced; PepperrunError where that can't be had."""
 
 
 @dataclass(slots=True)
--- a/pepperrun/queen/voter.py
+++ b/pepperrun/consensus/voter.py
@@ -10,10 +10,10 @@
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
-from pepperrun.foundation.errors import HiveError
+from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.logs import event, trouble
-from pepperrun.queen.messages import Message, read, wire
-from pepperrun.queen.values import NONE, Ballot, Body, Held, Life, Memory, Op, Store, digest_of
+from pepperrun.consensus.messages import Message, read, wire
+from pepperrun.consensus.values import NONE, Ballot, Body, Held, Life, Memory, Op, Store, digest_of
 
 MS = 1_000_000
 
@@ -166,7 +166,7 @@
         if "w" in message:
             whole: Body = message["w"]
             if digest_of(whole) != digest:
-                raise HiveError("wrong-body", "agreement", f"not of digest {digest}")
+                raise PepperrunError("wrong-body", "agreement", f"not of digest {digest}")
             return whole
         body = self.body_of(message.get("f", ""))
         for op in message.get("o", []):
@@ -264,7 +264,7 @@
     def _sync(self) -> None:
         try:
             self.store.save(self.memory)
-        except HiveError as error:
+        except PepperrunError as error:
             if not self.broken:
                 trouble(error)
             self.broken, self.own = True, []
--- a/pepperrun/queen/upkeep.py
+++ b/pepperrun/consensus/voter_selection.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from collections.abc import Mapping, Set
 
-from pepperrun.queen.values import Life, Value
+from pepperrun.consensus.values import Life, Value
 
 
 def wanted(
--- a/pepperrun/comb/cells.py
+++ b/pepperrun/control/cells.py
@@ -1,10 +1,10 @@
 """Cells (who is there): for each zone its workers and gatekeepers, kept by every core machine.
 
 The deciding half, without I/O. Beats come in at any core machine; what they change is pushed to the others,
-and copies are compared by digests over ranges each second (`waggle.repair`). That a beat came and changed
-nothing is told compactly: a core machine vouches for those it hears until it tells otherwise
-(`comb.vouching`). Each core machine that is linked with a majority concludes for itself that a worker is lost
-whom nobody has vouched for in LOST_BEATS beats and a second; a later beat undoes it.
+and copies are compared by digests over ranges each second (`distribution.repair`). That a beat came and
+changed nothing is told compactly: a core machine vouches for those it hears until it tells otherwise
+(`control.vouching`). Each core machine that is linked with a majority concludes for itself that a worker is
+lost whom nobody has vouched for in LOST_BEATS beats and a second; a later beat undoes it.
 """
 
 from __future__ import annotations
@@ -16,11 +16,11 @@
 
 from bidict import bidict
 
-from pepperrun.comb.records import BOARDING, GONE, LOST, READY, UNLOADING, Guard, Worker
-from pepperrun.comb.vouching import Vouching
+from pepperrun.control.records import BOARDING, GONE, LOST, READY, UNLOADING, GatewayRecord, Worker
+from pepperrun.control.vouching import Vouching
 from pepperrun.foundation.netstring import Message
-from pepperrun.waggle import repair
-from pepperrun.waggle.digests import Record, Sums, newer, record_id
+from pepperrun.distribution import repair
+from pepperrun.distribution.digests import Record, Sums, newer, record_id
 
 MS = 1_000_000
 SECOND = 1000 * MS
@@ -67,7 +67,7 @@
         self.me = me
         self.silent = int(LOST_BEATS * beat_ms * MS) + SECOND
         self.workers: dict[str, Worker] = {}
-        self.guards: dict[str, Guard] = {}
+        self.gateways: dict[str, GatewayRecord] = {}
         self.sums = Sums()
         self.peers: dict[str, str] = {}  # linked core machines: ip, zone
         self.since: int | None = None  # linked with a majority since then
@@ -206,21 +206,21 @@
 
     # Gatekeepers.
 
-    def guard(self, row: Guard, now: int) -> None:
+    def gateway(self, row: GatewayRecord, now: int) -> None:
         """A gatekeeper's own word on its own link. Who had been given up for gone is there after all."""
         self._hear("g:" + row.station, now)
-        held = self.guards.get(row.station)
+        held = self.gateways.get(row.station)
         if held is not None and held.life == row.life and held.serial == row.serial and held.state == GONE:
             row = replace(row, serial=row.serial + 1)
         if newer(held, row):
             self._take(row, now, urgent=True)
 
-    def ready_guards(self, now: int) -> list[Guard]:
+    def ready_gateways(self, now: int) -> list[GatewayRecord]:
         """Those that clients may be sent to."""
         heard = self.vouching.last
         return [
             one
-            for name, one in self.guards.items()
+            for name, one in self.gateways.items()
             if one.state == READY and now - heard("g:" + name, now) < GUARD_SILENT
         ]
 
@@ -228,9 +228,9 @@
 
     def held(self, id: str) -> Record | None:
         """By the id that `record_id` gives."""
-        return self.workers.get(id[2:]) if id.startswith("w:") else self.guards.get(id[2:])
+        return self.workers.get(id[2:]) if id.startswith("w:") else self.gateways.get(id[2:])
 
-    def merge(self, workers: Iterable[Worker], guards: Iterable[Guard], now: int) -> None:
+    def merge(self, workers: Iterable[Worker], gateways: Iterable[GatewayRecord], now: int) -> None:
         """Rows of others: the newer ones count."""
         for worker in workers:
             old = self.workers.get(worker.id)
@@ -240,10 +240,10 @@
             self._reassert(worker, now)
             if old is None and worker.state != LOST:
                 self.holders.forceput(worker.address, worker.id)
-        for guard in guards:
-            held = self.guards.get(guard.station)
-            if newer(held, guard) and not (held is None and guard.state == GONE):
-                self._put(guard, now)
+        for gateway in gateways:
+            held = self.gateways.get(gateway.station)
+            if newer(held, gateway) and not (held is None and gateway.state == GONE):
+                self._put(gateway, now)
 
     def _reassert(self, worker: Worker, now: int) -> None:
         """Another one took for lost whom this machine hears: its last beat says otherwise."""
@@ -263,8 +263,8 @@
             else:
                 self.ended.pop(record.id, None)
         else:
-            self.sums.swap(self.guards.get(record.station), record)
-            self.guards[record.station] = record
+            self.sums.swap(self.gateways.get(record.station), record)
+            self.gateways[record.station] = record
         self.changed[key] = record
         self.vouching.known(key, record.state not in (LOST, GONE), now)
 
@@ -309,13 +309,13 @@
     def _conclude(self, now: int) -> None:
         """Who has been silent for too long is lost, or gone; who has been gone for long is forgotten."""
         since, last = self.since, self.vouching.last
-        for name, guard in list(self.guards.items()):
+        for name, gateway in list(self.gateways.items()):
             silent = now - last("g:" + name, now)
-            if guard.state == GONE and silent > GUARD_GONE + KEPT:
-                del self.guards[name]
+            if gateway.state == GONE and silent > GUARD_GONE + KEPT:
+                del self.gateways[name]
                 self.vouching.forget("g:" + name)
-            elif since is not None and guard.state != GONE and silent > GUARD_GONE < now - since:
-                self._put(replace(guard, state=GONE), now)
+            elif since is not None and gateway.state != GONE and silent > GUARD_GONE < now - since:
+                self._put(replace(gateway, state=GONE), now)
         for id, worker in list(self.workers.items()):
             if worker.state in (BOARDING, UNLOADING):
                 heard = last("w:" + id, now)
--- a/pepperrun/comb/changes.py
+++ b/pepperrun/control/changes.py
@@ -17,8 +17,8 @@
 
 from typing import Any
 
-from pepperrun.comb.checks import KINDS, Op, check_lines, check_stamps, refusal, table
-from pepperrun.foundation.errors import HiveError
+from pepperrun.control.validation import KINDS, Op, check_lines, check_stamps, refusal, table
+from pepperrun.foundation.errors import PepperrunError
 
 State = dict[str, Any]
 Verdict = list[Any]  # HTTP status, a sentence
@@ -67,7 +67,7 @@
                 "old-edition", f"Edition {op['edition']} is not above the current {state['edition']}."
             )
         new = _replace(op) if op["do"] == "replace" else _amend(state, op)
-    except HiveError as error:
+    except PepperrunError as error:
         return None, [400, error.detail, error.code]
     new["edition"], new["evacuated"] = op["edition"], state["evacuated"]
     new |= {key: state[key] for key in ("seats", "keepers") if key in state}
--- a/pepperrun/comb/directory.py
+++ b/pepperrun/control/directory.py
@@ -5,14 +5,14 @@
 import random
 from collections.abc import Iterable, Mapping
 
-from pepperrun.comb.records import Guard
+from pepperrun.control.records import GatewayRecord
 
 MOST = 64  # addresses that count
 ENOUGH = 2  # ready ones in a client's region before farther ones are told
 
 
 def choose(
-    guards: Iterable[Guard], zone: str, region: str, regions: Mapping[str, str], seed: int
+    gateways: Iterable[GatewayRecord], zone: str, region: str, regions: Mapping[str, str], seed: int
 ) -> list[str]:
     """Addresses for a client: of its region, the zone's first; of all where these are few.
 
@@ -22,7 +22,7 @@
     """
     region = region or regions.get(zone, "")
     rings: tuple[list[str], list[str], list[str]] = ([], [], [])
-    for one in guards:
+    for one in gateways:
         rings[0 if one.zone == zone else 1 if one.region == region else 2].append(one.counter)
     out: list[str] = []
     mix = random.Random(seed)
--- a/pepperrun/comb/seats.py
+++ b/pepperrun/control/gateway_count.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from pepperrun.comb.records import GONE, Guard
+from pepperrun.control.records import GONE, GatewayRecord
 
 SECOND = 1_000_000_000
 SHRINK_NS = 30 * SECOND  # longer than any that is cut off may go on by what it holds
@@ -26,12 +26,12 @@
         self.asked_at = -AGAIN_NS
 
     def wanted(
-        self, guards: Iterable[Guard], state: dict[str, Any] | None, now: int
+        self, gateways: Iterable[GatewayRecord], state: dict[str, Any] | None, now: int
     ) -> dict[str, Any] | None:
         """The operation to propose now, or None. Before there is a configuration nothing is split."""
         if not state or not state.get("edition"):
             return None
-        count, seats = sum(guard.state != GONE for guard in guards), state.get("seats", 0)
+        count, seats = sum(gateway.state != GONE for gateway in gateways), state.get("seats", 0)
         if count >= seats:
             self.fewer_since = None
         elif self.fewer_since is None:
--- a/pepperrun/comb/control.py
+++ b/pepperrun/control/handlers.py
@@ -7,13 +7,13 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
-from pepperrun.comb.cells import Beat, Cells
-from pepperrun.comb.changes import Verdict, evacuation, written
-from pepperrun.comb.checks import Op, parse, read_amend, read_replace, refusal
-from pepperrun.comb.directory import choose
-from pepperrun.comb.matchers import Answer, Call, Matcher, any_of, at, does, each, header, method
-from pepperrun.comb.records import BOARDING, UNLOADING
-from pepperrun.foundation.errors import HiveError
+from pepperrun.control.cells import Beat, Cells
+from pepperrun.control.changes import Verdict, evacuation, written
+from pepperrun.control.validation import Op, parse, read_amend, read_replace, refusal
+from pepperrun.control.directory import choose
+from pepperrun.control.matchers import Answer, Call, Matcher, any_of, at, does, each, header, method
+from pepperrun.control.records import BOARDING, UNLOADING
+from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.logs import event
 from pepperrun.foundation.settings import Settings
 
@@ -120,7 +120,7 @@
             return not_now("minority", "This machine is not linked with a majority.")
         try:
             word = read_beat(call.values["id"], call.body)
-        except HiveError as error:
+        except PepperrunError as error:
             return told(400, error.code, error.detail)
         token = core.cells.beat(word, core.voters() // 2 if word.state == UNLOADING else 0, core.now())
         core.after()
@@ -155,7 +155,7 @@
         def answer(call: Call) -> Answer | Awaited:
             try:
                 op = read(call.body, _based_on(call))
-            except HiveError as error:
+            except PepperrunError as error:
                 event("refused", code=error.code, detail=error.detail)
                 return told(400, error.code, error.detail)
             return self.order(call, op, PATIENCE + len(call.body) * PER_KB // 1024)
@@ -217,10 +217,10 @@
         self.asked += 1
         zone, region = query.get("zone", ""), query.get("region", "")
         near = choose(
-            core.cells.ready_guards(core.now()), zone, region, core.settings.network.zones, self.asked
+            core.cells.ready_gateways(core.now()), zone, region, core.settings.network.zones, self.asked
         )
         if not near:
-            return not_now("no-guard", "No gatekeeper is ready.")
+            return not_now("no-gateway", "No gatekeeper is ready.")
         ttl_s = min(TTL_S, core.settings.tariffs.bounds.ttl_max_s)
         return Answer(200, json.dumps({"addresses": near, "ttl_s": ttl_s}).encode())
 
@@ -237,7 +237,7 @@
 
 
 def read_beat(id: str, body: bytes) -> Beat:
-    """A beat's body; HiveError where it can't be meant."""
+    """A beat's body; PepperrunError where it can't be meant."""
     word = parse(body)
     notice: Any = word.get("notice")
     tracking: Any = word.get("tracking")
@@ -253,5 +253,5 @@
         cold = int(float(tracking.get("cold_ms") or 0) * MS)
         numbers = int(notice.get("berths") or 1), int(tracking["serial"])
     except (TypeError, KeyError, ValueError, OverflowError, AttributeError) as error:
-        raise HiveError("bad-beat", "reading a beat", f"{type(error).__name__}: {error}", id) from None
+        raise PepperrunError("bad-beat", "reading a beat", f"{type(error).__name__}: {error}", id) from None
     return Beat(id, line, str(address), zone, texts[4], numbers[0], state, cold, numbers[1])
--- a/pepperrun/comb/hub.py
+++ b/pepperrun/control/hub.py
@@ -10,26 +10,26 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from pepperrun.comb.cells import Cells
-from pepperrun.comb.changes import Verdict, apply, lean
-from pepperrun.comb.checks import Op
-from pepperrun.comb.evacuations import Evacuations
-from pepperrun.comb.mesh import CORE, Mesh
-from pepperrun.comb.records import Guard, Worker
-from pepperrun.comb.rota import Rota
-from pepperrun.comb.seats import Seats
-from pepperrun.comb.showing import shown
+from pepperrun.control.cells import Cells
+from pepperrun.control.changes import Verdict, apply, lean
+from pepperrun.control.validation import Op
+from pepperrun.control.evacuations import Evacuations
+from pepperrun.control.mesh import CORE, Mesh
+from pepperrun.control.records import GatewayRecord, Worker
+from pepperrun.control.quota_placement import QuotaPlacement
+from pepperrun.control.gateway_count import Seats
+from pepperrun.control.inspection import shown
 from pepperrun.foundation.link import OPERATOR, Link
 from pepperrun.foundation.logs import event
 from pepperrun.foundation.netstring import Message, encode
 from pepperrun.foundation.settings import Settings
-from pepperrun.queen.queen import Change, Queen
-from pepperrun.queen.values import Memory, Store
-from pepperrun.waggle.digests import Sums
-from pepperrun.waggle.publisher import Publisher
+from pepperrun.consensus.replica import Change, Replica
+from pepperrun.consensus.values import Memory, Store
+from pepperrun.distribution.digests import Sums
+from pepperrun.distribution.publisher import Publisher
 
 MS = 1_000_000
-WATCH = 100 * MS  # between two counts of who is up: that needs 1,200 ms of silence (`queen.voter.Pace`)
+WATCH = 100 * MS  # between two counts of who is up: that needs 1,200 ms of silence (`consensus.voter.Pace`)
 SEATS_PATIENCE = 1_500_000_000  # ns: then it is proposed anew
 
 
@@ -48,7 +48,7 @@
         me, now = settings.me, clock()
         self.loop = asyncio.get_running_loop()
         self.cells = Cells(me.ip, settings.carrier.beat_ms, now)
-        self.queen = Queen(
+        self.replica = Replica(
             *(me.ip, memory, store, apply),
             zone=me.zone,
             regions=settings.network.zones,
@@ -57,13 +57,13 @@
             now=now,
         )
         self.publisher = Publisher(self, self.alarm)
-        self.seats, self.rota = Seats(), Rota()
+        self.seats, self.quota_placement = Seats(), QuotaPlacement()
         self.mesh = Mesh(me.ip, settings.network.sidings[0], self, self, self.hello)
         self.retiring = False
         self.orders: dict[int, asyncio.Future[Verdict | None]] = {}
         self.waits: dict[int, asyncio.Future[None]] = {}
         self.readers: list[tuple[int, asyncio.Future[None]]] = []
-        self.evacuated: list[str] = list(self.queen.body.get("evacuated", ()))
+        self.evacuated: list[str] = list(self.replica.body.get("evacuated", ()))
         self.evacuations = Evacuations(now)
         self.contacts = {ip for ip, _ in settings.contacts()}
         self.alone = True
@@ -74,14 +74,14 @@
 
     def start(self) -> None:
         """Looks for the others."""
-        self.mesh.want(self.contacts | self.queen.voters, self.now())
+        self.mesh.want(self.contacts | self.replica.voters, self.now())
         self.after()
 
     def resettle(self, settings: Settings) -> None:
         """The settings file has changed."""
         self.settings = settings
         self.contacts = {ip for ip, _ in settings.contacts()}
-        self.mesh.want(self.contacts | self.queen.voters, self.now())
+        self.mesh.want(self.contacts | self.replica.voters, self.now())
 
     def hello(self) -> Message:
         """How this machine begins a link."""
@@ -109,7 +109,7 @@
         elif ip is None:
             self.publisher.heard(link, message, now)
         elif message["k"] == "queen":
-            self.queen.receive(ip, message["m"], now)
+            self.replica.receive(ip, message["m"], now)
         elif message["k"] == "peers":
             self.mesh.learn([one[0] for one in message["cores"]], now)
         elif message["k"] == "bye":
@@ -131,7 +131,7 @@
         now = self.now()
         event("peer-up", ip=ip, zone=zone)
         self.watch_at = 0
-        self.queen.connected(ip, zone, now)
+        self.replica.connected(ip, zone, now)
         self.cells.connected(ip, zone, now)
         frame = encode({"k": "peers", "cores": [[ip, zone]]})
         for other, _ in self.mesh.cores():
@@ -143,26 +143,26 @@
         now = self.now()
         event("peer-down", ip=ip)
         self.watch_at = 0
-        self.queen.disconnected(ip, now)
+        self.replica.disconnected(ip, now)
         self.cells.disconnected(ip, now)
 
     # Source of the publisher.
 
     @property
     def number(self) -> int:
-        return max(0, self.queen.number)
+        return max(0, self.replica.number)
 
     @property
     def state(self) -> dict[str, Any] | None:
-        return self.queen.body or None
+        return self.replica.body or None
 
     @property
     def workers(self) -> Mapping[str, Worker]:
         return self.cells.workers
 
     @property
-    def guards(self) -> Mapping[str, Guard]:
-        return self.cells.guards
+    def gateways(self) -> Mapping[str, GatewayRecord]:
+        return self.cells.gateways
 
     @property
     def sums(self) -> Sums:
@@ -173,24 +173,24 @@
         return [[self.settings.me.ip, self.settings.me.zone], *self.mesh.cores()]
 
     def age_ms(self, now: int) -> float | None:
-        at = self.queen.fresh_at
+        at = self.replica.fresh_at
         return None if at is None else max(0.0, (now - at) / MS)
 
-    def beat(self, guard: Guard, now: int) -> None:
-        self.cells.guard(guard, now)
+    def beat(self, gateway: GatewayRecord, now: int) -> None:
+        self.cells.gateway(gateway, now)
 
-    def merge(self, workers: list[Worker], guards: list[Guard], now: int) -> None:
-        self.cells.merge(workers, guards, now)
+    def merge(self, workers: list[Worker], gateways: list[GatewayRecord], now: int) -> None:
+        self.cells.merge(workers, gateways, now)
 
     # What calls need.
 
     def minority(self) -> bool:
         """Is it not linked with a majority of those that decide?"""
-        return self.queen.minority
+        return self.replica.minority
 
     def voters(self) -> int:
         """How many decide."""
-        return len(self.queen.voters)
+        return len(self.replica.voters)
 
     def held(self, token: int) -> asyncio.Future[None]:
         """Done once enough core machines hold what the cells gave this token for."""
@@ -204,11 +204,11 @@
 
     def order(self, op: Op, patience: int) -> asyncio.Future[Verdict | None]:
         """An operator's change; None where nothing is certain."""
-        op, now = lean(self.queen.body, op), self.now()
+        op, now = lean(self.replica.body, op), self.now()
         if op["do"] == "evacuate":
-            held = self.queen.body.get("evacuated", ())
+            held = self.replica.body.get("evacuated", ())
             op = op | {"count": self.evacuations.count(op["zone"], op["begin"], held, now)}
-        token = self.queen.propose(op, now, patience)
+        token = self.replica.propose(op, now, patience)
         future: asyncio.Future[Verdict | None] = self.loop.create_future()
         self.orders[token] = future
         self.after()
@@ -223,7 +223,7 @@
 
     def body(self) -> dict[str, Any] | None:
         """The agreed state, None while none is known."""
-        return self.queen.body or None
+        return self.replica.body or None
 
     def other(self) -> str | None:
         """The control address of a linked core machine."""
@@ -251,10 +251,10 @@
         try:
             now = self.now()
             self.watch(now)
-            self.send(self.queen.take_out(), "queen")
-            for change in self.queen.take_changes():
+            self.send(self.replica.take_out(), "queen")
+            for change in self.replica.take_changes():
                 self.changed(change, now)
-            for result in self.queen.take_results():
+            for result in self.replica.take_results():
                 future = self.orders.pop(result.token, None)
                 if future is not None and not future.done():
                     future.set_result(result.verdict)
@@ -267,7 +267,7 @@
                 if wait is not None and not wait.done():
                     wait.set_result(None)
             if self.readers:
-                self.release(self.queen.fresh_at)
+                self.release(self.replica.fresh_at)
         finally:
             self.inside = False
         self.set_timer()
@@ -277,7 +277,7 @@
         if now < self.watch_at:
             return
         self.watch_at = now + WATCH
-        alone = self.queen.minority
+        alone = self.replica.minority
         if alone != self.alone:
             self.alone = alone
             event("majority", linked=int(not alone))
@@ -301,22 +301,22 @@
 
     def changed(self, change: Change, now: int) -> None:
         """The agreed state went on."""
-        held = list(self.queen.body.get("evacuated", ()))
+        held = list(self.replica.body.get("evacuated", ()))
         for zone in set(self.evacuated) - set(held):
             self.cells.doubt(zone, now)
         self.evacuations.note(self.evacuated, held, now)
         self.evacuated = held
         known = (change.base, change.op) if change.op is not None else None
         what = _told(change.op) if change.op is not None else {}
-        event("agreed", number=change.number, edition=self.queen.body.get("edition", 0), **what)
+        event("agreed", number=change.number, edition=self.replica.body.get("edition", 0), **what)
         self.publisher.agreed(known, now)
-        wanted = self.contacts | self.queen.voters
+        wanted = self.contacts | self.replica.voters
         if wanted - {self.settings.me.ip} != self.mesh.wanted:
             self.mesh.want(wanted, now)
 
     def set_timer(self) -> None:
         """One timer, for what is due first."""
-        due = min(self.queen.due(), self.cells.due())
+        due = min(self.replica.due(), self.cells.due())
         if self.publish_at:
             due = min(due, self.publish_at)
         if self.timer is not None:
@@ -330,22 +330,22 @@
         """Something is due."""
         self.timer = None
         now = self.now()
-        if now >= self.queen.due():
-            self.queen.tick(now)
+        if now >= self.replica.due():
+            self.replica.tick(now)
         if now >= self.cells.due():
             self.cells.tick(now)
             self.mesh.turn(now, tidy=True)
-            if self.queen.keeper == self.settings.me.ip and not self.queen.minority:
-                guards, body, last = self.cells.guards.values(), self.body(), self.cells.vouching.last
-                op = self.seats.wanted(guards, body, now) or self.rota.wanted(
-                    guards,
+            if self.replica.keeper == self.settings.me.ip and not self.replica.minority:
+                gateways, body, last = self.cells.gateways.values(), self.body(), self.cells.vouching.last
+                op = self.seats.wanted(gateways, body, now) or self.quota_placement.wanted(
+                    gateways,
                     body,
                     lambda station: now - last("g:" + station, now),
                     self.settings.tariffs.bounds,
                     now,
                 )
                 if op is not None:
-                    self.queen.propose(op, now, SEATS_PATIENCE)
+                    self.replica.propose(op, now, SEATS_PATIENCE)
         if self.publish_at and now >= self.publish_at:
             self.publish_at = 0
             self.publisher.turn(now)
@@ -356,7 +356,7 @@
     def retire(self) -> None:
         """This process is to stop: its duty goes to another, the others are told."""
         self.retiring = True
-        self.queen.retire(self.now())
+        self.replica.retire(self.now())
         for ip, _ in self.mesh.cores():
             self.mesh.send(ip, {"k": "bye"})
         self.after()
--- a/pepperrun/comb/rota.py
+++ b/pepperrun/control/quota_placement.py
@@ -1,12 +1,12 @@
-"""Rota (who keeps quotas): agreed lists of gatekeepers by place, for fleets too large to split quotas.
+"""Quota placement: agreed lists of gatekeepers by place, for fleets too large to split quotas.
 
 Split among n gatekeepers a tenant's quota comes to buckets that hold no request where n is large. Then one
-gatekeeper of each place keeps a part of it (`core.pots`), chosen from these lists. A place is a region, or a
-zone where there is one region. Each change makes the tenants that it moves wait until who kept them has
-surely stopped, so changes are seldom: new gatekeepers come in together, who is silent is replaced only after
-long, and a place of which most are silent is cut off rather than gone: its list stays. Lists that were held
-for so long that whoever kept anything by earlier ones has stopped are marked as settled: a gatekeeper that
-starts anew need not wait for anybody else then.
+gatekeeper of each place keeps a part of it (`core.quota_keepers`), chosen from these lists. A place is a
+region, or a zone where there is one region. Each change makes the tenants that it moves wait until who kept
+them has surely stopped, so changes are seldom: new gatekeepers come in together, who is silent is replaced
+only after long, and a place of which most are silent is cut off rather than gone: its list stays. Lists
+that were held for so long that whoever kept anything by earlier ones has stopped are marked as settled: a
+gatekeeper that starts anew need not wait for anybody else then.
 """
 
 from __future__ import annotations
@@ -14,8 +14,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
-from pepperrun.comb.records import GONE, Guard
-from pepperrun.core.pots import GRANT_NS
+from pepperrun.control.records import GONE, GatewayRecord
+from pepperrun.core.quota_keepers import GRANT_NS
 from pepperrun.foundation.settings import Bounds
 
 SECOND = 1_000_000_000
@@ -29,7 +29,7 @@
 MOST_PLACES = 3  # a quota's parts are to hold some requests each
 
 
-class Rota:
+class QuotaPlacement:
     """Decides when the agreed lists are to change; asked by the machine whose duty that is."""
 
     def __init__(self) -> None:
@@ -39,7 +39,7 @@
 
     def wanted(
         self,
-        guards: Iterable[Guard],
+        gateways: Iterable[GatewayRecord],
         state: dict[str, Any] | None,
         silent: Callable[[str], int],
         bounds: Bounds,
@@ -51,7 +51,7 @@
         held = state.get("keepers") or {"term": 0, "places": {}}
         if held["term"] != self.term:
             self.term, self.changed_at = held["term"], now
-        known = {one.station: one for one in guards if one.state != GONE}
+        known = {one.station: one for one in gateways if one.state != GONE}
         there = frozenset(station for station in known if silent(station) <= HEARD_NS)
         if there - self.there:
             self.since = now
@@ -87,9 +87,9 @@
     return 2 * sum(depth < LEAST * count for depth in deep) > len(deep)
 
 
-def first(guards: Iterable[Guard], there: frozenset[str]) -> dict[str, list[str]]:
+def first(gateways: Iterable[GatewayRecord], there: frozenset[str]) -> dict[str, list[str]]:
     """Lists by place of those that are there."""
-    here = [one for one in guards if one.station in there]
+    here = [one for one in gateways if one.station in there]
     regions: dict[str, list[str]] = {}
     zones: dict[str, list[str]] = {}
     for one in here:
@@ -102,7 +102,7 @@
 
 def after(
     places: Mapping[str, list[str]],
-    known: Mapping[str, Guard],
+    known: Mapping[str, GatewayRecord],
     there: frozenset[str],
     silent: Callable[[str], int],
 ) -> dict[str, list[str]]:
--- a/pepperrun/comb/records.py
+++ b/pepperrun/control/records.py
@@ -64,17 +64,17 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Guard:
+class GatewayRecord:
     """One life of a gatekeeper. `life` grows from one start of its process to the next; `serial` within it.
 
-    `counter`: where clients reach it. `siding`: where own processes do, by TCP and UDP.
+    `counter`: where clients reach it. `internal_port`: where own processes do, by TCP and UDP.
     """
 
     station: str
     zone: str
     region: str
     counter: str
-    siding: str
+    internal_port: str
     life: int
     serial: int = 0
     state: str = STARTING
@@ -87,14 +87,14 @@
     def wire(self) -> list[Any]:
         """For another process."""
         return [
-            *(self.station, self.zone, self.region, self.counter, self.siding, self.life, self.serial),
+            *(self.station, self.zone, self.region, self.counter, self.internal_port, self.life, self.serial),
             self.state,
         ]
 
     @classmethod
-    def read(cls, row: list[Any]) -> Guard:
+    def read(cls, row: list[Any]) -> GatewayRecord:
         """From another process."""
-        station, zone, region, counter, siding, life, serial, state, *_ = row
+        station, zone, region, counter, internal_port, life, serial, state, *_ = row
         if state not in (READY, STARTING, LEAVING, LOST, GONE):
             raise ValueError(f"a gatekeeper's state can't be {state!r}")
-        return cls(station, zone, region, counter, siding, int(life), int(serial), state)
+        return cls(station, zone, region, counter, internal_port, int(life), int(serial), state)
--- a/pepperrun/comb/server.py
+++ b/pepperrun/control/server.py
@@ -9,8 +9,8 @@
 import time
 from collections.abc import Awaitable
 
-from pepperrun.comb.matchers import Answer, Call, Matcher, answer_to, parse_target
-from pepperrun.foundation.errors import HiveError
+from pepperrun.control.matchers import Answer, Call, Matcher, answer_to, parse_target
+from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.logs import trouble
 from pepperrun.foundation.settings import Address
 from pepperrun.net.buffer import Buffer
@@ -96,7 +96,7 @@
             headers = {name.decode("latin-1"): text.decode("latin-1") for name, text in request.names.items()}
             call = Call(request.method.decode("latin-1"), path, query, headers, request.body)
             answer = answer_to(self.server.tree, call)
-        except HiveError as error:
+        except PepperrunError as error:
             trouble(error)
             answer = Answer(503, headers=(("Retry-After", "0.5"),))
         if isinstance(answer, Answer):
@@ -114,7 +114,9 @@
         error = done.exception()
         if error is not None:
             step = "answering a call"
-            trouble(error if isinstance(error, HiveError) else HiveError("fault", step, repr(error)))
+            trouble(
+                error if isinstance(error, PepperrunError) else PepperrunError("fault", step, repr(error))
+            )
         assert self.request is not None
         answer = done.result() if error is None else Answer(503, headers=(("Retry-After", "0.5"),))
         self.say(answer, self.request.close())
@@ -167,14 +169,14 @@
         self.timer: asyncio.TimerHandle | None = None
 
     async def open(self, where: Address) -> None:
-        """Listens there; HiveError where that can't be."""
+        """Listens there; PepperrunError where that can't be."""
         loop = asyncio.get_running_loop()
         try:
             self.listener = await loop.create_server(
                 lambda: Caller(self), *where, reuse_address=True, backlog=256
             )
         except OSError as error:
-            raise HiveError("no-listen", "opening", str(error), f"{where[0]}:{where[1]}") from None
+            raise PepperrunError("no-listen", "opening", str(error), f"{where[0]}:{where[1]}") from None
         self.sweep()
 
     def sweep(self) -> None:
--- a/pepperrun/comb/checks.py
+++ b/pepperrun/control/validation.py
@@ -1,8 +1,8 @@
 """Reading and checking a configuration as operators send it: tables of columns and rows, then items by name.
 
 Every item keeps each column that was sent with a value, known or not, so that it reads back as it was sent.
-What dacite reads here decides whether it is taken. A refusal is a HiveError: its code names the kind, its
-detail is one sentence that names the item.
+What dacite reads here decides whether it is taken. A refusal is a PepperrunError: its code names the kind,
+its detail is one sentence that names the item.
 """
 
 from __future__ import annotations
@@ -16,8 +16,8 @@
 
 import dacite
 
-from pepperrun.comb.timetable import UNSAFE, CarrierLine, Limits, Route, Sender, Split, Timetable
-from pepperrun.foundation.errors import HiveError
+from pepperrun.control.configuration import UNSAFE, CarrierLine, Limits, Route, Sender, Split, Timetable
+from pepperrun.foundation.errors import PepperrunError
 
 Item = dict[str, Any]
 Items = dict[str, Item]
@@ -30,10 +30,10 @@
 T = TypeVar("T")
 
 
-def refusal(code: str, sentence: str) -> HiveError:
+def refusal(code: str, sentence: str) -> PepperrunError:
     """Why a configuration is not taken."""
     whole = sentence[:1].upper() + sentence[1:].rstrip()
-    return HiveError(code, STEP, whole if whole.endswith(".") else whole + ".")
+    return PepperrunError(code, STEP, whole if whole.endswith(".") else whole + ".")
 
 
 def _number(value: Any) -> float:
--- a/pepperrun/skep.py
+++ b/pepperrun/control_node.py
@@ -1,4 +1,4 @@
-"""Skep (core machine): the program that answers workers, operators and clients that ask where to go."""
+"""Control node: the program that answers workers, operators and clients that ask where to go."""
 
 from __future__ import annotations
 
@@ -9,21 +9,21 @@
 import signal
 import sys
 
-from pepperrun.comb.control import Control
-from pepperrun.comb.hub import Hub
-from pepperrun.comb.server import Server
+from pepperrun.control.handlers import Control
+from pepperrun.control.hub import Hub
+from pepperrun.control.server import Server
 from pepperrun.foundation import link, logs
-from pepperrun.foundation.errors import HiveError
+from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.settings import Settings, load
-from pepperrun.queen.values import Memory, RamStore, Store
-from pepperrun.wax.store import Wax
+from pepperrun.consensus.values import Memory, RamStore, Store
+from pepperrun.storage.store import DiskStore
 
 LOOK_S = 2.0  # between two looks whether the settings file has changed
 ANSWERED_S = 1.5  # for what was read, once told to stop
 SENT_S = 0.1  # for the last messages to go out
 
 
-class Skep:
+class ControlNode:
     """The running program."""
 
     def __init__(self, settings: Settings, path: str | None) -> None:
@@ -50,7 +50,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop.set)
         loop.add_signal_handler(signal.SIGHUP, self.reread)
-        listener = await link.listen(self.settings.siding, self.hub, self.hub.hello)
+        listener = await link.listen(self.settings.internal_port, self.hub, self.hub.hello)
         for name, server in self.servers.items():
             where = self.settings.postbox(name)
             if where is not None:
@@ -75,7 +75,7 @@
         self.looked = self.stamp()
         try:
             self.settings = load(self.path)
-        except HiveError as error:
+        except PepperrunError as error:
             logs.trouble(error)
             return
         self.hub.resettle(self.settings)
@@ -87,13 +87,13 @@
     contacts = [ip for ip, _ in settings.contacts()] if me.first_run else []
     if me.store_dir is None:
         return Memory(secrets.token_hex(8)), RamStore()
-    wax = Wax(me.store_dir, me.limits.disk_mb)
-    return wax.begin(me.station, me.ip, contacts), wax
+    disk = DiskStore(me.store_dir, me.limits.disk_mb)
+    return disk.begin(me.station, me.ip, contacts), disk
 
 
 def main(args: list[str] | None = None) -> int:
     """The command line; 0, or 2 where settings or disk are no good."""
-    parser = argparse.ArgumentParser(prog="python3 -m pepperrun.skep", description=__doc__)
+    parser = argparse.ArgumentParser(prog="python3 -m pepperrun.control_node", description=__doc__)
     parser.add_argument(
         "--settings", metavar="FILE", help="the settings file (else PEPPERRUN_NODE_FILE names it)"
     )
@@ -111,14 +111,14 @@
             print("settings are good")
             return 0
         asyncio.run(_run(settings, options.settings))
-    except HiveError as error:
+    except PepperrunError as error:
         logs.trouble(error)
         return 2
     return 0
 
 
 async def _run(settings: Settings, path: str | None) -> None:
-    await Skep(settings, path).run()
+    await ControlNode(settings, path).run()
 
 
 if __name__ == "__main__":
--- a/pepperrun/core/asking.py
+++ b/pepperrun/core/asking.py
@@ -7,7 +7,7 @@
 from pepperrun.core import gossip
 from pepperrun.core.clock import SECOND
 from pepperrun.core.interface import Gate, Settings
-from pepperrun.core.pots import Pots
+from pepperrun.core.quota_keepers import QuotaKeepers
 from pepperrun.core.quotas import Quotas
 from pepperrun.core.state import Desk
 from pepperrun.core.turns import Held
@@ -40,8 +40,8 @@
         if held.asked_at and self.now + held.lane.fleet.expected(held) > held.aim:
             self._fail_or_refuse(held)
             return
-        if self.quotas.pots is not None:
-            self._ask_pots(held, self.quotas.pots)
+        if self.quotas.quota_keepers is not None:
+            self._ask_quota_keepers(held, self.quotas.quota_keepers)
             return
         none = self.quotas.standing.lost.issuperset(account.keepers)  # no keeper is there to be asked
         if (none or held.asks >= ASKS) and account.plan.ceiling_rate <= 0:
@@ -59,13 +59,13 @@
             return
         self._ask_peer(held, keeper)
 
-    def _ask_pots(self, held: Held, pots: Pots) -> None:
+    def _ask_quota_keepers(self, held: Held, quota_keepers: QuotaKeepers) -> None:
         """Asks the next keeper that may have something; where none has, it is beyond the quota."""
         account, missed, lost = held.account, self.quotas.keepers.missed, self.quotas.standing.lost
         wait = self.gate.open(held.lot, self.now) if self.gate is not None else 0
-        keeper = pots.choose(account, missed, lost, self.now)
+        keeper = quota_keepers.choose(account, missed, lost, self.now)
         if wait or keeper is None:
-            again = pots.returns(account, self.now)
+            again = quota_keepers.returns(account, self.now)
             if again and not wait:
                 account.closed_until = again
                 wait = int((again - self.now) * (1 + self.rng.random()))
@@ -73,7 +73,7 @@
             return
         held.asks, held.asked_at, held.asking = held.asks + 1, self.now, True
         if keeper == self.settings.me:
-            self._answered(pots.grant(self.quotas, account, held.id, held.units, self.now), keeper)
+            self._answered(quota_keepers.grant(self.quotas, account, held.id, held.units, self.now), keeper)
         else:
             self._ask_peer(held, keeper)
 
@@ -102,8 +102,8 @@
         wait = max(answer.wait_ms * SECOND // 1000, self.settings.tick_ns)
         if answer.units >= gossip.to_wire(held.units):
             self._admit(held)
-        elif self.quotas.pots is not None:
-            self.quotas.pots.emptied(account, keeper, wait, self.now)
+        elif self.quotas.quota_keepers is not None:
+            self.quotas.quota_keepers.emptied(account, keeper, wait, self.now)
             self._ask(held)
         elif answer.beyond:
             account.closed_until = self.now + int(wait * self.rng.random())
--- a/pepperrun/core/keepers.py
+++ b/pepperrun/core/keepers.py
@@ -10,7 +10,7 @@
 from pepperrun.core import gossip
 from pepperrun.core.clock import SECOND, Bucket, Decayed
 from pepperrun.core.interface import Plan, Settings
-from pepperrun.core.pots import Pots
+from pepperrun.core.quota_keepers import QuotaKeepers
 from pepperrun.core.standing import Standing
 
 NEAR = 0.75  # a customer is near its slice once less than this part of the slice is left
@@ -53,7 +53,7 @@
     unit_ns: float
     period: int
     accounts: dict[int, Any]
-    pots: Pots | None
+    quota_keepers: QuotaKeepers | None
 
     def account(self, event: gossip.Ask, now: int) -> Any: ...
 
@@ -124,8 +124,8 @@
         """Grants, as a keeper, what a peer asks for."""
         count = self.quotas.settings.gateways
         for ask in message.asks:
-            if self.quotas.pots is not None:
-                told = self.quotas.pots.answer(self.quotas, peer, ask, now)
+            if self.quotas.quota_keepers is not None:
+                told = self.quotas.quota_keepers.answer(self.quotas, peer, ask, now)
                 self.quotas.outbox.to(peer).answers.append(told)
                 continue
             if (
--- a/pepperrun/core/pots.py
+++ b/pepperrun/core/quota_keepers.py
@@ -1,4 +1,4 @@
-"""Pots: in a large fleet one gatekeeper of each place keeps a part of a tenant's quota, and grants units.
+"""Quota keepers: one gatekeeper of each place keeps a part of a tenant's quota, and grants units.
 
 A place is a region, or a zone where there is one region. Which gatekeepers there are to choose from is agreed
 on and comes with a number; who of a place keeps a tenant's part follows from the tenant and that list alone
@@ -34,7 +34,7 @@
 
 
 class Share(Protocol):
-    """An account, as far as pots go."""
+    """An account, as far as quota_keepers go."""
 
     customer: int
     plan: Plan
@@ -61,7 +61,7 @@
     return hashlib.blake2s(b"%d:%s" % (customer, name.encode()), digest_size=8).digest()
 
 
-class Pots:
+class QuotaKeepers:
     """Who keeps what, by the lists held, and what is granted here.
 
     `me`: this station. `near`: names of its own place, the first one that is in the list counts. `fence`:
--- a/pepperrun/core/quotas.py
+++ b/pepperrun/core/quotas.py
@@ -7,7 +7,7 @@
 from pepperrun.core.escrow import LOW, hand_over, hungry
 from pepperrun.core.interface import Request, Settings
 from pepperrun.core.keepers import HEARD_FOR, NEAR, Keepers, keepers_of, period_of
-from pepperrun.core.pots import Pots
+from pepperrun.core.quota_keepers import QuotaKeepers
 from pepperrun.core.standing import NEUTRAL
 
 SHARE_HALF_LIFE = 2 * SECOND  # U_i: long against a request, short against a spell of load
@@ -51,7 +51,7 @@
         self.peers, self.keepers, hard = list[int](), list[int](), 1 / max(self.spread, quotas.settings.seats)
         if quotas.members is not None:
             self.peers = list(quotas.members)
-            hard = quotas.pots.seat(self, now) if quotas.pots else hard
+            hard = quotas.quota_keepers.seat(self, now) if quotas.quota_keepers else hard
         elif quotas.direct:
             members = [(self.first + step) % count for step in range(self.spread)]
             self.peers = [peer for peer in members if peer != me]
@@ -123,7 +123,9 @@
         self.inbox, self.outbox = gossip.Inbox(), gossip.Outbox()
         self.standing = NEUTRAL  # what membership, where it is on, knows of the others
         self.keepers = Keepers(self)
-        self.pots: Pots | None = None  # where one gatekeeper of each place keeps a tenant's part
+        self.quota_keepers: QuotaKeepers | None = (
+            None  # where one gatekeeper of each place keeps a tenant's part
+        )
 
     def resettle(self, settings: Settings, now: int) -> None:
         """Plans that came to those known, another number of gateways: each account's parts follow."""
@@ -206,7 +208,7 @@
         if now - self.beat >= (TELL_EACH if self.members is None else HEARD_FOR // 2):
             self.beat = now
             everybody = range(self.settings.gateways) if self.members is None else self.members
-            for peer in everybody if self.pots is None else ():
+            for peer in everybody if self.quota_keepers is None else ():
                 if peer != self.settings.me:
                     self.outbox.to(peer)
 
@@ -219,7 +221,7 @@
         # The larger side has the whole, the smaller one its members' slices.
         quiet = self.standing.missing if self.standing.known else late
         for account in list(self.accounts.values()):
-            if self.pots is None and (quiet or account.whole.rate != account.plan.rate):
+            if self.quota_keepers is None and (quiet or account.whole.rate != account.plan.rate):
                 account.whole.fill(now)
                 lost = sum((p - account.first) % self.settings.gateways < account.spread for p in quiet)
                 account.whole.rate = account.plan.rate * (1 - lost / account.spread)
--- /dev/null
+++ b/pepperrun/dataplane/__init__.py
@@ -0,0 +1,1 @@
+"""Data plane: the front for clients, where a request may go, and where not."""
--- a/pepperrun/forager/cold.py
+++ b/pepperrun/dataplane/cold.py
@@ -15,7 +15,7 @@
 import hashlib
 from collections.abc import Iterable, Mapping
 
-from pepperrun.comb.records import READY, STARTING, Guard
+from pepperrun.control.records import READY, STARTING, GatewayRecord
 
 SECOND = 1_000_000_000
 CHOSEN = 3  # gatekeepers that serve one cold worker
@@ -34,15 +34,15 @@
     return int(SECOND / rate) + 1
 
 
-def chosen(worker: str, zone: str, guards: Iterable[Guard], zones: Mapping[str, str]) -> list[str]:
+def chosen(worker: str, zone: str, gateways: Iterable[GatewayRecord], zones: Mapping[str, str]) -> list[str]:
     """The stations of the gatekeepers that serve a worker of this zone while it is cold."""
 
-    def rank(guard: Guard) -> tuple[bool, bool, bytes]:
-        lot = hashlib.blake2s(f"{worker} {guard.station}".encode(), digest_size=8).digest()
-        return guard.zone != zone, guard.region != zones.get(zone), lot
+    def rank(gateway: GatewayRecord) -> tuple[bool, bool, bytes]:
+        lot = hashlib.blake2s(f"{worker} {gateway.station}".encode(), digest_size=8).digest()
+        return gateway.zone != zone, gateway.region != zones.get(zone), lot
 
-    there = [guard for guard in guards if guard.state in (READY, STARTING)]
-    return [guard.station for guard in sorted(there, key=rank)[:CHOSEN]]
+    there = [gateway for gateway in gateways if gateway.state in (READY, STARTING)]
+    return [gateway.station for gateway in sorted(there, key=rank)[:CHOSEN]]
 
 
 class ColdShares:
@@ -50,23 +50,23 @@
 
     def __init__(self, station: str, zones: Mapping[str, str], excess: float, slack: float) -> None:
         self.station, self.zones, self.excess, self.slack = station, zones, excess, slack
-        self.guards: dict[str, Guard] = {}
+        self.gateways: dict[str, GatewayRecord] = {}
         self.views = 0  # counts changes of who is there
         self.mine: dict[int, tuple[int, bool]] = {}  # worker: the view, and whether it is this one's to serve
         self.next_at: dict[int, int] = {}
 
-    def take(self, guards: Iterable[Guard]) -> None:
+    def take(self, gateways: Iterable[GatewayRecord]) -> None:
         """Gatekeepers have come, changed or gone."""
-        for guard in guards:
-            old = self.guards.get(guard.station)
-            self.guards[guard.station] = guard
-            if old is None or (old.state, old.zone) != (guard.state, guard.zone):
+        for gateway in gateways:
+            old = self.gateways.get(gateway.station)
+            self.gateways[gateway.station] = gateway
+            if old is None or (old.state, old.zone) != (gateway.state, gateway.zone):
                 self.views += 1
 
     def _serves(self, number: int, worker: str, zone: str) -> bool:
         view, mine = self.mine.get(number, (-1, False))
         if view != self.views:
-            mine = self.station in chosen(worker, zone, self.guards.values(), self.zones)
+            mine = self.station in chosen(worker, zone, self.gateways.values(), self.zones)
             self.mine[number] = self.views, mine
             if not mine:
                 self.next_at.pop(number, None)
--- a/pepperrun/forager/nurse.py
+++ b/pepperrun/dataplane/ejection.py
@@ -1,4 +1,4 @@
-"""The nurse (outlier ejection): which workers are ill, by what becomes of requests and not by their word.
+"""The ejection (outlier ejection): which workers are ill, by what becomes of requests and not by their word.
 
 The deciding half, without I/O. Each gatekeeper alone sees an ill worker too seldom: with 12 requests a second
 over three services and eight workers each, a worker that fails half of them would be told from luck only
@@ -62,7 +62,7 @@
     next_at: int = 0  # on trial: this gatekeeper's next one
 
 
-class Nurse:
+class OutlierEjection:
     """`ward(worker)`: the workers that bear the same load in the same region, itself included.
 
     `draw()`: from 0 to 1. `verdict(worker, chart)` is told of each one that is left out.
--- a/pepperrun/forager/front.py
+++ b/pepperrun/dataplane/front.py
@@ -8,9 +8,9 @@
 from typing import TYPE_CHECKING, Any
 
 from pepperrun.exchange import End, Exchange, Final
-from pepperrun.forager.gate import AGAIN_NS, Gate
-from pepperrun.forager.ledger import MOST_WAIT_NS, MS, number_of
-from pepperrun.forager.routes import Lot, Table, Way, host_of
+from pepperrun.dataplane.gate import AGAIN_NS, Gate
+from pepperrun.dataplane.numbering import MOST_WAIT_NS, MS, number_of
+from pepperrun.dataplane.routes import Lot, Table, Way, host_of
 from pepperrun.fronts.http_client import NOT_PASSED_ON, TEXT, Answer, Fields, HttpClient
 from pepperrun.fronts.kept import Step
 from pepperrun.fronts.platform import retry_after
@@ -20,8 +20,8 @@
 from pepperrun.net.stream import Budget
 
 if TYPE_CHECKING:
-    from pepperrun.forager.ledger import Ledger
-    from pepperrun.forager.trace import Trace
+    from pepperrun.dataplane.numbering import Ledger
+    from pepperrun.dataplane.trace import Trace
 
 SECOND = 1_000_000_000
 UPLOAD_NS = 600 * SECOND  # a body that stands still ends within seconds; one that comes has this long
--- a/pepperrun/forager/gate.py
+++ b/pepperrun/dataplane/gate.py
@@ -8,11 +8,11 @@
 
 from collections.abc import Callable
 
-from pepperrun.forager.cold import ColdShares
-from pepperrun.forager.crew import Crew
-from pepperrun.forager.ledger import MS
-from pepperrun.forager.nurse import Nurse
-from pepperrun.forager.routes import Lot, Table
+from pepperrun.dataplane.cold import ColdShares
+from pepperrun.dataplane.workers import WorkerTable
+from pepperrun.dataplane.numbering import MS
+from pepperrun.dataplane.ejection import OutlierEjection
+from pepperrun.dataplane.routes import Lot, Table
 from pepperrun.foundation.settings import Bounds
 
 SPARE_MS = 500  # before a removed key's time is over nothing is sent with a key
@@ -27,14 +27,14 @@
     def __init__(
         self,
         bounds: Bounds,
-        crew: Crew,
+        crew: WorkerTable,
         shares: ColdShares,
         fresh_at: Callable[[], int],
         cells_at: Callable[[], int],
     ) -> None:
         self.crew, self.shares, self.fresh_at, self.cells_at = crew, shares, fresh_at, cells_at
         self.table: Table | None = None
-        self.nurse: Nurse | None = None
+        self.ejection: OutlierEjection | None = None
         self.safe_at: dict[int, int] = {}  # by service: when a repeatable request last went out
         self.bind(bounds)
 
@@ -68,9 +68,9 @@
             return False
         if lot.homes is not None and mate.region not in lot.homes:
             return False
-        if self.nurse is not None:
+        if self.ejection is not None:
             safe = lot.safe or now - self.safe_at.get(lot.line, -SAFE_NS) >= SAFE_NS
-            if not self.nurse.may(backend, now, safe):
+            if not self.ejection.may(backend, now, safe):
                 return False
         if not self._cold(backend, now):
             self.shares.warm(backend)
@@ -83,8 +83,8 @@
         assert isinstance(lot, Lot)
         if lot.safe:
             self.safe_at[lot.line] = now
-        if self.nurse is not None:
-            self.nurse.sent(backend, now)
+        if self.ejection is not None:
+            self.ejection.sent(backend, now)
         mate = self.crew.mates.get(backend)
         if mate is not None and self._cold(backend, now):
             rate = self._cold_per_s(mate.line)
--- a/pepperrun/forager/showing.py
+++ b/pepperrun/dataplane/inspection.py
@@ -6,42 +6,47 @@
 from collections.abc import Iterable
 from typing import Any
 
-from pepperrun.comb.records import BOARDING, Guard
+from pepperrun.control.records import BOARDING, GatewayRecord
 from pepperrun.core.clock import Bucket
-from pepperrun.forager.plane import Plane
+from pepperrun.dataplane.plane import Plane
 from pepperrun.foundation.netstring import Message
-from pepperrun.scouts.service import Scouts
-from pepperrun.waggle.service import Subscriber
-from pepperrun.waggle.tree import parents
+from pepperrun.membership.gateway_probe_service import GatewayProbes
+from pepperrun.distribution.service import Subscriber
+from pepperrun.distribution.tree import parents
 
 MS = 1_000_000
 DEEPEST = 64  # steps: more than any tree has
 
 
-def shown(row: Guard, news: Subscriber, plane: Plane, scouts: Scouts, now: int) -> Message:
+def shown(row: GatewayRecord, news: Subscriber, plane: Plane, probes: GatewayProbes, now: int) -> Message:
     """The answer to `show`: ages in ms, levels in requests. Keys are not in it."""
     book, follower, keeper, table = news.book, news.follower, plane.gatekeeper, plane.table
     core, parent = follower.core, follower.parent
     return {
         **{"k": "shown", "class": "counter", "station": row.station, "zone": row.zone, "region": row.region},
-        **{"ip": row.siding.rpartition(":")[0], "counter": row.counter, "state": row.state, "life": row.life},
+        **{
+            "ip": row.internal_port.rpartition(":")[0],
+            "counter": row.counter,
+            "state": row.state,
+            "life": row.life,
+        },
         **{"ready": plane.ready(), "number": book.number, "edition": table.edition if table else 0},
         **{"age_ms": _age(book.fresh_at, now), "cells_age_ms": _age(book.cells_at, now)},
         "core": {"ip": core.address[0], "linked": core.port is not None},
         "parent": {"station": parent.station, "number": parent.number} if parent else None,
-        **{"root": follower.root, "depth": depth(row.station, row.zone, book.guards.values())},
+        **{"root": follower.root, "depth": depth(row.station, row.zone, book.gateways.values())},
         "children": [
             {"station": port.name, "number": peer.number}
             for port, peer in news.publisher.peers.items()
             if peer.pushed
         ],
-        "keepers": {place: len(held) for place, held in plane.pots.places.items()},
+        "keepers": {place: len(held) for place, held in plane.quota_keepers.places.items()},
         **{"seats": plane.ledger.seats, "parts": plane.ledger.parts, "shares": _shares(plane, now)},
         **{"workers": _workers(plane, now), "evacuated": sorted(table.evacuated) if table else []},
         "scouts": {
-            "watched": max(0, len(scouts.scout.where)),
-            "absent": sorted(scouts.scout.absent()),
-            "doubts_itself": scouts.doubt,
+            "watched": max(0, len(probes.prober.where)),
+            "absent": sorted(probes.prober.absent()),
+            "doubts_itself": probes.doubt,
         },
         **{"clients": plane.listener.count(), "under_way": keeper.waiting()},
         "answers": {end.value: count for end, count in keeper.counts.items()},
@@ -53,9 +58,9 @@
     return (now - at) // MS if at else None
 
 
-def depth(station: str, zone: str, guards: Iterable[Guard]) -> int:
+def depth(station: str, zone: str, gateways: Iterable[GatewayRecord]) -> int:
     """How many links the news takes from the core to here, where each follows its first choice."""
-    held, steps = list(guards), 1
+    held, steps = list(gateways), 1
     while steps < DEEPEST and (above := parents(station, zone, held)):
         station, steps = above[0].station, steps + 1
     return steps
@@ -78,10 +83,10 @@
         if plan.ceiling_rate <= 0:
             out.append({"tenant": name, "rate": None, "depth": None, "level": None})
             continue
-        places = plane.pots.places
+        places = plane.quota_keepers.places
         part = 1 / max(1, settings.gateways, settings.seats)
         if places:  # kept by some for all: a part that is this gatekeeper's, or none
-            part = 0.0 if plane.pots.begins(tenant.customer) is None else 1 / len(places)
+            part = 0.0 if plane.quota_keepers.begins(tenant.customer) is None else 1 / len(places)
         row = {"tenant": name, "rate": plan.ceiling_rate * part, "depth": plan.ceiling_depth * part}
         out.append(row | {"level": _level(account.ceiling, now) if account is not None else None})
     return out
@@ -96,5 +101,5 @@
         if mate.worker.state == BOARDING:
             counted["cold"] += plane.crew.cold(mate, now)
             counted["astray"] += bool(mate.astray)
-            counted["ill"] += plane.rounds.nurse.out(mate.number, now)
+            counted["ill"] += plane.rounds.ejection.out(mate.number, now)
     return {line: dict(sorted(counted.items())) for line, counted in sorted(out.items())}
--- a/pepperrun/forager/ledger.py
+++ b/pepperrun/dataplane/numbering.py
@@ -9,9 +9,9 @@
 import hashlib
 from dataclasses import replace
 
-from pepperrun.comb.timetable import Sender
+from pepperrun.control.configuration import Sender
 from pepperrun.core.interface import Plan, Repeat, RequestClass, Settings
-from pepperrun.core.pots import GRANT_NS
+from pepperrun.core.quota_keepers import GRANT_NS
 from pepperrun.foundation.settings import Bounds
 
 MS = 1_000_000
--- a/pepperrun/forager/rounds.py
+++ b/pepperrun/dataplane/outcomes.py
@@ -1,4 +1,4 @@
-"""Rounds (sharing of outcomes): what the nurse is told, by own attempts and by the others of the zone.
+"""Sharing of outcomes: what outlier ejection is told, by own attempts and by the others of the zone.
 
 A datagram is a tag, the hash of the sender's station and its life, as the counts of the stores have them; two
 numbers, of rows and of rests; rows of a worker's number and what was seen of it, good and bad; a byte for
@@ -13,13 +13,13 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from pepperrun.comb.records import BOARDING, READY, STARTING, Guard
+from pepperrun.control.records import BOARDING, READY, STARTING, GatewayRecord
 from pepperrun.core.interface import Outcome
 from pepperrun.exchange import Exchange
-from pepperrun.forager.crew import Crew
-from pepperrun.forager.hum import HEAD, Hum
-from pepperrun.forager.ledger import MS, number_of
-from pepperrun.forager.nurse import Chart, Count, Nurse
+from pepperrun.dataplane.workers import WorkerTable
+from pepperrun.dataplane.peer_messages import HEAD, PeerMessages
+from pepperrun.dataplane.numbering import MS, number_of
+from pepperrun.dataplane.ejection import Chart, Count, OutlierEjection
 from pepperrun.foundation.logs import event
 from pepperrun.foundation.settings import Address
 from pepperrun.net.server_side import Ended, ServerSide
@@ -74,20 +74,26 @@
     return station, life, counts, data[end : end + rests]
 
 
-class Rounds:
+class SharedOutcomes:
     """Stands between the attempts and the decisions, and sees how each ends. `passed`: who is told next."""
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
         clock: Callable[[], int],
-        crew: Crew,
-        hum: Hum,
+        crew: WorkerTable,
+        peer_messages: PeerMessages,
         passed: Ended,
         draw: Callable[[], float],
     ) -> None:
-        self.loop, self.clock, self.crew, self.hum, self.passed = loop, clock, crew, hum, passed
-        self.nurse = Nurse(self._ward, draw, self._verdict)
+        self.loop, self.clock, self.crew, self.peer_messages, self.passed = (
+            loop,
+            clock,
+            crew,
+            peer_messages,
+            passed,
+        )
+        self.ejection = OutlierEjection(self._ward, draw, self._verdict)
         self.wear = ToldWear(self._rest)
         self.servers: ServerSide | None = None
         self.mates: list[int] = []  # peers' numbers: whom this one tells
@@ -96,7 +102,7 @@
         self.telling: asyncio.TimerHandle | None = None
         self.looked = clock()
         self.looker = loop.call_later(LOOK_S, self.look)
-        hum.others[MARK] = self.received
+        peer_messages.others[MARK] = self.received
 
     def start(self, servers: ServerSide) -> None:
         """These carry out the attempts."""
@@ -105,13 +111,13 @@
 
     # Who there is.
 
-    def meet(self, guards: Iterable[Guard], station: str, zone: str) -> None:
+    def meet(self, gateways: Iterable[GatewayRecord], station: str, zone: str) -> None:
         """The gatekeepers that there are: those of this zone share what they see."""
-        there = [one.station for one in guards if one.zone == zone and one.state in (READY, STARTING)]
+        there = [one.station for one in gateways if one.zone == zone and one.state in (READY, STARTING)]
         names = sorted({*there, station}, key=number_of)
-        self.nurse.sharers = len(names)
+        self.ejection.sharers = len(names)
         at = names.index(station)
-        lives = self.hum.peers.lives
+        lives = self.peer_messages.peers.lives
         next_ones = (names[at + 1 :] + names[:at])[:MOST_TOLD]
         self.mates = [lives[name][1] for name in next_ones if name in lives]
 
@@ -146,7 +152,7 @@
         """An attempt has ended."""
         now, key = self.clock(), (exchange.id, attempt)
         if outcome is Outcome.OK:
-            self.nurse.took(exchange.cls, now - exchange.attempts[attempt])
+            self.ejection.took(exchange.cls, now - exchange.attempts[attempt])
         if key in self.late:
             self.late.discard(key)
         elif outcome is Outcome.OK or outcome in FAILED and not self._own_doing(exchange, backend, outcome):
@@ -160,7 +166,7 @@
         return self.crew.address(backend) is None or self.clock() >= exchange.deadline - MS
 
     def _saw(self, backend: int, good: bool, now: int) -> None:
-        self.nurse.saw(backend, good, now)
+        self.ejection.saw(backend, good, now)
         self._soon()
 
     def _rest(self, step: int) -> None:
@@ -170,7 +176,7 @@
     def look(self) -> None:
         """Attempts that are out for too long count at once; what may run again leaves an ill worker."""
         self.looker = self.loop.call_later(LOOK_S, self.look)
-        now, servers, nurse = self.clock(), self.servers, self.nurse
+        now, servers, ejection = self.clock(), self.servers, self.ejection
         stood, self.looked = now - self.looked > 3 * LOOK_S * 1e9, now
         if servers is None or stood:  # this process stood still: that they are late is its own doing
             return
@@ -178,43 +184,43 @@
             exchange = attempt.exchange
             if attempt.connection is None or exchange.patience:
                 continue
-            if now - exchange.attempts[attempt.number] <= nurse.late_ns(exchange.cls):
+            if now - exchange.attempts[attempt.number] <= ejection.late_ns(exchange.cls):
                 continue
             if key not in self.late:
                 self.late.add(key)
                 self._saw(attempt.backend, False, now)
-            if nurse.out(attempt.backend, now) and exchange.lot is not None and exchange.lot.safe:
+            if ejection.out(attempt.backend, now) and exchange.lot is not None and exchange.lot.safe:
                 servers.cancel(exchange, attempt.number)
 
     # Between gatekeepers.
 
     def _soon(self) -> None:
-        if self.telling is None and (self.nurse.tally or self.rests):
+        if self.telling is None and (self.ejection.tally or self.rests):
             self.telling = self.loop.call_later(TELL_S, self.tell)
 
     def tell(self) -> None:
         """What is new goes to the others of the zone."""
         self.telling = None
-        counts, rests = self.nurse.take_out(), sorted(self.rests)
+        counts, rests = self.ejection.take_out(), sorted(self.rests)
         self.rests.clear()
-        peers = self.hum.peers
+        peers = self.peer_messages.peers
         for first in range(0, max(1, len(counts)), MOST_ROWS):
             some = counts[first : first + MOST_ROWS]
-            data = pack(self.hum.own, self.hum.life(), some, rests if not first else [])
+            data = pack(self.peer_messages.own, self.peer_messages.life(), some, rests if not first else [])
             for number in self.mates:
                 if (where := peers.where.get(number)) is not None:
-                    self.hum.send(data, where)
+                    self.peer_messages.send(data, where)
 
     def received(self, data: bytes, addr: Address) -> None:
         """A datagram of another gatekeeper."""
         word = unpack(data)
         if word is None:
             return
-        source = self.hum.peers.of(word[0], word[1])
+        source = self.peer_messages.peers.of(word[0], word[1])
         if source is None:
             return
         known = [count for count in word[2] if count.worker in self.crew.mates]
-        self.nurse.told(source, known, self.clock())
+        self.ejection.told(source, known, self.clock())
         for step in word[3]:
             self.wear.heard(step)
 
--- a/pepperrun/forager/hum.py
+++ b/pepperrun/dataplane/peer_messages.py
@@ -1,4 +1,4 @@
-"""The hum (messages between gatekeepers): datagrams with counts, each from one life of one station.
+"""The peer_messages (messages between gatekeepers): datagrams with counts, each from one life of one station.
 
 A datagram is a tag, the hash of the sender's station, its life and what the decisions say. The decisions
 know peers by number: each life of a station gets one of its own, which is never given again, so that what an
@@ -12,9 +12,9 @@
 from collections.abc import Callable, Iterable
 from typing import cast
 
-from pepperrun.comb.records import GONE, LOST, Guard
-from pepperrun.forager.ledger import number_of
-from pepperrun.foundation.errors import HiveError
+from pepperrun.control.records import GONE, LOST, GatewayRecord
+from pepperrun.dataplane.numbering import number_of
+from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.logs import trouble
 from pepperrun.foundation.settings import Address, address
 
@@ -24,7 +24,7 @@
 
 
 class Peers:
-    """Which gatekeepers there are, by number. `members`: the numbers of the others that are there."""
+    """Which gatekeepers there are, by number. `membership`: the numbers of the others that are there."""
 
     def __init__(self, station: str) -> None:
         self.station = station
@@ -38,34 +38,34 @@
         """Numbers of the others that are there."""
         return tuple(sorted(number for _, number in self.lives.values()))
 
-    def take(self, guards: Iterable[Guard]) -> bool:
+    def take(self, gateways: Iterable[GatewayRecord]) -> bool:
         """Takes in records; True where that changes who is there."""
         before = self.members
-        for guard in guards:
-            if guard.station == self.station:
+        for gateway in gateways:
+            if gateway.station == self.station:
                 continue
-            life, number = self.lives.get(guard.station, (-1, 0))
-            if guard.life < life:
+            life, number = self.lives.get(gateway.station, (-1, 0))
+            if gateway.life < life:
                 continue
-            there = guard.state not in (LOST, GONE)
-            if number and (guard.life > life or not there):
-                self._forget(guard.station, life, number)
-            if there and guard.station not in self.lives:
-                self._meet(guard)
+            there = gateway.state not in (LOST, GONE)
+            if number and (gateway.life > life or not there):
+                self._forget(gateway.station, life, number)
+            if there and gateway.station not in self.lives:
+                self._meet(gateway)
         return self.members != before
 
-    def _meet(self, guard: Guard) -> None:
+    def _meet(self, gateway: GatewayRecord) -> None:
         try:
-            where = address(guard.siding)
-        except HiveError as error:
-            trouble(error, station=guard.station)
+            where = address(gateway.internal_port)
+        except PepperrunError as error:
+            trouble(error, station=gateway.station)
             return
-        key = number_of(guard.station), guard.life
+        key = number_of(gateway.station), gateway.life
         number = self.number_at.get(key)
         if number is None:
             self.given += 1
             number = self.number_at[key] = self.given
-        self.where[number], self.lives[guard.station] = where, (guard.life, number)
+        self.where[number], self.lives[gateway.station] = where, (gateway.life, number)
 
     def _forget(self, station: str, life: int, number: int) -> None:
         """A life that is lost may be heard of again: it keeps its number until a later one comes."""
@@ -80,7 +80,7 @@
         return number if number in self.where else None
 
 
-class Hum(asyncio.DatagramProtocol):
+class PeerMessages(asyncio.DatagramProtocol):
     """The socket. `hear(number, data)` is told of each message of a peer that is there."""
 
     def __init__(self, peers: Peers, life: Callable[[], int], hear: Callable[[int, bytes], None]) -> None:
--- a/pepperrun/forager/plane.py
+++ b/pepperrun/dataplane/plane.py
@@ -8,20 +8,20 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from pepperrun.comb.records import Guard, Worker
+from pepperrun.control.records import GatewayRecord, Worker
 from pepperrun.core.interface import BackendList
-from pepperrun.core.pots import ABSENT, Pots
+from pepperrun.core.quota_keepers import ABSENT, QuotaKeepers
 from pepperrun.core.standing import Standing
-from pepperrun.forager.cold import ColdShares
-from pepperrun.forager.crew import Crew
-from pepperrun.forager.front import Front, FrontListener
-from pepperrun.forager.gate import Gate
-from pepperrun.forager.hum import Hum, Peers
-from pepperrun.forager.ledger import MS, Ledger
-from pepperrun.forager.rounds import Rounds
-from pepperrun.forager.routes import Table
-from pepperrun.forager.trace import Trace
-from pepperrun.forager.wire import WorkerWire
+from pepperrun.dataplane.cold import ColdShares
+from pepperrun.dataplane.workers import WorkerTable
+from pepperrun.dataplane.front import Front, FrontListener
+from pepperrun.dataplane.gate import Gate
+from pepperrun.dataplane.peer_messages import PeerMessages, Peers
+from pepperrun.dataplane.numbering import MS, Ledger
+from pepperrun.dataplane.outcomes import SharedOutcomes
+from pepperrun.dataplane.routes import Table
+from pepperrun.dataplane.trace import Trace
+from pepperrun.dataplane.wire import WorkerWire
 from pepperrun.foundation.logs import event
 from pepperrun.foundation.settings import Settings
 from pepperrun.gatekeeper import Gatekeeper
@@ -39,7 +39,7 @@
 
 
 class Plane:
-    """One gatekeeper's traffic. `fresh_at` and `cells_at`: as `waggle.book.NewsBook` has them."""
+    """One gatekeeper's traffic. `fresh_at` and `cells_at`: as `distribution.book.NewsBook` has them."""
 
     def __init__(
         self,
@@ -55,23 +55,25 @@
         self.settings, self.clock, self.fresh_at, self.cells_at = settings, clock, fresh_at, cells_at
         self.ledger = Ledger(bounds)
         zones = {me.zone: me.region} | settings.network.zones
-        self.crew = Crew(self.ledger, zones, me.zone, me.region)
+        self.crew = WorkerTable(self.ledger, zones, me.zone, me.region)
         self.ledger.zone = self.crew.zone_number(me.zone)
         self.shares = ColdShares(me.station, zones, bounds.cold_excess, bounds.cold_slack)
         self.gate = Gate(bounds, self.crew, self.shares, fresh_at, cells_at)
         self.peers = Peers(me.station)
         near = me.zone, me.region
-        self.pots = Pots(me.station, near, lambda: self.gate.fence_ns, self.gate.fresh, self._number)
+        self.quota_keepers = QuotaKeepers(
+            me.station, near, lambda: self.gate.fence_ns, self.gate.fresh, self._number
+        )
         self.gatekeeper = Gatekeeper(
             self.ledger.settings(), seed, clock, loop, self._tell, log=self._log, gate=self.gate
         )
         self.gatekeeper.gateway.quotas.members = ()
         self.gatekeeper.gateway.further.level = 1.0  # the life before may have spent what was saved up
-        self.hum = Hum(self.peers, life, self.gatekeeper.heard)
-        self.rounds = Rounds(
-            loop, clock, self.crew, self.hum, self.gatekeeper.ended, random.Random(seed).random
+        self.peer_messages = PeerMessages(self.peers, life, self.gatekeeper.heard)
+        self.rounds = SharedOutcomes(
+            loop, clock, self.crew, self.peer_messages, self.gatekeeper.ended, random.Random(seed).random
         )
-        self.gate.nurse = self.rounds.nurse
+        self.gate.ejection = self.rounds.ejection
         limits = me.limits
         budget = Budget(max(4, int((limits.memory_mb - BASE_MB) / 2) if limits.memory_mb else 64) << 20)
         sockets = max(64, (limits.file_handles or 2048) - KEPT_FILES)
@@ -119,11 +121,11 @@
 
     def _keep(self, listed: dict[str, Any] | None, table: Table) -> None:
         """Who keeps quotas, as agreed on."""
-        pots, quotas = self.pots, self.gatekeeper.gateway.quotas
-        pots.plans = {tenant.customer: tenant.plan for tenant in table.tenants.values()}
-        if pots.learn(listed, self.clock()):
-            quotas.pots = pots if pots.places else None
-            self.ledger.keep(bool(pots.places))
+        quota_keepers, quotas = self.quota_keepers, self.gatekeeper.gateway.quotas
+        quota_keepers.plans = {tenant.customer: tenant.plan for tenant in table.tenants.values()}
+        if quota_keepers.learn(listed, self.clock()):
+            quotas.quota_keepers = quota_keepers if quota_keepers.places else None
+            self.ledger.keep(bool(quota_keepers.places))
             self.ledger.changed = True
 
     def _number(self, station: str) -> int:
@@ -138,14 +140,14 @@
         self._settle()
         self._listed(listing)
         self.shares.forget(self.crew.mates)
-        self.rounds.nurse.forget(self.crew.mates)
+        self.rounds.ejection.forget(self.crew.mates)
 
-    def on_guards(self, changed: Iterable[Guard]) -> None:
+    def on_gateways(self, changed: Iterable[GatewayRecord]) -> None:
         """Records of gatekeepers that are new or have changed."""
         changed = list(changed)
         self.shares.take(changed)
         others = self.peers.take(changed)
-        self.rounds.meet(self.shares.guards.values(), self.settings.me.station, self.settings.me.zone)
+        self.rounds.meet(self.shares.gateways.values(), self.settings.me.station, self.settings.me.zone)
         if others:
             members = self.peers.members
             self.gatekeeper.catch_up()
@@ -191,7 +193,7 @@
         asyncio.get_running_loop().call_later(4, lambda: self._listed(self.crew.found(self.clock())))
 
     def _tell(self, peer: int, data: bytes) -> None:
-        self.hum.tell(peer, data)
+        self.peer_messages.tell(peer, data)
 
     def _log(self, text: str) -> None:
         """A line of the decisions, with the worker's id in place of its number."""
@@ -229,4 +231,4 @@
         self.listener.close()
         self.servers.close()
         self.rounds.close()
-        self.hum.close()
+        self.peer_messages.close()
--- a/pepperrun/forager/routes.py
+++ b/pepperrun/dataplane/routes.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
-from pepperrun.comb.checks import known, plain, typed
-from pepperrun.comb.timetable import SAFE, CarrierLine, Limits, Route, Sender
-from pepperrun.forager.ledger import MS, Ledger, number_of
-from pepperrun.foundation.errors import HiveError
+from pepperrun.control.validation import known, plain, typed
+from pepperrun.control.configuration import SAFE, CarrierLine, Limits, Route, Sender
+from pepperrun.dataplane.numbering import MS, Ledger, number_of
+from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.logs import trouble
 
 Item = dict[str, Any]
@@ -19,7 +19,7 @@
 
 def read_item(kind: type[Made], item: Item) -> Made:
     """An item of the agreed state, read as the core read it before it was taken: the same columns may be
-    missing, whole numbers may be written as 3.0. HiveError where it can't be meant."""
+    missing, whole numbers may be written as 3.0. PepperrunError where it can't be meant."""
     given = {key: value for key, value in item.items() if value is not None}
     return known(kind, given) if plain(kind, given) else typed(kind, given, kind.__name__)
 
@@ -28,8 +28,8 @@
     """An item ready for use; None, with a line in the log, where it can't be meant: the rest goes on."""
     try:
         return make(item)
-    except (HiveError, ValueError, TypeError, AttributeError) as error:
-        trouble(HiveError("bad-item", "configuration", f"{item!r}: {error}"))
+    except (PepperrunError, ValueError, TypeError, AttributeError) as error:
+        trouble(PepperrunError("bad-item", "configuration", f"{item!r}: {error}"))
         return None
 
 
--- a/pepperrun/forager/trace.py
+++ b/pepperrun/dataplane/trace.py
@@ -13,12 +13,12 @@
 
 from pepperrun.core.interface import Outcome
 from pepperrun.exchange import End, Exchange, Final
-from pepperrun.forager.ledger import MS
+from pepperrun.dataplane.numbering import MS
 from pepperrun.foundation.logs import event
 
 if TYPE_CHECKING:
-    from pepperrun.forager.front import Front
-    from pepperrun.forager.routes import Lot
+    from pepperrun.dataplane.front import Front
+    from pepperrun.dataplane.routes import Lot
     from pepperrun.net.http1 import Request
 
 SECOND = 1_000_000_000
--- a/pepperrun/forager/wire.py
+++ b/pepperrun/dataplane/wire.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 
 from pepperrun.core.interface import Outcome
-from pepperrun.forager.crew import Crew
-from pepperrun.forager.gate import Gate
-from pepperrun.forager.ledger import MS
-from pepperrun.forager.routes import Lot
+from pepperrun.dataplane.workers import WorkerTable
+from pepperrun.dataplane.gate import Gate
+from pepperrun.dataplane.numbering import MS
+from pepperrun.dataplane.routes import Lot
 from pepperrun.net.connection import Attempt, Connection, Wire, write_asked
 from pepperrun.net.http1 import Response
 
@@ -42,7 +42,7 @@
     user_timeout_ms = GONE_MS
 
     def __init__(
-        self, crew: Crew, gate: Gate, clock: Callable[[], int], astray: Callable[[int], None]
+        self, crew: WorkerTable, gate: Gate, clock: Callable[[], int], astray: Callable[[int], None]
     ) -> None:
         super().__init__(lambda response: (Outcome.ERROR, 0.0))
         self.crew, self.gate, self.clock, self.astray = crew, gate, clock, astray
--- a/pepperrun/forager/crew.py
+++ b/pepperrun/dataplane/workers.py
@@ -4,10 +4,10 @@
 
 from collections.abc import Iterable, Mapping
 
-from pepperrun.comb.records import BOARDING, GONE, UNLOADING, Worker
+from pepperrun.control.records import BOARDING, GONE, UNLOADING, Worker
 from pepperrun.core.interface import Backend, BackendList, BackendState, ListKind
-from pepperrun.forager.ledger import Ledger, number_of
-from pepperrun.foundation.errors import HiveError
+from pepperrun.dataplane.numbering import Ledger, number_of
+from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.logs import trouble
 from pepperrun.foundation.settings import Address, address
 
@@ -29,7 +29,7 @@
         self.astray = 0  # until then its address is known to be another's
 
 
-class Crew:
+class WorkerTable:
     """All workers that the roster names. Answers what `ServerSide` asks of a directory."""
 
     def __init__(self, ledger: Ledger, zones: Mapping[str, str], zone: str, region: str) -> None:
@@ -64,7 +64,7 @@
                 continue
             try:
                 where = address(worker.address)
-            except HiveError as error:
+            except PepperrunError as error:
                 trouble(error, worker=worker.id)
                 continue
             line = self.ledger.line(worker.line)
--- a/pepperrun/waggle/book.py
+++ b/pepperrun/distribution/book.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from pepperrun.comb.records import GONE, Guard, Worker
-from pepperrun.waggle.digests import Record, Sums, newer, record_id
+from pepperrun.control.records import GONE, GatewayRecord, Worker
+from pepperrun.distribution.digests import Record, Sums, newer, record_id
 
 State = dict[str, Any]  # the agreed state, see docs/SYSTEM.md
 Change = tuple[int, dict[str, Any]]  # the number it builds on, the operation
@@ -15,19 +15,19 @@
 class NewsBook:
     """The news held by one process, for readers and for the relay.
 
-    `number`, `state`: agreed state (0 and None before the first). `workers` by id, `guards` by station;
+    `number`, `state`: agreed state (0 and None before the first). `workers` by id, `gateways` by station;
     records that are gone stay for a while. `fresh_at`: own steady clock, ns: all that was acknowledged before
     that moment is in `state`; 0 for never. `cells_at`: likewise what the core machine asked knew of workers
     and gatekeepers at that moment is held.
 
     `on_agreed(number, state, change)`: `change` is (base, op) where it came as one on top of what was held,
-    else None. `on_workers(changed)`, `on_guards(changed)`: records taken over since, newest copies.
+    else None. `on_workers(changed)`, `on_gateways(changed)`: records taken over since, newest copies.
     """
 
     def __init__(self) -> None:
         self.number, self.state = 0, None  # type: int, State | None
         self.workers: dict[str, Worker] = {}
-        self.guards: dict[str, Guard] = {}
+        self.gateways: dict[str, GatewayRecord] = {}
         self.sums = Sums()
         self.fresh_at = self.cells_at = 0
         self.gone: dict[str, int] = {}  # records that are gone, and the sweep that they were met in
@@ -35,7 +35,7 @@
         self.cores: list[list[str]] = []  # [ip, zone] of each core machine
         self.on_agreed: list[Callable[[int, State, Change | None], None]] = []
         self.on_workers: list[Callable[[list[Worker]], None]] = []
-        self.on_guards: list[Callable[[list[Guard]], None]] = []
+        self.on_gateways: list[Callable[[list[GatewayRecord]], None]] = []
 
     def age_ms(self, now: int) -> float | None:
         """How long ago what is held was known to be the newest; None if never."""
@@ -51,34 +51,34 @@
         return True
 
     def take_cells(
-        self, workers: Iterable[Worker], guards: Iterable[Guard]
-    ) -> tuple[list[Worker], list[Guard]]:
+        self, workers: Iterable[Worker], gateways: Iterable[GatewayRecord]
+    ) -> tuple[list[Worker], list[GatewayRecord]]:
         """Takes the newer ones of these records and returns them."""
-        fresh_workers, fresh_guards = [], []
+        fresh_workers, fresh_gateways = [], []
         for worker in workers:
             old = self.workers.get(worker.id)
             if newer(old, worker):
                 self.workers[worker.id] = worker
                 self.sums.swap(old, worker)
                 fresh_workers.append(worker)
-        for guard in guards:
-            held = self.guards.get(guard.station)
-            if newer(held, guard):
-                self.guards[guard.station] = guard
-                self.sums.swap(held, guard)
-                fresh_guards.append(guard)
-        self._note_gone(fresh_workers, fresh_guards)
+        for gateway in gateways:
+            held = self.gateways.get(gateway.station)
+            if newer(held, gateway):
+                self.gateways[gateway.station] = gateway
+                self.sums.swap(held, gateway)
+                fresh_gateways.append(gateway)
+        self._note_gone(fresh_workers, fresh_gateways)
         if fresh_workers:
             for told in self.on_workers:
                 told(fresh_workers)
-        if fresh_guards:
-            for heard in self.on_guards:
-                heard(fresh_guards)
-        return fresh_workers, fresh_guards
+        if fresh_gateways:
+            for heard in self.on_gateways:
+                heard(fresh_gateways)
+        return fresh_workers, fresh_gateways
 
-    def _note_gone(self, workers: list[Worker], guards: list[Guard]) -> None:
+    def _note_gone(self, workers: list[Worker], gateways: list[GatewayRecord]) -> None:
         records: list[Record] = [*workers]
-        for record in records + [*guards]:
+        for record in records + [*gateways]:
             if record.state == GONE:
                 self.gone[record_id(record)] = self.sweeps
 
@@ -87,6 +87,6 @@
         self.sweeps += 1
         for id in [id for id, met in self.gone.items() if met < self.sweeps - 1]:
             del self.gone[id]
-            table: dict[str, Any] = self.workers if id.startswith("w:") else self.guards
+            table: dict[str, Any] = self.workers if id.startswith("w:") else self.gateways
             if (held := table.get(id[2:])) is not None and held.state == GONE:
                 del table[id[2:]]
--- a/pepperrun/waggle/digests.py
+++ b/pepperrun/distribution/digests.py
@@ -12,9 +12,9 @@
 from hashlib import blake2b
 from typing import Any
 
-from pepperrun.comb.records import GONE, Guard, Worker
+from pepperrun.control.records import GONE, GatewayRecord, Worker
 
-Record = Worker | Guard
+Record = Worker | GatewayRecord
 Digests = dict[str, str]  # range: digest
 
 MASK = (1 << 64) - 1
--- a/pepperrun/waggle/follower.py
+++ b/pepperrun/distribution/follower.py
@@ -17,15 +17,15 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from pepperrun.comb.records import Guard
-from pepperrun.foundation.errors import HiveError
+from pepperrun.control.records import GatewayRecord
+from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.logs import event, trouble
 from pepperrun.foundation.netstring import Message, encode
 from pepperrun.foundation.settings import Address
-from pepperrun.waggle import repair
-from pepperrun.waggle.book import NewsBook
-from pepperrun.waggle.publisher import Port, seal
-from pepperrun.waggle.tree import parents, spread
+from pepperrun.distribution import repair
+from pepperrun.distribution.book import NewsBook
+from pepperrun.distribution.publisher import Port, seal
+from pepperrun.distribution.tree import parents, spread
 
 MS = 1_000_000
 TICK_NS = 400 * MS
@@ -80,11 +80,11 @@
         own: tuple[str, str, Address],
         zones: Mapping[str, str],
         contacts: list[Address],
-        row: Callable[[], Guard],
+        row: Callable[[], GatewayRecord],
         apply: Apply,
         now: int,
     ) -> None:
-        self.station, self.zone, self.siding = own
+        self.station, self.zone, self.internal_port = own
         self.zones, self.contacts, self.row, self.apply = zones, contacts, row, apply
         self.book = NewsBook()
         self.book.on_agreed.append(lambda number, state, change: self._number_grew())
@@ -115,7 +115,7 @@
 
     def _best_core(self, now: int, but: Address | None = None) -> Address:
         """The nearest that has not failed lately; first contacts only where none of the core will do."""
-        listed = {(str(row[0]), self.siding[1]) for row in self.book.cores}
+        listed = {(str(row[0]), self.internal_port[1]) for row in self.book.cores}
         known = listed.union(self.contacts)
 
         def order(one: Address) -> tuple[int, bool, int, bytes]:
@@ -192,17 +192,17 @@
         self._choose_parent(now)
 
     def _choose_parent(self, now: int) -> None:
-        for guard in parents(self.station, self.zone, self.book.guards.values()):
-            if self.shunned.get(guard.station, 0) > now or not self.standing(guard.station):
+        for gateway in parents(self.station, self.zone, self.book.gateways.values()):
+            if self.shunned.get(gateway.station, 0) > now or not self.standing(gateway.station):
                 continue
-            host, _, port = guard.siding.rpartition(":")
+            host, _, port = gateway.internal_port.rpartition(":")
             address = (host, int(port))
             if self.parent is not None:
-                if self.parent.station == guard.station and self.parent.address == address:
+                if self.parent.station == gateway.station and self.parent.address == address:
                     return
                 if self.parent.port is not None:
                     self.parent.port.close()
-            self.parent = Uplink(address, guard.station, now)
+            self.parent = Uplink(address, gateway.station, now)
             return
         if self.parent is not None and self.parent.port is not None:
             self.parent.port.close()
@@ -276,11 +276,11 @@
                 port.write(encode(back))
             self._cells_met(now)
 
-    def merge(self, workers: list[Any], guards: list[Any], now: int) -> None:
+    def merge(self, workers: list[Any], gateways: list[Any], now: int) -> None:
         """Takes rows that came from anyone."""
-        _, changed = self.book.take_cells(workers, guards)
-        if any(guard.zone == self.zone for guard in changed):
-            if any(guard.station == self.station for guard in changed):
+        _, changed = self.book.take_cells(workers, gateways)
+        if any(gateway.zone == self.zone for gateway in changed):
+            if any(gateway.station == self.station for gateway in changed):
                 self.tell(now)
             self._choose_parent(now)
 
@@ -354,7 +354,9 @@
             return
         state, _ = self.apply(self.book.state, message["op"])
         if state is None or seal(state) != message.get("seal"):
-            trouble(HiveError("change-unlike", "taking a change", f"number {number}", link.station or "core"))
+            trouble(
+                PepperrunError("change-unlike", "taking a change", f"number {number}", link.station or "core")
+            )
             self._want(link, now, whole=True)
             return
         self.book.take_agreed(number, state, (base, message["op"]))
@@ -371,14 +373,14 @@
             link.asked_at = now
             link.port.write(encode(repair.ask(self.book)))
 
-    def own_row(self) -> Guard:
+    def own_row(self) -> GatewayRecord:
         """The own record, placed before whatever else is told of this station.
 
         Others may have concluded that it is lost, and the time of day from which a life is numbered may have
         jumped back since an earlier one.
         """
         row = self.row()
-        held = self.book.guards.get(self.station)
+        held = self.book.gateways.get(self.station)
         life, serial = max(self.life_of_row, (row.life, 0))
         said = replace(row, life=life, serial=row.serial + serial)
         if held is not None and held != said and held.rank >= said.rank:
--- a/pepperrun/waggle/publisher.py
+++ b/pepperrun/distribution/publisher.py
@@ -12,10 +12,10 @@
 from hashlib import blake2b
 from typing import Any, Protocol
 
-from pepperrun.comb.records import Guard, Worker
+from pepperrun.control.records import GatewayRecord, Worker
 from pepperrun.foundation.netstring import Message, encode, length
-from pepperrun.waggle import repair
-from pepperrun.waggle.digests import Record, Sums, record_id
+from pepperrun.distribution import repair
+from pepperrun.distribution.digests import Record, Sums, record_id
 
 BATCH_MS = 15  # records that change together go together
 SILENT_NS = 5_000_000_000  # gatekeepers tick each 400 ms: one that is silent for so long is gone
@@ -52,7 +52,7 @@
     def workers(self) -> Mapping[str, Worker]: ...
 
     @property
-    def guards(self) -> Mapping[str, Guard]: ...
+    def gateways(self) -> Mapping[str, GatewayRecord]: ...
 
     @property
     def sums(self) -> Sums: ...
@@ -66,11 +66,11 @@
         """How long ago `number` was known to be the newest acknowledged; None: not known."""
         ...
 
-    def beat(self, guard: Guard, now: int) -> None:
+    def beat(self, gateway: GatewayRecord, now: int) -> None:
         """A gatekeeper has told of itself on its own link (each tick; the row may be as before)."""
         ...
 
-    def merge(self, workers: list[Worker], guards: list[Guard], now: int) -> object:
+    def merge(self, workers: list[Worker], gateways: list[GatewayRecord], now: int) -> object:
         """Rows came from another process; the newer ones count. The source then calls `changed`."""
         ...
 
@@ -93,7 +93,7 @@
     number: int = -1  # what it holds, or will once it has read what was sent; -1 before its first word
     sent_at: int = 0  # when more was last sent
     pushed: bool = False  # it attaches for the pushes
-    guard: Guard | None = None
+    gateway: GatewayRecord | None = None
     cores: list[list[str]] | None = None  # as last told
     room: int = 0  # bytes: longer changes are not passed on to it by relays; 0: they are
 
@@ -153,9 +153,9 @@
     def _tick(self, port: Port, peer: _Peer, message: Message, now: int) -> None:
         source = self.source
         if "g" in message:
-            peer.guard = Guard.read(message["g"])
-        if peer.guard is not None:
-            source.beat(peer.guard, now)
+            peer.gateway = GatewayRecord.read(message["g"])
+        if peer.gateway is not None:
+            source.beat(peer.gateway, now)
         age = source.age_ms(now)
         tock: Message = {"k": "tock", "t": message["t"], "age": None if age is None else math.ceil(age)}
         tock |= {"n": source.number, "d": source.sums.whole()}
@@ -190,7 +190,7 @@
             while len(self.history) > HISTORY or sum(len(one[2]) for one in self.history) > HISTORY_BYTES:
                 del self.history[0]
         for port, peer in list(self.peers.items()):
-            if peer.pushed or (peer.room and peer.guard is not None):
+            if peer.pushed or (peer.room and peer.gateway is not None):
                 self._bring(port, peer, now)
 
     def _passed_on(self, peer: _Peer, frames: list[bytes], now: int) -> bool:
--- a/pepperrun/waggle/relay.py
+++ b/pepperrun/distribution/relay.py
@@ -5,11 +5,11 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from pepperrun.comb.records import Guard, Worker
-from pepperrun.waggle.book import NewsBook
-from pepperrun.waggle.digests import Sums
-from pepperrun.waggle.follower import Follower
-from pepperrun.waggle.publisher import Publisher, Source
+from pepperrun.control.records import GatewayRecord, Worker
+from pepperrun.distribution.book import NewsBook
+from pepperrun.distribution.digests import Sums
+from pepperrun.distribution.follower import Follower
+from pepperrun.distribution.publisher import Publisher, Source
 
 Clock = Callable[[], int]
 
@@ -32,8 +32,8 @@
         return self.book.workers
 
     @property
-    def guards(self) -> Mapping[str, Guard]:
-        return self.book.guards
+    def gateways(self) -> Mapping[str, GatewayRecord]:
+        return self.book.gateways
 
     @property
     def sums(self) -> Sums:
@@ -47,7 +47,7 @@
     publisher = Publisher(source, alarm, room)
     book.on_agreed.insert(0, lambda number, state, change: publisher.agreed(change, clock()))
     book.on_workers.insert(0, lambda changed: publisher.changed(changed, clock()))
-    book.on_guards.insert(0, lambda changed: publisher.changed(changed, clock()))
+    book.on_gateways.insert(0, lambda changed: publisher.changed(changed, clock()))
     return publisher
 
 
@@ -64,11 +64,11 @@
     def age_ms(self, now: int) -> float | None:
         return self.book.age_ms(now)
 
-    def beat(self, guard: Guard, now: int) -> None:
+    def beat(self, gateway: GatewayRecord, now: int) -> None:
         """The core hears of gatekeepers from themselves."""
 
-    def merge(self, workers: list[Worker], guards: list[Guard], now: int) -> None:
-        self.follower.merge(workers, guards, now)
+    def merge(self, workers: list[Worker], gateways: list[GatewayRecord], now: int) -> None:
+        self.follower.merge(workers, gateways, now)
 
 
 def relay(follower: Follower, alarm: Callable[[int], None], clock: Clock, room: int = 0) -> Publisher:
--- a/pepperrun/waggle/repair.py
+++ b/pepperrun/distribution/repair.py
@@ -11,9 +11,9 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Protocol
 
-from pepperrun.comb.records import GONE, Guard, Worker
+from pepperrun.control.records import GONE, GatewayRecord, Worker
 from pepperrun.foundation.netstring import Message
-from pepperrun.waggle.digests import EMPTY, Record, Sums, differing, newer, place, record_id
+from pepperrun.distribution.digests import EMPTY, Record, Sums, differing, newer, place, record_id
 
 FEW = 48  # records: a range with no more is sent whole; splitting it further takes another round trip
 DEEPEST = 2  # digits
@@ -26,36 +26,36 @@
     def workers(self) -> Mapping[str, Worker]: ...
 
     @property
-    def guards(self) -> Mapping[str, Guard]: ...
+    def gateways(self) -> Mapping[str, GatewayRecord]: ...
 
     @property
     def sums(self) -> Sums: ...
 
 
-Merge = Callable[[list[Worker], list[Guard], int], object]
+Merge = Callable[[list[Worker], list[GatewayRecord], int], object]
 
 
 def rows(records: Iterable[Record], now: int) -> Message:
     """`cells` with these records."""
     workers: list[Any] = []
-    guards: list[Any] = []
+    gateways: list[Any] = []
     for record in records:
         if isinstance(record, Worker):
             workers.append(record.wire(now))
         else:
-            guards.append(record.wire())
+            gateways.append(record.wire())
     message: Message = {"k": "cells"}
     if workers:
         message["w"] = workers
-    if guards:
-        message["g"] = guards
+    if gateways:
+        message["g"] = gateways
     return message
 
 
-def read(message: Message, now: int) -> tuple[list[Worker], list[Guard]]:
+def read(message: Message, now: int) -> tuple[list[Worker], list[GatewayRecord]]:
     """The records of `cells`; ValueError or TypeError where they can't be meant."""
     workers = [Worker.read(row, now) for row in message.get("w", ())]
-    return workers, [Guard.read(row) for row in message.get("g", ())]
+    return workers, [GatewayRecord.read(row) for row in message.get("g", ())]
 
 
 def ask(copy: Copy) -> Message:
@@ -69,7 +69,7 @@
     zones = {key.partition("/")[0] for key in wanted}
     out: list[Record] = []
     records: list[Record] = [*copy.workers.values()]
-    for record in records + [*copy.guards.values()]:
+    for record in records + [*copy.gateways.values()]:
         if record.zone not in zones:
             continue
         where = place(record_id(record)) if record.zone not in wanted else ""
@@ -112,14 +112,14 @@
             mine = copy.sums.parts(key)
             differ |= {part: mine.get(part, EMPTY) for part in differing(mine, theirs)}
         return [{"k": "ask", "digests": differ, "parts": True}] if differ else []
-    workers, guards = read(message, now)
+    workers, gateways = read(message, now)
     back: list[Record] = []
     if message.get("of"):
         told: dict[str, Record] = {record_id(one): one for one in workers}
-        told |= {record_id(one): one for one in guards}
+        told |= {record_id(one): one for one in gateways}
         for record in inside(copy, message["of"]):
             other = told.get(record_id(record))
             if record.state != GONE if other is None else newer(other, record):
                 back.append(record)
-    merge(workers, guards, now)
+    merge(workers, gateways, now)
     return [rows(back, now)] if back else []
--- a/pepperrun/waggle/service.py
+++ b/pepperrun/distribution/service.py
@@ -6,15 +6,15 @@
 import time
 from collections.abc import Callable
 
-from pepperrun.comb import changes
-from pepperrun.comb.records import Guard
+from pepperrun.control import changes
+from pepperrun.control.records import GatewayRecord
 from pepperrun.foundation.link import OPERATOR, Dialer, Link, listen
 from pepperrun.foundation.netstring import Message
 from pepperrun.foundation.settings import Address, Settings
-from pepperrun.waggle.follower import Follower
-from pepperrun.waggle.publisher import Publisher
-from pepperrun.waggle.relay import relay
-from pepperrun.waggle.tree import FAN_OUT
+from pepperrun.distribution.follower import Follower
+from pepperrun.distribution.publisher import Publisher
+from pepperrun.distribution.relay import relay
+from pepperrun.distribution.tree import FAN_OUT
 
 
 PASS_S = 0.1  # of the own link's time to pass a change on: answers wait behind it, with aims from 0.3 s on
@@ -100,15 +100,15 @@
         self,
         settings: Settings,
         life: int,
-        row: Callable[[], Guard],
+        row: Callable[[], GatewayRecord],
         clock: Callable[[], int] = time.monotonic_ns,
     ) -> None:
         me, self.clock = settings.me, clock
-        self.siding = settings.siding
+        self.internal_port = settings.internal_port
         self.hello_message: Message = {"station": me.station, "ip": me.ip, "zone": me.zone}
         room = int(me.limits.link_mbps * 125_000 * PASS_S / FAN_OUT)
         self.hello_message |= {"class": "counter", "life": life, "room": room}
-        own = (me.station, me.zone, settings.siding)
+        own = (me.station, me.zone, settings.internal_port)
         now = self.clock()
         self.follower = Follower(own, settings.network.zones, settings.contacts(), row, changes.apply, now)
         self.book = self.follower.book
@@ -125,7 +125,7 @@
 
     async def start(self) -> None:
         """Listens for other gatekeepers at the siding's TCP port and keeps links. OSError: it is taken."""
-        self.server = await listen(self.siding, _Down(self, self.publisher), self._hello)
+        self.server = await listen(self.internal_port, _Down(self, self.publisher), self._hello)
         self.settle()
 
     def settle(self) -> None:
--- a/pepperrun/waggle/tree.py
+++ b/pepperrun/distribution/tree.py
@@ -10,7 +10,7 @@
 from functools import lru_cache
 from hashlib import blake2b
 
-from pepperrun.comb.records import READY, STARTING, Guard
+from pepperrun.control.records import READY, STARTING, GatewayRecord
 
 FAN_OUT = 4  # children of one relay: a hundred gatekeepers of a zone are 4 steps deep
 
@@ -26,15 +26,15 @@
     return blake2b("|".join(parts).encode(), digest_size=8).digest()
 
 
-def parents(station: str, zone: str, guards: Iterable[Guard]) -> list[Guard]:
+def parents(station: str, zone: str, gateways: Iterable[GatewayRecord]) -> list[GatewayRecord]:
     """Whom to attach to, the best first; empty for the zone's root."""
     mine = key(station)
     before = [
-        guard
-        for guard in guards
-        if guard.zone == zone and guard.state in (READY, STARTING) and key(guard.station) < mine
+        gateway
+        for gateway in gateways
+        if gateway.zone == zone and gateway.state in (READY, STARTING) and key(gateway.station) < mine
     ]
-    before.sort(key=lambda guard: key(guard.station))
+    before.sort(key=lambda gateway: key(gateway.station))
     best = (
         len(before) - 1
     ) // FAN_OUT  # of the heap's i-th, counted from 0, the parent is (i - 1) // FAN_OUT
--- a/pepperrun/forager/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Forager (data plane): the front for clients, where a request may go, and where not."""
--- a/pepperrun/foundation/errors.py
+++ b/pepperrun/foundation/errors.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 
-class HiveError(Exception):
+class PepperrunError(Exception):
     """An error of the system. `code` is stable for tools, `step` is what was being done, `peer` with whom."""
 
     def __init__(self, code: str, step: str, detail: str = "", peer: str = "") -> None:
--- a/pepperrun/foundation/link.py
+++ b/pepperrun/foundation/link.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from pepperrun.foundation.errors import HiveError
+from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.logs import trouble
 from pepperrun.foundation.netstring import LONG, PACKS, Decoder, Message, encode, packed
 from pepperrun.foundation.settings import Address
@@ -70,13 +70,13 @@
                     self.packs = PACKS in (message.get("packs") or ())
                     self.user.opened(self, message)
                 else:
-                    raise HiveError("bad-hello", "greeting", "no hello at first")
-        except HiveError as error:
+                    raise PepperrunError("bad-hello", "greeting", "no hello at first")
+        except PepperrunError as error:
             error.peer = error.peer or self.name
             trouble(error)
             self.close()
         except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
-            trouble(HiveError("bad-message", "reading", f"{type(error).__name__}: {error}", self.name))
+            trouble(PepperrunError("bad-message", "reading", f"{type(error).__name__}: {error}", self.name))
             self.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -96,7 +96,7 @@
         if transport is None or transport.is_closing():
             return
         if transport.get_write_buffer_size() > MOST_UNSENT:
-            trouble(HiveError("link-stuck", "sending", "the other side takes nothing", self.name))
+            trouble(PepperrunError("link-stuck", "sending", "the other side takes nothing", self.name))
             transport.abort()
             return
         transport.write(packed(frame) if self.packs and len(frame) > LONG else frame)
--- a/pepperrun/foundation/logs.py
+++ b/pepperrun/foundation/logs.py
@@ -8,7 +8,7 @@
 from absl import flags, logging
 
 from pepperrun import log
-from pepperrun.foundation.errors import HiveError
+from pepperrun.foundation.errors import PepperrunError
 
 
 def setup(verbose: bool = False) -> None:
@@ -37,7 +37,7 @@
     logging.info("%s", line(name, pairs))
 
 
-def trouble(error: HiveError, **pairs: Any) -> None:
+def trouble(error: PepperrunError, **pairs: Any) -> None:
     """An error has been met and dealt with."""
     what = {"code": error.code, "step": error.step, "peer": error.peer or "-", "detail": error.detail or "-"}
     logging.warning("%s", line("error", what | pairs))
--- a/pepperrun/foundation/netstring.py
+++ b/pepperrun/foundation/netstring.py
@@ -13,7 +13,7 @@
 from functools import lru_cache
 from typing import Any
 
-from pepperrun.foundation.errors import HiveError
+from pepperrun.foundation.errors import PepperrunError
 
 MOST = 8 * 1024 * 1024  # bytes of one frame: a configuration of thousands of routes is under 2 MB
 DIGITS = len(str(MOST))
@@ -30,7 +30,7 @@
     """One frame."""
     body = _dump(message).encode()
     if len(body) > MOST:
-        raise HiveError("frame-too-long", "encode", f"{len(body)} bytes, {MOST} at most")
+        raise PepperrunError("frame-too-long", "encode", f"{len(body)} bytes, {MOST} at most")
     return b"%d:%b," % (len(body), body)
 
 
@@ -56,7 +56,7 @@
 
 
 class Decoder:
-    """Takes bytes as they come and gives whole messages; HiveError where they are no frames."""
+    """Takes bytes as they come and gives whole messages; PepperrunError where they are no frames."""
 
     def __init__(self, most: int = MOST) -> None:
         self.buffer, self.most = bytearray(), most
@@ -70,25 +70,25 @@
             colon = self.buffer.find(b":", at, at + DIGITS + 1)
             if colon < 0:
                 if len(self.buffer) - at > DIGITS:
-                    raise HiveError("bad-frame", "decode", "no length")
+                    raise PepperrunError("bad-frame", "decode", "no length")
                 break
             digits = bytes(self.buffer[at:colon])
             if not digits.isdigit() or int(digits) > self.most:
-                raise HiveError("bad-frame", "decode", "bad length")
+                raise PepperrunError("bad-frame", "decode", "bad length")
             end = colon + 1 + int(digits)
             if len(self.buffer) <= end:
                 break
             if self.buffer[end] != 0x2C:
-                raise HiveError("bad-frame", "decode", "no comma")
+                raise PepperrunError("bad-frame", "decode", "no comma")
             try:
                 body: bytes | bytearray = self.buffer[colon + 1 : end]
                 if body[:1] != b"{":
                     body = _unpacked(bytes(body), self.most)
                 message = json.loads(body)
             except (ValueError, zlib.error):
-                raise HiveError("bad-frame", "decode", "no JSON") from None
+                raise PepperrunError("bad-frame", "decode", "no JSON") from None
             if not isinstance(message, dict) or not isinstance(message.get("k"), str):
-                raise HiveError("bad-frame", "decode", "no object with a kind")
+                raise PepperrunError("bad-frame", "decode", "no object with a kind")
             out.append(message)
             at = end + 1
         del self.buffer[:at]
--- a/pepperrun/foundation/settings.py
+++ b/pepperrun/foundation/settings.py
@@ -10,7 +10,7 @@
 import dacite
 import yaml
 
-from pepperrun.foundation.errors import HiveError
+from pepperrun.foundation.errors import PepperrunError
 
 Address = tuple[str, int]
 
@@ -120,7 +120,7 @@
         return address(text) if text is not None else None
 
     @property
-    def siding(self) -> Address:
+    def internal_port(self) -> Address:
         """Where own processes reach this one, by TCP and by UDP."""
         return self.me.ip, self.network.sidings[0]
 
@@ -130,25 +130,25 @@
 
 
 def address(text: str) -> Address:
-    """`host:port` as a pair; HiveError where it is none."""
+    """`host:port` as a pair; PepperrunError where it is none."""
     host, _, port = text.rpartition(":")
     if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise HiveError("bad-address", "settings", f"{text!r} is no address")
+        raise PepperrunError("bad-address", "settings", f"{text!r} is no address")
     return host, int(port)
 
 
 def parse(data: Any) -> Settings:
-    """Settings from the file's tables; HiveError names the field that is no good."""
+    """Settings from the file's tables; PepperrunError names the field that is no good."""
     if not isinstance(data, dict):
-        raise HiveError("bad-settings", "settings", "the file holds no tables")
+        raise PepperrunError("bad-settings", "settings", "the file holds no tables")
     tables = {("me" if key == "self" else key): value for key, value in data.items()}
     config = dacite.Config(type_hooks={float: float})
     try:
         settings = dacite.from_dict(Settings, tables, config)
     except (dacite.DaciteError, TypeError, ValueError) as error:
-        raise HiveError("bad-settings", "settings", str(error)) from None
+        raise PepperrunError("bad-settings", "settings", str(error)) from None
     if len(settings.network.sidings) != 2:
-        raise HiveError("bad-settings", "settings", "network.sidings: a first and a last port")
+        raise PepperrunError("bad-settings", "settings", "network.sidings: a first and a last port")
     for text in [*settings.network.first_contacts, *settings.network.postboxes.values()]:
         address(text)
     return settings
@@ -161,5 +161,5 @@
     try:
         data = yaml.load(Path(where).read_text(), loader)  # a safe loader, in C where there is one
     except (OSError, yaml.YAMLError) as error:
-        raise HiveError("bad-settings", "settings", f"{where}: {error}") from None
+        raise PepperrunError("bad-settings", "settings", f"{where}: {error}") from None
     return parse(data)
--- a/pepperrun/guard.py
+++ b/pepperrun/gateway_node.py
@@ -1,4 +1,4 @@
-"""Guard (gatekeeper): the program of machines that clients reach. Puts news, traffic and peers together."""
+"""Gateway node: the program of machines that clients reach; puts news, traffic and peers together."""
 
 from __future__ import annotations
 
@@ -12,17 +12,17 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from pepperrun.comb.records import LEAVING, READY, STARTING, Guard
-from pepperrun.forager import showing
-from pepperrun.forager.plane import Plane
-from pepperrun.forager.stopping import drain, ready_listener
-from pepperrun.forager.trace import VERBOSE
+from pepperrun.dataplane import inspection
+from pepperrun.control.records import LEAVING, READY, STARTING, GatewayRecord
+from pepperrun.dataplane.plane import Plane
+from pepperrun.dataplane.draining import drain, ready_listener
+from pepperrun.dataplane.trace import VERBOSE
 from pepperrun.foundation import logs
-from pepperrun.foundation.errors import HiveError
+from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.settings import Address, Settings, load
-from pepperrun.scouts.service import Scouts
-from pepperrun.scouts.wire import MARK
-from pepperrun.waggle.service import Subscriber
+from pepperrun.membership.gateway_probe_service import GatewayProbes
+from pepperrun.membership.gateway_probe_wire import MARK
+from pepperrun.distribution.service import Subscriber
 
 LOOK_S, FIRST_LOOK_S = 0.2, 0.05  # between looks at whether this gatekeeper is ready; until it first is
 AGAIN_S = 0.3  # between tries for an address that an earlier process still has
@@ -48,19 +48,23 @@
         self.plane.log_requests(trace)
         book.on_agreed += [self.plane.on_agreed, self.on_agreed]
         book.on_workers.append(self.plane.on_workers)
-        book.on_guards.append(self.on_guards)
-        self.scouts = Scouts(settings, self.life, secrets.randbits(32), self.plane.hum.send, self.on_scouts)
-        self.plane.hum.others[MARK] = self.scouts.received
-        self.news.follower.standing = self.scouts.there
-        self.news.shown = lambda now: showing.shown(self.row(), self.news, self.plane, self.scouts, now)
+        book.on_gateways.append(self.on_gateways)
+        self.probes = GatewayProbes(
+            settings, self.life, secrets.randbits(32), self.plane.peer_messages.send, self.on_probes
+        )
+        self.plane.peer_messages.others[MARK] = self.probes.received
+        self.news.follower.standing = self.probes.there
+        self.news.shown = lambda now: inspection.shown(self.row(), self.news, self.plane, self.probes, now)
         self.asked = ready_listener(time.monotonic_ns, self.plane.ready)
         self.stop = asyncio.Event()
 
-    def row(self) -> Guard:
+    def row(self) -> GatewayRecord:
         """This gatekeeper's own record."""
         me, counter = self.settings.me, self.settings.network.postboxes.get("counter", "")
-        siding = f"{me.ip}:{self.settings.siding[1]}"
-        return Guard(me.station, me.zone, me.region, counter, siding, self.life, self.serial, self.state)
+        internal_port = f"{me.ip}:{self.settings.internal_port[1]}"
+        return GatewayRecord(
+            me.station, me.zone, me.region, counter, internal_port, self.life, self.serial, self.state
+        )
 
     def on_agreed(self, number: int, state: dict[str, Any], change: object = None) -> None:
         """The plane has taken it: one line for each number, and how deep in the tree where more is logged."""
@@ -69,37 +73,37 @@
         self.number, me = number, self.settings.me
         known = {"number": number, "edition": state.get("edition") or 0, "station": me.station}
         if self.tracing:
-            known["depth"] = showing.depth(me.station, me.zone, self.news.book.guards.values())
+            known["depth"] = inspection.depth(me.station, me.zone, self.news.book.gateways.values())
         logs.event("agreed", **known)
 
-    def on_guards(self, changed: list[Guard]) -> None:
+    def on_gateways(self, changed: list[GatewayRecord]) -> None:
         """Records of gatekeepers that are new or have changed."""
-        self.plane.on_guards(changed)
-        self.scouts.on_guards(changed)
-        self.on_scouts()
+        self.plane.on_gateways(changed)
+        self.probes.on_gateways(changed)
+        self.on_probes()
 
-    def on_scouts(self) -> None:
+    def on_probes(self) -> None:
         """Who of the other gatekeepers is thought to be there may have changed."""
-        self.plane.stand(self.scouts.absent(), self.scouts.doubt)
+        self.plane.stand(self.probes.absent(), self.probes.doubt)
         self.news.moved()
 
     def known_life(self) -> int:
         """The life by which others know this one: the time of day may have been ahead in an earlier one."""
-        held = self.news.book.guards.get(self.settings.me.station)
+        held = self.news.book.gateways.get(self.settings.me.station)
         return held.life if held is not None else self.life
 
     def say(self, state: str) -> None:
         """From now on this gatekeeper is in this state."""
         if state != self.state:
             self.state, self.serial = state, self.serial + 1
-            logs.event("guard", state=state)
+            logs.event("gateway", state=state)
             self.news.tell()
 
     def reread(self) -> None:
         """The settings file may have changed: zones, contacts and the rules' figures hold at once."""
         try:
             self.settings = load(self.path)
-        except HiveError as error:
+        except PepperrunError as error:
             logs.trouble(error)
             return
         self.plane.reread(self.settings)
@@ -115,7 +119,8 @@
         counter, ready = self.settings.postbox("counter"), self.settings.postbox("ready_port")
         plane = self.plane
         await self._patiently(
-            "hum", lambda: loop.create_datagram_endpoint(lambda: plane.hum, self.settings.siding)
+            "peer-messages",
+            lambda: loop.create_datagram_endpoint(lambda: plane.peer_messages, self.settings.internal_port),
         )
         await self._patiently("news", self.news.start)
         if counter is not None:
@@ -124,7 +129,7 @@
             await self._patiently("ready", lambda: _opened(self.asked.open, ready))
         gc.collect()
         gc.freeze()
-        logs.event("guard", state=self.state, station=self.settings.me.station, life=self.life)
+        logs.event("gateway", state=self.state, station=self.settings.me.station, life=self.life)
         while not self.stop.is_set():
             if plane.ready():
                 self.say(READY)
@@ -134,10 +139,10 @@
             except TimeoutError:
                 pass
         self.say(LEAVING)
-        self.scouts.leave()
+        self.probes.leave()
         await drain(plane.listener, self.settings.tariffs.bounds.grace_s, plane.out_of_time)
         self.asked.close()
-        self.scouts.close()
+        self.probes.close()
         plane.close()
         await self.news.close()
 
@@ -148,7 +153,7 @@
                 await start()
                 return
             except OSError as error:
-                logs.trouble(HiveError("no-address", step, str(error)))
+                logs.trouble(PepperrunError("no-address", step, str(error)))
                 await asyncio.sleep(AGAIN_S)
 
 
@@ -158,7 +163,7 @@
 
 def main(arguments: list[str] | None = None) -> int:
     """The command; its exit code."""
-    parser = argparse.ArgumentParser(prog="pepperrun.guard", description=__doc__)
+    parser = argparse.ArgumentParser(prog="pepperrun.gateway_node", description=__doc__)
     parser.add_argument("--settings", metavar="FILE", help="instead of the one PEPPERRUN_NODE_FILE names")
     parser.add_argument("--check", action="store_true", help="only read and check the settings")
     parser.add_argument("--verbose", action="store_true", help="log more")
@@ -169,9 +174,9 @@
     try:
         settings = load(options.settings)
         if settings.postbox("counter") is None:
-            raise HiveError("bad-settings", "settings", "network.postboxes.counter: missing")
-    except HiveError as error:
-        print(f"pepperrun.guard: {error}", file=sys.stderr)
+            raise PepperrunError("bad-settings", "settings", "network.postboxes.counter: missing")
+    except PepperrunError as error:
+        print(f"pepperrun.gateway_node: {error}", file=sys.stderr)
         return 2
     if options.check:
         print(f"{settings.me.station}: settings are good")
--- a/pepperrun/lab/ballots.py
+++ b/pepperrun/lab/ballots.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from pepperrun.swarm.explorer import Action, Found, Game
+from pepperrun.simulation.explorer import Action, Found, Game
 from pepperrun.zones.register import FIRST, Ballot, Kind, Message, Phase, Register, Round, Value
 
 Make = Callable[[int, int, int, int, int], Register]
--- a/pepperrun/lab/explore.py
+++ b/pepperrun/lab/explore.py
@@ -23,10 +23,10 @@
 
 from pepperrun.core.clock import SECOND
 from pepperrun.lab.virtual import KEYS, MS
-from pepperrun.members.member import STALL_NS, Member
-from pepperrun.members.states import Config, Me
-from pepperrun.members.steps import Step, standing_of, step_of
-from pepperrun.members.wire import State
+from pepperrun.membership.member import STALL_NS, Member
+from pepperrun.membership.states import Config, Me
+from pepperrun.membership.steps import Step, standing_of, step_of
+from pepperrun.membership.wire import State
 
 KINDS = ("lose", "overtake", "double", "timer", "crash", "pause", "cut")
 BACK_NS = 1500 * MS  # a crashed or paused member comes back, a cut heals, after so long
--- a/pepperrun/lab/scenario.py
+++ b/pepperrun/lab/scenario.py
@@ -13,7 +13,7 @@
 import msgspec
 from msgspec import Meta
 
-from pepperrun.members.wire import WORDS
+from pepperrun.membership.wire import WORDS
 
 Seconds = Annotated[float, Meta(ge=0, le=3600)]
 Share = Annotated[float, Meta(ge=0, le=1)]
--- a/pepperrun/lab/verdict.py
+++ b/pepperrun/lab/verdict.py
@@ -12,7 +12,7 @@
 from pepperrun.lab.load import CLASSES
 from pepperrun.lab.run import Seen
 from pepperrun.lab.scenario import Plan, zone_of
-from pepperrun.members.steps import Quota, quota_error, restart_error
+from pepperrun.membership.steps import Quota, quota_error, restart_error
 from pepperrun.model.service import Ask, Service, inside_quota, service
 
 WORTHS = (1.0, 5.0)
--- a/pepperrun/lab/virtual.py
+++ b/pepperrun/lab/virtual.py
@@ -13,10 +13,10 @@
 from functools import partial
 
 from pepperrun.core.clock import SECOND
-from pepperrun.members.keys import Keys
-from pepperrun.members.member import Member
-from pepperrun.members.states import Config, Happened, Me
-from pepperrun.members.wire import State
+from pepperrun.membership.keys import Keys
+from pepperrun.membership.member import Member
+from pepperrun.membership.states import Config, Happened, Me
+from pepperrun.membership.wire import State
 
 MS = 1_000_000
 KEYS = Keys({1: bytes(range(32))})
--- a/pepperrun/members/config.py
+++ b/pepperrun/membership/config.py
@@ -1,4 +1,4 @@
-"""What switches membership on: the key `members` of a gatekeeper's configuration, or a file like it."""
+"""What switches membership on: the key `membership` of a gatekeeper's configuration, or a file like it."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from typing import Any
 
 from pepperrun.config import get, known_keys
-from pepperrun.members.keys import Keys, read_keys
+from pepperrun.membership.keys import Keys, read_keys
 
 KEYS = "key_file region zone period_ms suspect_ms names"
 MS = 1_000_000
--- a/pepperrun/scouts/service.py
+++ b/pepperrun/membership/gateway_probe_service.py
@@ -1,4 +1,4 @@
-"""Scouts of a running gatekeeper: datagrams over a socket that others use too, and one timer."""
+"""GatewayProbes of a running gatekeeper: datagrams over a socket that others use too, and one timer."""
 
 from __future__ import annotations
 
@@ -6,18 +6,18 @@
 import time
 from collections.abc import Callable, Iterable
 
-from pepperrun.comb.records import Guard
+from pepperrun.control.records import GatewayRecord
 from pepperrun.foundation.settings import Address, Settings
-from pepperrun.scouts.scout import Scout
+from pepperrun.membership.gateway_prober import GatewayProber
 
 LEAST_S = 0.005  # between two turns: what comes in bursts is answered together
 
 
-class Scouts:
-    """Runs a scout on the loop. `send(data, where)` sends a datagram.
+class GatewayProbes:
+    """Runs a prober on the loop. `send(data, where)` sends a datagram.
 
     `changed()` is called when somebody is found to be absent or back. Give datagrams that begin with
-    `scouts.wire.MARK` to `received`, records of gatekeepers to `on_guards`.
+    `membership.gateway_probe_wire.MARK` to `received`, records of gatekeepers to `on_gateways`.
     """
 
     def __init__(
@@ -30,67 +30,67 @@
         clock: Callable[[], int] = time.monotonic_ns,
     ) -> None:
         me, self.clock = settings.me, clock
-        self.scout = Scout(me.station, me.region, life, seed, self.clock())
+        self.prober = GatewayProber(me.station, me.region, life, seed, self.clock())
         self.send = send
         self.seen: tuple[frozenset[str], bool] = (frozenset(), False)
         self.told = changed
         self.dirty = False
-        self.scout.changed = self._dirty
+        self.prober.changed = self._dirty
         self.timer: asyncio.TimerHandle | None = None
         self.begun = self.closed = False
 
     def _dirty(self) -> None:
         self.dirty = True
 
-    def on_guards(self, changed: Iterable[Guard]) -> None:
+    def on_gateways(self, changed: Iterable[GatewayRecord]) -> None:
         """Records of gatekeepers that are new or have changed. It begins with the first of another one."""
         if self.closed:
             return
-        self.scout.take(changed)
-        if not self.begun and len(self.scout.numbers) > 1:
+        self.prober.take(changed)
+        if not self.begun and len(self.prober.numbers) > 1:
             self.begun = True
             self._turn()
 
     def received(self, data: bytes, where: Address) -> None:
         """A datagram has come."""
         if self.begun and not self.closed:
-            self.scout.receive(data, where, self.clock())
+            self.prober.receive(data, where, self.clock())
             self._after()
 
     def heard(self, station: str) -> None:
         """Another message of that gatekeeper has come now."""
-        self.scout.heard(station, self.clock())
+        self.prober.heard(station, self.clock())
 
     def there(self, station: str) -> bool:
         """Is that gatekeeper there, as far as is known here?"""
-        return self.scout.there(station)
+        return self.prober.there(station)
 
     def absent(self) -> frozenset[str]:
         """Stations that are suspected, dead or have left; none while this one doubts itself."""
-        return frozenset() if self.scout.doubt else self.scout.absent()
+        return frozenset() if self.prober.doubt else self.prober.absent()
 
     @property
     def doubt(self) -> bool:
         """It stood still, or nobody answers it: what it thinks of others says little."""
-        return self.scout.doubt
+        return self.prober.doubt
 
     def _turn(self) -> None:
         self.timer = None
         if not self.closed:
-            self.scout.tick(self.clock())
+            self.prober.tick(self.clock())
             self._after()
 
     def _after(self) -> None:
-        for where, data in self.scout.take_out():
+        for where, data in self.prober.take_out():
             self.send(data, where)
         if self.dirty:
             self.dirty = False
-            seen = (self.scout.absent(), self.scout.doubt)
+            seen = (self.prober.absent(), self.prober.doubt)
             if seen != self.seen:
                 self.seen = seen
                 self.told()
         loop = asyncio.get_running_loop()
-        wait = max(LEAST_S, (self.scout.due() - self.clock()) / 1e9)
+        wait = max(LEAST_S, (self.prober.due() - self.clock()) / 1e9)
         if self.timer is None or loop.time() + wait < self.timer.when():
             if self.timer is not None:
                 self.timer.cancel()
@@ -99,7 +99,7 @@
     def leave(self) -> None:
         """This gatekeeper is to stop: the others need not find out."""
         if self.begun and not self.closed:
-            self.scout.leave(self.clock())
+            self.prober.leave(self.clock())
             self._after()
 
     def close(self) -> None:
--- a/pepperrun/scouts/wire.py
+++ b/pepperrun/membership/gateway_probe_wire.py
@@ -1,4 +1,4 @@
-"""The datagrams of scouts: those of `members`, with stations by hash instead of by listed number.
+"""The datagrams of probes: those of `membership`, with stations by hash instead of by listed number.
 
 Little-endian, 256 bytes at most:
 
@@ -18,8 +18,8 @@
 import hashlib
 import struct
 
-from pepperrun.members.roster import Roster
-from pepperrun.members.wire import LIVES, MOST, NOBODY, Datagram, Kind, Row, Rumour, State
+from pepperrun.membership.roster import Roster
+from pepperrun.membership.wire import LIVES, MOST, NOBODY, Datagram, Kind, Row, Rumour, State
 
 MARK = 0xB3
 TAG = 4
--- a/pepperrun/scouts/scout.py
+++ b/pepperrun/membership/gateway_prober.py
@@ -1,25 +1,25 @@
-"""One gatekeeper's scout: which of the gatekeepers that the records name are there. No socket, no clock.
+"""One gatekeeper's prober: which of the gatekeepers that the records name are there. No socket, no clock.
 
-It is a member (`pepperrun.members`) of a group that is learnt from the records: who is named there may be a
-member, who is gone is none. The ring on which each is watched by those before it goes region by region, and
-who is in another region is asked in one round of eight: bytes between regions are dear, and what is found out
-anywhere goes round by rumour.
+It is a member (`pepperrun.membership`) of a group that is learnt from the records: who is named there may
+be a member, who is gone is none. The ring on which each is watched by those before it goes region by
+region, and who is in another region is asked in one round of eight: bytes between regions are dear, and
+what is found out anywhere goes round by rumour.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
 
-from pepperrun.comb.records import GONE, Guard
-from pepperrun.foundation.errors import HiveError
+from pepperrun.control.records import GONE, GatewayRecord
+from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.logs import event, trouble
 from pepperrun.foundation.settings import Address, address
-from pepperrun.members.keys import Keys
-from pepperrun.members.member import Member
-from pepperrun.members.roster import Roster
-from pepperrun.members.states import Config, Happened, Me
-from pepperrun.members.wire import State
-from pepperrun.scouts.wire import Learnt, id_of
+from pepperrun.membership.keys import Keys
+from pepperrun.membership.member import Member
+from pepperrun.membership.roster import Roster
+from pepperrun.membership.states import Config, Happened, Me
+from pepperrun.membership.wire import State
+from pepperrun.membership.gateway_probe_wire import Learnt, id_of
 
 PERIOD_NS = 400_000_000  # between two probes: a death is known to all in about two seconds
 SUSPECT_NS = 400_000_000  # a suspicion stands at least
@@ -28,7 +28,7 @@
 MOST = 1024  # gatekeepers that are watched; the core knows of more
 
 
-class Scout:
+class GatewayProber:
     """Give it records, datagrams and the time; take datagrams out. `changed`: `there` may differ."""
 
     def __init__(self, station: str, region: str, life_ms: int, seed: int, now: int) -> None:
@@ -52,34 +52,34 @@
         self.wire.number_of[id] = number
         self.roster.add(number, id, (region, id), far=region != self.region)
 
-    def take(self, guards: Iterable[Guard]) -> None:
+    def take(self, gateways: Iterable[GatewayRecord]) -> None:
         """Records of gatekeepers that are new or have changed."""
-        for guard in guards:
-            if guard.station == self.station:
+        for gateway in gateways:
+            if gateway.station == self.station:
                 continue
-            if guard.state == GONE:
-                self._drop(guard.station)
+            if gateway.state == GONE:
+                self._drop(gateway.station)
             else:
-                self._meet(guard)
+                self._meet(gateway)
 
-    def _meet(self, guard: Guard) -> None:
-        number = self.numbers.get(guard.station)
+    def _meet(self, gateway: GatewayRecord) -> None:
+        number = self.numbers.get(gateway.station)
         if number is None:
-            taken = self.wire.number_of.get(id_of(guard.station))
-            if len(self.numbers) >= MOST or (taken is not None and self.stations[taken] != guard.station):
+            taken = self.wire.number_of.get(id_of(gateway.station))
+            if len(self.numbers) >= MOST or (taken is not None and self.stations[taken] != gateway.station):
                 return
-            number = self.numbers[guard.station] = len(self.numbers)
-            self.stations[number] = guard.station
+            number = self.numbers[gateway.station] = len(self.numbers)
+            self.stations[number] = gateway.station
         try:
-            where = address(guard.siding)
-        except HiveError as error:
-            trouble(error, station=guard.station)
+            where = address(gateway.internal_port)
+        except PepperrunError as error:
+            trouble(error, station=gateway.station)
             return
         if self.where.get(number) != where:
             self.from_ip.pop(self.where.get(number, where), None)
             self.where[number] = where
             self.from_ip[where] = number
-        self._add(number, guard.region)
+        self._add(number, gateway.region)
 
     def _drop(self, station: str) -> None:
         number = self.numbers.get(station)
@@ -90,7 +90,7 @@
             self.member.forget(number)
 
     def receive(self, data: bytes, where: Address, now: int) -> None:
-        """A datagram of scouts has come from there."""
+        """A datagram of probes has come from there."""
         number = self.from_ip.get(where)
         if number is not None:
             self.member.receive(number, data, now)
@@ -142,7 +142,7 @@
     def _happened(self, what: Happened) -> None:
         if what.what in TOLD:
             event(
-                "scout",
+                "prober",
                 what=what.what,
                 station=self.stations.get(what.member, "?"),
                 by=self.stations.get(what.by, "-"),
--- a/pepperrun/members/links.py
+++ b/pepperrun/membership/links.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from pepperrun.members.roster import Roster
-from pepperrun.members.wire import Row
+from pepperrun.membership.roster import Roster
+from pepperrun.membership.wire import Row
 
 LEAST_NS = 40_000_000  # an answer may wait so long for its turn on a busy core
 UNKNOWN_NS = 100_000_000  # until a delay was seen
--- a/pepperrun/members/member.py
+++ b/pepperrun/membership/member.py
@@ -14,17 +14,17 @@
 from dataclasses import replace
 
 from pepperrun.core.clock import SECOND, Bucket
-from pepperrun.members.keys import Keys
-from pepperrun.members.links import Links
-from pepperrun.members.names import Names
-from pepperrun.members.outbox import Outbox
-from pepperrun.members.probing import Probe, Prober
-from pepperrun.members.records import Book, Record
-from pepperrun.members.roster import listed
-from pepperrun.members.states import MOVES, Config, Happened, Me, On, Own, Window
-from pepperrun.members.suspicion import WATCHERS, Suspicions
-from pepperrun.members.views import Side, Views, side_of
-from pepperrun.members.wire import (
+from pepperrun.membership.keys import Keys
+from pepperrun.membership.links import Links
+from pepperrun.membership.names import Names
+from pepperrun.membership.outbox import Outbox
+from pepperrun.membership.probing import Probe, Prober
+from pepperrun.membership.records import Book, Record
+from pepperrun.membership.roster import listed
+from pepperrun.membership.states import MOVES, Config, Happened, Me, On, Own, Window
+from pepperrun.membership.suspicion import WATCHERS, Suspicions
+from pepperrun.membership.views import Side, Views, side_of
+from pepperrun.membership.wire import (
     INCARNATIONS,
     LIVES,
     NOBODY,
--- a/pepperrun/members/names.py
+++ b/pepperrun/membership/names.py
@@ -9,11 +9,11 @@
 
 from collections.abc import Callable
 
-from pepperrun.members.outbox import Outbox
-from pepperrun.members.probing import Prober
-from pepperrun.members.records import Book
-from pepperrun.members.states import Me, Own
-from pepperrun.members.wire import Datagram, Kind, Rumour, State
+from pepperrun.membership.outbox import Outbox
+from pepperrun.membership.probing import Prober
+from pepperrun.membership.records import Book
+from pepperrun.membership.states import Me, Own
+from pepperrun.membership.wire import Datagram, Kind, Rumour, State
 
 
 class Names:
--- a/pepperrun/members/outbox.py
+++ b/pepperrun/membership/outbox.py
@@ -7,11 +7,11 @@
 from typing import Any
 
 from pepperrun.core.clock import SECOND
-from pepperrun.members.links import Links
-from pepperrun.members.records import Book
-from pepperrun.members.states import Config, Me, Own
-from pepperrun.members.views import Views
-from pepperrun.members.wire import NOBODY, Datagram, Kind, Listed, Rumour, State
+from pepperrun.membership.links import Links
+from pepperrun.membership.records import Book
+from pepperrun.membership.states import Config, Me, Own
+from pepperrun.membership.views import Views
+from pepperrun.membership.wire import NOBODY, Datagram, Kind, Listed, Rumour, State
 
 REPEAT_EACH = SECOND // 5  # to one member the same remark
 
--- a/pepperrun/members/probing.py
+++ b/pepperrun/membership/probing.py
@@ -20,9 +20,9 @@
 from dataclasses import dataclass, field
 
 from pepperrun.core.clock import SECOND
-from pepperrun.members.links import Links
-from pepperrun.members.records import Book
-from pepperrun.members.wire import NOBODY, Kind, State
+from pepperrun.membership.links import Links
+from pepperrun.membership.records import Book
+from pepperrun.membership.wire import NOBODY, Kind, State
 
 HELPERS = 3  # that ask for this member: with one word in five lost, one way in three through them holds
 TRIED_FOR = 30 * SECOND  # a way that came back so lately need not be tried where its member is heard
--- a/pepperrun/members/records.py
+++ b/pepperrun/membership/records.py
@@ -10,8 +10,8 @@
 import random
 from dataclasses import dataclass, field
 
-from pepperrun.members.roster import Roster
-from pepperrun.members.wire import NOBODY, Rumour, State
+from pepperrun.membership.roster import Roster
+from pepperrun.membership.wire import NOBODY, Rumour, State
 
 MOST_WITNESSES = 4  # further ones change nothing
 TOLD_BASE = 2  # times that a rumour is passed on beyond twice the logarithm of the number of members
--- a/pepperrun/members/report.py
+++ b/pepperrun/membership/report.py
@@ -7,10 +7,10 @@
 from typing import Any
 
 from pepperrun.admin.calls import Figure
-from pepperrun.members.member import Member
-from pepperrun.members.states import Happened
-from pepperrun.members.steps import step_of
-from pepperrun.members.wire import NOBODY, WORDS, State
+from pepperrun.membership.member import Member
+from pepperrun.membership.states import Happened
+from pepperrun.membership.steps import step_of
+from pepperrun.membership.wire import NOBODY, WORDS, State
 
 
 def report(member: Member, names: Sequence[str], now: int) -> dict[str, Any]:
--- a/pepperrun/members/resume.py
+++ b/pepperrun/membership/resume.py
@@ -7,11 +7,11 @@
 
 from typing import Any
 
-from pepperrun.members.member import Member
-from pepperrun.members.states import Me
-from pepperrun.members.records import Record
-from pepperrun.members.views import View, digest_of
-from pepperrun.members.wire import INCARNATIONS, LIVES, State
+from pepperrun.membership.member import Member
+from pepperrun.membership.states import Me
+from pepperrun.membership.records import Record
+from pepperrun.membership.views import View, digest_of
+from pepperrun.membership.wire import INCARNATIONS, LIVES, State
 
 JUMP = 500_000  # sequence numbers that a process leaves to the one before or after it
 
--- a/pepperrun/members/service.py
+++ b/pepperrun/membership/service.py
@@ -16,13 +16,13 @@
 from pepperrun.core.gossip import TENTH
 from pepperrun.gatekeeper import Gatekeeper
 from pepperrun.log import say
-from pepperrun.members.config import MembersConfig
-from pepperrun.members.member import Member
-from pepperrun.members.states import Config, Happened
-from pepperrun.members.report import events_since, figures, line, report
-from pepperrun.members.resume import JUMP, resume, state_of
-from pepperrun.members.steps import Step, standing_of, step_of, until
-from pepperrun.members.wire import MARK, MOST_MEMBERS
+from pepperrun.membership.config import MembersConfig
+from pepperrun.membership.member import Member
+from pepperrun.membership.states import Config, Happened
+from pepperrun.membership.report import events_since, figures, line, report
+from pepperrun.membership.resume import JUMP, resume, state_of
+from pepperrun.membership.steps import Step, standing_of, step_of, until
+from pepperrun.membership.wire import MARK, MOST_MEMBERS
 
 LEAST_S = 0.002  # between two turns: what comes in bursts is answered together
 
@@ -145,7 +145,7 @@
         return state_of(self.member)
 
     def answer(self, call: bytes) -> bytes | None:
-        """The second address's calls `members` and `members since AT`; None for any other."""
+        """The second address's calls `membership` and `members since AT`; None for any other."""
         words = call.split()
         if words[:1] != [b"members"]:
             return None
--- a/pepperrun/members/states.py
+++ b/pepperrun/membership/states.py
@@ -17,9 +17,9 @@
 from dataclasses import dataclass
 
 from pepperrun.core.clock import SECOND
-from pepperrun.members.keys import Keys
-from pepperrun.members.roster import Roster
-from pepperrun.members.wire import Format
+from pepperrun.membership.keys import Keys
+from pepperrun.membership.roster import Roster
+from pepperrun.membership.wire import Format
 
 WINDOW = 64  # datagrams may overtake each other by so many
 
--- a/pepperrun/members/steps.py
+++ b/pepperrun/membership/steps.py
@@ -22,10 +22,10 @@
 
 from pepperrun.core.clock import SECOND
 from pepperrun.core.standing import Standing
-from pepperrun.members.member import Member
-from pepperrun.members.states import Me
-from pepperrun.members.views import Side
-from pepperrun.members.wire import State
+from pepperrun.membership.member import Member
+from pepperrun.membership.states import Me
+from pepperrun.membership.views import Side
+from pepperrun.membership.wire import State
 
 FENCE_NS = SECOND  # a newcomer hears of the use of late within it: peers tell once a second
 
--- a/pepperrun/members/suspicion.py
+++ b/pepperrun/membership/suspicion.py
@@ -15,10 +15,10 @@
 
 import math
 
-from pepperrun.members.probing import Prober
-from pepperrun.members.records import Book, Record
-from pepperrun.members.views import LOOK_NS
-from pepperrun.members.wire import State
+from pepperrun.membership.probing import Prober
+from pepperrun.membership.records import Book, Record
+from pepperrun.membership.views import LOOK_NS
+from pepperrun.membership.wire import State
 
 WATCHERS = 4  # look for themselves whether a suspected member is there
 AGREE = 3  # of them, this one's own probe included, bury it at once
--- a/pepperrun/members/wire.py
+++ b/pepperrun/membership/wire.py
@@ -23,7 +23,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from pepperrun.members.keys import TAG, Keys
+from pepperrun.membership.keys import TAG, Keys
 
 MARK = 0xB1
 MOST = 256
--- a/pepperrun/net/peers.py
+++ b/pepperrun/net/peers.py
@@ -12,7 +12,7 @@
 from pepperrun.log import say
 
 MOST = 256
-MEMBERS = b"\xb1"  # with it begins a datagram of membership (`pepperrun/members/wire.py`)
+MEMBERS = b"\xb1"  # with it begins a datagram of membership (`pepperrun/membership/wire.py`)
 
 
 class Peers(asyncio.DatagramProtocol):
