--- a/pepperrun/apiary/calls.py
+++ b/pepperrun/operator/calls.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 from urllib.parse import urlsplit
 
-from pepperrun.foundation.errors import HiveError
+from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.settings import Address, address
 
 ANSWER_S = 1.5  # a machine that says nothing for so long is passed over
@@ -27,7 +27,7 @@
 
 
 def addresses(text: str) -> list[Address]:
-    """`HOST:PORT[,HOST:PORT...]`; HiveError where one is none."""
+    """`HOST:PORT[,HOST:PORT...]`; PepperrunError where one is none."""
     return [address(one.strip()) for one in text.split(",") if one.strip()]
 
 
@@ -42,14 +42,14 @@
         sleep: Callable[[float], None] = time.sleep,
     ) -> None:
         if not at:
-            raise HiveError("bad-address", "calling the core", "no control address is given")
+            raise PepperrunError("bad-address", "calling the core", "no control address is given")
         self.at, self.patience_s, self.clock, self.sleep = at, patience_s, clock, sleep
         self.first = 0
 
     def call(
         self, method: str, path: str, body: bytes = b"", headers: Mapping[str, str] | None = None
     ) -> Told:
-        """Until one answers clearly: 2xx or 4xx but 408 and 429. HiveError `no-answer` after `patience_s`.
+        """Until one answers clearly: 2xx or 4xx but 408 and 429. Raises `no-answer` after `patience_s`.
 
         What is sent is the same each time, so that a change that was taken without the answer coming through
         is told as taken when it is repeated.
@@ -68,7 +68,7 @@
                     return told
                 last = f"{told.by}: {told.status} {told.body[:200].decode('utf-8', 'replace')}".strip()
             if self.clock() + pause > end:
-                raise HiveError("no-answer", f"{method} {path}", f"nothing is certain; last {last}")
+                raise PepperrunError("no-answer", f"{method} {path}", f"nothing is certain; last {last}")
             self.sleep(pause)
             pause = min(PAUSE_S[1], 2 * pause)
 
--- a/pepperrun/apiary/lines.py
+++ b/pepperrun/operator/event_log.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from pepperrun.foundation.errors import HiveError
+from pepperrun.foundation.errors import PepperrunError
 
 # absl's head: letter, month and day, time, process, place in the source.
 _HEAD = re.compile(r"[IWEF](\d{4} \d\d:\d\d:\d\d\.\d{6}) +\S+ [^\]]*\] (event=.*)")
@@ -43,7 +43,7 @@
 
 
 def read(paths: Iterable[Path]) -> list[Line]:
-    """All events of these logs in the order of their times; HiveError `no-file`. Other lines are passed over.
+    """All events of these logs in the order of their times; other lines are passed over. Raises `no-file`.
 
     A log is its process's: named by the station that a line of it tells, else by the file. In a gathered one
     each line names its process and its time.
@@ -53,7 +53,7 @@
         try:
             texts = path.read_text(errors="replace").splitlines()
         except OSError as error:
-            raise HiveError("no-file", "explaining", f"{path}: {error.strerror or error}") from None
+            raise PepperrunError("no-file", "explaining", f"{path}: {error.strerror or error}") from None
         source, mine = path.stem, list[tuple[float, str, dict[str, str]]]()
         for text in texts:
             match = _HEAD.search(text)
@@ -68,7 +68,7 @@
             if gathered is not None:
                 lines.append(Line(float(gathered[1]), gathered[2], pairs))
                 continue
-            if "station" in pairs and pairs["event"] in ("starting", "guard", "agreed"):
+            if "station" in pairs and pairs["event"] in ("starting", "gateway", "agreed"):
                 source = pairs["station"]
             mine.append(((when - datetime(LEAP_YEAR, 1, 1)).total_seconds(), source, pairs))
         lines += [Line(at, source, pairs) for at, _, pairs in mine]
--- a/pepperrun/apiary/explain.py
+++ b/pepperrun/operator/explain.py
@@ -10,8 +10,8 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from pepperrun.apiary import losses
-from pepperrun.apiary.lines import Line, read
+from pepperrun.operator import loss_accounting
+from pepperrun.operator.event_log import Line, read
 
 SLACK_S = 0.01  # `ms` of a call is rounded
 
@@ -74,7 +74,7 @@
     called: Line | None
     first: float
     core: dict[str, float]
-    guards: dict[str, float]
+    gateways: dict[str, float]
 
 
 def _what(pairs: dict[str, str]) -> str:
@@ -92,7 +92,7 @@
     as an evacuation leaves the edition as it is, with its zone.
     """
     core: dict[int, dict[str, float]] = defaultdict(dict)
-    guards: dict[int, dict[str, float]] = defaultdict(dict)
+    gateways: dict[int, dict[str, float]] = defaultdict(dict)
     editions: dict[int, int] = {}
     what: dict[int, str] = {}
     orders: dict[int, Line] = {}
@@ -104,7 +104,7 @@
             editions.setdefault(number, int(pairs.get("edition", 0)))
             if "do" in pairs:
                 what.setdefault(number, _what(pairs))
-            (guards if "station" in pairs else core)[number].setdefault(line.source, line.at)
+            (gateways if "station" in pairs else core)[number].setdefault(line.source, line.at)
         elif pairs["event"] == "order" and pairs.get("status") == "200":
             if pairs.get("do") == "evacuate":
                 number = _evacuated(line, core, what)
@@ -116,9 +116,9 @@
     for number, edition in sorted(editions.items()):
         called = orders.get(edition) if edition > before else calls.get(number)
         before = max(before, edition)
-        seen = [*core[number].values(), *guards[number].values()]
+        seen = [*core[number].values(), *gateways[number].values()]
         word = what.get(number) or (_what(called.pairs) if called is not None else "")
-        out[number] = Change(number, edition, word, called, min(seen), core[number], guards[number])
+        out[number] = Change(number, edition, word, called, min(seen), core[number], gateways[number])
     return out
 
 
@@ -144,14 +144,14 @@
     else:
         start = found.first
         out.append("times count from the first line that tells of it")
-    for name, held in (("core", found.core), ("gatekeeper", found.guards)):
+    for name, held in (("core", found.core), ("gatekeeper", found.gateways)):
         for source, at in sorted(held.items(), key=lambda one: one[1]):
             out.append(f"  {name} {source}: {(at - start) * 1000:.0f} ms")
     known = {line.source for line in lines if line.pairs["event"] == "agreed" and "station" in line.pairs}
-    for source in sorted(known - found.guards.keys()):
+    for source in sorted(known - found.gateways.keys()):
         out.append(f"  gatekeeper {source}: no line of it, it went on to a later one or never had it")
-    if found.guards:
-        source, at = max(found.guards.items(), key=lambda one: one[1])
+    if found.gateways:
+        source, at = max(found.gateways.items(), key=lambda one: one[1])
         out.append(f"slowest: {source}, {(at - start) * 1000:.0f} ms")
     return out
 
@@ -168,11 +168,11 @@
 
 
 def _report(options: argparse.Namespace) -> int:
-    from pepperrun.apiary import page
+    from pepperrun.operator import page
 
     lines = read(options.logs)
     page.write(lines, options.out)
-    print("\n".join(losses.table(lines)))
+    print("\n".join(loss_accounting.table(lines)))
     print(options.out)
     return 0
 
--- a/pepperrun/apiary/files.py
+++ b/pepperrun/operator/files.py
@@ -8,17 +8,17 @@
 
 import yaml
 
-from pepperrun.foundation.errors import HiveError
+from pepperrun.foundation.errors import PepperrunError
 
 STEP = "reading a file"
 
 
 def read(path: str) -> bytes:
-    """A configuration or a change as a call's body: JSON as it is, YAML as JSON. HiveError `no-file`."""
+    """A configuration or a change as a call's body: JSON as it is, YAML as JSON. PepperrunError `no-file`."""
     try:
         data = Path(path).read_bytes()
     except OSError as error:
-        raise HiveError("no-file", STEP, f"{path}: {error.strerror or error}") from None
+        raise PepperrunError("no-file", STEP, f"{path}: {error.strerror or error}") from None
     try:
         json.loads(data)
     except ValueError:
@@ -31,9 +31,9 @@
     try:
         return yaml.safe_load(Path(path).read_text())
     except (OSError, UnicodeDecodeError) as error:
-        raise HiveError("no-file", STEP, f"{path}: {error}") from None
+        raise PepperrunError("no-file", STEP, f"{path}: {error}") from None
     except yaml.YAMLError as error:
         where = getattr(error, "problem_mark", None)
         place = f", line {where.line + 1}" if where is not None else ""
         what = str(getattr(error, "problem", None) or error).splitlines()[0]
-        raise HiveError("no-file", STEP, f"{path}{place}: {what}") from None
+        raise PepperrunError("no-file", STEP, f"{path}{place}: {what}") from None
--- a/pepperrun/apiary/looking.py
+++ b/pepperrun/operator/inspection.py
@@ -7,7 +7,7 @@
 import secrets
 from typing import Any
 
-from pepperrun.foundation.errors import HiveError
+from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.link import OPERATOR, Link
 from pepperrun.foundation.netstring import Message
 from pepperrun.foundation.settings import Address
@@ -31,12 +31,12 @@
 
     def closed(self, link: Link) -> None:
         if not self.answer.done():
-            error = HiveError("no-answer", STEP, "the link has ended", link.name)
+            error = PepperrunError("no-answer", STEP, "the link has ended", link.name)
             self.answer.set_exception(error)
 
 
 async def ask(where: Address, patience_s: float = ANSWER_S) -> Message:
-    """What the process at that siding address holds; HiveError where it does not say."""
+    """What the process at that internal_port address holds; PepperrunError where it does not say."""
     peer, asker = f"{where[0]}:{where[1]}", Asker()
     hello = {
         "station": f"operator-{secrets.token_hex(4)}",
@@ -55,9 +55,9 @@
                 link.close()
     except TimeoutError:
         detail = "no answer: it is of an earlier version, or busy"
-        raise HiveError("no-answer", STEP, detail, peer) from None
+        raise PepperrunError("no-answer", STEP, detail, peer) from None
     except OSError as error:
-        raise HiveError("no-answer", STEP, str(error), peer) from None
+        raise PepperrunError("no-answer", STEP, str(error), peer) from None
 
 
 def text(shown: Message) -> str:
--- a/pepperrun/apiary/nursery.py
+++ b/pepperrun/operator/local_cluster.py
@@ -1,4 +1,4 @@
-"""Nursery (a small system on one machine): core machines, gatekeepers and toy workers as real processes.
+"""LocalCluster (a small system on one machine): core machines, gatekeepers and toy workers as real processes.
 
 Each process has an address of its own of 127.0.0.0/8 and all use the same ports, as machines do. What is
 started here is ended here, by its process id: gatekeepers first, then workers, then the core.
@@ -25,18 +25,18 @@
 
 import yaml
 
-from pepperrun.apiary.calls import Caller
-from pepperrun.foundation.errors import HiveError
+from pepperrun.operator.calls import Caller
+from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.settings import Address
 
-STEP = "starting the nursery"
+STEP = "starting the local cluster"
 FIRST_HOST = 2  # 127.0.0.2: the first core machine
 MOST_HOSTS = 250
 ZONES = {"north-a": "north", "south-a": "south", "east-a": "east"}
-PORTS = ("control_port", "directory_port", "counter", "ready_port", "worker", "siding", "last_siding")
+PORTS = ("control_port", "directory_port", "counter", "ready_port", "worker", "siding", "last_internal_port")
 BLOCKS = range(20000, 32000, len(PORTS))  # below the ports that the system gives to callers
 TRIES = 200
-HOST, KEEPER = "hive.example", "newcomer"
+HOST, KEEPER = "cluster.example", "newcomer"
 READY_S, LOOK_S, AGAIN_S = 30.0, 0.5, 0.1
 GRACE_S, WORKER_DRAIN_MS = 3.0, 500
 
@@ -45,17 +45,19 @@
     """How many processes; `workers` of each of the services."""
 
     cores: int = 3
-    guards: int = 3
+    gateways: int = 3
     workers: int = 2
     services: tuple[str, ...] = ("search", "booking")
 
     def check(self) -> None:
-        """HiveError where it can't be had."""
-        hosts = self.cores + self.guards + self.workers * len(self.services)
-        if min(self.cores, self.guards, self.workers, len(self.services)) < 1 or hosts > MOST_HOSTS:
-            raise HiveError("bad-size", STEP, f"one of each at the least, {MOST_HOSTS} processes at most")
+        """PepperrunError where it can't be had."""
+        hosts = self.cores + self.gateways + self.workers * len(self.services)
+        if min(self.cores, self.gateways, self.workers, len(self.services)) < 1 or hosts > MOST_HOSTS:
+            raise PepperrunError(
+                "bad-size", STEP, f"one of each at the least, {MOST_HOSTS} processes at most"
+            )
         if len(set(self.services)) < len(self.services) or not all(one.isalnum() for one in self.services):
-            raise HiveError("bad-size", STEP, "services are distinct names of letters and digits")
+            raise PepperrunError("bad-size", STEP, "services are distinct names of letters and digits")
 
 
 @dataclass
@@ -85,10 +87,12 @@
             except OSError:
                 continue
         return ports
-    raise HiveError("no-ports", STEP, "no block of free ports: does this machine have all of 127.0.0.0/8?")
+    raise PepperrunError(
+        "no-ports", STEP, "no block of free ports: does this machine have all of 127.0.0.0/8?"
+    )
 
 
-class Nursery:
+class LocalCluster:
     """The processes, their folder, and what a newcomer is told."""
 
     def __init__(self, sizes: Sizes, folder: Path) -> None:
@@ -96,11 +100,11 @@
         self.sizes, self.folder = sizes, folder
         self.stop = threading.Event()
         self.children: list[Child] = []
-        count = sizes.cores + sizes.guards + sizes.workers * len(sizes.services)
+        count = sizes.cores + sizes.gateways + sizes.workers * len(sizes.services)
         hosts = [f"127.0.0.{FIRST_HOST + at}" for at in range(count)]
         self.ports = free_ports(hosts)
         self.cores, rest = hosts[: sizes.cores], hosts[sizes.cores :]
-        self.guards, self.worker_hosts = rest[: sizes.guards], rest[sizes.guards :]
+        self.gateways, self.worker_hosts = rest[: sizes.gateways], rest[sizes.gateways :]
         self.control = [(ip, self.ports["control_port"]) for ip in self.cores]
         self.key = ""
         self.first_run = not any(folder.glob("disks/*/data.mdb"))  # only empty disks may begin anything
@@ -109,7 +113,7 @@
 
     def settings(self, station: str, role: str, ip: str, zone: str) -> Path:
         """Writes a settings file."""
-        core, ports = role == "skep", self.ports
+        core, ports = role == "control_node", self.ports
         names = ("control_port", "directory_port") if core else ("counter", "ready_port")
         me: dict[str, Any] = {"station": station, "role": role, "class": "sorting" if core else "counter"}
         me |= {"ip": ip, "zone": zone, "region": ZONES[zone], "counted": core, "first_run": self.first_run}
@@ -118,7 +122,7 @@
         contacts = [f"{host}:{port}" for host, port in self.control[:3]]
         network = {
             "postboxes": {name: f"{ip}:{ports[name]}" for name in names},
-            "sidings": [ports["siding"], ports["last_siding"]],
+            "sidings": [ports["siding"], ports["last_internal_port"]],
             "first_contacts": contacts,
             "zones": ZONES,
         }
@@ -133,20 +137,20 @@
         for name in ("settings", "disks", "logs"):
             (self.folder / name).mkdir(parents=True, exist_ok=True)
         zones = list(ZONES)
-        for role, hosts in (("skep", self.cores), ("guard", self.guards)):
+        for role, hosts in (("control_node", self.cores), ("gateway_node", self.gateways)):
             for at, ip in enumerate(hosts):
                 zone, name = zones[at % len(zones)], f"{role}-{at + 1}"
-                if role == "skep":
+                if role == "control_node":
                     (self.folder / "disks" / name).mkdir(exist_ok=True)
                 file = self.settings(name, role, ip, zone)
                 command = [sys.executable, "-m", f"pepperrun.{role}", "--settings", str(file)]
-                command += ["--trace", "20"] if role == "guard" else []
+                command += ["--trace", "20"] if role == "gateway_node" else []
                 self.children.append(Child(name, role, ip, zone, command))
         control = ",".join(f"{host}:{port}" for host, port in self.control)
         for at, ip in enumerate(self.worker_hosts):
             line, number = self.sizes.services[at % len(self.sizes.services)], at // len(self.sizes.services)
             zone = zones[number % len(zones)]
-            command = [sys.executable, "-m", "pepperrun.apiary.brood", "--line", line, "--zone", zone]
+            command = [sys.executable, "-m", "pepperrun.operator.toy_workers", "--line", line, "--zone", zone]
             command += ["--listen", f"{ip}:{self.ports['worker']}", "--control", control]
             command += ["--drain", str(WORKER_DRAIN_MS)]
             self.children.append(Child(f"{line}-{number + 1}", "worker", ip, zone, command))
@@ -180,7 +184,7 @@
                     stdout=log,
                     stderr=log,
                     env=os.environ | {"PYTHONPATH": path},
-                    start_new_session=True,  # Ctrl-C is for the nursery, which ends them in order
+                    start_new_session=True,  # Ctrl-C is for the local cluster, which ends them in order
                 )
         caller = Caller(self.control, READY_S, sleep=self._pause)
         held = json.loads(caller.call("GET", "/timetable/read").body)
@@ -188,11 +192,11 @@
             held = self.timetable()
             told = caller.call("POST", "/timetable/replace", json.dumps(held).encode(), {"Based-On": "0"})
             if told.status != 200:
-                raise HiveError("not-taken", STEP, told.body.decode("utf-8", "replace"), told.by)
+                raise PepperrunError("not-taken", STEP, told.body.decode("utf-8", "replace"), told.by)
             (self.folder / "timetable.json").write_text(json.dumps(held, indent=1))
         columns, rows = held["senders"]["columns"], held["senders"]["rows"]
         self.key = rows[0][columns.index("stamps")][0] if rows else ""
-        for ip in self.guards:
+        for ip in self.gateways:
             self._wait((ip, self.ports["counter"]))
         self.first_run = False  # whoever is started again, on whatever disk, begins nothing
         for child in self.children:
@@ -204,11 +208,11 @@
         for child in self.children:
             if child.process is not None and child.process.poll() is not None:
                 log = self.folder / "logs" / f"{child.name}.log"
-                raise HiveError(
+                raise PepperrunError(
                     "ended", STEP, f"it ended with {child.process.returncode}, see {log}", child.name
                 )
         if self.stop.wait(seconds):
-            raise HiveError("stopped", STEP, "it was told to stop")
+            raise PepperrunError("stopped", STEP, "it was told to stop")
 
     def _wait(self, counter: Address) -> None:
         """Until a gatekeeper answers on each service's route."""
@@ -216,7 +220,7 @@
         for service in self.sizes.services:
             while not self.try_out(counter, service):
                 if time.monotonic() > end:
-                    raise HiveError(
+                    raise PepperrunError(
                         "not-ready", STEP, f"no 200 for /{service}/", f"{counter[0]}:{counter[1]}"
                     )
                 self._pause(AGAIN_S)
@@ -238,24 +242,27 @@
     def told(self) -> str:
         """Addresses, process ids and calls that work."""
         ports, at = self.ports, ",".join(f"{host}:{port}" for host, port in self.control)
-        counter, siding = f"{self.guards[0]}:{ports['counter']}", ports["siding"]
+        counter, internal_port = f"{self.gateways[0]}:{ports['counter']}", ports["siding"]
         rows = [f"{'':10} {'process':>8}  {'address':14} {'zone':9} serves"]
         for child in self.children:
             serves = {
-                "skep": f"control :{ports['control_port']}, directory :{ports['directory_port']}",
-                "guard": f"clients :{ports['counter']}, /ready :{ports['ready_port']}",
+                "control_node": f"control :{ports['control_port']}, directory :{ports['directory_port']}",
+                "gateway_node": f"clients :{ports['counter']}, /ready :{ports['ready_port']}",
                 "worker": f"requests :{ports['worker']}",
             }[child.role]
-            own = f", own {child.ip}:{siding}" if child.role != "worker" else ""
+            own = f", own {child.ip}:{internal_port}" if child.role != "worker" else ""
             pid = child.process.pid if child.process is not None else 0
             rows.append(f"{child.name:10} {pid:>8}  {child.ip:14} {child.zone:9} {serves}{own}")
-        bee, service = "python3 -m pepperrun.beekeeper", self.sizes.services[0]
+        bee, service = "python3 -m pepperrun.operatorctl", self.sizes.services[0]
         curl = f"curl -i -H 'Host: {HOST}' -H 'Attempt-Id: 1' -H 'Authorization: Token {self.key}'"
         return "\n".join(
             [
                 *(f"settings, disks and logs: {self.folder}", *rows, "", "a request:"),
                 *(f"  {curl} http://{counter}/{service}/1", "the system:"),
-                *(f"  {bee} show {self.guards[0]}:{siding}", f"  {bee} show {self.cores[0]}:{siding}"),
+                *(
+                    f"  {bee} show {self.gateways[0]}:{internal_port}",
+                    f"  {bee} show {self.cores[0]}:{internal_port}",
+                ),
                 f"  {bee} read --at {at}",
                 f"  {bee} evacuate {next(iter(ZONES))} --at {at}",
             ]
@@ -275,7 +282,7 @@
 
     def end(self) -> None:
         """Ends what runs, one kind after the other; who does not end in its time is killed."""
-        for role in ("guard", "worker", "skep"):
+        for role in ("gateway_node", "worker", "control_node"):
             group = [one.process for one in self.children if one.role == role and one.process is not None]
             for process in group:
                 if process.poll() is None:
@@ -291,17 +298,17 @@
 
 def run(sizes: Sizes, folder: str | None, duration_s: float | None) -> int:
     """Starts a system, says how to use it, ends it on Ctrl-C, SIGTERM or after so many seconds; 0."""
-    where = Path(folder).resolve() if folder else Path(tempfile.mkdtemp(prefix="pepperrun-nursery-"))
-    nursery = Nursery(sizes, where)
+    where = Path(folder).resolve() if folder else Path(tempfile.mkdtemp(prefix="pepperrun-local-cluster-"))
+    cluster = LocalCluster(sizes, where)
     for number in (signal.SIGINT, signal.SIGTERM):
-        signal.signal(number, lambda *_: nursery.stop.set())
+        signal.signal(number, lambda *_: cluster.stop.set())
     try:
-        nursery.start()
-        print(nursery.told(), "", "It runs until Ctrl-C.", sep="\n", flush=True)
-        nursery.watch(duration_s)
-    except HiveError as error:
+        cluster.start()
+        print(cluster.told(), "", "It runs until Ctrl-C.", sep="\n", flush=True)
+        cluster.watch(duration_s)
+    except PepperrunError as error:
         if error.code != "stopped":
             raise
     finally:
-        nursery.end()
+        cluster.end()
     return 0
--- a/pepperrun/apiary/losses.py
+++ b/pepperrun/operator/loss_accounting.py
@@ -18,7 +18,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from pepperrun.apiary.lines import Line
+from pepperrun.operator.event_log import Line
 
 LATE, AGAIN = 0.5, 0.25
 SOON = 0.25  # of the aim: a refusal that comes by then leaves time for another try
--- a/pepperrun/apiary/page.py
+++ b/pepperrun/operator/page.py
@@ -9,10 +9,10 @@
 from pathlib import Path
 from typing import Any
 
-from pepperrun.apiary import losses
-from pepperrun.apiary.explain import change, changes
-from pepperrun.apiary.lines import Line
-from pepperrun.foundation.errors import HiveError
+from pepperrun.operator import loss_accounting
+from pepperrun.operator.explain import change, changes
+from pepperrun.operator.event_log import Line
+from pepperrun.foundation.errors import PepperrunError
 
 STYLE = "body{font:15px sans-serif;max-width:60em;margin:2em auto}pre{background:#f4f4f4}"
 
@@ -24,14 +24,14 @@
         begun = one.first
         if one.called is not None and "ms" in one.called.pairs:
             begun = one.called.at - float(one.called.pairs["ms"]) / 1000
-        out += [(begun, number, (at - begun) * 1000) for at in one.guards.values()]
+        out += [(begun, number, (at - begun) * 1000) for at in one.gateways.values()]
     return out
 
 
 def refused(lines: list[Line]) -> dict[str, Counter[int]]:
     """By cause: requests of each second that were not served at the first try, in time."""
     start, out = lines[0].at, defaultdict[str, Counter[int]](Counter)
-    for loss in losses.found(lines):
+    for loss in loss_accounting.found(lines):
         out[loss.cause][int(loss.at - start)] += loss.requests
     return out
 
@@ -70,21 +70,21 @@
     axis = plot("Requests not served at the first try in time, by cause", "requests a second")
     _over_time(axis, refused(lines))
     axis = plot("Worth lost, by cause (estimated)", "requests' worth a second")
-    _over_time(axis, losses.by_second(losses.found(lines), start), 0.01)
+    _over_time(axis, loss_accounting.by_second(loss_accounting.found(lines), start), 0.01)
     for _, figure in found:
         figure.axes[0].set_ylim(0, None)
     return found
 
 
 def write(lines: list[Line], out: Path) -> None:
-    """Writes the page. HiveError `no-lines`, `no-matplotlib`."""
+    """Writes the page. PepperrunError `no-lines`, `no-matplotlib`."""
     if not lines:
-        raise HiveError("no-lines", "report", "the logs hold no events")
+        raise PepperrunError("no-lines", "report", "the logs hold no events")
     parts = [f"<!doctype html><meta charset=utf-8><title>pepperrun</title><style>{STYLE}</style>"]
     try:
         figures = _figures(lines)
     except ImportError:
-        raise HiveError("no-matplotlib", "report", "plots need matplotlib") from None
+        raise PepperrunError("no-matplotlib", "report", "plots need matplotlib") from None
     for title, figure in figures:
         data = io.BytesIO()
         figure.tight_layout()
@@ -92,7 +92,7 @@
         figure.clear()
         text = base64.b64encode(data.getvalue()).decode()
         parts.append(f"<h2>{html.escape(title)}</h2><img alt='' src='data:image/png;base64,{text}'>")
-    parts.append(f"<pre>{html.escape(chr(10).join(losses.table(lines)))}</pre>")
+    parts.append(f"<pre>{html.escape(chr(10).join(loss_accounting.table(lines)))}</pre>")
     for number in changes(lines):
         parts.append(f"<pre>{html.escape(chr(10).join(change(number, lines)))}</pre>")
     out.write_text("\n".join(parts))
--- a/pepperrun/apiary/problems.py
+++ b/pepperrun/operator/problems.py
@@ -1,7 +1,7 @@
 """All that is wrong with a settings file or a configuration, each in one sentence that names the item.
 
 The core stops at the first problem; whoever writes a file wants to know them all. The sentences are those of
-`comb.checks`, so what passes here is refused by the core only for what it builds on.
+`control.validation`, so what passes here is refused by the core only for what it builds on.
 """
 
 from __future__ import annotations
@@ -11,8 +11,16 @@
 from collections.abc import Callable
 from typing import Any
 
-from pepperrun.comb.checks import KINDS, Items, check_items, check_lines, check_stamps, items, read_replace
-from pepperrun.foundation.errors import HiveError
+from pepperrun.control.validation import (
+    KINDS,
+    Items,
+    check_items,
+    check_lines,
+    check_stamps,
+    items,
+    read_replace,
+)
+from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.settings import Settings, address, parse
 
 
@@ -21,7 +29,7 @@
     try:
         read_replace(body, 0)
         return []
-    except HiveError as error:
+    except PepperrunError as error:
         first = error.detail
     try:
         data: Any = json.loads(body)
@@ -48,7 +56,7 @@
     try:
         check(*what)
         return True
-    except HiveError as error:
+    except PepperrunError as error:
         found.append(error.detail)
         return False
 
@@ -64,7 +72,7 @@
     for row in rows:
         try:
             one = items(kind, {"columns": columns, "rows": [row]})
-        except HiveError as error:
+        except PepperrunError as error:
             found.append(error.detail)
             continue
         for name in one:
@@ -96,7 +104,7 @@
     """Of a settings file's tables; empty where a process can run by them."""
     try:
         settings = parse(data)
-    except HiveError as error:
+    except PepperrunError as error:
         return [f"{error.detail.rstrip('.')}."]
     return _of_machine(settings) + _of_network(settings) + _of_bounds(settings)
 
--- a/pepperrun/apiary/state.py
+++ b/pepperrun/operator/state.py
@@ -22,11 +22,11 @@
 
 import lmdb
 
-from pepperrun.comb.changes import written
-from pepperrun.foundation.errors import HiveError
-from pepperrun.queen.values import Memory
-from pepperrun.wax.records import BODY, faults, laid_out, opened, owner_of, put_together, recall
-from pepperrun.wax.store import FILE, Wax, new_life
+from pepperrun.control.changes import written
+from pepperrun.foundation.errors import PepperrunError
+from pepperrun.consensus.values import Memory
+from pepperrun.storage.records import BODY, faults, laid_out, opened, owner_of, put_together, recall
+from pepperrun.storage.store import FILE, DiskStore, new_life
 
 KIND = "pepperrun-state"
 TRIES = 3  # of a look at a folder that a running process writes to
@@ -34,9 +34,9 @@
 
 
 def raw_records(folder: Path) -> dict[bytes, bytes]:
-    """All records as they lie there; nothing is written. HiveError `no-state`, `disk-doubtful`."""
+    """All records as they lie there; nothing is written. PepperrunError `no-state`, `disk-doubtful`."""
     if not (folder / FILE).is_file():
-        raise HiveError("no-state", STEP, f"{folder}: there is no {FILE}")
+        raise PepperrunError("no-state", STEP, f"{folder}: there is no {FILE}")
     try:
         with (
             lmdb.open(str(folder), readonly=True, lock=False, create=False) as env,
@@ -44,7 +44,7 @@
         ):
             return {bytes(key): bytes(data) for key, data in transaction.cursor()}
     except (lmdb.Error, OSError) as error:
-        raise HiveError("disk-doubtful", STEP, f"{folder}: {type(error).__name__}: {error}") from None
+        raise PepperrunError("disk-doubtful", STEP, f"{folder}: {type(error).__name__}: {error}") from None
 
 
 def look(folder: Path) -> tuple[dict[bytes, bytes], list[str]]:
@@ -121,18 +121,18 @@
 
 
 def read_file(path: Path) -> tuple[Memory, str, bool]:
-    """The memory, its machine's ip, whether its life was ended there. HiveError `bad-export`, `no-file`."""
+    """The memory, its machine's ip, whether its life was ended there. Raises `bad-export`, `no-file`."""
     try:
         content = json.loads(path.read_text())
         told = content.pop("checksum")
         if told != _sum(content) or content["kind"] != KIND:
-            raise HiveError("bad-export", STEP, f"{path}: the checksum is wrong")
+            raise PepperrunError("bad-export", STEP, f"{path}: the checksum is wrong")
         memory = put_together(content["records"] | content["bodies"])
         return memory, owner_of(content["records"]["life"]), content["final"] is True
     except OSError as error:
-        raise HiveError("no-file", STEP, f"{path}: {error.strerror or error}") from None
+        raise PepperrunError("no-file", STEP, f"{path}: {error.strerror or error}") from None
     except (ValueError, LookupError, TypeError, AttributeError) as error:
-        raise HiveError("bad-export", STEP, f"{path}: {type(error).__name__}: {error}") from None
+        raise PepperrunError("bad-export", STEP, f"{path}: {type(error).__name__}: {error}") from None
 
 
 def _sync_folder(folder: Path) -> None:
@@ -147,13 +147,13 @@
     """Copies a memory; `retire` then ends its life in the folder, and marks the file as the only one."""
     users = in_use(folder)
     if users and retire:
-        raise HiveError("in-use", STEP, f"{folder} is open in process {users[0]}: stop it first")
+        raise PepperrunError("in-use", STEP, f"{folder} is open in process {users[0]}: stop it first")
     raw, found = look(folder)
     if found:
-        raise HiveError("disk-doubtful", STEP, f"{folder}: {found[0]}")
+        raise PepperrunError("disk-doubtful", STEP, f"{folder}: {found[0]}")
     memory, owner = recall(raw), owner_of(opened(raw[b"life"], "life"))
     if retire and not owner:
-        raise HiveError(
+        raise PepperrunError(
             "no-owner", STEP, f"{folder}: it names no machine yet; start it once with this version"
         )
     write_file(path, memory, owner, False)
@@ -164,14 +164,16 @@
 
 
 def restore(folder: Path, path: Path, same_life: bool) -> str:
-    """A folder from an export; says what it holds. HiveError `not-empty`, `not-safe`."""
+    """A folder from an export; says what it holds. PepperrunError `not-empty`, `not-safe`."""
     memory, owner, final = read_file(path)
     if folder.exists() and any(folder.iterdir()):
-        raise HiveError("not-empty", STEP, f"{folder} is not empty: nothing that was promised is overwritten")
+        raise PepperrunError(
+            "not-empty", STEP, f"{folder} is not empty: nothing that was promised is overwritten"
+        )
     if same_life and not final:
         detail = "its life may have promised more since, or goes on elsewhere: only a file that `export "
         detail += "--retire` wrote, and that was not yet used, may go on as the same life"
-        raise HiveError("not-safe", STEP, f"{path}: {detail}")
+        raise PepperrunError("not-safe", STEP, f"{path}: {detail}")
     folder.mkdir(parents=True, exist_ok=True)
     if same_life:
         write_file(path, memory, owner, False)  # first: twice the same life must never be
@@ -189,13 +191,13 @@
 
 
 def _fill(folder: Path, memory: Memory, owner: str) -> None:
-    wax = Wax(str(folder))
-    wax.owner = owner
+    disk = DiskStore(str(folder))
+    disk.owner = owner
     try:
-        wax.save(memory)
-        wax.sync_names()
+        disk.save(memory)
+        disk.sync_names()
     finally:
-        wax.close()
+        disk.close()
 
 
 # The command.
@@ -209,7 +211,7 @@
 def _check(options: argparse.Namespace) -> int:
     try:
         _, found = look(options.folder)
-    except HiveError as error:
+    except PepperrunError as error:
         if error.code != "disk-doubtful":
             raise
         found = [f"It can't be opened: {error.detail}."]
@@ -228,7 +230,7 @@
 def _restore(options: argparse.Namespace) -> int:
     try:
         print(restore(options.folder, options.file, options.same_life))
-    except HiveError as error:
+    except PepperrunError as error:
         if error.code not in ("not-empty", "not-safe"):
             raise
         print(error.detail, file=sys.stderr)
--- a/pepperrun/apiary/brood.py
+++ b/pepperrun/operator/toy_workers.py
@@ -1,4 +1,4 @@
-"""Brood (toy workers): one worker of a service for trying things out, as `python3 -m pepperrun.apiary.brood`.
+"""Toy workers: one worker of a service for trying things out, as `python3 -m pepperrun.operator.toy_workers`.
 
 It tells the core of itself, answers its health path and each request with who it is, says 421 to what is
 meant for another worker, and leaves as told: unloading first, the end after `--drain` ms.
@@ -15,8 +15,8 @@
 import sys
 from collections.abc import Iterable
 
-from pepperrun.apiary.calls import Caller, addresses
-from pepperrun.foundation.errors import HiveError
+from pepperrun.operator.calls import Caller, addresses
+from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.settings import Address, address
 
 BEAT_PATIENCE_S = 1.5  # for one beat, over all addresses
@@ -43,7 +43,7 @@
         for at in filter(None, (self.nearest, self.control)):
             try:
                 told = Caller(at, BEAT_PATIENCE_S).call("POST", path, body)
-            except HiveError:
+            except PepperrunError:
                 self.nearest = []
                 continue
             if 200 <= told.status < 300:
@@ -152,7 +152,7 @@
 
 def main(arguments: list[str] | None = None) -> int:
     """The command line."""
-    parser = argparse.ArgumentParser(prog="python3 -m pepperrun.apiary.brood", description=__doc__)
+    parser = argparse.ArgumentParser(prog="python3 -m pepperrun.operator.toy_workers", description=__doc__)
     parser.add_argument("--listen", required=True, metavar="HOST:PORT")
     parser.add_argument("--line", required=True, metavar="NAME", help="the service")
     parser.add_argument("--zone", required=True, metavar="NAME")
@@ -163,7 +163,7 @@
     options = parser.parse_args(arguments)
     try:
         where, control = address(options.listen), addresses(options.control)
-    except HiveError as error:
+    except PepperrunError as error:
         print(error, file=sys.stderr)
         return 2
 
--- a/pepperrun/beekeeper.py
+++ b/pepperrun/operatorctl.py
@@ -1,4 +1,4 @@
-"""Beekeeper (operator): the command that checks files, changes the configuration, and looks at what runs."""
+"""The operator's command that checks files, changes the configuration, and looks at what runs."""
 
 from __future__ import annotations
 
@@ -8,9 +8,9 @@
 import sys
 from collections.abc import Callable
 
-from pepperrun.apiary import explain, files, looking, nursery, problems, state
-from pepperrun.apiary.calls import PATIENCE_S, Caller, Told, addresses
-from pepperrun.foundation.errors import HiveError
+from pepperrun.operator import explain, files, inspection, local_cluster, problems, state
+from pepperrun.operator.calls import PATIENCE_S, Caller, Told, addresses
+from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.settings import address
 
 GOOD, REFUSED, BAD, UNCERTAIN = 0, 1, 2, 3
@@ -27,7 +27,7 @@
                 found = problems.of_timetable(files.read(path))
             else:
                 found = problems.of_settings(files.load(path))
-        except HiveError as error:
+        except PepperrunError as error:
             print(error.detail, file=sys.stderr)
             worst = BAD
             continue
@@ -86,20 +86,20 @@
 
 def show(options: argparse.Namespace) -> int:
     """What one process holds."""
-    shown = asyncio.run(looking.ask(address(options.where), options.patience))
-    print(json.dumps(shown, indent=1) if options.json else looking.text(shown))
+    shown = asyncio.run(inspection.ask(address(options.where), options.patience))
+    print(json.dumps(shown, indent=1) if options.json else inspection.text(shown))
     return GOOD
 
 
-def start_nursery(options: argparse.Namespace) -> int:
+def start_local_cluster(options: argparse.Namespace) -> int:
     """A small system on this machine."""
-    sizes = nursery.Sizes(options.cores, options.guards, options.workers, tuple(options.services))
-    return nursery.run(sizes, options.folder, options.duration)
+    sizes = local_cluster.Sizes(options.cores, options.gateways, options.workers, tuple(options.services))
+    return local_cluster.run(sizes, options.folder, options.duration)
 
 
 def parser() -> argparse.ArgumentParser:
     """The command line."""
-    top = argparse.ArgumentParser(prog="python3 -m pepperrun.beekeeper", description=__doc__, epilog=EXITS)
+    top = argparse.ArgumentParser(prog="python3 -m pepperrun.operatorctl", description=__doc__, epilog=EXITS)
     commands = top.add_subparsers(dest="command", required=True, metavar="COMMAND")
 
     def command(name: str, does: Callable[[argparse.Namespace], int], text: str) -> argparse.ArgumentParser:
@@ -132,10 +132,10 @@
         "where", metavar="HOST:PORT", help="its own address: its ip and the first of the sidings"
     )
     one.add_argument("--json", action="store_true", help="as JSON, with all fields")
-    one.add_argument("--patience", type=float, default=looking.ANSWER_S, metavar="SECONDS")
-    one = command("nursery", start_nursery, "start a small system on this machine, until Ctrl-C")
+    one.add_argument("--patience", type=float, default=inspection.ANSWER_S, metavar="SECONDS")
+    one = command("local-cluster", start_local_cluster, "start a small system on this machine, until Ctrl-C")
     one.add_argument("--cores", type=int, default=3, metavar="N", help="core machines (3)")
-    one.add_argument("--guards", type=int, default=3, metavar="N", help="gatekeepers (3)")
+    one.add_argument("--gateways", type=int, default=3, metavar="N", help="gatekeepers (3)")
     one.add_argument("--workers", type=int, default=2, metavar="N", help="toy workers of each service (2)")
     one.add_argument(
         "--services", nargs="+", default=["search", "booking"], metavar="NAME", help="(search booking)"
@@ -166,7 +166,7 @@
     does: Callable[[argparse.Namespace], int] = options.does
     try:
         return does(options)
-    except HiveError as error:
+    except PepperrunError as error:
         print(f"{options.command}: {error}", file=sys.stderr)
         return UNCERTAIN if error.code == "no-answer" else BAD
 
--- a/pepperrun/parking/rings.py
+++ b/pepperrun/parking/rings.py
@@ -9,7 +9,7 @@
 class Rings:
     """`count` lists over the keys 0, 1, 2, …; a key is in one of them at most.
 
-    Every operation is O(1) but `members`. A list's head is a link of its own at the arrays' front, so that
+    Every operation is O(1) but `membership`. A list's head is a link of its own at the arrays' front, so that
     emptying one list into another moves four links however many keys it holds.
     """
 
--- a/pepperrun/queen/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Queen (agreement): one register that a majority of the core agrees on, and who of it votes."""
--- a/pepperrun/serve.py
+++ b/pepperrun/serve.py
@@ -41,7 +41,7 @@
 if TYPE_CHECKING:
     from pepperrun.handover.predecessor import Predecessor
     from pepperrun.capture.recorder import Recorder
-    from pepperrun.members.config import MembersConfig
+    from pepperrun.membership.config import MembersConfig
     from pepperrun.metrics import MetricsConfig, Reporter, Sample
     from pepperrun.parking.config import ClientsConfig
     from pepperrun.parking.lot import Lot
@@ -321,7 +321,7 @@
         """What switches membership on; None where it is off. ValueError where it can't be."""
         if self.members is None and config.members is None:
             return None
-        from pepperrun.members.config import members_of, read_members  # only where asked for
+        from pepperrun.membership.config import members_of, read_members  # only where asked for
 
         if self.members is not None:
             path = Path(self.members)
--- a/pepperrun/swarm/__main__.py
+++ b/pepperrun/simulation/__main__.py
@@ -1,4 +1,4 @@
-"""`python3 -m pepperrun.swarm run|fuzz|explore|experiment|report|speed`: days in virtual time."""
+"""`python3 -m pepperrun.simulation run|fuzz|explore|experiment|report|speed`: days in virtual time."""
 
 from __future__ import annotations
 
@@ -11,12 +11,12 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
-from pepperrun.foundation.errors import HiveError
-from pepperrun.swarm import experiments, orders
-from pepperrun.swarm.bugs import BUGS
-from pepperrun.swarm.days import Day
-from pepperrun.swarm.plans import CORE_TROUBLES, TROUBLES, Plan, Shape, drawn_plan
-from pepperrun.swarm.shrinking import keep, load, shrunk
+from pepperrun.foundation.errors import PepperrunError
+from pepperrun.simulation import experiments, orders
+from pepperrun.simulation.bugs import BUGS
+from pepperrun.simulation.days import Day
+from pepperrun.simulation.plans import CORE_TROUBLES, TROUBLES, Plan, Shape, drawn_plan
+from pepperrun.simulation.shrinking import keep, load, shrunk
 
 
 def run(given: argparse.Namespace) -> int:
@@ -95,9 +95,9 @@
 def report(given: argparse.Namespace) -> int:
     """What experiments came to, as text and as a page. Needs numpy, for plots matplotlib."""
     try:
-        from pepperrun.swarm import results
+        from pepperrun.simulation import results
     except ImportError as error:
-        raise HiveError("no-numpy", "report", f"{error}: see requirements-dev.txt") from None
+        raise PepperrunError("no-numpy", "report", f"{error}: see requirements-dev.txt") from None
     some = results.tables(experiments.opened(Path(given.file)))
     for table in some:
         print("\n".join(results.lines(table)))
@@ -111,7 +111,9 @@
     shape = Shape()
     if given.seconds:
         if given.seconds < 25:
-            raise HiveError("bad-length", "speed", "--seconds: 25 at the least, as troubles begin after 8")
+            raise PepperrunError(
+                "bad-length", "speed", "--seconds: 25 at the least, as troubles begin after 8"
+            )
         shape.end_s, shape.tail_s, shape.mended_s = given.seconds, given.seconds - 6, given.seconds - 8
     for gates in given.sizes:
         began, used, days = time.monotonic(), time.process_time(), 0
@@ -131,7 +133,7 @@
 
 def parsed() -> argparse.Namespace:
     """The command line."""
-    parser = argparse.ArgumentParser(prog="python3 -m pepperrun.swarm", description=__doc__)
+    parser = argparse.ArgumentParser(prog="python3 -m pepperrun.simulation", description=__doc__)
     parts = parser.add_subparsers(required=True)
     of = {}
     for what in (run, fuzz, orders.explore, experiment, report, speed):
@@ -154,7 +156,7 @@
     of["fuzz"].add_argument("--only", nargs="+", choices=kinds, help="kinds of trouble, equally often")
     of["fuzz"].add_argument("--processes", type=int, default=1)
     orders.arguments(of["explore"])
-    of["experiment"].add_argument("file", help="TOML; see pepperrun/swarm/experiments.py")
+    of["experiment"].add_argument("file", help="TOML; see pepperrun/simulation/experiments.py")
     of["experiment"].add_argument(
         "--out", required=True, help="SQLite; what stands in it is not played again"
     )
@@ -173,13 +175,13 @@
     if os.environ.get("PYTHONHASHSEED") != "0":  # sets of names are walked in the same order each time
         os.execve(
             sys.executable,
-            [sys.executable, "-m", "pepperrun.swarm", *sys.argv[1:]],
+            [sys.executable, "-m", "pepperrun.simulation", *sys.argv[1:]],
             os.environ | {"PYTHONHASHSEED": "0"},
         )
     given = parsed()
     try:
         return int(given.what(given))
-    except HiveError as error:
+    except PepperrunError as error:
         print(error, file=sys.stderr)
         return 2
 
--- a/pepperrun/swarm/folk.py
+++ b/pepperrun/simulation/actors.py
@@ -8,16 +8,16 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-from pepperrun.comb.matchers import Answer, Call
+from pepperrun.control.matchers import Answer, Call
 from pepperrun.core.interface import Outcome
 from pepperrun.net.http1 import Request
-from pepperrun.swarm.clockwork import MS, Machine
-from pepperrun.swarm.judges import Asked, Edition, Seen
+from pepperrun.simulation.virtual_time import MS, Machine
+from pepperrun.simulation.judges import Asked, Edition, Seen
 
 if TYPE_CHECKING:
-    from pepperrun.swarm.days import Day
-    from pepperrun.swarm.places import Gate
-    from pepperrun.swarm.plans import Route
+    from pepperrun.simulation.days import Day
+    from pepperrun.simulation.nodes import Gate
+    from pepperrun.simulation.plans import Route
 
 SECOND = 1000 * MS
 BEAT = 1500 * MS
--- a/pepperrun/swarm/queen_days.py
+++ b/pepperrun/simulation/consensus_days.py
@@ -3,7 +3,7 @@
 Never more disks are lost than may be: one, or `--lost` at once, and the next only after all machines that
 vote are lives that are there. Everything else comes as it likes, all dark at once included.
 
-`python3 -m pepperrun.swarm.queen_days --seeds 200` plays them.
+`python3 -m pepperrun.simulation.consensus_days --seeds 200` plays them.
 """
 
 from __future__ import annotations
@@ -13,14 +13,14 @@
 import time
 from collections import Counter
 
-from pepperrun.swarm.queens import World
+from pepperrun.simulation.consensus_world import World
 
 TROUBLES = ("kill", "power", "wipe", "freeze", "cut", "herd", "dark", "replace", "race", "retire", "roll")
 
 
 def readmitted(world: World) -> bool:
     """Do all that vote by the newest value run in the life that it names? Then another disk may be lost."""
-    values = [one.queen.value for one in world.machines.values() if one.queen and one.queen.value]
+    values = [one.replica.value for one in world.machines.values() if one.replica and one.replica.value]
     if not values:
         return False
     newest = max(values, key=lambda value: value.number)
@@ -28,8 +28,8 @@
     if newest.was or 2 * len(holders) <= len(values):
         return False
     for voter in newest.voters:
-        queen = world.machines[voter.ip].queen
-        if queen is None or queen.register.memory.life != voter.life:
+        replica = world.machines[voter.ip].replica
+        if replica is None or replica.register.memory.life != voter.life:
             return False
     return True
 
@@ -75,7 +75,7 @@
         return self.edition
 
     def _newest(self) -> int:
-        bodies = [one.queen.body for one in self.world.machines.values() if one.queen]
+        bodies = [one.replica.body for one in self.world.machines.values() if one.replica]
         return max((body.get("edition", 0) for body in bodies), default=0)
 
     def _operate(self) -> None:
@@ -96,7 +96,7 @@
             for ip in ips[: self.rng.choice([1, len(ips)])]:
                 world.kill(ip, power=True)
             for ip in ips[: self.rng.randint(1, self.lost)]:
-                if world.machines[ip].queen is not None:
+                if world.machines[ip].replica is not None:
                     world.kill(ip, power=True)
                 world.wipe(ip)
         elif kind == "freeze":
@@ -117,14 +117,14 @@
                 world.change(on, self._next(), ips[at:] + ips[:at])
         elif kind == "roll":
             for ip in ips:
-                if world.machines[ip].queen is not None and not world.machines[ip].frozen:
+                if world.machines[ip].replica is not None and not world.machines[ip].frozen:
                     world.retire(ip)
                     self._operate()
                     world.run(1000)
                     world.start(ip)
         elif kind == "retire":
             for one in world.machines.values():
-                if one.queen is not None and not one.frozen:
+                if one.replica is not None and not one.frozen:
                     world.retire(one.ip)
                     break
 
@@ -133,7 +133,7 @@
         for ip, one in list(world.machines.items()):
             if one.gone:
                 continue
-            if one.queen is None:
+            if one.replica is None:
                 world.start(ip)
             elif one.frozen:
                 world.thaw(ip)
--- a/pepperrun/swarm/queens.py
+++ b/pepperrun/simulation/consensus_world.py
@@ -14,9 +14,9 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from pepperrun.queen.queen import Queen
-from pepperrun.queen.values import FIRST_LIFE, Body, Memory, Op, beginning, digest_of
-from pepperrun.queen.voter import MS
+from pepperrun.consensus.replica import Replica
+from pepperrun.consensus.values import FIRST_LIFE, Body, Memory, Op, beginning, digest_of
+from pepperrun.consensus.voter import MS
 
 BREAKS = 2000 * MS  # unacknowledged for so long: a link is over
 AGAIN = 100 * MS  # until a link that can be is up
@@ -57,12 +57,12 @@
 
 @dataclass
 class Machine:
-    """One of the core. `queen` None: it is down."""
+    """One of the core. `consensus` None: it is down."""
 
     ip: str
     zone: str
     disk: Disk
-    queen: Queen | None = None
+    replica: Replica | None = None
     frozen: bool = False
     waiting: list[tuple[str, Any]] = field(default_factory=list)
     started: int = 0
@@ -134,14 +134,14 @@
         machine.frozen, machine.waiting = False, []
         seed = self.rng.randrange(1 << 30)
         how: dict[str, Any] = {"zone": machine.zone, "regions": self.regions, "most": self.most}
-        machine.queen = Queen(ip, memory, machine.disk, judge, seed=seed, now=self.now, **how)
+        machine.replica = Replica(ip, memory, machine.disk, judge, seed=seed, now=self.now, **how)
         self._pump(machine)
         self._later(AGAIN, ("connect", ip))
 
     def kill(self, ip: str, power: bool = False) -> None:
         """The process ends. `power`: with what was not synced, and nobody is told."""
         machine = self.machines[ip]
-        machine.queen = None
+        machine.replica = None
         if power:
             machine.disk.unsynced = None
         elif machine.disk.late and machine.disk.unsynced:
@@ -173,8 +173,8 @@
     def retire(self, ip: str) -> None:
         """It is told to stop, and ends half a second later."""
         machine = self.machines[ip]
-        if machine.queen is not None:
-            machine.queen.retire(self.now)
+        if machine.replica is not None:
+            machine.replica.retire(self.now)
             self._pump(machine)
             self._later(500 * MS, ("end", ip, machine.started))
 
@@ -192,7 +192,7 @@
         """All cuts end."""
         self.cuts.clear()
         for pair, since in list(self.links.items()):
-            if since and all(self.machines[ip].queen for ip in pair):
+            if since and all(self.machines[ip].replica for ip in pair):
                 if self.now - since >= BREAKS:
                     self._break(pair)
                 else:
@@ -214,11 +214,11 @@
         ip = one.to[0]
         one.to = [*one.to[1:], ip]
         machine = self.machines[ip]
-        if machine.queen is None or machine.frozen:
+        if machine.replica is None or machine.frozen:
             one.token = None
             self._later(1000 * MS, ("send", one))
             return
-        token = machine.queen.propose(one.op, self.now)
+        token = machine.replica.propose(one.op, self.now)
         one.token = (ip, machine.started, token)
         self._later(2000 * MS, ("send", one, one.token))
         self._pump(machine)
@@ -246,7 +246,7 @@
             if machine.tick_at == self.now:
                 self._tick(machine)
         elif kind == "end":
-            if self.machines[event[1]].started == event[2] and self.machines[event[1]].queen is not None:
+            if self.machines[event[1]].started == event[2] and self.machines[event[1]].replica is not None:
                 self.kill(event[1])
         elif kind == "connect":
             self._connect(event[1])
@@ -269,12 +269,12 @@
             ends = [self.machines[end] for end in pair]
             if ip == other or pair in self.links or frozenset(pair) in self.cuts:
                 continue
-            if any(end.queen is None or end.frozen for end in ends):
+            if any(end.replica is None or end.frozen for end in ends):
                 continue
             self.links[pair] = 0
             for end, peer in zip(ends, reversed(ends), strict=True):
-                assert end.queen is not None
-                end.queen.connected(peer.ip, peer.zone, self.now)
+                assert end.replica is not None
+                end.replica.connected(peer.ip, peer.zone, self.now)
                 self._pump(end)
 
     def _break(self, pair: Pair) -> None:
@@ -282,8 +282,8 @@
         for ip, other in (pair, pair[::-1]):
             self.fifo.pop((ip, other), None)
             machine = self.machines[ip]
-            if machine.queen is not None:
-                machine.queen.disconnected(other, self.now)
+            if machine.replica is not None:
+                machine.replica.disconnected(other, self.now)
                 self._pump(machine)
                 self._later(AGAIN, ("connect", ip))
 
@@ -291,7 +291,7 @@
         pair = self._pair(sender, receiver)
         since = self.links.get(pair)
         one, two = self.machines[sender], self.machines[receiver]
-        if since is None or starts != (one.started, two.started) or two.queen is None:
+        if since is None or starts != (one.started, two.started) or two.replica is None:
             return
         if since:  # held up, and lost if that lasts
             self._later(BREAKS + since - self.now, ("broken", pair, since))
@@ -302,20 +302,20 @@
             self._hand(two, sender, message)
 
     def _hand(self, machine: Machine, sender: str, message: Any) -> None:
-        if machine.queen is not None:
-            machine.queen.receive(sender, message, self.now)
+        if machine.replica is not None:
+            machine.replica.receive(sender, message, self.now)
             self._pump(machine)
 
     def _tick(self, machine: Machine) -> None:
-        if machine.queen is not None and not machine.frozen:
-            machine.queen.tick(self.now)
+        if machine.replica is not None and not machine.frozen:
+            machine.replica.tick(self.now)
             self._pump(machine)
 
     def _pump(self, machine: Machine) -> None:
         """Takes out what there is; looks whether it may be."""
-        queen = machine.queen
-        assert queen is not None
-        for ip, message in queen.take_out():
+        replica = machine.replica
+        assert replica is not None
+        for ip, message in replica.take_out():
             text = json.dumps(message)
             self.bytes += len(text) + 20
             pair = self._pair(machine.ip, ip)
@@ -325,13 +325,13 @@
             at = self.fifo[machine.ip, ip] = max(at, self.fifo.get((machine.ip, ip), 0))
             starts = (machine.started, self.machines[ip].started)
             self._later(at - self.now, ("message", machine.ip, ip, json.loads(text), starts))
-        for result in queen.take_results():
+        for result in replica.take_results():
             for one in self.tries:
                 if one.token == (machine.ip, machine.started, result.token) and one.answer is None:
                     self._told(one, result.verdict)
-        queen.take_changes()
+        replica.take_changes()
         self._look(machine)
-        due = max(queen.due(), self.now + MS)
+        due = max(replica.due(), self.now + MS)
         if machine.tick_at != due and not machine.frozen:
             machine.tick_at = due
             self._later(due - self.now, ("tick", machine.ip))
@@ -350,21 +350,21 @@
             self.wrong = f"two were acknowledged on top of {one.op['on']}: {[two.op for two in rivals]}"
 
     def _look(self, machine: Machine) -> None:
-        queen = machine.queen
-        assert queen is not None
-        seen = (queen.value, queen.fresh_at, self.answers)
+        replica = machine.replica
+        assert replica is not None
+        seen = (replica.value, replica.fresh_at, self.answers)
         if seen == machine.seen:
             return
-        if queen.value is not None and (machine.seen is None or queen.value != machine.seen[0]):
-            digest = digest_of(queen.body)
-            if self.bodies.setdefault(queen.number, digest) != digest:
-                self.wrong = f"two bodies of number {queen.number}, the second at {machine.ip}"
+        if replica.value is not None and (machine.seen is None or replica.value != machine.seen[0]):
+            digest = digest_of(replica.body)
+            if self.bodies.setdefault(replica.number, digest) != digest:
+                self.wrong = f"two bodies of number {replica.number}, the second at {machine.ip}"
         machine.seen = seen
-        if queen.fresh_at is not None:
-            taken = queen.body.get("taken", [])
+        if replica.fresh_at is not None:
+            taken = replica.body.get("taken", [])
             for one in self.tries:
-                if one.answer == 200 and one.answered_at < queen.fresh_at and one.op["mark"] not in taken:
-                    self.wrong = f"{machine.ip} says that {queen.body} was the newest, without {one.op}"
+                if one.answer == 200 and one.answered_at < replica.fresh_at and one.op["mark"] not in taken:
+                    self.wrong = f"{machine.ip} says that {replica.body} was the newest, without {one.op}"
                 if one.answer == 412 and one.op["mark"] in taken:
                     self.wrong = f"{one.op} was refused and is in force"
 
@@ -372,12 +372,12 @@
         """Do all that run hold the same, fresh, with all that was acknowledged? What is wrong, or nothing."""
         if self.wrong:
             return self.wrong
-        queens = [one.queen for one in self.machines.values() if one.queen is not None]
-        if len({queen.number for queen in queens}) != 1:
-            return f"numbers differ: {[(queen.me, queen.number) for queen in queens]}"
-        for queen in queens:
-            if queen.fresh_at is None or self.now - queen.fresh_at > 1000 * MS:
-                return f"{queen.me} is not fresh: {queen.fresh_at} at {self.now}"
-        taken = queens[0].body.get("taken", [])
+        replicas = [one.replica for one in self.machines.values() if one.replica is not None]
+        if len({replica.number for replica in replicas}) != 1:
+            return f"numbers differ: {[(replica.me, replica.number) for replica in replicas]}"
+        for replica in replicas:
+            if replica.fresh_at is None or self.now - replica.fresh_at > 1000 * MS:
+                return f"{replica.me} is not fresh: {replica.fresh_at} at {self.now}"
+        taken = replicas[0].body.get("taken", [])
         lost = [one.op for one in self.tries if one.answer == 200 and one.op["mark"] not in taken]
         return f"lost: {lost}" if lost else ""
--- a/pepperrun/swarm/crashes.py
+++ b/pepperrun/simulation/crashes.py
@@ -1,6 +1,6 @@
 """Crashes (drill of the disk): kills and power cuts at random moments of saves.
 
-`python3 -m pepperrun.swarm.crashes`, with checks of each start after it.
+`python3 -m pepperrun.simulation.crashes`, with checks of each start after it.
 
 Kills: a child saves in a loop and says after each save that it is synced; it is killed at a random moment and
 its folder is opened by another. Power cuts: the file's pages before and after each save give what was written
@@ -27,9 +27,9 @@
 from functools import partial
 from pathlib import Path
 
-from pepperrun.foundation.errors import HiveError
-from pepperrun.queen.values import Ballot, Held, Memory, digest_of
-from pepperrun.wax.store import FILE, Wax
+from pepperrun.foundation.errors import PepperrunError
+from pepperrun.consensus.values import Ballot, Held, Memory, digest_of
+from pepperrun.storage.store import FILE, DiskStore
 
 ME, CONTACTS = "10.0.0.1", ["10.0.0.1", "10.0.0.2", "10.0.0.3"]
 PAGE, SECTOR, HEADS = 4096, 512, 2
@@ -52,25 +52,25 @@
         memory.chosen = memory.accepted
 
 
-def history(folder: Path, seed: int) -> Iterator[tuple[Wax, Memory]]:
+def history(folder: Path, seed: int) -> Iterator[tuple[DiskStore, Memory]]:
     """Saves one change after the other, for ever; `promised.round` counts them."""
-    rng, wax = random.Random(seed), Wax(str(folder), 64)
-    memory = wax.begin("s", ME, CONTACTS)
+    rng, disk = random.Random(seed), DiskStore(str(folder), 64)
+    memory = disk.begin("s", ME, CONTACTS)
     round = max(0, memory.promised.round)
     while True:
-        yield wax, memory
+        yield disk, memory
         round += 1
         step(memory, round, rng)
-        wax.save(memory)
+        disk.save(memory)
 
 
 def read(folder: Path) -> Memory | None:
-    """What a start would find: None for nothing at all. HiveError where it is in doubt."""
-    wax = Wax(str(folder), 64)
+    """What a start would find: None for nothing at all. PepperrunError where it is in doubt."""
+    disk = DiskStore(str(folder), 64)
     try:
-        return wax.load()
+        return disk.load()
     finally:
-        wax.close()
+        disk.close()
 
 
 # Kills.
@@ -108,7 +108,7 @@
     synced = SAID.unpack_from(heard, whole - SAID.size)[0] if whole else 0
     try:
         memory = read(folder)
-    except HiveError as error:
+    except PepperrunError as error:
         return f"in doubt: {error.detail}"
     if memory is None:
         return "nothing is there" if whole else "whole"
@@ -171,7 +171,7 @@
     (folder / FILE).write_bytes(image)
     try:
         found = read(folder)
-    except HiveError as error:
+    except PepperrunError as error:
         return "in doubt" if moment == "unordered" else f"in doubt: {error.detail}"
     if found == known[-1]:
         return "whole, after"
@@ -201,10 +201,10 @@
     """So many power cuts, drawn over the saves of one history, and one after each save."""
     rng, found, ram = random.Random(seed), Counter[str](), folder / "cut"
     images: list[tuple[Image, Memory]] = []
-    for wax, memory in history(folder / "history", seed):
-        images.append(((wax.folder / FILE).read_bytes(), replace(memory)))
+    for disk, memory in history(folder / "history", seed):
+        images.append(((disk.folder / FILE).read_bytes(), replace(memory)))
         if len(images) > saves:
-            wax.close()
+            disk.close()
             break
     for image, memory in images:
         wrong = judged(ram, image, [memory], "synced")
@@ -231,7 +231,7 @@
 
 def main(arguments: list[str] | None = None) -> int:
     """The command; 1 where a start found less than what was synced, or another thing."""
-    parser = argparse.ArgumentParser(prog="python3 -m pepperrun.swarm.crashes", description=__doc__)
+    parser = argparse.ArgumentParser(prog="python3 -m pepperrun.simulation.crashes", description=__doc__)
     parser.add_argument("--runs", type=int, default=1000, metavar="N", help="of each kind (1000)")
     parser.add_argument("--seed", type=int, default=1, metavar="N")
     parser.add_argument(
--- a/pepperrun/swarm/days.py
+++ b/pepperrun/simulation/days.py
@@ -13,14 +13,14 @@
 from absl import logging
 
 from pepperrun import log
-from pepperrun.comb.matchers import Answer, Call
+from pepperrun.control.matchers import Answer, Call
 from pepperrun.foundation.settings import Bounds
-from pepperrun.swarm import folk
-from pepperrun.swarm.clockwork import MS, Machine, World
-from pepperrun.swarm.judges import Judges
-from pepperrun.swarm.measures import Measures
-from pepperrun.swarm.places import Core, Gate, machines, settings_of
-from pepperrun.swarm.plans import ORDERS, Plan, Trouble
+from pepperrun.simulation import actors
+from pepperrun.simulation.virtual_time import MS, Machine, World
+from pepperrun.simulation.judges import Judges
+from pepperrun.simulation.measures import Measures
+from pepperrun.simulation.nodes import Core, Gate, machines, settings_of
+from pepperrun.simulation.plans import ORDERS, Plan, Trouble
 
 SECOND = 1000 * MS
 FIGURES: dict[str, Any] = {
@@ -58,7 +58,7 @@
         ]
 
         def attempt(*args: Any) -> None:
-            folk.attempt(self, *args)
+            actors.attempt(self, *args)
 
         self.gates = [
             Gate(
@@ -75,11 +75,11 @@
         places = machines(world, len(lines), "worker", zones, regions, 3)
         self.workers = {
             one.address: one
-            for one in (folk.Worker(self, place, line) for place, line in zip(places, lines, strict=True))
+            for one in (actors.Worker(self, place, line) for place, line in zip(places, lines, strict=True))
         }
         self.client_machines = machines(world, 6, "client", zones, regions, 4)
-        self.operator = folk.Operator(self, machines(world, 1, "operator", zones, regions, 5)[0])
-        self.clients = folk.Clients(self, plan.rate)
+        self.operator = actors.Operator(self, machines(world, 1, "operator", zones, regions, 5)[0])
+        self.clients = actors.Clients(self, plan.rate)
 
     def say(self, text: str) -> None:
         """A line of the log."""
@@ -142,7 +142,7 @@
         }
         return self.states[self.edition]
 
-    def call(self, machine: Machine, at: int, call: Call, done: folk.Done) -> None:
+    def call(self, machine: Machine, at: int, call: Call, done: actors.Done) -> None:
         """A control call to a core machine; None where no answer comes in time."""
         world, core = self.world, self.cores[at % len(self.cores)]
         other, open_ = core.machine, [True]
@@ -167,7 +167,7 @@
                 other.loop.do(core.answer, call, back)
 
         world.at(world.now + 2 * world.delay(machine, other), come)
-        world.at(world.now + folk.PATIENCE, once, None)
+        world.at(world.now + actors.PATIENCE, once, None)
 
     # The day.
 
@@ -318,7 +318,7 @@
 
         return back
 
-    def _worker(self, worker: folk.Worker, how: str) -> Callable[[], None] | None:
+    def _worker(self, worker: actors.Worker, how: str) -> Callable[[], None] | None:
         if not worker.up or worker.state != "boarding":
             return None
         if how == "unload":
@@ -386,7 +386,7 @@
 
 @contextmanager
 def held(constants: dict[str, float]) -> Iterator[None]:
-    """While a day is played these have other values: "waggle.follower:TICK_NS". AttributeError: none such."""
+    """Overrides constants while a day is played, such as "distribution.follower:TICK_NS"."""
     before: list[tuple[Any, str, Any]] = []
     try:
         for where, value in constants.items():
--- a/pepperrun/swarm/waggle_days.py
+++ b/pepperrun/simulation/distribution_days.py
@@ -3,7 +3,7 @@
 At every moment nobody may claim to be fresher than it is, nor go back; at the end all hold the newest number,
 alike records, and know it to be fresh.
 
-`python3 -m pepperrun.swarm.waggle_days --seeds 200` plays them.
+`python3 -m pepperrun.simulation.distribution_days --seeds 200` plays them.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 import time
 from collections import Counter
 
-from pepperrun.swarm.waggles import World
+from pepperrun.simulation.distribution_world import World
 
 ZONES = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
 CORES = ["a1", "a2", "b1", "b2", "c1"]
@@ -56,7 +56,7 @@
                 world.run(dice.randrange(5, 400))
                 world.check()
             world.cuts.clear()
-            for node in [*world.skeps, *world.gates]:
+            for node in [*world.control_nodes, *world.gates]:
                 world.wake(node)
             number = world.change()
             world.run(8000)
@@ -68,7 +68,7 @@
     def _trouble(self, kind: str) -> None:
         world, dice = self.world, self.dice
         self.kinds[kind] += 1
-        nodes = [*world.skeps, *world.gates]
+        nodes = [*world.control_nodes, *world.gates]
         one, other = dice.sample(nodes, 2)
         if kind == "cut":
             world.cut_off(one, [other])
@@ -83,9 +83,9 @@
         elif kind == "worker":
             self.serial += 1
             state = dice.choice(["boarding", "boarding", "unloading"])
-            at = dice.choice(world.skeps)
+            at = dice.choice(world.control_nodes)
             world.worker(f"w{dice.randrange(30)}", dice.choice(list(ZONES)), self.serial, state, at)
-        elif any(map(world.majority, world.skeps)):
+        elif any(map(world.majority, world.control_nodes)):
             world.change(whole=dice.random() < 0.3)
 
     def _end(self, number: int) -> str:
@@ -97,9 +97,14 @@
             if max(gate.age_ms(), cells) > FRESH_MS:
                 return f"{gate.station} knows its news to be {gate.age_ms():.0f} and {cells:.0f} ms old"
             said = gate.follower.core.said
-            if any(skep.book.guards[gate.station].wire() != said for skep in world.skeps):
+            if any(
+                control_node.book.gateways[gate.station].wire() != said
+                for control_node in world.control_nodes
+            ):
                 return f"{gate.station} is not known as it is"
-        books = [skep.book for skep in world.skeps] + [gate.book for gate in world.gates]
+        books = [control_node.book for control_node in world.control_nodes] + [
+            gate.book for gate in world.gates
+        ]
         if len({book.sums.whole() for book in books}) > 1:
             return "records differ"
         return ""
--- a/pepperrun/swarm/waggles.py
+++ b/pepperrun/simulation/distribution_world.py
@@ -13,13 +13,13 @@
 from itertools import count
 from typing import Any
 
-from pepperrun.comb.records import BOARDING, READY, Guard, Worker
+from pepperrun.control.records import BOARDING, READY, GatewayRecord, Worker
 from pepperrun.foundation.netstring import Decoder, Message
 from pepperrun.foundation.settings import Address
-from pepperrun.waggle.book import NewsBook
-from pepperrun.waggle.follower import Follower
-from pepperrun.waggle.publisher import Publisher
-from pepperrun.waggle.relay import Held, publish, relay
+from pepperrun.distribution.book import NewsBook
+from pepperrun.distribution.follower import Follower
+from pepperrun.distribution.publisher import Publisher
+from pepperrun.distribution.relay import Held, publish, relay
 
 MS = 1_000_000
 PORT = 7600
@@ -84,7 +84,7 @@
         self.publisher.heard(port, message, self.clock())
 
 
-class Skep(Node, Held):
+class ControlNode(Node, Held):
     """A core machine: the source of a publisher."""
 
     def __init__(self, world: World, station: str, ip: str, zone: str) -> None:
@@ -96,11 +96,11 @@
     def age_ms(self, now: int) -> float | None:
         return None if self.known_at is None else (self.world.now - self.known_at) / MS
 
-    def beat(self, guard: Guard, now: int) -> None:
-        self.book.take_cells([], [guard])
+    def beat(self, gateway: GatewayRecord, now: int) -> None:
+        self.book.take_cells([], [gateway])
 
-    def merge(self, workers: list[Worker], guards: list[Guard], now: int) -> None:
-        self.book.take_cells(workers, guards)
+    def merge(self, workers: list[Worker], gateways: list[GatewayRecord], now: int) -> None:
+        self.book.take_cells(workers, gateways)
 
 
 class Gate(Node):
@@ -108,7 +108,7 @@
 
     def __init__(self, world: World, station: str, ip: str, zone: str, life: int) -> None:
         super().__init__(world, station, ip, zone)
-        row = Guard(station, zone, world.zones[zone], f"{ip}:80", f"{ip}:{PORT}", life, 0, READY)
+        row = GatewayRecord(station, zone, world.zones[zone], f"{ip}:80", f"{ip}:{PORT}", life, 0, READY)
         contacts = [(core, PORT) for core, _ in world.cores[:3]]
         own = (station, zone, (ip, PORT))
         self.follower = Follower(own, world.zones, contacts, lambda: row, apply, self.clock())
@@ -179,9 +179,9 @@
 
 
 class World:
-    """`zones`: zone to region; `skeps`: the zones of the core machines."""
+    """`zones`: zone to region; `control_nodes`: the zones of the core machines."""
 
-    def __init__(self, seed: int, zones: Mapping[str, str], skeps: list[str]) -> None:
+    def __init__(self, seed: int, zones: Mapping[str, str], control_nodes: list[str]) -> None:
         self.random, self.now, self.order = random.Random(seed), 10**9, count()
         self.events: list[tuple[int, int, Node | None, Callable[[], object]]] = []
         self.zones = zones
@@ -193,13 +193,13 @@
         self.sent: Counter[str] = Counter()  # messages, by kind
         self.frames: Counter[tuple[str, str]] = Counter()  # by sender and kind
         self.acked = {0: 0}  # when each number was acknowledged
-        self.skeps: list[Skep] = []
+        self.control_nodes: list[ControlNode] = []
         self.gates: list[Gate] = []
-        for index, zone in enumerate(skeps):
-            skep = Skep(self, f"core-{index}", f"10.0.0.{index}", zone)
-            self.nodes[skep.ip] = skep
-            self.skeps.append(skep)
-            self.cores.append([skep.ip, zone])
+        for index, zone in enumerate(control_nodes):
+            control_node = ControlNode(self, f"core-{index}", f"10.0.0.{index}", zone)
+            self.nodes[control_node.ip] = control_node
+            self.control_nodes.append(control_node)
+            self.cores.append([control_node.ip, zone])
         self._share()
 
     def gate(self, index: int, zone: str) -> Gate:
@@ -304,23 +304,29 @@
 
     # What the core knows.
 
-    def reached(self, skep: Skep) -> list[Skep]:
+    def reached(self, control_node: ControlNode) -> list[ControlNode]:
         """The core machines that this one reaches, itself too, of those that run."""
-        return [one for one in self.skeps if one.alive and (one is skep or not self.cut(one, skep))]
+        return [
+            one
+            for one in self.control_nodes
+            if one.alive and (one is control_node or not self.cut(one, control_node))
+        ]
 
-    def majority(self, skep: Skep) -> bool:
+    def majority(self, control_node: ControlNode) -> bool:
         """Is it one of those that can acknowledge?"""
-        return skep.alive and 2 * len(self.reached(skep)) > len(self.skeps)
+        return control_node.alive and 2 * len(self.reached(control_node)) > len(self.control_nodes)
 
     def _share(self) -> None:
         """Those who reach most of the core know the newest number now, and share their cells."""
-        for skep in filter(self.majority, self.skeps):
-            skep.known_at = self.now
-            best = max(self.skeps, key=lambda one: one.book.number)
-            skep.book.take_agreed(best.book.number, best.book.state or {})
-            for other in self.reached(skep):
-                if other.book.sums.total != skep.book.sums.total:
-                    skep.book.take_cells(list(other.book.workers.values()), list(other.book.guards.values()))
+        for control_node in filter(self.majority, self.control_nodes):
+            control_node.known_at = self.now
+            best = max(self.control_nodes, key=lambda one: one.book.number)
+            control_node.book.take_agreed(best.book.number, best.book.state or {})
+            for other in self.reached(control_node):
+                if other.book.sums.total != control_node.book.sums.total:
+                    control_node.book.take_cells(
+                        list(other.book.workers.values()), list(other.book.gateways.values())
+                    )
         self.at(self.now + SHARE_MS * MS, None, self._share)
 
     def change(self, whole: bool = False) -> int:
@@ -328,18 +334,18 @@
         number = max(self.acked) + 1
         routes = self.padding | {f"r{number}": {}}
         state = {"edition": number, "routes": routes, "taken": [[number, f"d{number}"]]}
-        for skep in filter(self.majority, self.skeps):
-            skep.book.take_agreed(number, state, None if whole else (number - 1, state))
-            skep.known_at = self.now
+        for control_node in filter(self.majority, self.control_nodes):
+            control_node.book.take_agreed(number, state, None if whole else (number - 1, state))
+            control_node.known_at = self.now
         self.acked[number] = self.now
         return number
 
     def worker(
-        self, id: str, zone: str, serial: int = 1, state: str = BOARDING, at: Skep | None = None
+        self, id: str, zone: str, serial: int = 1, state: str = BOARDING, at: ControlNode | None = None
     ) -> None:
         """A beat; at one core machine, or at all."""
         worker = Worker(id, "line", "10.9.0.1:80", zone, "v1", 2, serial, state)
-        for one in [at] if at else [one for one in self.skeps if one.alive]:
+        for one in [at] if at else [one for one in self.control_nodes if one.alive]:
             one.book.take_cells([worker], [])
 
     def lags(self, number: int) -> list[Gate]:
--- a/pepperrun/swarm/experiments.py
+++ b/pepperrun/simulation/experiments.py
@@ -12,7 +12,7 @@
     "shape.loss" = [0.0, 0.02]
     [variants.now]              # the first is what the others are compared with
     [variants.slow]
-    set = { "shape.constants" = { "waggle.follower:TICK_NS" = 800000000 } }
+    set = { "shape.constants" = { "distribution.follower:TICK_NS" = 800000000 } }
     [variants.before]
     checkout = "../before"      # another tree of the project, by path from this file
 
@@ -36,9 +36,9 @@
 
 import dacite
 
-from pepperrun.foundation.errors import HiveError
-from pepperrun.swarm import player
-from pepperrun.swarm.plans import Plan, Shape, drawn_plan, read
+from pepperrun.foundation.errors import PepperrunError
+from pepperrun.simulation import player
+from pepperrun.simulation.plans import Plan, Shape, drawn_plan, read
 
 ROOT = Path(__file__).resolve().parents[2]
 LONGEST_S = 1800.0  # of real time for one day
@@ -85,12 +85,12 @@
 
 
 def load(path: Path) -> Experiment:
-    """Reads a file; HiveError says what is no good."""
+    """Reads a file; PepperrunError says what is no good."""
     try:
         data = tomllib.loads(path.read_text())
         return dacite.from_dict(Experiment, data, dacite.Config(strict=True))
     except (OSError, tomllib.TOMLDecodeError, dacite.DaciteError) as error:
-        raise HiveError("bad-experiment", "experiment", f"{path}: {error}") from None
+        raise PepperrunError("bad-experiment", "experiment", f"{path}: {error}") from None
 
 
 def seeds(text: str) -> list[int]:
@@ -124,8 +124,8 @@
 
 def source_of(tree: Path) -> str:
     """Of the sources of a tree and of the model's: what a row was played with."""
-    model = sorted((ROOT / "pepperrun" / "swarm").glob("*.py"))
-    rest = sorted(one for one in (tree / "pepperrun").rglob("*.py") if "swarm" not in one.parts)
+    model = sorted((ROOT / "pepperrun" / "simulation").glob("*.py"))
+    rest = sorted(one for one in (tree / "pepperrun").rglob("*.py") if "simulation" not in one.parts)
     digest = hashlib.blake2b(digest_size=6)
     for path in [*rest, *model]:
         digest.update(path.read_bytes())
@@ -146,7 +146,7 @@
                 try:
                     plan = planned(data, seed)
                 except (dacite.DaciteError, TypeError) as error:
-                    raise HiveError("bad-experiment", "experiment", f"{name} {point}: {error}") from None
+                    raise PepperrunError("bad-experiment", "experiment", f"{name} {point}: {error}") from None
                 yield Cell(name, json.dumps(point), seed, plan, trees[name].resolve(), sources[name])
 
 
@@ -206,4 +206,15 @@
     base.commit()
 
 
-__all__ = ["Experiment", "HiveError", "Shape", "Variant", "cells", "load", "opened", "play", "run", "seeds"]
+__all__ = [
+    "Experiment",
+    "PepperrunError",
+    "Shape",
+    "Variant",
+    "cells",
+    "load",
+    "opened",
+    "play",
+    "run",
+    "seeds",
+]
--- a/pepperrun/swarm/narrow.py
+++ b/pepperrun/simulation/narrow_links.py
@@ -8,9 +8,9 @@
 from typing import Any
 
 from pepperrun.foundation.netstring import Decoder, length
-from pepperrun.swarm.waggles import MS, Gate, Node, Port, World
-from pepperrun.waggle.service import PASS_S
-from pepperrun.waggle.tree import FAN_OUT
+from pepperrun.simulation.distribution_world import MS, Gate, Node, Port, World
+from pepperrun.distribution.service import PASS_S
+from pepperrun.distribution.tree import FAN_OUT
 
 ZONES = {f"{region}{zone}": region for zone in range(3) for region in "abc"}
 CORES = [*ZONES, "a0", "b0", "c0"]
@@ -94,9 +94,9 @@
 
     for gate in world.gates:
         gate.book.on_agreed.append(note(gate))
-    for skep in world.skeps:
-        skep.book.take_agreed(number, state, (number - 1, state))
-        skep.known_at = world.now
+    for control_node in world.control_nodes:
+        control_node.book.take_agreed(number, state, (number - 1, state))
+        control_node.known_at = world.now
     world.acked[number] = world.now
     while len(times) < len(world.gates) and world.now - began < most_s * 1000 * MS:
         world.run(20)
--- a/pepperrun/swarm/places.py
+++ b/pepperrun/simulation/nodes.py
@@ -1,7 +1,7 @@
 """Core machines and gatekeepers of a drawn day: the programs' own parts on virtual loops, with the disks.
 
-What `skep` and `guard` put together is put together here in the same way; the wire between gatekeepers and
-workers, and that of clients and callers, is a delay.
+What `control_node` and `gateway_node` put together is put together here in the same way; the wire between
+gatekeepers and workers, and that of clients and callers, is a delay.
 """
 
 from __future__ import annotations
@@ -11,26 +11,26 @@
 from dataclasses import replace
 from typing import Any
 
-from pepperrun.comb.control import Control
-from pepperrun.comb.hub import Hub
-from pepperrun.comb.matchers import Answer, Call, Miss
-from pepperrun.comb.records import LEAVING, READY, STARTING, Guard
+from pepperrun.control.handlers import Control
+from pepperrun.control.hub import Hub
+from pepperrun.control.matchers import Answer, Call, Miss
+from pepperrun.control.records import LEAVING, READY, STARTING, GatewayRecord
 from pepperrun.core.interface import Outcome
 from pepperrun.exchange import Exchange
-from pepperrun.forager.plane import Plane
-from pepperrun.forager.routes import Lot
-from pepperrun.forager.trace import Trace
+from pepperrun.dataplane.plane import Plane
+from pepperrun.dataplane.routes import Lot
+from pepperrun.dataplane.trace import Trace
 from pepperrun.foundation import link
 from pepperrun.foundation.settings import Settings, parse
 from pepperrun.net.http1 import Request, Response
-from pepperrun.queen.values import FIRST_LIFE, Memory, beginning
-from pepperrun.scouts.service import Scouts
-from pepperrun.scouts.wire import MARK
-from pepperrun.swarm import bugs
-from pepperrun.swarm.clockwork import MS, Loop, Machine, World, spawn
-from pepperrun.swarm.measures import Measures
-from pepperrun.swarm.queens import Disk
-from pepperrun.waggle.service import Subscriber
+from pepperrun.consensus.values import FIRST_LIFE, Memory, beginning
+from pepperrun.membership.gateway_probe_service import GatewayProbes
+from pepperrun.membership.gateway_probe_wire import MARK
+from pepperrun.simulation import bugs
+from pepperrun.simulation.virtual_time import MS, Loop, Machine, World, spawn
+from pepperrun.simulation.measures import Measures
+from pepperrun.simulation.consensus_world import Disk
+from pepperrun.distribution.service import Subscriber
 
 PORT = 7600
 LOOK_S = 0.2
@@ -95,7 +95,7 @@
         assert loop is not None
         self.hub = Hub(self.settings, memory, self.disk, memory.starts, loop.clock)
         self.tree = Control(self.hub).tree()
-        spawn(loop, link.listen(self.settings.siding, self.hub, self.hub.hello))
+        spawn(loop, link.listen(self.settings.internal_port, self.hub, self.hub.hello))
         self.hub.start()
 
     def stop(self, power: bool = False, wipe: bool = False) -> None:
@@ -159,33 +159,33 @@
         book.on_agreed.append(lambda number, state, change: held.append((world.now, state["edition"])))
         book.on_agreed.append(self.plane.on_agreed)
         book.on_workers.append(self.plane.on_workers)
-        book.on_guards.append(self._on_guards)
-        hum = self.plane.hum
-        self.scouts = Scouts(
-            *(self.settings, self.life, seed ^ 1, hum.send, self._on_scouts), clock=loop.clock
+        book.on_gateways.append(self._on_gateways)
+        peer_messages = self.plane.peer_messages
+        self.probes = GatewayProbes(
+            *(self.settings, self.life, seed ^ 1, peer_messages.send, self._on_probes), clock=loop.clock
         )
-        hum.others[MARK] = self.scouts.received
-        self.news.follower.standing = self.scouts.there
-        loop.datagrams(PORT, hum)
+        peer_messages.others[MARK] = self.probes.received
+        self.news.follower.standing = self.probes.there
+        loop.datagrams(PORT, peer_messages)
         spawn(loop, self.news.start())
         self._look()
 
-    def _row(self) -> Guard:
+    def _row(self) -> GatewayRecord:
         me, ip = self.settings.me, self.machine.ip
         where = f"{ip}:80", f"{ip}:{PORT}"
-        return Guard(me.station, me.zone, me.region, *where, self.life, self.serial, self.state)
+        return GatewayRecord(me.station, me.zone, me.region, *where, self.life, self.serial, self.state)
 
-    def _on_guards(self, changed: list[Guard]) -> None:
-        self.plane.on_guards(changed)
-        self.scouts.on_guards(changed)
-        self._on_scouts()
+    def _on_gateways(self, changed: list[GatewayRecord]) -> None:
+        self.plane.on_gateways(changed)
+        self.probes.on_gateways(changed)
+        self._on_probes()
 
-    def _on_scouts(self) -> None:
-        self.plane.stand(self.scouts.absent(), self.scouts.doubt)
+    def _on_probes(self) -> None:
+        self.plane.stand(self.probes.absent(), self.probes.doubt)
         self.news.moved()
 
     def _known_life(self) -> int:
-        held = self.news.book.guards.get(self.settings.me.station)
+        held = self.news.book.gateways.get(self.settings.me.station)
         return held.life if held is not None else self.life
 
     def _look(self) -> None:
@@ -202,7 +202,7 @@
     def leave(self) -> None:
         """It is told to stop; the day ends it later."""
         self._say(LEAVING)
-        self.scouts.leave()
+        self.probes.leave()
 
     def take(self, asked: Request, done: Callable[[int], None]) -> None:
         """A client's request has come; runs in the process."""
--- a/pepperrun/swarm/orders.py
+++ b/pepperrun/simulation/orders.py
@@ -4,7 +4,7 @@
 and a cut or a pause is a set of such messages. So each state is looked at with any of them on its way. What
 is bounded is how many rounds are begun, how many machines restart and how many disks are lost.
 
-`python3 -m pepperrun.swarm.orders --help` runs it.
+`python3 -m pepperrun.simulation.orders --help` runs it.
 """
 
 from __future__ import annotations
@@ -18,11 +18,22 @@
 from functools import partial
 from typing import Any
 
-from pepperrun.queen import messages
-from pepperrun.queen.register import Phase, Register
-from pepperrun.queen.values import FIRST_LIFE, NONE, Ballot, Body, Held, Life, Memory, Op, Value, beginning
-from pepperrun.queen.voter import MS
-from pepperrun.swarm.explorer import Action, Found, Game
+from pepperrun.consensus import messages
+from pepperrun.consensus.register import Phase, Register
+from pepperrun.consensus.values import (
+    FIRST_LIFE,
+    NONE,
+    Ballot,
+    Body,
+    Held,
+    Life,
+    Memory,
+    Op,
+    Value,
+    beginning,
+)
+from pepperrun.consensus.voter import MS
+from pepperrun.simulation.explorer import Action, Found, Game
 
 SETTLES_IN = 600  # steps of a fair run, from any state that was reached
 DELIVERED = 0.8  # of the steps of a walk
--- a/pepperrun/swarm/plans.py
+++ b/pepperrun/simulation/plans.py
@@ -110,7 +110,9 @@
     fewest: int = 8
     most: int = 18
     bounds: dict[str, Any] = field(default_factory=dict)  # figures of the rules, as in the settings file
-    constants: dict[str, float] = field(default_factory=dict)  # "waggle.follower:TICK_NS": another value
+    constants: dict[str, float] = field(
+        default_factory=dict
+    )  # "distribution.follower:TICK_NS": another value
 
 
 @dataclass
--- a/pepperrun/swarm/player.py
+++ b/pepperrun/simulation/player.py
@@ -21,18 +21,18 @@
     """The project's packages come from that tree from now on, the model from here."""
     sys.path.insert(0, str(tree))
     spec = importlib.util.spec_from_file_location(
-        "pepperrun.swarm", HERE / "__init__.py", submodule_search_locations=[str(HERE)]
+        "pepperrun.simulation", HERE / "__init__.py", submodule_search_locations=[str(HERE)]
     )
     assert spec is not None and spec.loader is not None
     package = importlib.util.module_from_spec(spec)
-    sys.modules["pepperrun.swarm"] = package
+    sys.modules["pepperrun.simulation"] = package
     spec.loader.exec_module(package)
 
 
 def played(data: dict[str, Any]) -> dict[str, Any]:
     """The row of a plan. A day that the model can't play is a finding: that of another version, say."""
-    from pepperrun.swarm.days import Day
-    from pepperrun.swarm.plans import read
+    from pepperrun.simulation.days import Day
+    from pepperrun.simulation.plans import read
 
     began, day = time.monotonic(), Day(read(data))
     day.play()
--- a/pepperrun/swarm/replays.py
+++ b/pepperrun/simulation/replays.py
@@ -1,12 +1,13 @@
 """Replays (drill of the disk): every crash point of a recorded history of the agreement's saves.
 
-`python3 -m pepperrun.swarm.replays`. Five core machines agree in the seeded world while operators race; one
-of them keeps its memory on a real folder besides, and the file is looked at before and after each save. What
-a loss of power can leave of that save is then gone through, not drawn: its pages in the order in which lmdb
-writes them, each there, cut at each sector (the begin or the end of it written), or missing; then all of them
-with the head cut at each sector, and whole. Each of these files is started on, and has to hold the memory
-before the save or, once the head is there, the one after it. And the world goes on from that moment with
-either memory, the machine started anew: all have to agree in the end, with all that was acknowledged.
+`python3 -m pepperrun.simulation.replays`. Five core machines agree in the seeded world while operators
+race; one of them keeps its memory on a real folder besides, and the file is looked at before and after each
+save. What a loss of power can leave of that save is then gone through, not drawn: its pages in the order in
+which lmdb writes them, each there, cut at each sector (the begin or the end of it written), or missing;
+then all of them with the head cut at each sector, and whole. Each of these files is started on, and has to
+hold the memory before the save or, once the head is there, the one after it. And the world goes on from
+that moment with either memory, the machine started anew: all have to agree in the end, with all that was
+acknowledged.
 """
 
 from __future__ import annotations
@@ -20,11 +21,11 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from pepperrun.foundation.errors import HiveError
-from pepperrun.queen.values import Memory
-from pepperrun.swarm.crashes import HEADS, PAGE, SECTOR, Image, apart, pages
-from pepperrun.swarm.queens import Disk, World
-from pepperrun.wax.store import FILE, Wax
+from pepperrun.foundation.errors import PepperrunError
+from pepperrun.consensus.values import Memory
+from pepperrun.simulation.crashes import HEADS, PAGE, SECTOR, Image, apart, pages
+from pepperrun.simulation.consensus_world import Disk, World
+from pepperrun.storage.store import FILE, DiskStore
 
 CALM_MS, DOWN_MS, AFTER_MS = 3000, 200, 8000
 
@@ -45,9 +46,9 @@
         super().__init__()
         self.world, self.ip, self.goes_on = world, ip, goes_on
         self.synced = replace(world.machines[ip].disk.synced or Memory(""))
-        self.folder, self.wax = folder, Wax(str(folder), 64)
-        self.wax.owner = ip
-        self.wax.save(self.synced)
+        self.folder, self.disk = folder, DiskStore(str(folder), 64)
+        self.disk.owner = ip
+        self.disk.save(self.synced)
         self.saves_seen: list[Save] = []
         self.said: Counter[str] = Counter()
 
@@ -57,7 +58,7 @@
             text = apart(lambda found=found: self._power(found))  # type: ignore[misc]
             self.said[f"goes on from {name}: {text or 'agreed'}"] += 1
         image = (self.folder / FILE).read_bytes()
-        self.wax.save(now)
+        self.disk.save(now)
         self.saves_seen.append(Save(image, (self.folder / FILE).read_bytes(), was, now))
         super().save(memory)
 
@@ -80,11 +81,11 @@
     ips = sorted(world.machines)
     disk = Recorder(world, ips[0], folder, goes_on)
     machine = world.machines[ips[0]]
-    assert machine.queen is not None
-    machine.disk = machine.queen.register.store = disk
+    assert machine.replica is not None
+    machine.disk = machine.replica.register.store = disk
     for edition in range(1, changes + 1):
         fill = "ž" * int(10 ** world.rng.uniform(0, 4))
-        on = machine.queen.body.get("edition", 0)
+        on = machine.replica.body.get("edition", 0)
         for at in range(1 + edition % 2):
             world.change(on, 2 * edition + at, ips[at:] + ips[:at], fill=fill)
         world.run(400)
@@ -131,13 +132,13 @@
     """What a start on this file finds: `before`, `after`, or what is wrong."""
     folder.mkdir(exist_ok=True)
     (folder / FILE).write_bytes(image)
-    wax = Wax(str(folder), 64)
+    disk = DiskStore(str(folder), 64)
     try:
-        memory = wax.begin("s", ip, [])
-    except HiveError as error:
+        memory = disk.begin("s", ip, [])
+    except PepperrunError as error:
         return f"{error.code}: {error.detail}"
     finally:
-        wax.close()
+        disk.close()
     before, after = (replace(one, starts=one.starts + 1) for one in (save.was, save.now))
     if memory == after and moment in ("head cut", "synced"):
         return "after"
@@ -164,7 +165,7 @@
 
 def main(arguments: list[str] | None = None) -> int:
     """The command; 1 where a start, or a day that went on, did not end as it must."""
-    parser = argparse.ArgumentParser(prog="python3 -m pepperrun.swarm.replays", description=__doc__)
+    parser = argparse.ArgumentParser(prog="python3 -m pepperrun.simulation.replays", description=__doc__)
     parser.add_argument("--seed", type=int, default=1, metavar="N")
     parser.add_argument("--changes", type=int, default=12, metavar="N", help="by operators (12)")
     parser.add_argument(
--- a/pepperrun/swarm/results.py
+++ b/pepperrun/simulation/results.py
@@ -148,7 +148,7 @@
 
 def page(some: list[Table]) -> str:
     """As HTML, with plots where matplotlib is there."""
-    parts = ["<!doctype html><meta charset=utf-8><title>swarm</title>", STYLE]
+    parts = ["<!doctype html><meta charset=utf-8><title>simulation</title>", STYLE]
     for table in some:
         parts.append(f"<h1>{html.escape(table.name)}</h1>{_plots(table)}")
         parts += [f"<p class=bad>{html.escape(text)}</p>" for text in table.findings] or [
--- a/pepperrun/swarm/shrinking.py
+++ b/pepperrun/simulation/shrinking.py
@@ -7,8 +7,8 @@
 from dataclasses import replace
 from pathlib import Path
 
-from pepperrun.swarm.days import Day
-from pepperrun.swarm.plans import Plan, read
+from pepperrun.simulation.days import Day
+from pepperrun.simulation.plans import Plan, read
 
 FOUND = Path("found")
 
@@ -44,8 +44,8 @@
 def keep(plan: Plan, broken: dict[str, str], folder: Path = FOUND) -> Path:
     """Writes a plan with the command that plays it again."""
     folder.mkdir(exist_ok=True)
-    path = folder / f"swarm-{plan.bug or 'day'}-{plan.seed}-{plan.gates}.json"
-    command = f"python3 -m pepperrun.swarm run --plan {path}"
+    path = folder / f"simulation-{plan.bug or 'day'}-{plan.seed}-{plan.gates}.json"
+    command = f"python3 -m pepperrun.simulation run --plan {path}"
     path.write_text(json.dumps({"command": command, "broken": broken, "plan": plan.written()}, indent=1))
     return path
 
--- a/pepperrun/wax/formats.py
+++ b/pepperrun/storage/formats.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from pepperrun.foundation.errors import HiveError
+from pepperrun.foundation.errors import PepperrunError
 
 FORMAT = 1
 
@@ -22,17 +22,19 @@
 
 
 def to_present(records: Records, form: Any, steps: Mapping[int, Step] | None = None) -> Records:
-    """Records in the present format; HiveError `disk-newer` or `disk-doubtful` where no steps lead there."""
+    """Records in the present format; raises `disk-newer` or `disk-doubtful` where no steps lead there."""
     steps = STEPS if steps is None else steps
     if type(form) is not int:
-        raise HiveError("disk-doubtful", "reading", f"format {form!r} is no number")
+        raise PepperrunError("disk-doubtful", "reading", f"format {form!r} is no number")
     if form > FORMAT:
-        raise HiveError("disk-newer", "reading", f"it is of format {form}, {FORMAT} is known here")
+        raise PepperrunError("disk-newer", "reading", f"it is of format {form}, {FORMAT} is known here")
     while form < FORMAT:
         step = steps.get(form)
         if step is None:
-            raise HiveError("disk-doubtful", "reading", f"no step leads on from format {form}")
+            raise PepperrunError("disk-doubtful", "reading", f"no step leads on from format {form}")
         records, form = step(records), form + 1
         if records["life"][0] != form:
-            raise HiveError("disk-doubtful", "reading", f"the step to format {form} left another one behind")
+            raise PepperrunError(
+                "disk-doubtful", "reading", f"the step to format {form} left another one behind"
+            )
     return records
--- a/pepperrun/wax/records.py
+++ b/pepperrun/storage/records.py
@@ -7,11 +7,11 @@
 from collections.abc import Mapping
 from typing import Any
 
-from pepperrun.foundation.errors import HiveError
-from pepperrun.queen import messages
-from pepperrun.queen.values import Body, Held, Memory, digest_of
-from pepperrun.wax import formats
-from pepperrun.wax.formats import Records, Step, to_present
+from pepperrun.foundation.errors import PepperrunError
+from pepperrun.consensus import messages
+from pepperrun.consensus.values import Body, Held, Memory, digest_of
+from pepperrun.storage import formats
+from pepperrun.storage.formats import Records, Step, to_present
 
 CHECK = 16  # bytes of the checksum before each record
 NAMES = ("life", "promised", "accepted", "chosen")
@@ -32,13 +32,13 @@
 
 
 def opened(data: bytes, name: str) -> Any:
-    """What a record holds; HiveError `disk-doubtful` where it is not what was sealed."""
+    """What a record holds; PepperrunError `disk-doubtful` where it is not what was sealed."""
     if hashlib.blake2b(data[CHECK:], digest_size=CHECK).digest() != data[:CHECK]:
-        raise HiveError("disk-doubtful", "reading", f"the checksum of {name} is wrong")
+        raise PepperrunError("disk-doubtful", "reading", f"the checksum of {name} is wrong")
     try:
         return json.loads(data[CHECK:])
     except ValueError as error:
-        raise HiveError("disk-doubtful", "reading", f"{name}: {error}") from None
+        raise PepperrunError("disk-doubtful", "reading", f"{name}: {error}") from None
 
 
 def laid_out(memory: Memory, owner: str) -> tuple[Records, dict[str, Body]]:
@@ -58,7 +58,7 @@
 
 
 def recall(raw: Raw, steps: Mapping[int, Step] | None = None) -> Memory:
-    """The memory that these records hold, of whatever format; HiveError `disk-doubtful` or `disk-newer`."""
+    """The memory that these records hold, of whatever format; raises `disk-doubtful` or `disk-newer`."""
     try:
         form, *_ = opened(raw[b"life"], "life")
         if form != formats.FORMAT:
@@ -73,7 +73,7 @@
                 records[key] = opened(raw[key.encode()], key)
         return put_together(records)
     except (KeyError, TypeError, ValueError) as error:
-        raise HiveError("disk-doubtful", "reading", f"{type(error).__name__}: {error}") from None
+        raise PepperrunError("disk-doubtful", "reading", f"{type(error).__name__}: {error}") from None
 
 
 def owner_of(life: Any) -> str:
@@ -82,10 +82,10 @@
 
 
 def put_together(records: Records) -> Memory:
-    """The memory of opened records in the present format; HiveError, KeyError or alike where it is none."""
+    """The memory of opened records in the present format; PepperrunError or KeyError if it is none."""
     _, life, starts, *_ = records["life"]
     if not isinstance(life, str) or type(starts) is not int:
-        raise HiveError("disk-doubtful", "reading", "life: no name or no count")
+        raise PepperrunError("disk-doubtful", "reading", "life: no name or no count")
     accepted, chosen = (_held(records, name) for name in ("accepted", "chosen"))
     return Memory(life, starts, messages.ballot(records["promised"]), accepted, chosen)
 
@@ -100,7 +100,7 @@
         name = key.decode("utf-8", "replace")
         try:
             records[name] = opened(data, name)
-        except HiveError as error:
+        except PepperrunError as error:
             found.append(f"{error.detail[:1].upper()}{error.detail[1:]}.")
             continue
         if name.startswith(BODY) and digest_of(records[name]) != name[len(BODY) :]:
@@ -108,14 +108,14 @@
     for name in ("accepted", "chosen"):
         try:
             digest = messages.value(records[name][1]).digest if records.get(name) else None
-        except (HiveError, LookupError, TypeError):
+        except (PepperrunError, LookupError, TypeError):
             continue  # told below
         if digest is not None and f"{BODY}{digest}".encode() not in raw:
             found.append(f"The body {digest} that {name} names is missing.")
     if not found:
         try:
             recall(raw)
-        except HiveError as error:
+        except PepperrunError as error:
             found.append(f"It can't be read as a memory: {error.detail}.")
     return found
 
@@ -127,7 +127,7 @@
     ballot, value = messages.ballot(data[0]), messages.value(data[1])
     body: Body = records[BODY + value.digest]
     if digest_of(body) != value.digest:
-        raise HiveError("disk-doubtful", "reading", f"{BODY}{value.digest} is of another digest")
+        raise PepperrunError("disk-doubtful", "reading", f"{BODY}{value.digest} is of another digest")
     return Held(ballot, value, body)
 
 
--- a/pepperrun/wax/store.py
+++ b/pepperrun/storage/store.py
@@ -18,11 +18,11 @@
 
 import lmdb
 
-from pepperrun.foundation.errors import HiveError
+from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.logs import event, trouble
-from pepperrun.queen.texts import Texts
-from pepperrun.queen.values import FIRST_LIFE, Memory, beginning
-from pepperrun.wax.records import BODY, laid_out, opened, owner_of, recall, sealed, sealed_text
+from pepperrun.consensus.canonical_json import Texts
+from pepperrun.consensus.values import FIRST_LIFE, Memory, beginning
+from pepperrun.storage.records import BODY, laid_out, opened, owner_of, recall, sealed, sealed_text
 
 MOST_MB = 64  # of the map: some dozens of bodies, and the pages of transactions
 FILE = "data.mdb"
@@ -34,7 +34,7 @@
     return isinstance(error, lmdb.DiskError) or any(text in str(error) for text in TROUBLE)
 
 
-class Wax:
+class DiskStore:
     """One folder. `disk_mb`: what the disk holds, 0 for no limit told."""
 
     def __init__(self, folder: str, disk_mb: float = 0) -> None:
@@ -50,13 +50,13 @@
 
         `first_contacts`: ips, only where `first_run` is true, else none: who is among them, with an empty
         disk, begins as one of the first voters. A disk in doubt is emptied, and its life is over. One that a
-        later version wrote, or another machine, is left alone: HiveError `disk-newer`, `disk-other`; likewise
-        one that can't be read just now: `disk-failed`.
+        later version wrote, or another machine, is left alone (raises `disk-newer`, `disk-other`); likewise
+        one that can't be read just now (`disk-failed`).
         """
         doubtful = False
         try:
             memory = self.load()
-        except HiveError as error:
+        except PepperrunError as error:
             if error.code in ("disk-newer", "disk-failed"):
                 self.close()
                 raise
@@ -71,7 +71,9 @@
             event("new-life", station=station, life=memory.life, doubtful=doubtful)
         if self.owner not in ("", me):
             self.close()
-            raise HiveError("disk-other", "reading", f"it holds the memory of {self.owner}, this is {me}")
+            raise PepperrunError(
+                "disk-other", "reading", f"it holds the memory of {self.owner}, this is {me}"
+            )
         self.owner = me
         memory.starts += 1
         self.save(memory)
@@ -79,7 +81,7 @@
         return memory
 
     def save(self, memory: Memory) -> None:
-        """Syncs what differs from what was saved last; HiveError `disk-failed`.
+        """Syncs what differs from what was saved last; PepperrunError `disk-failed`.
 
         After a failure nobody knows what the disk has: the next save opens it anew and writes all.
         """
@@ -108,7 +110,7 @@
         except (lmdb.Error, OSError) as error:
             self.close()
             self.saved = {}
-            raise HiveError("disk-failed", "saving", f"{type(error).__name__}: {error}") from None
+            raise PepperrunError("disk-failed", "saving", f"{type(error).__name__}: {error}") from None
         self.saved = records | dict.fromkeys(bodies, True)
 
     def close(self) -> None:
@@ -127,14 +129,14 @@
         return self.env
 
     def load(self) -> Memory | None:
-        """What is there, or None where nothing ever was; HiveError where it is in doubt."""
+        """What is there, or None where nothing ever was; PepperrunError where it is in doubt."""
         try:
             self.folder.mkdir(parents=True, exist_ok=True)
             with self._open().begin() as transaction:
                 raw = {bytes(key): bytes(data) for key, data in transaction.cursor()}
         except (lmdb.Error, OSError) as error:
             code = "disk-failed" if in_trouble(error) else "disk-doubtful"
-            raise HiveError(code, "opening", f"{type(error).__name__}: {error}") from None
+            raise PepperrunError(code, "opening", f"{type(error).__name__}: {error}") from None
         if not raw:
             return None  # nothing was ever synced, so nothing was ever said
         memory = recall(raw)
@@ -156,7 +158,7 @@
                 finally:
                     os.close(file)
         except OSError as error:
-            raise HiveError("disk-failed", "syncing names", str(error)) from None
+            raise PepperrunError("disk-failed", "syncing names", str(error)) from None
 
 
 def new_life(station: str) -> str:
--- a/pepperrun/tool/application.py
+++ b/pepperrun/tool/application.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from pepperrun.config import get, parse_address, read_config
-from pepperrun.members.config import members_of
+from pepperrun.membership.config import members_of
 
 _TIME = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s|us)\Z")
 _UNITS = {"s": 1_000_000_000, "ms": 1_000_000, "us": 1_000}
--- a/pepperrun/tool/commands.py
+++ b/pepperrun/tool/commands.py
@@ -9,8 +9,8 @@
 from pathlib import Path
 
 from pepperrun.config import read_auth
-from pepperrun.members.config import members_of, read_members
-from pepperrun.members.keys import new_key_file
+from pepperrun.membership.config import members_of, read_members
+from pepperrun.membership.keys import new_key_file
 from pepperrun.metrics import read_metrics
 from pepperrun.parking.config import KEYS as CLIENTS_KEYS
 from pepperrun.parking.config import read_clients
--- a/tests/hives.py
+++ b/tests/clusters.py
@@ -1,4 +1,4 @@
-"""A configuration as operators write it, and linked core machines: what tests of the comb share."""
+"""A configuration as operators write it, and linked core machines: what tests of the control share."""
 
 from __future__ import annotations
 
@@ -9,9 +9,9 @@
 from typing import Any
 
 
-from pepperrun.comb.cells import Beat, Cells
-from pepperrun.comb.checks import Op, read_amend, read_replace
-from pepperrun.comb.records import Guard
+from pepperrun.control.cells import Beat, Cells
+from pepperrun.control.validation import Op, read_amend, read_replace
+from pepperrun.control.records import GatewayRecord
 
 MS = 1_000_000
 SECOND = 1000 * MS
@@ -123,5 +123,7 @@
     return Beat(id, "x", address or f"10.9.0.{id[1:]}:80", zone, "v1", 2, state, cold, serial)
 
 
-def guard(station: str, zone: str = "z0", region: str = "r0", serial: int = 1, state: str = "ready") -> Guard:
-    return Guard(station, zone, region, f"{station}:80", f"{station}:76", 1, serial, state)
+def gateway(
+    station: str, zone: str = "z0", region: str = "r0", serial: int = 1, state: str = "ready"
+) -> GatewayRecord:
+    return GatewayRecord(station, zone, region, f"{station}:80", f"{station}:76", 1, serial, state)
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -5,13 +5,13 @@
 import itertools
 from dataclasses import replace
 
-from hives import A, B, C, World, beat, guard, put, whole
+from clusters import A, B, C, World, beat, gateway, put, whole
 
-from pepperrun.comb.cells import GUARD_GONE, GUARD_SILENT
-from pepperrun.comb.changes import apply
-from pepperrun.comb.directory import choose
-from pepperrun.comb.records import Worker
-from pepperrun.comb.seats import Seats
+from pepperrun.control.cells import GUARD_GONE, GUARD_SILENT
+from pepperrun.control.changes import apply
+from pepperrun.control.directory import choose
+from pepperrun.control.records import Worker
+from pepperrun.control.gateway_count import Seats
 
 MS = 1_000_000
 SECOND = 1000 * MS
@@ -122,24 +122,24 @@
     world, seats = World(3), Seats()
     state, _ = apply(None, put(whole()))
     state = (state or {}) | {"seats": 2}
-    row, late = guard("g1"), []
+    row, late = gateway("g1"), []
 
     def tick() -> None:
-        for at, one in ((A, row), (B, guard("g2", "z1"))):
-            world.cells[at].guard(one, world.now)
+        for at, one in ((A, row), (B, gateway("g2", "z1"))):
+            world.cells[at].gateway(one, world.now)
         for old in late:
             world.cells[C].merge([], [old], world.now)  # the earlier life's, from a copy that was cut off
         for cells in world.cells.values():
-            assert seats.wanted(cells.guards.values(), state, world.now) is None
+            assert seats.wanted(cells.gateways.values(), state, world.now) is None
 
     world.run(2, tick)
     row, late = replace(row, life=2, counter="g1:81"), [row]
     world.run(GUARD_SILENT / SECOND + 1, tick)
     for cells in world.cells.values():
-        assert {one.counter for one in cells.ready_guards(world.now)} == {"g1:81", "g2:80"}
-        assert cells.guards["g1"].life == 2
+        assert {one.counter for one in cells.ready_gateways(world.now)} == {"g1:81", "g2:80"}
+        assert cells.gateways["g1"].life == 2
     world.run(GUARD_GONE / SECOND + 3, tick)  # of the silence of the life before nothing follows
-    assert {one.state for cells in world.cells.values() for one in cells.guards.values()} == {"ready"}
+    assert {one.state for cells in world.cells.values() for one in cells.gateways.values()} == {"ready"}
 
 
 def test_an_address_belongs_to_its_newest_life() -> None:
@@ -190,30 +190,30 @@
 
 
 def test_the_directory_names_near_gatekeepers_that_were_heard_lately() -> None:
-    world, alive = World(2), [guard("g1"), guard("g2", "z1"), guard("g3", "z2", "r1")]
+    world, alive = World(2), [gateway("g1"), gateway("g2", "z1"), gateway("g3", "z2", "r1")]
 
     def tick() -> None:
         for row in alive:
-            world.cells[A].guard(row, world.now)
+            world.cells[A].gateway(row, world.now)
 
     world.run(2.3, tick)
     for cells in world.cells.values():
-        assert {one.station for one in cells.ready_guards(world.now)} == {"g1", "g2", "g3"}
+        assert {one.station for one in cells.ready_gateways(world.now)} == {"g1", "g2", "g3"}
     del alive[0]
     world.run(GUARD_SILENT / SECOND + 0.3, tick)
     for cells in world.cells.values():  # also where its silence is known only from the other
-        assert {one.station for one in cells.ready_guards(world.now)} == {"g2", "g3"}
-    alive.append(guard("g1", serial=2, state="leaving"))
+        assert {one.station for one in cells.ready_gateways(world.now)} == {"g2", "g3"}
+    alive.append(gateway("g1", serial=2, state="leaving"))
     world.run(0.2, tick)
-    assert {one.station for one in world.cells[B].ready_guards(world.now)} == {"g2", "g3"}
+    assert {one.station for one in world.cells[B].ready_gateways(world.now)} == {"g2", "g3"}
     del alive[2]
     world.run(GUARD_GONE / SECOND + 3, tick)
-    assert world.cells[B].guards["g1"].state == "gone"
-    alive.append(guard("g1", serial=2))  # only cut off, as it turns out, and as before
+    assert world.cells[B].gateways["g1"].state == "gone"
+    alive.append(gateway("g1", serial=2))  # only cut off, as it turns out, and as before
     world.run(0.2, tick)
-    assert world.cells[B].guards["g1"].state == "ready"
+    assert world.cells[B].gateways["g1"].state == "ready"
     regions = {"z0": "r0", "z1": "r0", "z2": "r1"}
-    several = [guard(f"g{n}", f"z{n % 3}", regions[f"z{n % 3}"]) for n in range(90)]
+    several = [gateway(f"g{n}", f"z{n % 3}", regions[f"z{n % 3}"]) for n in range(90)]
     told = [choose(several, "z0", "r0", regions, seed) for seed in range(40)]
     assert all(len(one) == 60 and len(set(one)) == 60 for one in told)
     assert len({one[0] for one in told}) > 10  # load spreads
--- a/tests/test_queen.py
+++ b/tests/test_consensus.py
@@ -9,15 +9,15 @@
 
 import pytest
 
-from pepperrun.foundation.errors import HiveError
-from pepperrun.queen import messages
-from pepperrun.queen.register import Register
-from pepperrun.queen.upkeep import wanted
-from pepperrun.queen.values import Held, Life, Memory, RamStore, Value, beginning, digest_of
-from pepperrun.queen.voter import MS
-from pepperrun.swarm.orders import Rules, search, walk
-from pepperrun.swarm.queen_days import Day, readmitted
-from pepperrun.swarm.queens import Try, World, judge
+from pepperrun.foundation.errors import PepperrunError
+from pepperrun.consensus import messages
+from pepperrun.consensus.register import Register
+from pepperrun.consensus.voter_selection import wanted
+from pepperrun.consensus.values import Held, Life, Memory, RamStore, Value, beginning, digest_of
+from pepperrun.consensus.voter import MS
+from pepperrun.simulation.orders import Rules, search, walk
+from pepperrun.simulation.consensus_days import Day, readmitted
+from pepperrun.simulation.consensus_world import Try, World, judge
 
 SEEDS = range(4)
 
@@ -27,7 +27,7 @@
     world = World(count, seed, **how)
     world.run(3000)
     assert not world.settled()
-    assert all(one.queen and one.queen.votes for one in list(world.machines.values())[:5])
+    assert all(one.replica and one.replica.votes for one in list(world.machines.values())[:5])
     return world
 
 
@@ -64,16 +64,16 @@
         world.wipe(ips[seed])
     world.run(1000)
     for ip in ips:
-        if world.machines[ip].queen is None:
+        if world.machines[ip].replica is None:
             world.start(ip)
     if fault == "dark":  # a majority that has taken the same knows that it was chosen, without a round
         world.run(800)
         assert {
-            one.queen.register.chosen_at.by.split("/")[0] for one in world.machines.values() if one.queen
+            one.replica.register.chosen_at.by.split("/")[0] for one in world.machines.values() if one.replica
         } == {ips[seed]}
         assert not world.settled()
     ends_well(world)
-    assert all(one.queen and one.queen.votes for one in world.machines.values())
+    assert all(one.replica and one.replica.votes for one in world.machines.values())
 
 
 @pytest.mark.parametrize("fault", ["two disks, all dark", "region"])
@@ -82,9 +82,9 @@
     world = World(12, seed, most=7)
     world.run(4000)
     assert not world.settled()
-    queen = world.machines[first(world)].queen
-    assert queen is not None
-    voters = sorted(queen.voters)
+    replica = world.machines[first(world)].replica
+    assert replica is not None
+    voters = sorted(replica.voters)
     region = {ip: world.regions[one.zone] for ip, one in world.machines.items()}
     shares = Counter(region[ip] for ip in voters)
     assert len(voters) == 7 and max(shares.values()) == 3
@@ -102,10 +102,10 @@
             world.wipe(ip)
         world.run(1000)
     for ip in region:
-        if world.machines[ip].queen is None:
+        if world.machines[ip].replica is None:
             world.start(ip)
     ends_well(world, 8000)
-    newest = world.machines[voters[1]].queen
+    newest = world.machines[voters[1]].replica
     assert newest is not None and newest.number == 1 and len(newest.voters) == 7
 
 
@@ -113,21 +113,21 @@
     world = World(12, 5, most=7)
     world.run(4000)
     ips = sorted(world.machines)
-    queen = world.machines[ips[-1]].queen
-    assert queen is not None and queen.value is not None
-    voters = queen.value.voters
+    replica = world.machines[ips[-1]].replica
+    assert replica is not None and replica.value is not None
+    voters = replica.value.voters
     for edition, ip in enumerate(ips):
         others = [one for one in ips if one != ip]
         world.retire(ip)
         assert until(world, world.change(edition, edition + 1, others), 500) == 200
         world.run(200)  # it has not ended yet, and its duty is another's
-        held = [one.queen.keeper for other, one in world.machines.items() if one.queen and other != ip]
+        held = [one.replica.keeper for other, one in world.machines.items() if one.replica and other != ip]
         assert ip not in held and len(set(held)) == 1
         world.run(1000)
         world.start(ip)
         world.run(500)
     ends_well(world)
-    last = world.machines[ips[0]].queen
+    last = world.machines[ips[0]].replica
     assert last is not None and last.value is not None and last.value.voters == voters
 
 
@@ -154,14 +154,14 @@
     for edition in (1, 2):
         assert until(world, world.change(edition - 1, edition, [other])) == 200
     world.run(3000)
-    queen = world.machines[frozen].queen
-    assert queen is not None
-    old = queen.fresh_at
+    replica = world.machines[frozen].replica
+    assert replica is not None
+    old = replica.fresh_at
     world.thaw(frozen)
     # It has heard nobody for seconds, and lays that to nobody's charge.
-    assert queen.fresh_at == old and not queen.minority
+    assert replica.fresh_at == old and not replica.minority
     ends_well(world, 1500)
-    assert queen.number == 2 and world.machines[other].queen.keeper == first(world)  # type: ignore[union-attr]
+    assert replica.number == 2 and world.machines[other].replica.keeper == first(world)  # type: ignore[union-attr]
 
 
 @pytest.mark.parametrize("seed", range(8))
@@ -187,13 +187,15 @@
     world.run(100)
     world.cut(ips[:2])
     world.run(2500)
-    queen = world.machines[ips[0]].queen
-    assert queen is not None and queen.minority and queen.number == 1
-    token = queen.propose({"mark": "x", "on": 1, "edition": 2, "fill": ""}, world.now)
-    assert [(one.token, one.verdict, one.why) for one in queen.take_results()] == [(token, None, "minority")]
-    assert queen.fresh_at is not None and world.now - queen.fresh_at > 2000 * MS
+    replica = world.machines[ips[0]].replica
+    assert replica is not None and replica.minority and replica.number == 1
+    token = replica.propose({"mark": "x", "on": 1, "edition": 2, "fill": ""}, world.now)
+    assert [(one.token, one.verdict, one.why) for one in replica.take_results()] == [
+        (token, None, "minority")
+    ]
+    assert replica.fresh_at is not None and world.now - replica.fresh_at > 2000 * MS
     # The others have a new keeper by then, and go on.
-    assert world.machines[ips[2]].queen.keeper in ips[2:]  # type: ignore[union-attr]
+    assert world.machines[ips[2]].replica.keeper in ips[2:]  # type: ignore[union-attr]
     assert until(world, world.change(1, 3, ips[2:])) == 200
     world.heal()
     ends_well(world)
@@ -211,10 +213,10 @@
         world.run(300)
         rival = world.change(0, 2, ips[2:])
         world.run(2500)
-        read = {ip: world.machines[ip].queen.body.get("taken", []) for ip in ips}  # type: ignore[union-attr]
+        read = {ip: world.machines[ip].replica.body.get("taken", []) for ip in ips}  # type: ignore[union-attr]
         world.heal()
         ends_well(world)
-        chosen = world.machines[ips[0]].queen.body["taken"]  # type: ignore[union-attr]
+        chosen = world.machines[ips[0]].replica.body["taken"]  # type: ignore[union-attr]
         assert all(chosen[: len(taken)] == taken for taken in read.values()), (moment, read, chosen)
         assert sorted([mine.answer, rival.answer]) == [200, 412]
         ended.add(mine.answer)
@@ -242,7 +244,7 @@
         world.run(3000)
         assert later.answer == 200 and sorted([again.answer, rival.answer]) == [200, 412]
         assert lost.answer == again.answer
-        taken = world.machines[ips[2]].queen.body["taken"]  # type: ignore[union-attr]
+        taken = world.machines[ips[2]].replica.body["taken"]  # type: ignore[union-attr]
         assert taken.count("call") == (again.answer == 200)
         ended.add(again.answer)
     assert ended == {200, 412}
@@ -260,7 +262,7 @@
         one = world.change(edition, edition + 1, began[3:])  # while it is missing
         world.run(7000)
         assert one.answer == 200 and readmitted(world)
-        assert new in world.machines[began[4]].queen.voters  # type: ignore[union-attr]
+        assert new in world.machines[began[4]].replica.voters  # type: ignore[union-attr]
     ends_well(world)
     for ip in world.machines:  # and all go dark: the new ones have it on their disks
         world.kill(ip, power=True)
@@ -280,8 +282,12 @@
         tries = [world.change(0, 1, ips), world.change(0, 2, ips[::-1])]
         ends_well(world)
         assert sorted(one.answer for one in tries) == [200, 412]
-        queen = world.machines[ips[4]].queen
-        assert queen is not None and queen.votes and queen.register.memory.life != Life(ips[4], "first").life
+        replica = world.machines[ips[4]].replica
+        assert (
+            replica is not None
+            and replica.votes
+            and replica.register.memory.life != Life(ips[4], "first").life
+        )
 
 
 def test_the_keeper_names_its_successor_or_a_majority_finds_it_silent() -> None:
@@ -289,20 +295,20 @@
     ips = sorted(world.machines)
     world.retire(ips[0])
     world.run(400)
-    assert {one.queen.keeper for one in world.machines.values() if one.queen} == {ips[1]}
+    assert {one.replica.keeper for one in world.machines.values() if one.replica} == {ips[1]}
     world.run(1000)
     world.cut([ips[1]], [ips[2], ips[3]])  # two do not hear it: the others do
     world.run(5000)
-    assert world.machines[ips[4]].queen.keeper == ips[1]  # type: ignore[union-attr]
+    assert world.machines[ips[4]].replica.keeper == ips[1]  # type: ignore[union-attr]
     world.heal()
     world.run(1000)
     world.freeze(ips[1])
     world.run(3500)
-    assert world.machines[ips[2]].queen.keeper == ips[2]  # type: ignore[union-attr]
+    assert world.machines[ips[2]].replica.keeper == ips[2]  # type: ignore[union-attr]
     world.thaw(ips[1])
     world.start(ips[0])
     ends_well(world)
-    assert world.machines[ips[1]].queen.keeper == ips[2]  # type: ignore[union-attr]
+    assert world.machines[ips[1]].replica.keeper == ips[2]  # type: ignore[union-attr]
 
 
 def test_a_change_costs_its_own_length_not_the_configurations() -> None:
@@ -315,8 +321,8 @@
     assert until(world, world.change(1, 2, ips)) == 200
     world.run(1000)
     assert not world.settled() and world.bytes - before < 30_000
-    queen = world.machines[ips[5]].queen  # it votes not, and got the change as well
-    assert queen is not None and not queen.votes and queen.body["fill"]
+    replica = world.machines[ips[5]].replica  # it votes not, and got the change as well
+    assert replica is not None and not replica.votes and replica.body["fill"]
     # One sync for the promise and one for the value at each voter, none where nothing is said.
     assert [one.disk.saves - was for one, was in zip(world.machines.values(), saved, strict=True)] == [
         2
@@ -326,11 +332,11 @@
 def test_changes_are_told_in_order_with_what_made_them() -> None:
     world = calm(4)
     ips = sorted(world.machines)
-    queen = world.machines[ips[1]].queen
-    assert queen is not None
+    replica = world.machines[ips[1]].replica
+    assert replica is not None
     told: list[Any] = []
-    take = queen.take_changes
-    queen.take_changes = lambda: told.extend(take()) or []  # type: ignore[method-assign,func-returns-value]
+    take = replica.take_changes
+    replica.take_changes = lambda: told.extend(take()) or []  # type: ignore[method-assign,func-returns-value]
     for edition in (1, 2):
         assert until(world, world.change(edition - 1, edition, ips[3:4])) == 200
     world.run(500)
@@ -346,7 +352,7 @@
 def test_a_round_that_died_halfway_is_brought_to_an_end() -> None:
     world = calm(6)
     ips = sorted(world.machines)
-    value = world.machines[ips[0]].queen.value  # type: ignore[union-attr]
+    value = world.machines[ips[0]].replica.value  # type: ignore[union-attr]
     assert value is not None
     world.kill(ips[4])  # not the keeper, whose successor would begin a round anyhow
     op = {"mark": "half", "on": 0, "edition": 1, "fill": ""}
@@ -354,19 +360,19 @@
     new = messages.wire(replace(value, number=1, digest=digest_of(body)))
     put = {"t": "put", "b": [50, f"{ips[4]}/first/1"], "v": new, "f": value.digest, "o": [op]}
     for ip in ips[1:3]:  # two of the four that are left: of these no majority has taken nothing later
-        world.machines[ip].queen.receive(ips[4], put, world.now)  # type: ignore[union-attr]
+        world.machines[ip].replica.receive(ips[4], put, world.now)  # type: ignore[union-attr]
     world.run(3000)
-    assert not world.settled() and world.machines[ips[0]].queen.number == 1  # type: ignore[union-attr]
+    assert not world.settled() and world.machines[ips[0]].replica.number == 1  # type: ignore[union-attr]
 
 
 def test_who_stood_still_calls_nobody_lost() -> None:
     world = calm(7, 6)
     ips = sorted(world.machines)
-    keeper = world.machines[ips[0]].queen
+    keeper = world.machines[ips[0]].replica
     assert keeper is not None and keeper.keeper == ips[0]
     later = world.now + 10_000 * MS
     for ip in (ips[5], ips[1], ips[2]):  # first come those of a majority, and of one that could vote instead
-        life = world.machines[ip].queen.register.memory.life  # type: ignore[union-attr]
+        life = world.machines[ip].replica.register.memory.life  # type: ignore[union-attr]
         read = {"t": "read", "s": 9, "c": list(keeper.register.chosen_at), "l": life}
         keeper.receive(ip, read, later)
     keeper.tick(later)
@@ -375,11 +381,11 @@
 
 def test_those_before_leave_only_when_that_is_known_as_chosen() -> None:
     world = calm(8)
-    queen = world.machines[first(world)].queen
-    assert queen is not None and queen.value is not None
-    joint = replace(queen.value, was=queen.value.voters[:3])
-    assert queen.register.plan(joint, False) == joint
-    assert queen.register.plan(joint, True) == queen.value
+    replica = world.machines[first(world)].replica
+    assert replica is not None and replica.value is not None
+    joint = replace(replica.value, was=replica.value.voters[:3])
+    assert replica.register.plan(joint, False) == joint
+    assert replica.register.plan(joint, True) == replica.value
 
 
 def test_what_is_learnt_is_promised_and_no_ballot_is_used_twice() -> None:
@@ -450,7 +456,7 @@
         *([], {"t": "x"}, good | {"v": [1, [], [], "a", "d"]}, good | {"o": [3]}, good | {"w": []}),
         *({"t": "promise", "b": [1, "a"], "l": "x", "a": [1, "a"]}, {"t": "seen", "s": "1", "l": "x"}),
     ):
-        with pytest.raises(HiveError):
+        with pytest.raises(PepperrunError):
             messages.read(json.loads(json.dumps(bad)))
 
 
@@ -458,27 +464,27 @@
     world = calm(5)
     ips = sorted(world.machines)
     machine = world.machines[ips[1]]
-    queen, save = machine.queen, machine.disk.save
-    assert queen is not None
+    replica, save = machine.replica, machine.disk.save
+    assert replica is not None
 
     def fail(memory: Memory) -> None:
-        raise HiveError("disk-failed", "saving")
+        raise PepperrunError("disk-failed", "saving")
 
     machine.disk.save = fail  # type: ignore[method-assign]
-    queen.receive(ips[2], {"t": "ask", "b": [99, ips[2]]}, world.now)
-    assert not [one for _, one in queen.take_out() if one["t"] == "promise"]
-    queen.receive(ips[2], {"t": "ask", "b": [100, ips[2]]}, world.now)
+    replica.receive(ips[2], {"t": "ask", "b": [99, ips[2]]}, world.now)
+    assert not [one for _, one in replica.take_out() if one["t"] == "promise"]
+    replica.receive(ips[2], {"t": "ask", "b": [100, ips[2]]}, world.now)
     world.run(1000)
-    assert queen.register.broken and machine.disk.synced and machine.disk.synced.promised.round < 99
+    assert replica.register.broken and machine.disk.synced and machine.disk.synced.promised.round < 99
     assert until(world, world.change(0, 1, [ips[1]])) == 200  # the others decide
-    queen.register.asked_news.clear()
+    replica.register.asked_news.clear()
     for edition in (2, 3):  # and in quick succession it follows them, without asking for the whole each time
         assert until(world, world.change(edition - 1, edition, [ips[2]])) == 200
     world.run(50)
-    assert queen.body["edition"] == 3 and not queen.register.asked_news
+    assert replica.body["edition"] == 3 and not replica.register.asked_news
     machine.disk.save = save  # type: ignore[method-assign]
     ends_well(world)
-    assert not queen.register.broken and machine.disk.synced.promised.round >= 99
+    assert not replica.register.broken and machine.disk.synced.promised.round >= 99
     assert machine.disk.synced.accepted and machine.disk.synced.accepted.value.number == 3
 
 
--- a/tests/test_comb.py
+++ b/tests/test_control.py
@@ -1,4 +1,4 @@
-"""The comb: a configuration's checks and changes, cells among core machines, control calls. Virtual time."""
+"""Control state: configurations and their changes, cells among core machines, control calls. Virtual time."""
 
 from __future__ import annotations
 
@@ -9,21 +9,21 @@
 from typing import Any
 
 import pytest
-from hives import LINES, ROUTES, SENDERS, A, World, amend, beat, cell, guard, put, whole
-
-from pepperrun.comb.cells import BATCH, ROUND, Cells
-from pepperrun.comb import checks
-from pepperrun.comb.changes import apply, evacuation, lean, written
-from pepperrun.comb.evacuations import Evacuations
-from pepperrun.comb.checks import Op, read_replace, timetable
-from pepperrun.comb.control import Control, read_beat
-from pepperrun.comb.hub import losses
-from pepperrun.comb.matchers import Answer, Call, answer_to, parse_target
-from pepperrun.comb.mesh import FORGET, Mesh
-from pepperrun.comb.server import Caller, Server
-from pepperrun.foundation.errors import HiveError
+from clusters import LINES, ROUTES, SENDERS, A, World, amend, beat, cell, gateway, put, whole
+
+from pepperrun.control import validation
+from pepperrun.control.cells import BATCH, ROUND, Cells
+from pepperrun.control.changes import apply, evacuation, lean, written
+from pepperrun.control.evacuations import Evacuations
+from pepperrun.control.validation import Op, read_replace, timetable
+from pepperrun.control.handlers import Control, read_beat
+from pepperrun.control.hub import losses
+from pepperrun.control.matchers import Answer, Call, answer_to, parse_target
+from pepperrun.control.mesh import FORGET, Mesh
+from pepperrun.control.server import Caller, Server
+from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.settings import parse
-from pepperrun.queen.values import digest_of
+from pepperrun.consensus.values import digest_of
 
 MS = 1_000_000
 SECOND = 1000 * MS
@@ -71,7 +71,7 @@
 
 @pytest.mark.parametrize("kind", SPOILT)
 def test_an_invalid_configuration_is_refused_with_its_kind_and_a_sentence(kind: str) -> None:
-    with pytest.raises(HiveError) as refused:
+    with pytest.raises(PepperrunError) as refused:
         put(SPOILT[kind](whole()))
     assert refused.value.code == kind and len(refused.value.detail) > 20
 
@@ -79,7 +79,7 @@
 def test_a_body_cut_anywhere_is_refused_and_valid_rarities_are_not() -> None:
     data = json.dumps(whole()).encode()
     for end in range(0, len(data), 7):
-        with pytest.raises(HiveError):
+        with pytest.raises(PepperrunError):
             read_replace(data[:end], 0)
     cell(body := whole(), "routes", 0, "deadline_ms", 600_000)
     cell(body, "routes", 1, "splits", [])
@@ -274,7 +274,7 @@
     core.retiring, core.verdict = False, None  # type: ignore[assignment]
     assert call(core, "POST", "/evacuate/z1/begin").status == 503
     assert call(core, "GET", "/resolve?name=n&region=r0&zone=z0").status == 503
-    core.cells.guard(guard("g1"), SECOND)
+    core.cells.gateway(gateway("g1"), SECOND)
     told = json.loads(call(core, "GET", "/resolve?name=n&region=r0&zone=z0").body)
     assert told == {"addresses": ["g1:80"], "ttl_s": 2.0}
 
@@ -282,7 +282,7 @@
 @pytest.mark.parametrize("field", ["address", "notice", "tracking"])
 def test_a_beat_that_can_not_be_meant_is_refused(field: str) -> None:
     for value in (None, {}, "x", 7, []):
-        with pytest.raises(HiveError):
+        with pytest.raises(PepperrunError):
             read_beat("i-7", json.dumps(BEAT | {field: value}).encode())
 
 
@@ -429,8 +429,8 @@
 
 def test_thousands_of_routes_are_read_without_dacite_and_rarities_with_it(monkeypatch: Any) -> None:
     asked: list[Any] = []
-    real = checks.dacite.from_dict
-    monkeypatch.setattr(checks.dacite, "from_dict", lambda *args: asked.append(args) or real(*args))
+    real = validation.dacite.from_dict
+    monkeypatch.setattr(validation.dacite, "from_dict", lambda *args: asked.append(args) or real(*args))
     put(many(1400))
     assert not asked  # a fifth of a second of a core, in which a core machine answers nobody
     odd: list[Any] = [
@@ -451,9 +451,9 @@
         for column in table["columns"][1:]:
             for value in odd:
                 body = cell(whole(), kind, 0, column, value)
-                item = checks.items(kind, body[kind])[body[kind]["rows"][0][0]]
-                if checks.plain(checks.KINDS[kind], item):
-                    checks.typed(checks.KINDS[kind], item, "item")  # dacite takes all that is plain
+                item = validation.items(kind, body[kind])[body[kind]["rows"][0][0]]
+                if validation.plain(validation.KINDS[kind], item):
+                    validation.typed(validation.KINDS[kind], item, "item")  # dacite takes all that is plain
 
 
 def test_a_whole_configuration_goes_on_as_what_differs_and_means_the_same() -> None:
@@ -485,7 +485,7 @@
         ({"vehicles": 2}, 5),
         ({"vehicles": 1}, 3),
     ):
-        me = {"station": "s", "role": "skep", "ip": "10.0.0.1", "zone": "a0", "region": "a"}
+        me = {"station": "s", "role": "control_node", "ip": "10.0.0.1", "zone": "a0", "region": "a"}
         network = {"sidings": [7600, 7610], "first_contacts": [], "postboxes": {}, "zones": zones}
         settings = parse({"self": me, "network": network, "tariffs": {"bounds": {}, "withstand": bear}})
         assert 2 * losses(settings) + 1 == most
--- a/tests/test_forager.py
+++ b/tests/test_dataplane.py
@@ -11,26 +11,26 @@
 import pytest
 from standins import HOST, MS, SECOND, Client, StandIn, answer, cut_short, going, reset, wait_then
 
-from pepperrun.comb.checks import read_replace
-from pepperrun.comb.records import READY, Guard, Worker
-from pepperrun.comb.timetable import Sender
+from pepperrun.control.validation import read_replace
+from pepperrun.control.records import READY, GatewayRecord, Worker
+from pepperrun.control.configuration import Sender
 from pepperrun.core.gateway import Gateway
 from pepperrun.core.interface import Backend, BackendList, ListKind, Refuse, Send, SetTimer, TimerFired
 from pepperrun.core.interface import Request as CoreRequest
-from pepperrun.forager.cold import ColdShares, chosen, spacing
-from pepperrun.forager.hum import Peers
-from pepperrun.forager.ledger import Ledger
-from pepperrun.forager.plane import Plane
-from pepperrun.forager.routes import Lot, Table, host_of
-from pepperrun.forager.stopping import drain
+from pepperrun.dataplane.cold import ColdShares, chosen, spacing
+from pepperrun.dataplane.peer_messages import Peers
+from pepperrun.dataplane.numbering import Ledger
+from pepperrun.dataplane.plane import Plane
+from pepperrun.dataplane.routes import Lot, Table, host_of
+from pepperrun.dataplane.draining import drain
 from pepperrun.foundation.settings import Bounds, Settings, parse
-from pepperrun.guard import main
+from pepperrun.gateway_node import main
 
 ZONES = {"a": "r1", "b": "r2"}
 
 
 def settings() -> Settings:
-    me = {"station": "g1", "role": "guard", "ip": HOST, "zone": "a", "region": "r1"}
+    me = {"station": "g1", "role": "gateway", "ip": HOST, "zone": "a", "region": "r1"}
     bounds = {
         "revocation_total": True,
         "revoke_ms": 5000,
@@ -60,7 +60,7 @@
     return answer(200, body, b"Attempt-Id: " + id, b"Postmark: p", *more)
 
 
-class Hive:
+class Cluster:
     """A whole data plane behind its front, told by hand."""
 
     def __init__(self, *routes: dict[str, Any], **more: Any) -> None:
@@ -124,9 +124,9 @@
 
 def test_a_request_reaches_a_worker_with_its_tenants_name_and_without_its_key():
     async def test():
-        hive, worker = Hive(route("r", "/p/", route_kind="unsafe")), await StandIn(ok()).start()
-        hive.work("w1", worker.port)
-        client = await hive.ask(
+        cluster, worker = Cluster(route("r", "/p/", route_kind="unsafe")), await StandIn(ok()).start()
+        cluster.work("w1", worker.port)
+        client = await cluster.ask(
             method="POST", body=b"5\r\nhello\r\n0\r\n\r\n", Transfer_Encoding="chunked", X="y"
         )
         status, fields, body = await client.answer()
@@ -142,8 +142,11 @@
 
 def test_what_the_configuration_does_not_allow_is_refused_before_any_worker():
     async def test():
-        hive, worker = Hive(route("r", "/p/"), route("u", "/u/", unstamped=True)), await StandIn(ok()).start()
-        hive.work("w1", worker.port)
+        cluster, worker = (
+            Cluster(route("r", "/p/"), route("u", "/u/", unstamped=True)),
+            await StandIn(ok()).start(),
+        )
+        cluster.work("w1", worker.port)
         asked = (
             ({"path": "/q/"}, 404),
             ({"key": None}, 401),
@@ -153,11 +156,13 @@
             ({"path": "/u/", "key": None}, 200),
         )
         for more, status in asked:
-            assert (await (await hive.ask(**more)).answer())[0] == status
+            assert (await (await cluster.ask(**more)).answer())[0] == status
         assert len(worker.heads) == 1 and b"Sender" not in worker.heads[0]
-        hive.fresh = time.monotonic_ns() - 10 * SECOND  # a newer configuration may have what this one has not
+        cluster.fresh = (
+            time.monotonic_ns() - 10 * SECOND
+        )  # a newer configuration may have what this one has not
         for more in ({"path": "/q/"}, {"key": "k9"}):
-            status, fields, _ = await (await hive.ask(**more)).answer()
+            status, fields, _ = await (await cluster.ask(**more)).answer()
             assert status == 503 and float(fields["retry-after"]) > 0
 
     going(test)
@@ -168,29 +173,29 @@
 )
 def test_homes_of_route_and_tenant_both_bind(homes, sender, to):
     async def test():
-        hive = Hive(
+        cluster = Cluster(
             route("r", "/p/", home_regions=homes),
             senders={"ann": {"name": "ann", "stamps": ["k1"], "home_regions": sender}},
         )
         worker = await StandIn(ok()).start()
-        hive.work("w1", worker.port, zone="a")
-        hive.work("w2", worker.port, zone="b")
-        status, _, _ = await (await hive.ask(Deadline_Ms="300")).answer()
+        cluster.work("w1", worker.port, zone="a")
+        cluster.work("w2", worker.port, zone="b")
+        status, _, _ = await (await cluster.ask(Deadline_Ms="300")).answer()
         heads = b"".join(worker.heads)
         assert (status, heads.count(b"Expect-Worker")) == ((200, 1) if to else (503, 0))
         assert to is None or b"Expect-Worker: " + to in heads
         # Homes without a region in common: refused at once, and no wait for a worker that can't be.
-        assert to or not hive.plane.gatekeeper.gateway.quotas.accounts
+        assert to or not cluster.plane.gatekeeper.gateway.quotas.accounts
 
     going(test)
 
 
 def test_a_long_body_that_is_turned_away_is_not_read_as_the_next_request():
     async def test():
-        hive, worker = Hive(route("r", "/p/")), await StandIn(ok()).start()
-        hive.work("w1", worker.port)
+        cluster, worker = Cluster(route("r", "/p/")), await StandIn(ok()).start()
+        cluster.work("w1", worker.port)
         inner = b"GET /p/in HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: i2\r\nAuthorization: Token k1\r\n\r\n"
-        client = await hive.ask(key="k9", method="POST", Content_Length="300000")
+        client = await cluster.ask(key="k9", method="POST", Content_Length="300000")
         client.writer.write(b"x" * 70_000)
         assert (await client.answer())[0] == 401
         client.writer.write(inner)
@@ -203,13 +208,13 @@
     """On the same connection it comes in the place of the next; that one's client must not get it."""
 
     async def test():
-        hive = Hive(route("r", "/p/", route_kind="unsafe"))
+        cluster = Cluster(route("r", "/p/", route_kind="unsafe"))
         worker = await StandIn(
             ok(b"first", b"i1"), ok(b"first", b"i1") + ok(b"second", b"i2"), ok(b"3", b"i3")
         ).start()
-        hive.work("w1", worker.port)
+        cluster.work("w1", worker.port)
         for id, body in ((b"i1", b"first"), (b"i2", b"second"), (b"i3", b"3")):
-            client = await hive.ask(Attempt_Id=id.decode())
+            client = await cluster.ask(Attempt_Id=id.decode())
             assert (await client.answer())[::2] == (200, body)
         assert worker.connections == 2  # one on which more came than was asked for is not used again
 
@@ -230,15 +235,15 @@
 )
 def test_what_may_have_run_is_not_sent_again_nor_promised(bad):
     async def test():
-        hive, worker, other = (
-            Hive(route("r", "/p/", route_kind="unsafe")),
+        cluster, worker, other = (
+            Cluster(route("r", "/p/", route_kind="unsafe")),
             await StandIn(bad).start(),
             StandIn(ok()),
         )
         await other.start()
-        hive.work("w1", worker.port, zone="a")
-        hive.work("w2", other.port, zone="b")
-        assert (await (await hive.ask()).answer())[0] == 502
+        cluster.work("w1", worker.port, zone="a")
+        cluster.work("w2", other.port, zone="b")
+        assert (await (await cluster.ask()).answer())[0] == 502
         assert len(worker.heads) == 1 and not other.heads
 
     going(test)
@@ -247,13 +252,13 @@
 @pytest.mark.parametrize("no", [answer(421, b"", b"Worker-Id: w9"), answer(503, b"", b"Not-Run: 1")])
 def test_what_a_worker_has_not_run_goes_to_another(no):
     async def test():
-        hive, worker, other = Hive(route("r", "/p/", route_kind="unsafe")), StandIn(no), StandIn(ok())
-        hive.plane.gatekeeper.gateway.further.level = 1.0  # what is saved up for it
+        cluster, worker, other = Cluster(route("r", "/p/", route_kind="unsafe")), StandIn(no), StandIn(ok())
+        cluster.plane.gatekeeper.gateway.further.level = 1.0  # what is saved up for it
         await worker.start()
         await other.start()
-        hive.work("w1", worker.port, zone="a")
-        hive.work("w2", other.port, zone="b")
-        assert (await (await hive.ask()).answer())[0] == 200
+        cluster.work("w1", worker.port, zone="a")
+        cluster.work("w2", other.port, zone="b")
+        assert (await (await cluster.ask()).answer())[0] == 200
         assert len(worker.heads) == len(other.heads) == 1
 
     going(test)
@@ -261,28 +266,31 @@
 
 def test_a_workers_own_failure_reaches_the_client():
     async def test():
-        hive, worker = (
-            Hive(route("r", "/p/", tries=1)),
+        cluster, worker = (
+            Cluster(route("r", "/p/", tries=1)),
             await StandIn(answer(500, b"why", b"Attempt-Id: i1")).start(),
         )
-        hive.work("w1", worker.port)
-        assert (await (await hive.ask()).answer())[::2] == (500, b"why")
+        cluster.work("w1", worker.port)
+        assert (await (await cluster.ask()).answer())[::2] == (500, b"why")
 
     going(test)
 
 
 def test_a_stop_in_the_middle_of_a_chunked_body_ends_no_request():
     async def test():
-        hive, worker = Hive(route("r", "/p/", route_kind="unsafe")), await StandIn(wait_then(ok())).start()
-        hive.work("w1", worker.port)
-        client = await hive.ask(method="POST", body=b"5\r\nhello\r\n", Transfer_Encoding="chunked")
-        idle = await Client.to(hive.plane.listener.address[1])
-        while not any(one.partial() for one in hive.plane.listener.clients):
+        cluster, worker = (
+            Cluster(route("r", "/p/", route_kind="unsafe")),
+            await StandIn(wait_then(ok())).start(),
+        )
+        cluster.work("w1", worker.port)
+        client = await cluster.ask(method="POST", body=b"5\r\nhello\r\n", Transfer_Encoding="chunked")
+        idle = await Client.to(cluster.plane.listener.address[1])
+        while not any(one.partial() for one in cluster.plane.listener.clients):
             await asyncio.sleep(0)
-        ending = asyncio.ensure_future(drain(hive.plane.listener, 2.0, hive.plane.out_of_time))
-        while hive.plane.listener.socket is not None:
+        ending = asyncio.ensure_future(drain(cluster.plane.listener, 2.0, cluster.plane.out_of_time))
+        while cluster.plane.listener.socket is not None:
             await asyncio.sleep(0)
-        assert not hive.plane.ready()
+        assert not cluster.plane.ready()
         client.writer.write(b"0\r\n\r\n")
         await worker.arrived.get()
         worker.go.set()
@@ -302,10 +310,12 @@
 
 def test_with_old_news_no_key_counts_and_without_a_key_it_goes_on():
     async def test():
-        hive = Hive(route("r", "/p/"), route("u", "/u/", unstamped=True))
-        gate, keyed = hive.plane.gate, lot(hive.plane.table)
-        open_one = Lot(hive.plane.table, hive.plane.table.ways["u"], b"h.example", b"/u/", None, None, 0)
-        hive.fresh = 100 * SECOND
+        cluster = Cluster(route("r", "/p/"), route("u", "/u/", unstamped=True))
+        gate, keyed = cluster.plane.gate, lot(cluster.plane.table)
+        open_one = Lot(
+            cluster.plane.table, cluster.plane.table.ways["u"], b"h.example", b"/u/", None, None, 0
+        )
+        cluster.fresh = 100 * SECOND
         assert gate.open(keyed, 104 * SECOND) == 0 and gate.open(open_one, 200 * SECOND) == 0
         assert gate.open(keyed, 105 * SECOND) > 0
 
@@ -316,24 +326,24 @@
     """Key, service and zone are asked again at the moment of sending."""
 
     async def test():
-        hive = Hive(route("r", "/p/"))
-        hive.work("w1", 1, zone="a")
-        gate, number = hive.plane.gate, hive.plane.crew.ids["w1"]
-        waits = lot(hive.plane.table)
+        cluster = Cluster(route("r", "/p/"))
+        cluster.work("w1", 1, zone="a")
+        gate, number = cluster.plane.gate, cluster.plane.crew.ids["w1"]
+        waits = lot(cluster.plane.table)
         now = time.monotonic_ns()
         assert gate.open(waits, now) == 0 and gate.may(waits, number, now) and gate.still(waits, number, now)
-        hive.agree(route("r", "/p/"), evacuated=["a"])
+        cluster.agree(route("r", "/p/"), evacuated=["a"])
         assert (
             gate.open(waits, now) == 0
             and not gate.may(waits, number, now)
             and not gate.still(waits, number, now)
         )
-        hive.agree(route("r", "/p/", home_regions=["r2"]))
+        cluster.agree(route("r", "/p/", home_regions=["r2"]))
         assert gate.open(waits, now) == 0 and not gate.may(waits, number, now)
-        hive.agree(route("r", "/p/"), senders={"ann": {"name": "ann", "stamps": ["k2"]}})
+        cluster.agree(route("r", "/p/"), senders={"ann": {"name": "ann", "stamps": ["k2"]}})
         assert gate.open(waits, now) > 0
-        waits = lot(hive.plane.table, b"k2")
-        hive.agree(route("r", "/p/", line="two"), senders={"ann": {"name": "ann", "stamps": ["k2"]}})
+        waits = lot(cluster.plane.table, b"k2")
+        cluster.agree(route("r", "/p/", line="two"), senders={"ann": {"name": "ann", "stamps": ["k2"]}})
         assert gate.open(waits, now) > 0
 
     going(test)
@@ -348,52 +358,52 @@
 
     async def test():
         way = route("r", "/p/", route_kind="unsafe")
-        hive = Hive(way, senders=owners(ann=["k1", "k2"], bob=["k3"]))
-        held = await hive.ask()  # there is no worker yet
-        stays = await hive.ask(key="k2", Attempt_Id="i2")
-        while len(hive.plane.gatekeeper.exchanges) < 2:
+        cluster = Cluster(way, senders=owners(ann=["k1", "k2"], bob=["k3"]))
+        held = await cluster.ask()  # there is no worker yet
+        stays = await cluster.ask(key="k2", Attempt_Id="i2")
+        while len(cluster.plane.gatekeeper.exchanges) < 2:
             await asyncio.sleep(0)
-        hive.agree(way, senders=owners(ann=["k2"], bob=["k1", "k3"]))
+        cluster.agree(way, senders=owners(ann=["k2"], bob=["k1", "k3"]))
         worker = await StandIn(*(ok(b"fine", b"i%d" % number) for number in (2, 3, 4, 5))).start()
-        hive.work("w1", worker.port)
+        cluster.work("w1", worker.port)
 
         async def ask(key: str, number: int) -> Any:
-            return await (await hive.ask(key=key, Attempt_Id=f"i{number}")).answer()
+            return await (await cluster.ask(key=key, Attempt_Id=f"i{number}")).answer()
 
         status, fields, _ = await held.answer()
         assert status == 503 and float(fields["retry-after"]) > 0
         assert (await stays.answer())[0] == (await ask("k1", 3))[0] == 200
         assert [b"Sender: ann\r\n" in head for head in worker.heads] == [True, False]
         assert b"Sender: bob\r\n" in worker.heads[1]
-        hive.agree(way, senders=owners("bob", ann=["k2"], bob=["k1", "k3"]))
+        cluster.agree(way, senders=owners("bob", ann=["k2"], bob=["k1", "k3"]))
         assert (await ask("k1", 9))[0] == 429 and (await ask("k2", 4))[0] == 200
-        hive.agree(way, senders=owners("bob", ann=["k1"], bob=["k2", "k3"]))
+        cluster.agree(way, senders=owners("bob", ann=["k1"], bob=["k2", "k3"]))
         assert (await ask("k2", 9))[0] == 429 and (await ask("k1", 5))[0] == 200
         assert b"Sender: ann\r\n" in worker.heads[-1] and len(worker.heads) == 4
         # Moved and then removed: what was read while it was one tenant's stands under no other.
-        waits = lot(hive.plane.table)
-        hive.agree(way, senders=owners(ann=["k2"], bob=["k1", "k3"]))
-        moved, now = lot(hive.plane.table), time.monotonic_ns()
-        assert hive.plane.gate.open(waits, now) > 0 and hive.plane.gate.open(moved, now) == 0
-        hive.agree(way, senders=owners(ann=["k2"], bob=["k3"]))
-        assert hive.plane.gate.open(waits, now) > 0 and hive.plane.gate.open(moved, now) > 0
+        waits = lot(cluster.plane.table)
+        cluster.agree(way, senders=owners(ann=["k2"], bob=["k1", "k3"]))
+        moved, now = lot(cluster.plane.table), time.monotonic_ns()
+        assert cluster.plane.gate.open(waits, now) > 0 and cluster.plane.gate.open(moved, now) == 0
+        cluster.agree(way, senders=owners(ann=["k2"], bob=["k3"]))
+        assert cluster.plane.gate.open(waits, now) > 0 and cluster.plane.gate.open(moved, now) > 0
         assert (await ask("k1", 9))[0] == 401
 
     going(test)
 
 
-def guards(count: int) -> list[Guard]:
+def gateways(count: int) -> list[GatewayRecord]:
     zones = list(ZONES)
     return [
-        Guard(f"g{n}", zones[n % 2], ZONES[zones[n % 2]], "c", f"{HOST}:{n + 1}", 1, 0, READY)
+        GatewayRecord(f"g{n}", zones[n % 2], ZONES[zones[n % 2]], "c", f"{HOST}:{n + 1}", 1, 0, READY)
         for n in range(count)
     ]
 
 
 def test_cold_shares_keep_their_bound_over_many_guards_that_see_different_ones():
-    """Half of eleven guards know the others as they were; all send to one cold worker whenever they may."""
-    everybody = guards(11)
-    shares = [ColdShares(guard.station, ZONES, 1.5, 5) for guard in everybody]
+    """Half of eleven gateways know the others as they were; all send to one cold worker whenever they may."""
+    everybody = gateways(11)
+    shares = [ColdShares(gateway.station, ZONES, 1.5, 5) for gateway in everybody]
     for number, one in enumerate(shares):
         one.take(everybody if number % 2 else everybody[6:] + everybody[number : number + 1])
     sent: list[int] = []
@@ -411,29 +421,29 @@
 
 def test_a_zone_taken_back_and_a_worker_unsure_count_as_cold():
     async def test():
-        hive = Hive(route("r", "/p/"))
-        hive.work("w1", 1, zone="a")
-        hive.work("w2", 1, zone="b", unsure=True)
-        crew, now = hive.plane.crew, time.monotonic_ns()
+        cluster = Cluster(route("r", "/p/"))
+        cluster.work("w1", 1, zone="a")
+        cluster.work("w2", 1, zone="b", unsure=True)
+        crew, now = cluster.plane.crew, time.monotonic_ns()
         one, two = (crew.mates[crew.ids[name]] for name in ("w1", "w2"))
         assert not crew.cold(one, now) and crew.cold(two, now)
-        hive.agree(route("r", "/p/"), evacuated=["a"])
+        cluster.agree(route("r", "/p/"), evacuated=["a"])
         assert crew.address(one.number) is None
-        hive.agree(route("r", "/p/"))
+        cluster.agree(route("r", "/p/"))
         now = time.monotonic_ns()
         assert crew.address(one.number) and crew.cold(one, now) and not crew.cold(one, now + 10 * SECOND)
         # Its share of a cold worker is nobody's until it is known who is there.
-        assert not hive.plane.gate.may(lot(hive.plane.table), two.number, now + 60 * SECOND)
-        hive.cells = now - 10 * SECOND  # nothing has been heard: any may have turned cold
-        assert not hive.plane.gate.may(lot(hive.plane.table), one.number, now + 60 * SECOND)
+        assert not cluster.plane.gate.may(lot(cluster.plane.table), two.number, now + 60 * SECOND)
+        cluster.cells = now - 10 * SECOND  # nothing has been heard: any may have turned cold
+        assert not cluster.plane.gate.may(lot(cluster.plane.table), one.number, now + 60 * SECOND)
 
     going(test)
 
 
 def test_each_life_of_a_peer_has_its_own_number():
-    peers, (first, *_) = Peers("me"), guards(1)
+    peers, (first, *_) = Peers("me"), gateways(1)
     assert peers.take([first]) and peers.members == (1,)
-    later = Guard(*(first.wire()[:5]), 2, 0, READY)
+    later = GatewayRecord(*(first.wire()[:5]), 2, 0, READY)
     assert peers.take([later]) and peers.members == (2,)
     assert not peers.take([first]) and peers.members == (2,)
 
@@ -479,7 +489,7 @@
 
 
 def test_the_program_checks_its_settings(tmp_path, capsys):
-    me = {"station": "g1", "role": "guard", "ip": HOST, "zone": "a", "region": "r1"}
+    me = {"station": "g1", "role": "gateway", "ip": HOST, "zone": "a", "region": "r1"}
     network = {"sidings": [7600, 7615], "first_contacts": [], "postboxes": {"counter": f"{HOST}:1"}}
     path = tmp_path / "node.yaml"
     for text, code in (
@@ -493,15 +503,15 @@
 
 def test_an_idle_connection_is_used_no_longer_than_its_worker_says():
     async def test():
-        hive, worker = (
-            Hive(route("r", "/p/")),
+        cluster, worker = (
+            Cluster(route("r", "/p/")),
             await StandIn(ok(b"x", b"i1", b"Keep-Alive: timeout=3")).start(),
         )
-        hive.work("w1", worker.port)
-        assert (await (await hive.ask()).answer())[0] == 200
-        (kept,) = hive.plane.servers.connections
+        cluster.work("w1", worker.port)
+        assert (await (await cluster.ask()).answer())[0] == 200
+        (kept,) = cluster.plane.servers.connections
         now = time.monotonic_ns()
-        assert hive.plane.servers._fit(kept, now + 2 * SECOND) and not hive.plane.servers._fit(
+        assert cluster.plane.servers._fit(kept, now + 2 * SECOND) and not cluster.plane.servers._fit(
             kept, now + 3 * SECOND
         )
 
@@ -510,22 +520,22 @@
 
 def test_where_gatekeepers_are_listed_as_keepers_a_tenant_has_its_unit_from_one_of_them():
     async def test():
-        hive, worker = Hive(route("r", "/p/")), await StandIn(ok()).start()
-        hive.work("w1", worker.port)
+        cluster, worker = Cluster(route("r", "/p/")), await StandIn(ok()).start()
+        cluster.work("w1", worker.port)
         senders = {name: {"name": name, "stamps": [key]} for name, key in (("ann", "k1"), ("bob", "k3"))}
         senders["ann"] |= {"rate_per_s": 100.0, "surge": 50.0}
         lists = {"term": 3, "places": {"r1": ["g1"], "r2": ["g2"]}, "settled": True}
-        hive.agree(route("r", "/p/"), senders=senders, keepers=lists)
-        status, fields, _ = await (await hive.ask()).answer()
+        cluster.agree(route("r", "/p/"), senders=senders, keepers=lists)
+        status, fields, _ = await (await cluster.ask()).answer()
         assert status == 429 and 0 < float(fields["retry-after"]) <= 2  # its part has not begun, g2 is away
-        assert (await (await hive.ask(key="k3")).answer())[0] == 200  # no quota, nobody is asked
-        pots, quotas = hive.plane.pots, hive.plane.gatekeeper.gateway.quotas
+        assert (await (await cluster.ask(key="k3")).answer())[0] == 200  # no quota, nobody is asked
+        quota_keepers, quotas = cluster.plane.quota_keepers, cluster.plane.gatekeeper.gateway.quotas
         (account,) = [one for one in quotas.accounts.values() if one.plan.rate]
-        begins = pots.begins(account.customer)
+        begins = quota_keepers.begins(account.customer)
         assert begins is not None and 0 < begins - time.monotonic_ns() <= SECOND
         account.ceiling.at = begins - 2 * SECOND  # as if its time had come
-        account.closed_until, pots.empty = 0, {}
-        assert (await (await hive.ask()).answer())[0] == 200
+        account.closed_until, quota_keepers.empty = 0, {}
+        assert (await (await cluster.ask()).answer())[0] == 200
         assert account.ceiling.depth == pytest.approx((50 * 1.1) / 2) and account.keepers == [0, -1]
 
     going(test)
--- a/tests/test_waggle.py
+++ b/tests/test_distribution.py
@@ -9,20 +9,20 @@
 
 import pytest
 
-from pepperrun.comb import changes
-from pepperrun.comb.records import Guard, Worker
+from pepperrun.control import changes
+from pepperrun.control.records import GatewayRecord, Worker
 from pepperrun.foundation.link import Link
 from pepperrun.foundation.netstring import MOST, Decoder, encode
-from pepperrun.swarm.narrow import ZONES as NARROW
-from pepperrun.swarm.narrow import Narrow, told
-from pepperrun.swarm.waggle_days import CORES, ZONES, Day
-from pepperrun.swarm.waggles import MS, World
-from pepperrun.waggle import repair
-from pepperrun.waggle.book import NewsBook
-from pepperrun.waggle.digests import Sums
-from pepperrun.waggle.follower import Follower
-from pepperrun.waggle.publisher import Publisher, seal
-from pepperrun.waggle.tree import FAN_OUT, key
+from pepperrun.simulation.narrow_links import ZONES as NARROW
+from pepperrun.simulation.narrow_links import Narrow, told
+from pepperrun.simulation.distribution_days import CORES, ZONES, Day
+from pepperrun.simulation.distribution_world import MS, World
+from pepperrun.distribution import repair
+from pepperrun.distribution.book import NewsBook
+from pepperrun.distribution.digests import Sums
+from pepperrun.distribution.follower import Follower
+from pepperrun.distribution.publisher import Publisher, seal
+from pepperrun.distribution.tree import FAN_OUT, key
 
 
 def fleet(seed, counts, zones=ZONES, cores=CORES, start_ms=3000):
@@ -73,7 +73,7 @@
     assert max(pushed.values()) <= FAN_OUT
     world.sent.clear()
     for each in range(20):
-        world.worker(f"w{each}", "b2", at=world.skeps[0])
+        world.worker(f"w{each}", "b2", at=world.control_nodes[0])
     world.run(1000)
     assert all(len(gate.book.workers) == 20 for gate in world.gates)
     assert world.sent["cells"] < 1.3 * len(world.gates)  # records that change together go together
@@ -94,7 +94,7 @@
     assert not world.lags(number)
     assert all("w1" in gate.book.workers for gate in world.gates if gate.alive)
     lost = [replace(one.follower.row(), state="lost") for one in world.gates if not one.alive]
-    world.skeps[0].book.take_cells([], lost)  # what the core concludes from their silence
+    world.control_nodes[0].book.take_cells([], lost)  # what the core concludes from their silence
     world.run(6000)
     whole = [gate for gate in world.gates if gate.alive and gate.follower.root]
     assert len(whole) == 1  # and a tree has formed again
@@ -105,7 +105,7 @@
     world = fleet(4, {"a1": 12})
     old = next(gate for gate in world.gates if children(world, gate) and not gate.follower.root)
     kids = children(world, old)
-    world.cut_off(old, [*world.skeps, *(one for one in world.gates if one not in kids)])
+    world.cut_off(old, [*world.control_nodes, *(one for one in world.gates if one not in kids)])
     world.worker("w1", "a1", 5)
     numbers = [world.change() for _ in range(3)]
     world.run(1500)
@@ -124,8 +124,8 @@
 
 def test_gatekeepers_leave_a_core_machine_that_is_cut_off_and_move_back_to_the_nearer_one():
     world = fleet(5, {"a1": 3, "b2": 3})
-    lone = world.skeps[0]
-    world.cut_off(lone, world.skeps)
+    lone = world.control_nodes[0]
+    world.cut_off(lone, world.control_nodes)
     followed = [gate for gate in world.gates if gate.follower.core.address[0] == lone.ip]
     assert len(followed) == 3
     for _ in range(8):
@@ -144,7 +144,7 @@
 def test_who_reaches_no_core_machine_learns_from_its_parent_how_fresh_it_is():
     world = fleet(6, {"a1": 6})
     gate = next(one for one in world.gates if not one.follower.root)
-    world.cut_off(gate, world.skeps)
+    world.cut_off(gate, world.control_nodes)
     world.run(3000)
     number = world.change()
     world.worker("w1", "a1")
@@ -161,7 +161,7 @@
 
 def test_another_core_machine_is_tried_before_the_present_one_is_given_up():
     world = World(10, ZONES, CORES)
-    world.stop(world.skeps[0])  # a first contact of all is down at the start
+    world.stop(world.control_nodes[0])  # a first contact of all is down at the start
     for index in range(12):
         world.gate(index, "a1")
     world.change()
@@ -181,15 +181,15 @@
 def test_who_has_just_started_asks_often_until_the_core_knows_that_it_is_the_newest(phase):
     world = World(12, ZONES, CORES)
     world.change()
-    for skep in world.skeps:  # those of the core have not met
-        world.cut_off(skep, [one for one in world.skeps if one is not skep])
-        skep.known_at = None
+    for control_node in world.control_nodes:  # those of the core have not met
+        world.cut_off(control_node, [one for one in world.control_nodes if one is not control_node])
+        control_node.known_at = None
     for index in range(6):
         world.gate(index, "a1")
     world.run(2700 + phase)
     assert not any(gate.book.fresh_at for gate in world.gates)
     world.cuts.clear()
-    while not all(skep.known_at for skep in world.skeps):
+    while not all(control_node.known_at for control_node in world.control_nodes):
         world.run(1)
     world.run(160)  # a quarter of a tick, and there and back
     assert all(gate.book.fresh_at for gate in world.gates)
@@ -229,14 +229,14 @@
 
 def test_what_is_under_way_is_not_sent_again():
     world = fleet(9, {"a1": 1})
-    (gate,), skep = world.gates, world.skeps[0]
+    (gate,), control_node = world.gates, world.control_nodes[0]
     number = world.change()
-    port = next(one for one in skep.publisher.peers if one.other is gate)
+    port = next(one for one in control_node.publisher.peers if one.other is gate)
     world.sent.clear()
     for ms in (1, 300, 600):  # it has not been read yet
-        skep.publisher.heard(port, {"k": "want", "n": number - 1}, skep.clock() + ms * MS)
+        control_node.publisher.heard(port, {"k": "want", "n": number - 1}, control_node.clock() + ms * MS)
     assert not world.sent["agreed"] + world.sent["change"]
-    skep.publisher.heard(port, {"k": "want", "n": number - 1, "whole": True}, skep.clock())
+    control_node.publisher.heard(port, {"k": "want", "n": number - 1, "whole": True}, control_node.clock())
     assert world.sent["agreed"] == 1
 
 
@@ -247,8 +247,8 @@
     one.take_cells(workers, []), other.take_cells(workers[:-1], [])
     for book, picked in ((one, workers[:3]), (other, workers[5:8])):
         book.take_cells([replace(worker, serial=2, state="unloading") for worker in picked], [])
-    guard = Guard("front-1", "x", "r", "10.1.0.1:80", "10.1.0.1:7600", 1)
-    other.take_cells([], [guard])
+    gateway = GatewayRecord("front-1", "x", "r", "10.1.0.1:80", "10.1.0.1:7600", 1)
+    other.take_cells([], [gateway])
     gone = Worker("w9999", "line", "10.0.0.1:80", "x", "v", 2, 1, "gone")
     one.take_cells([gone], [])
     assert one.sums.whole() != other.sums.whole()
@@ -259,7 +259,7 @@
         answers = repair.heard(to, lambda w, g, now, to=to: to.take_cells(w, g), message, 1)
         ways += [(back, to, answer) for answer in answers]
     assert one.sums.whole() == other.sums.whole() and rows < 400
-    assert one.workers["w5"].state == other.workers["w0"].state == "unloading" and "front-1" in one.guards
+    assert one.workers["w5"].state == other.workers["w0"].state == "unloading" and "front-1" in one.gateways
     assert "w9999" not in other.workers or other.workers["w9999"].state == "gone"
 
 
@@ -281,7 +281,7 @@
     """Asked for again and again, as who holds no state could not take it, it filled the links."""
     written = []
     port = SimpleNamespace(name="s", write=written.append, close=lambda: None)
-    row = Guard("g", "z", "r", "1.1.1.1:1", "1.1.1.1:7600", 1)
+    row = GatewayRecord("g", "z", "r", "1.1.1.1:1", "1.1.1.1:7600", 1)
     core = ("1.1.1.2", 7600)
     own = ("g", "z", ("1.1.1.1", 7600))
     follower = Follower(own, {"z": "r"}, [core], lambda: row, changes.apply, 0)
@@ -373,7 +373,7 @@
     world.change()
     world.run(4000)
     lone = next(gate for gate in world.gates if gate.follower.parent and not children(world, gate))
-    world.cut_off(lone, world.skeps)
+    world.cut_off(lone, world.control_nodes)
     world.run(3000)
     relay = next(gate for gate in world.gates if gate.station == lone.follower.parent.station)
     world.sizes.clear()
@@ -384,4 +384,4 @@
     world.check()
     world.sizes.clear()
     assert len(told(world, 1, 3)) == 27  # a short one goes down the tree
-    assert sum(world.sizes[skep.station] for skep in world.skeps) < 10_000
+    assert sum(world.sizes[control_node.station] for control_node in world.control_nodes) < 10_000
--- a/tests/test_nurse.py
+++ b/tests/test_ejection.py
@@ -8,15 +8,15 @@
 from dataclasses import replace
 
 import pytest
-import test_forager
+import test_dataplane
 from standins import HOST, SECOND, StandIn, answer, going, reset
-from test_forager import Hive, route
+from test_dataplane import Cluster, route
 
-from pepperrun.comb.records import READY, Guard
+from pepperrun.control.records import READY, GatewayRecord
 from pepperrun.core.interface import Outcome
-from pepperrun.forager.hum import HEAD
-from pepperrun.forager.nurse import BAD, ILL, OUT_NS, Count, Nurse
-from pepperrun.forager.rounds import MARK, ToldWear, pack, unpack
+from pepperrun.dataplane.peer_messages import HEAD
+from pepperrun.dataplane.ejection import BAD, ILL, OUT_NS, Count, OutlierEjection
+from pepperrun.dataplane.outcomes import MARK, ToldWear, pack, unpack
 
 MS = 1_000_000
 
@@ -27,18 +27,18 @@
     `fails(worker, now)`: does it fail the request that comes now? `tells`: how many of them share.
     """
 
-    def __init__(self, guards: int, workers: int, seed: int, tells: bool = True) -> None:
+    def __init__(self, gateways: int, workers: int, seed: int, tells: bool = True) -> None:
         self.rng, self.tells, self.now = random.Random(seed), tells, 0
         self.workers = range(1, workers + 1)
         self.out_at: list[tuple[int, int]] = []
-        self.nurses = [
-            Nurse(
+        self.ejections = [
+            OutlierEjection(
                 lambda one: self.workers, self.rng.random, lambda one, _: self.out_at.append((self.now, one))
             )
-            for _ in range(guards)
+            for _ in range(gateways)
         ]
-        for nurse in self.nurses:
-            nurse.sharers = guards
+        for ejection in self.ejections:
+            ejection.sharers = gateways
         self.sent = [0] * (workers + 1)
         self.failed = self.stuck = 0
 
@@ -47,26 +47,26 @@
         step, rate = 10 * MS, each / 100
         while self.now < until:
             self.now += step
-            for source, nurse in enumerate(self.nurses, 1):
+            for source, ejection in enumerate(self.ejections, 1):
                 if self.rng.random() < rate:
-                    self._send(nurse, fails)
-                if self.tells and not self.now % (50 * MS) and nurse.tally:
-                    counts = nurse.take_out()
-                    for other in self.nurses:
-                        if other is not nurse:
+                    self._send(ejection, fails)
+                if self.tells and not self.now % (50 * MS) and ejection.tally:
+                    counts = ejection.take_out()
+                    for other in self.ejections:
+                        if other is not ejection:
                             other.told(source, counts, self.now)
 
-    def _send(self, nurse: Nurse, fails: Callable[[int, int], bool]) -> None:
-        some = [one for one in self.workers if nurse.may(one, self.now)]
+    def _send(self, ejection: OutlierEjection, fails: Callable[[int, int], bool]) -> None:
+        some = [one for one in self.workers if ejection.may(one, self.now)]
         if not some:
             self.stuck += 1
             return
         worker = self.rng.choice(some)
-        nurse.sent(worker, self.now)
+        ejection.sent(worker, self.now)
         self.sent[worker] += 1
         bad = fails(worker, self.now)
         self.failed += bad
-        nurse.saw(worker, not bad, self.now)
+        ejection.saw(worker, not bad, self.now)
 
 
 def played(share: float, seed: int, tells: bool) -> Zone:
@@ -105,33 +105,33 @@
 
 
 def test_of_a_service_at_most_a_third_is_out_and_nobody_where_most_look_ill():
-    def out(nurse: Nurse, now: int) -> int:
-        return sum(nurse.out(one, now) for one in range(1, 10))
+    def out(ejection: OutlierEjection, now: int) -> int:
+        return sum(ejection.out(one, now) for one in range(1, 10))
 
-    nurse = Nurse(lambda one: range(1, 10), lambda: 0.5)
+    ejection = OutlierEjection(lambda one: range(1, 10), lambda: 0.5)
     for one in range(1, 6):
         for turn in range(3):
-            nurse.saw(one, False, one * MS + turn)
-        assert out(nurse, 6 * MS) == (min(one, 3) if one < 5 else 0)
-    assert all(nurse.may(one, 6 * MS) for one in range(1, 10))
+            ejection.saw(one, False, one * MS + turn)
+        assert out(ejection, 6 * MS) == (min(one, 3) if one < 5 else 0)
+    assert all(ejection.may(one, 6 * MS) for one in range(1, 10))
 
 
 def test_one_other_gatekeepers_word_puts_nobody_out_and_a_trial_is_one_request():
-    nurse = Nurse(lambda one: range(1, 10), lambda: 0.0)
-    nurse.sharers = 4
-    nurse.told(7, [Count(1, 0, 9)], 1)
-    assert nurse.may(1, 2)
-    nurse.told(8, [Count(1, 0, 1)], 2)
-    assert not nurse.may(1, 3)
+    ejection = OutlierEjection(lambda one: range(1, 10), lambda: 0.0)
+    ejection.sharers = 4
+    ejection.told(7, [Count(1, 0, 9)], 1)
+    assert ejection.may(1, 2)
+    ejection.told(8, [Count(1, 0, 1)], 2)
+    assert not ejection.may(1, 3)
     back = 2 + OUT_NS
-    assert nurse.may(1, back) and not nurse.may(1, back, safe=False)
-    nurse.sent(1, back)
-    assert not nurse.may(1, back + 1) and nurse.may(1, back + 2 * SECOND)
-    nurse.saw(1, False, back + 1)  # one failure on trial is enough, for twice as long
-    assert nurse.out(1, back + 1 + 2 * OUT_NS - 1)
+    assert ejection.may(1, back) and not ejection.may(1, back, safe=False)
+    ejection.sent(1, back)
+    assert not ejection.may(1, back + 1) and ejection.may(1, back + 2 * SECOND)
+    ejection.saw(1, False, back + 1)  # one failure on trial is enough, for twice as long
+    assert ejection.out(1, back + 1 + 2 * OUT_NS - 1)
     for _ in range(int((ILL - BAD) / 2)):
-        nurse.told(8, [Count(1, 1, 0)], back + 2 * OUT_NS + 2)
-    assert nurse.may(1, back + 2 * OUT_NS + 3, safe=False) and not nurse.charts
+        ejection.told(8, [Count(1, 1, 0)], back + 2 * OUT_NS + 2)
+    assert ejection.may(1, back + 2 * OUT_NS + 3, safe=False) and not ejection.charts
 
 
 def test_a_later_versions_datagram_is_read_and_a_cut_one_is_none():
@@ -157,15 +157,15 @@
 def test_what_is_full_is_not_ill_and_what_fails_is():
     async def test():
         full, failing = StandIn(answer(503, b"", b"Not-Run: 1")), StandIn(reset)
-        hive = Hive(route("r", "/p/"))
+        cluster = Cluster(route("r", "/p/"))
         for name, worker in (("full", full), ("ill", failing)):
             await worker.start()
-            hive.work(name, worker.port)
+            cluster.work(name, worker.port)
         for _ in range(4):
-            hive.plane.gatekeeper.gateway.further.level = 1.0
-            assert (await (await hive.ask()).answer())[0] in (502, 503)
+            cluster.plane.gatekeeper.gateway.further.level = 1.0
+            assert (await (await cluster.ask()).answer())[0] in (502, 503)
         assert full.heads and failing.heads
-        charts, ids = hive.plane.rounds.nurse.charts, hive.plane.crew.ids
+        charts, ids = cluster.plane.rounds.ejection.charts, cluster.plane.crew.ids
         assert ids["full"] not in charts and charts[ids["ill"]].score >= BAD
 
     going(test)
@@ -173,36 +173,40 @@
 
 def test_what_one_gatekeeper_meets_the_others_of_its_zone_hear_and_no_others(monkeypatch):
     async def test():
-        hives, guards = [], []
+        clusters, gateways = [], []
         for station, zone in (("g1", "a"), ("g2", "a"), ("g3", "b")):
-            told = test_forager.settings()
+            told = test_dataplane.settings()
             own = replace(told, me=replace(told.me, station=station, zone=zone))
-            monkeypatch.setattr(test_forager, "settings", lambda own=own: own)
-            hive = Hive(route("r", "/p/"))
+            monkeypatch.setattr(test_dataplane, "settings", lambda own=own: own)
+            cluster = Cluster(route("r", "/p/"))
             monkeypatch.undo()
-            loop, hum = asyncio.get_running_loop(), hive.plane.hum
-            transport, _ = await loop.create_datagram_endpoint(lambda hum=hum: hum, (HOST, 0))
-            siding = f"{HOST}:{transport.get_extra_info('sockname')[1]}"
-            guards.append(Guard(station, zone, "r1", f"{HOST}:1", siding, 1, state=READY))
-            hive.work("w1", 1)
-            hives.append(hive)
-        for hive in hives:
-            hive.plane.on_guards(guards)
-        one, two, three = (hive.plane.rounds for hive in hives)
-        assert one.nurse.sharers == 2 and len(one.mates) == 1 and not three.mates
+            loop, peer_messages = asyncio.get_running_loop(), cluster.plane.peer_messages
+            transport, _ = await loop.create_datagram_endpoint(
+                lambda peer_messages=peer_messages: peer_messages, (HOST, 0)
+            )
+            internal_port = f"{HOST}:{transport.get_extra_info('sockname')[1]}"
+            gateways.append(GatewayRecord(station, zone, "r1", f"{HOST}:1", internal_port, 1, state=READY))
+            cluster.work("w1", 1)
+            clusters.append(cluster)
+        for cluster in clusters:
+            cluster.plane.on_gateways(gateways)
+        one, two, three = (cluster.plane.rounds for cluster in clusters)
+        assert one.ejection.sharers == 2 and len(one.mates) == 1 and not three.mates
         heard = asyncio.Event()
-        two.hum.others[MARK] = lambda data, addr: (two.received(data, addr), heard.set())
-        worker = hives[0].plane.crew.ids["w1"]
+        two.peer_messages.others[MARK] = lambda data, addr: (two.received(data, addr), heard.set())
+        worker = clusters[0].plane.crew.ids["w1"]
         one._saw(worker, False, one.clock())
         one.wear.saw(400 * MS, True)
         one.tell()
         await heard.wait()
-        assert two.nurse.charts[worker].score == BAD and two.nurse.charts[worker].sources == {
-            hives[1].plane.peers.lives["g1"][1]
+        assert two.ejection.charts[worker].score == BAD and two.ejection.charts[worker].sources == {
+            clusters[1].plane.peers.lives["g1"][1]
         }
-        assert not two.wear.trusted(400 * MS, 0.03) and not three.nurse.charts and not two.nurse.tally
-        two.received(pack(one.hum.own, 99, [Count(worker, 0, 9)], []), (HOST, 1))  # of no life that is there
-        assert two.nurse.charts[worker].score == BAD
+        assert not two.wear.trusted(400 * MS, 0.03) and not three.ejection.charts and not two.ejection.tally
+        two.received(
+            pack(one.peer_messages.own, 99, [Count(worker, 0, 9)], []), (HOST, 1)
+        )  # of no life that is there
+        assert two.ejection.charts[worker].score == BAD
 
     going(test)
 
@@ -210,25 +214,25 @@
 def test_an_attempt_that_is_out_for_too_long_counts_before_its_end():
     async def test():
         worker = await StandIn(b"").start()  # takes the request and says nothing
-        hive = Hive(route("r", "/p/"))
-        hive.work("mute", worker.port)
-        rounds, number = hive.plane.rounds, hive.plane.crew.ids["mute"]
-        client = await hive.ask()
+        cluster = Cluster(route("r", "/p/"))
+        cluster.work("mute", worker.port)
+        rounds, number = cluster.plane.rounds, cluster.plane.crew.ids["mute"]
+        client = await cluster.ask()
         await worker.arrived.get()
-        (attempt,) = hive.plane.servers.attempts.values()
+        (attempt,) = cluster.plane.servers.attempts.values()
         for _ in range(8):
-            rounds.nurse.took(attempt.exchange.cls, 10 * MS)
+            rounds.ejection.took(attempt.exchange.cls, 10 * MS)
         begun = attempt.exchange.attempts[0]
         rounds.clock = lambda: begun + 29 * MS
         rounds.look()
-        assert not rounds.nurse.charts
+        assert not rounds.ejection.charts
         rounds.clock = lambda: begun + 31 * MS
         rounds.look()
         rounds.look()
-        assert rounds.nurse.charts[number].score == BAD
-        rounds.nurse.charts[number].until = begun + SECOND  # ill: what may run again does not wait for it
+        assert rounds.ejection.charts[number].score == BAD
+        rounds.ejection.charts[number].until = begun + SECOND  # ill: what may run again does not wait for it
         rounds.look()
-        assert hive.plane.gatekeeper.outcomes[Outcome.CANCELLED] == 1 and not rounds.late
+        assert cluster.plane.gatekeeper.outcomes[Outcome.CANCELLED] == 1 and not rounds.late
         assert (await client.answer())[0] in (502, 503)
 
     going(test)
--- a/tests/test_scouts.py
+++ b/tests/test_gateway_probes.py
@@ -1,4 +1,4 @@
-"""Scouts in virtual time: gatekeepers learnt from records find deaths, cuts and returns cheaply."""
+"""GatewayProbes in virtual time: gatekeepers learnt from records find deaths, cuts and returns cheaply."""
 
 import heapq
 import random
@@ -6,10 +6,10 @@
 
 import pytest
 
-from pepperrun.comb.records import GONE, READY, Guard
-from pepperrun.members.wire import MOST, Datagram, Kind, Row, Rumour, State
-from pepperrun.scouts.scout import Scout
-from pepperrun.scouts.wire import ALL, Learnt
+from pepperrun.control.records import GONE, READY, GatewayRecord
+from pepperrun.membership.wire import MOST, Datagram, Kind, Row, Rumour, State
+from pepperrun.membership.gateway_prober import GatewayProber
+from pepperrun.membership.gateway_probe_wire import ALL, Learnt
 
 MS = 1_000_000
 REGIONS = ("a", "b", "c")
@@ -26,52 +26,56 @@
             [],
             loss,
         )
-        self.guards, self.scouts, self.cuts, self.starts = {}, {}, set(), count(1)
+        self.gateways, self.probes, self.cuts, self.starts = {}, {}, set(), count(1)
         self.sent, self.far = 0, 0
         for index in range(each * len(REGIONS)):
             self.add(f"front-{index}", REGIONS[index % len(REGIONS)])
 
     def add(self, station, region):
-        siding = f"10.0.0.{len(self.guards) + 1}:7600"
-        self.guards[station] = Guard(station, region + "1", region, "10.0.0.1:80", siding, 1, 0, READY)
+        internal_port = f"10.0.0.{len(self.gateways) + 1}:7600"
+        self.gateways[station] = GatewayRecord(
+            station, region + "1", region, "10.0.0.1:80", internal_port, 1, 0, READY
+        )
         self.start(station)
-        for other in self.scouts.values():
-            other.take([self.guards[station]])
+        for other in self.probes.values():
+            other.take([self.gateways[station]])
 
     def start(self, station):
         life = 1_700_000_000_000 + 1000 * next(self.starts)
-        scout = Scout(station, self.guards[station].region, life, self.random.randrange(10**9), self.now)
-        rows = list(self.guards.values())
+        prober = GatewayProber(
+            station, self.gateways[station].region, life, self.random.randrange(10**9), self.now
+        )
+        rows = list(self.gateways.values())
         self.random.shuffle(rows)
-        scout.take(rows)
-        self.scouts[station] = scout
-        self.at(self.now, lambda: self.turn(station, scout))
+        prober.take(rows)
+        self.probes[station] = prober
+        self.at(self.now, lambda: self.turn(station, prober))
 
     def at(self, when, what):
         heapq.heappush(self.events, (when, next(self.order), what))
 
-    def turn(self, station, scout):
-        if self.scouts.get(station) is scout:
-            scout.tick(self.now)
+    def turn(self, station, prober):
+        if self.probes.get(station) is prober:
+            prober.tick(self.now)
             self.flush(station)
-            self.at(max(self.now + MS, scout.due()), lambda: self.turn(station, scout))
+            self.at(max(self.now + MS, prober.due()), lambda: self.turn(station, prober))
 
     def flush(self, station):
-        mine = self.guards[station]
-        for where, data in self.scouts[station].take_out():
+        mine = self.gateways[station]
+        for where, data in self.probes[station].take_out():
             assert len(data) <= MOST
-            other = next(g for g in self.guards.values() if g.siding == f"{where[0]}:{where[1]}")
+            other = next(g for g in self.gateways.values() if g.internal_port == f"{where[0]}:{where[1]}")
             self.sent += 1
             self.far += mine.region != other.region
             if frozenset((station, other.station)) in self.cuts or self.random.random() < self.loss:
                 continue
             late = (1 if mine.region == other.region else 15) * MS
-            self.at(self.now + late, lambda o=other.station, d=data: self.arrive(o, d, mine.siding))
+            self.at(self.now + late, lambda o=other.station, d=data: self.arrive(o, d, mine.internal_port))
 
-    def arrive(self, station, data, siding):
-        if station in self.scouts:
-            host, _, port = siding.rpartition(":")
-            self.scouts[station].receive(data, (host, int(port)), self.now)
+    def arrive(self, station, data, internal_port):
+        if station in self.probes:
+            host, _, port = internal_port.rpartition(":")
+            self.probes[station].receive(data, (host, int(port)), self.now)
             self.flush(station)
 
     def run(self, seconds, until=lambda: False):
@@ -85,11 +89,11 @@
 
     def agreed(self):
         """All that run hold one view, of just them."""
-        views = [scout.member.views.view for scout in self.scouts.values()]
-        return len({view.digest for view in views}) == 1 and len(views[0].members) == len(self.scouts)
+        views = [prober.member.views.view for prober in self.probes.values()]
+        return len({view.digest for view in views}) == 1 and len(views[0].members) == len(self.probes)
 
     def all_miss(self, *stations):
-        return all(scout.absent() >= set(stations) for scout in self.scouts.values())
+        return all(prober.absent() >= set(stations) for prober in self.probes.values())
 
 
 @pytest.mark.parametrize(("each", "loss"), [(1, 0.0), (4, 0.0), (4, 0.05), (16, 0.0)])
@@ -99,27 +103,27 @@
     field.run(5)
     field.sent = field.far = 0
     field.run(20)
-    assert not any(scout.absent() for scout in field.scouts.values())
-    per_s = field.sent / 20 / len(field.scouts)
+    assert not any(prober.absent() for prober in field.probes.values())
+    per_s = field.sent / 20 / len(field.probes)
     assert per_s < (6 if not loss else 9) and (each == 1 or field.far < 0.5 * field.sent)
     dead = "front-1"
-    del field.scouts[dead]
+    del field.probes[dead]
     assert field.run(5, lambda: field.all_miss(dead))
-    assert not next(iter(field.scouts.values())).there(dead)
+    assert not next(iter(field.probes.values())).there(dead)
     assert field.run(5, field.agreed)
     field.start(dead)
-    assert field.run(5, lambda: field.agreed() and not any(s.absent() for s in field.scouts.values()))
+    assert field.run(5, lambda: field.agreed() and not any(s.absent() for s in field.probes.values()))
 
 
 def test_a_region_that_is_cut_off_is_found_from_both_sides_and_nobody_else():
     field = Field(3, 5)
     assert field.run(10, field.agreed)
-    inside = {station for station, guard in field.guards.items() if guard.region == "c"}
-    outside = set(field.guards) - inside
+    inside = {station for station, gateway in field.gateways.items() if gateway.region == "c"}
+    outside = set(field.gateways) - inside
     field.cuts = {frozenset((one, other)) for one in inside for other in outside}
     sides = ((inside, outside), (outside, inside))
     assert field.run(
-        12, lambda: all(field.scouts[one].absent() == lost for here, lost in sides for one in here)
+        12, lambda: all(field.probes[one].absent() == lost for here, lost in sides for one in here)
     )
     field.cuts.clear()
     assert field.run(8, field.agreed)
@@ -130,8 +134,8 @@
     assert field.run(10, field.agreed)
     field.cuts = {frozenset(("front-0", "front-3"))}  # of one region
     buried = []
-    for scout in field.scouts.values():
-        scout.member.told_of = lambda what: buried.append(what) if what.what == "dead" else None
+    for prober in field.probes.values():
+        prober.member.told_of = lambda what: buried.append(what) if what.what == "dead" else None
     field.run(30)
     assert not buried
 
@@ -142,13 +146,13 @@
     field.add("front-new", "b")
     assert field.run(5, field.agreed)
     gone = "front-2"
-    del field.scouts[gone]
-    for scout in field.scouts.values():
-        scout.take([Guard(gone, "c1", "c", "", field.guards[gone].siding, 1, 0, GONE)])
+    del field.probes[gone]
+    for prober in field.probes.values():
+        prober.take([GatewayRecord(gone, "c1", "c", "", field.gateways[gone].internal_port, 1, 0, GONE)])
     assert field.run(1, field.agreed)  # no probe is needed: the records say it
-    assert not any(scout.absent() for scout in field.scouts.values())
-    for scout in field.scouts.values():
-        scout.take([field.guards[gone]])
+    assert not any(prober.absent() for prober in field.probes.values())
+    for prober in field.probes.values():
+        prober.take([field.gateways[gone]])
     field.start(gone)
     assert field.run(8, field.agreed)
 
@@ -156,24 +160,24 @@
 def test_a_stranger_and_a_garbled_word_change_nothing():
     field = Field(2, 8)
     assert field.run(10, field.agreed)
-    other = field.scouts["front-1"]
+    other = field.probes["front-1"]
     other.leave(field.now)
     (to, data), *_ = other.take_out()
-    scout = field.scouts[other.stations[other.from_ip[to]]]
-    where = scout.where[scout.numbers["front-1"]]
-    changes = scout.member.book.changes
-    scout.receive(data, ("10.9.9.9", 7600), field.now)
+    prober = field.probes[other.stations[other.from_ip[to]]]
+    where = prober.where[prober.numbers["front-1"]]
+    changes = prober.member.book.changes
+    prober.receive(data, ("10.9.9.9", 7600), field.now)
     for at in range(len(data)):
-        scout.receive(data[:at] + bytes([data[at] ^ 1]) + data[at + 1 :], where, field.now)
-        scout.receive(data[:at], where, field.now)
-    assert scout.member.book.changes == changes
-    scout.receive(data, where, field.now)
-    assert scout.absent() == {"front-1"}
+        prober.receive(data[:at] + bytes([data[at] ^ 1]) + data[at + 1 :], where, field.now)
+        prober.receive(data[:at], where, field.now)
+    assert prober.member.book.changes == changes
+    prober.receive(data, where, field.now)
+    assert prober.absent() == {"front-1"}
 
 
 def test_the_largest_datagram_fits_and_each_reads_it_by_its_own_numbers():
     field = Field(20, 9)
-    one, other = field.scouts["front-0"], field.scouts["front-7"]
+    one, other = field.probes["front-0"], field.probes["front-7"]
     mine, theirs = one.wire, other.wire
     assert isinstance(mine, Learnt)
     rumours = [Rumour(n + 1, 2**32 - 1, 65535, State.DEAD, n) for n in range(mine.room(2))]
@@ -183,10 +187,14 @@
     read = theirs.unpack(data)
     assert len(data) <= MOST and read is not None and read.sender == other.numbers["front-0"]
 
-    def names(scout, datagram):
+    def names(prober, datagram):
         missed = [
-            {scout.stations[m] for m in scout.stations if not row.bits >> m & 1} for row in datagram.rows
+            {prober.stations[m] for m in prober.stations if not row.bits >> m & 1} for row in datagram.rows
         ]
-        return [scout.stations[r.member] for r in datagram.rumours], missed, scout.stations[datagram.subject]
+        return (
+            [prober.stations[r.member] for r in datagram.rumours],
+            missed,
+            prober.stations[datagram.subject],
+        )
 
     assert names(one, sent) == names(other, read)
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -183,7 +183,7 @@
     assert read_auth(json.dumps(shipped)).asking == {"booking-confirm"}
 
     async def test():
-        identity = await StandIn(ok(b"", b"X-Auth-User: nurse")).start()
+        identity = await StandIn(ok(b"", b"X-Auth-User: ejection")).start()
         path = tmp_path / "auth.json"
         changes = {"listen": f"{HOST}:0", "servers": [{"address": f"{HOST}:{identity.port}"}]}
         path.write_text(json.dumps(shipped | changes))
@@ -199,7 +199,7 @@
         forwarded = b"X-Forwarded-Method: GET\r\nX-Forwarded-Host: d\r\nX-Forwarded-Uri: /\r\n"
         client.writer.write(b"GET / HTTP/1.1\r\nHost: g\r\n" + forwarded + b"\r\n")
         status, fields, _ = await client.answer()
-        assert (status, fields["x-auth-user"]) == (200, "nurse")
+        assert (status, fields["x-auth-user"]) == (200, "ejection")
         process.terminate()
         assert await process.wait() == 0
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -17,12 +17,12 @@
 from pepperrun.core.interface import Plan, Request, Send
 from pepperrun.core.standing import Standing
 from pepperrun.lab.virtual import KEYS, MS, Members, Path
-from pepperrun.members.keys import Keys, new_key_file, read_keys
-from pepperrun.members.states import Me, Window
-from pepperrun.members.resume import resume, state_of
-from pepperrun.members.steps import Quota, Step, quota_error, restart_error, standing_of, step_of
-from pepperrun.members.views import HOLD_NS, LOOK_NS, SETTLE_NS, Side, Views, side_of
-from pepperrun.members.wire import MOST, Datagram, Kind, Row, Rumour, State, pack, room, rows_room, unpack
+from pepperrun.membership.keys import Keys, new_key_file, read_keys
+from pepperrun.membership.states import Me, Window
+from pepperrun.membership.resume import resume, state_of
+from pepperrun.membership.steps import Quota, Step, quota_error, restart_error, standing_of, step_of
+from pepperrun.membership.views import HOLD_NS, LOOK_NS, SETTLE_NS, Side, Views, side_of
+from pepperrun.membership.wire import MOST, Datagram, Kind, Row, Rumour, State, pack, room, rows_room, unpack
 
 
 def group(count: int, seed: int = 1, loss: float = 0.0) -> Members:
