--- a/tests/test_apiary.py
+++ b/tests/test_operator.py
@@ -13,11 +13,12 @@
 import pytest
 import yaml
 
-from pepperrun import beekeeper
-from pepperrun.apiary import looking, problems
-from pepperrun.apiary.calls import Caller
-from pepperrun.apiary.nursery import Nursery, Sizes
-from pepperrun.foundation.errors import HiveError
+from pepperrun.operator import inspection
+from pepperrun import operatorctl
+from pepperrun.operator import problems
+from pepperrun.operator.calls import Caller
+from pepperrun.operator.local_cluster import LocalCluster, Sizes
+from pepperrun.foundation.errors import PepperrunError
 
 
 @contextmanager
@@ -72,7 +73,7 @@
     assert set(asked + others) == {("POST", "/x", "5", b"{}")}
     with core((412, {}, ""), good) as (one, asked):
         assert caller(one).call("POST", "/x").status == 412 and len(asked) == 1
-    with core(busy) as (one, _), pytest.raises(HiveError, match="nothing is certain") as error:
+    with core(busy) as (one, _), pytest.raises(PepperrunError, match="nothing is certain") as error:
         caller(one).call("POST", "/x")
     assert error.value.code == "no-answer"
 
@@ -83,7 +84,7 @@
         with core((307, {}, on)) as (two, _), core((307, {}, f"http://127.0.0.1:{two[1]}/x")) as (one, _):
             assert caller(one).call("POST", "/x", b"b").status == 200
             assert asked == [("POST", "/y", None, b"b")]
-    with core((307, {}, "")) as (one, hops), pytest.raises(HiveError):
+    with core((307, {}, "")) as (one, hops), pytest.raises(PepperrunError):
         caller(one).call("GET", "/x")
     assert hops
 
@@ -92,20 +93,20 @@
     file = tmp_path / "change.yaml"
     file.write_text("edition: 9\nwithdraw: {routes: [r-old]}\n")
     with core((200, {"edition": 7}, ""), (200, {"detail": "Edition 9 is taken."}, "")) as (one, asked):
-        assert beekeeper.main(["amend", str(file), "--at", f"{one[0]}:{one[1]}"]) == 0
+        assert operatorctl.main(["amend", str(file), "--at", f"{one[0]}:{one[1]}"]) == 0
     assert asked[1][:3] == ("POST", "/timetable/amend", "7")
     assert json.loads(asked[1][3]) == {"edition": 9, "withdraw": {"routes": ["r-old"]}}
     assert "Edition 9 is taken." in capsys.readouterr().out
     with core((400, {"code": "bare-prefix", "detail": "Route r is bad."}, "")) as (one, _):
-        assert beekeeper.main(["put", str(file), "--based-on", "7", "--at", f"{one[0]}:{one[1]}"]) == 1
+        assert operatorctl.main(["put", str(file), "--based-on", "7", "--at", f"{one[0]}:{one[1]}"]) == 1
     assert "400 Route r is bad." in capsys.readouterr().err
     at = ["--at", "127.0.0.1:1", "--patience", "0"]
-    assert beekeeper.main(["evacuate", "a", *at]) == 3
-    assert beekeeper.main(["put", str(tmp_path / "none"), *at]) == 2
+    assert operatorctl.main(["evacuate", "a", *at]) == 3
+    assert operatorctl.main(["put", str(tmp_path / "none"), *at]) == 2
 
 
 def settings() -> dict[str, Any]:
-    me = {"station": "s", "role": "skep", "ip": "10.0.0.1", "zone": "a", "region": "r"}
+    me = {"station": "s", "role": "control_node", "ip": "10.0.0.1", "zone": "a", "region": "r"}
     network = {"sidings": [7600, 7615], "first_contacts": ["10.0.0.1:80"], "zones": {"a": "r"}}
     network["postboxes"] = {"control_port": "10.0.0.1:80"}
     return {"self": me | {"store_dir": "/disk"}, "network": network, "tariffs": {"bounds": {"grace_s": 6}}}
@@ -130,27 +131,32 @@
     for name, data in (("good.yaml", good), ("bad.yaml", bad)):
         files.append(tmp_path / name)
         files[-1].write_text(yaml.safe_dump(data))
-    assert [beekeeper.main(["check", "settings", str(file)]) for file in files] == [0, 1]
+    assert [operatorctl.main(["check", "settings", str(file)]) for file in files] == [0, 1]
     files[0].write_text("self: [")
-    assert beekeeper.main(["check", "settings", *map(str, files)]) == 2
+    assert operatorctl.main(["check", "settings", *map(str, files)]) == 2
     assert "good.yaml, line 1" in capsys.readouterr().err
 
 
 def test_a_small_system_of_real_processes_serves_and_shows(tmp_path):
-    nursery = Nursery(Sizes(1, 1, 1, ("search",)), tmp_path)
+    local_cluster = LocalCluster(Sizes(1, 1, 1, ("search",)), tmp_path)
     try:
-        nursery.start()  # each gatekeeper has answered 200 on each route
-        siding = nursery.ports["siding"]
-        core, guard = (asyncio.run(looking.ask((ip, siding))) for ip in (nursery.cores[0], nursery.guards[0]))
+        local_cluster.start()  # each gatekeeper has answered 200 on each route
+        internal_port = local_cluster.ports["siding"]
+        core, gateway = (
+            asyncio.run(inspection.ask((ip, internal_port)))
+            for ip in (local_cluster.cores[0], local_cluster.gateways[0])
+        )
         assert (core["class"], core["edition"], core["majority"]) == ("sorting", 1, True)
-        assert core["voters"] == [[nursery.cores[0], "first"]] and core["keeper"] == nursery.cores[0]
+        assert (
+            core["voters"] == [[local_cluster.cores[0], "first"]] and core["keeper"] == local_cluster.cores[0]
+        )
         assert core["cells"]["north-a"]["workers"] == {"search": {"boarding": 1}}
-        assert (guard["class"], guard["edition"], guard["root"]) == ("counter", 1, True)
-        assert guard["answers"]["served"] >= 1 and guard["core"]["linked"]
-        assert [one["tenant"] for one in guard["shares"]] == ["newcomer"]
-        for shown in (core, guard):
-            assert nursery.key not in json.dumps(shown) and shown["station"] in looking.text(shown)
+        assert (gateway["class"], gateway["edition"], gateway["root"]) == ("counter", 1, True)
+        assert gateway["answers"]["served"] >= 1 and gateway["core"]["linked"]
+        assert [one["tenant"] for one in gateway["shares"]] == ["newcomer"]
+        for shown in (core, gateway):
+            assert local_cluster.key not in json.dumps(shown) and shown["station"] in inspection.text(shown)
     finally:
-        nursery.end()
-    codes = {one.role: one.process.returncode for one in nursery.children if one.process is not None}
-    assert codes == {"skep": 0, "guard": 0, "worker": 0}
+        local_cluster.end()
+    codes = {one.role: one.process.returncode for one in local_cluster.children if one.process is not None}
+    assert codes == {"control_node": 0, "gateway_node": 0, "worker": 0}
--- a/tests/test_pots.py
+++ b/tests/test_quota_keepers.py
@@ -11,15 +11,15 @@
 
 import pytest
 
-from pepperrun.comb.changes import apply
-from pepperrun.comb.records import READY, Guard
-from pepperrun.comb.rota import CHANGE_NS, JOINS_NS, SILENT_NS, Rota, crowded
-from pepperrun.comb.timetable import Sender
+from pepperrun.control.changes import apply
+from pepperrun.control.records import READY, GatewayRecord
+from pepperrun.control.quota_placement import CHANGE_NS, JOINS_NS, SILENT_NS, QuotaPlacement, crowded
+from pepperrun.control.configuration import Sender
 from pepperrun.core.gateway import Gateway
 from pepperrun.core.interface import AttemptEnded, Backend, BackendList, ListKind, Outcome, PeerMessage
 from pepperrun.core.interface import Request, Send, SetTimer, TellPeer, TimerFired
-from pepperrun.core.pots import ABSENT, GRANT_NS, Pots, weight
-from pepperrun.forager.ledger import Ledger, number_of
+from pepperrun.core.quota_keepers import ABSENT, GRANT_NS, QuotaKeepers, weight
+from pepperrun.dataplane.numbering import Ledger, number_of
 from pepperrun.foundation.settings import Bounds
 
 MS, SECOND = 1_000_000, 1_000_000_000
@@ -31,8 +31,8 @@
 MOST = (RATE * 5 + SURGE) * 1.1 + 20  # the rule, in any five seconds
 
 
-class Guarded:
-    """One life of a gatekeeper: what `forager.plane` puts together of its decisions, told by the world."""
+class GatewayProcess:
+    """One life of a gatekeeper: what `dataplane.plane` puts together of its decisions, told by the world."""
 
     def __init__(self, world: World, station: str) -> None:
         self.world, self.station, self.place = world, station, station[0]
@@ -42,7 +42,9 @@
         self.cls = self.ledger.kind(0, True, 2 * SECOND, 5 * SECOND, 1)
         self.ledger.meet(len(world.stations))
         self.fresh_at, self.known = 0, 0
-        self.pots = Pots(station, (self.place,), lambda: world.fence, self.fresh, self.number)
+        self.quota_keepers = QuotaKeepers(
+            station, (self.place,), lambda: world.fence, self.fresh, self.number
+        )
         self.gateway = Gateway(self.ledger.settings(), world.rng.randrange(2**32), self)
         self.gateway.quotas.members = ()
         self.frozen_until = self.cut_until = self.deaf_until = 0
@@ -64,7 +66,7 @@
     def number(self, station: str) -> int:
         if station == self.station:
             return 0
-        other = self.world.guards.get(station)
+        other = self.world.nodes.get(station)
         return ABSENT if other is None else other.life
 
     def sync(self, now: int) -> None:
@@ -72,11 +74,11 @@
         chosen = len(self.world.chosen)
         if chosen > self.known:
             self.known = chosen
-            self.pots.plans = {CUSTOMER: self.ledger.plans["t"]}
-            if self.pots.learn(self.world.chosen[-1], now):
-                self.gateway.quotas.pots = self.pots if self.pots.places else None
-                self.ledger.keep(bool(self.pots.places))
-        self.gateway.quotas.members = tuple(g.life for g in self.world.guards.values() if g is not self)
+            self.quota_keepers.plans = {CUSTOMER: self.ledger.plans["t"]}
+            if self.quota_keepers.learn(self.world.chosen[-1], now):
+                self.gateway.quotas.quota_keepers = self.quota_keepers if self.quota_keepers.places else None
+                self.ledger.keep(bool(self.quota_keepers.places))
+        self.gateway.quotas.members = tuple(g.life for g in self.world.nodes.values() if g is not self)
         self.gateway.resettle(self.ledger.settings())
         self.fresh_at = now
 
@@ -92,7 +94,7 @@
     fleet: int = 12
     now: int = 100 * SECOND
     chosen: list[dict[str, Any]] = field(default_factory=list)
-    guards: dict[str, Guarded] = field(default_factory=dict)
+    nodes: dict[str, GatewayProcess] = field(default_factory=dict)
     spent: list[int] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -106,58 +108,58 @@
         heapq.heappush(self.agenda, (when, self.ids, what))
 
     def start(self, station: str) -> None:
-        guard = Guarded(self, station)
+        node = GatewayProcess(self, station)
         self.lives += 1
-        guard.life, self.guards[station] = self.lives, guard
-        self.feed(guard, BackendList(ListKind.FULL, tuple(Backend(one, 0) for one in range(64))))
-        self.ticked(guard)
+        node.life, self.nodes[station] = self.lives, node
+        self.feed(node, BackendList(ListKind.FULL, tuple(Backend(one, 0) for one in range(64))))
+        self.ticked(node)
 
-    def ticked(self, guard: Guarded) -> None:
-        if self.guards.get(guard.station) is not guard:
+    def ticked(self, node: GatewayProcess) -> None:
+        if self.nodes.get(node.station) is not node:
             return
-        if self.now >= max(guard.cut_until, guard.frozen_until, guard.deaf_until):
-            guard.sync(self.now)
-        self.at(self.now + self.rng.randrange(200, 600) * MS, lambda: self.ticked(guard))
+        if self.now >= max(node.cut_until, node.frozen_until, node.deaf_until):
+            node.sync(self.now)
+        self.at(self.now + self.rng.randrange(200, 600) * MS, lambda: self.ticked(node))
 
-    def feed(self, guard: Guarded, event: Any) -> None:
+    def feed(self, node: GatewayProcess, event: Any) -> None:
         """An event, at once or when it thaws."""
-        if self.guards.get(guard.station) is not guard:
+        if self.nodes.get(node.station) is not node:
             return
-        if self.now < guard.frozen_until:
-            self.at(guard.frozen_until, lambda: self.feed(guard, event))
+        if self.now < node.frozen_until:
+            self.at(node.frozen_until, lambda: self.feed(node, event))
             return
-        for action in guard.gateway.handle(self.now, [event]):
+        for action in node.gateway.handle(self.now, [event]):
             if isinstance(action, Send):
                 self.spent.append(self.now)
                 end = AttemptEnded(action.request, 0, action.backend, Outcome.OK, 30 * MS, True)
-                self.at(self.now + 30 * MS, lambda end=end: self.feed(guard, end))
+                self.at(self.now + 30 * MS, lambda end=end: self.feed(node, end))
             elif isinstance(action, TellPeer):
-                self.tell(guard, action)
+                self.tell(node, action)
             elif isinstance(action, SetTimer):
-                self.at(self.now + action.delay_ns, lambda: self.feed(guard, TimerFired(0)))
+                self.at(self.now + action.delay_ns, lambda: self.feed(node, TimerFired(0)))
 
-    def tell(self, guard: Guarded, action: TellPeer) -> None:
+    def tell(self, node: GatewayProcess, action: TellPeer) -> None:
         dice = self.rng
         for _ in range(1 + (self.trouble and dice.random() < 0.1)):  # some come twice
-            if self.trouble and dice.random() < 0.1 or self.now < guard.cut_until:
+            if self.trouble and dice.random() < 0.1 or self.now < node.cut_until:
                 continue
             late = dice.random() < 0.03 and self.trouble
             after = dice.randrange(1, 25) * MS + late * dice.randrange(6000) * MS
 
             def arrive() -> None:
-                to = next((one for one in self.guards.values() if one.life == action.peer), None)
+                to = next((one for one in self.nodes.values() if one.life == action.peer), None)
                 if to is not None and self.now >= to.cut_until:
-                    self.feed(to, PeerMessage(guard.life, action.data))
+                    self.feed(to, PeerMessage(node.life, action.data))
 
             self.at(self.now + after, arrive)
 
     def ask(self) -> None:
         """A client's request somewhere, and when the next one comes."""
-        station = self.rng.choice(list(self.guards))
-        guard = self.guards[station]
+        station = self.rng.choice(list(self.nodes))
+        node = self.nodes[station]
         self.ids += 1
-        plan = guard.ledger.plans["t"]
-        self.feed(guard, Request(self.ids, CUSTOMER, plan, guard.cls, 5 * SECOND, 1.0, self.fleet))
+        plan = node.ledger.plans["t"]
+        self.feed(node, Request(self.ids, CUSTOMER, plan, node.cls, 5 * SECOND, 1.0, self.fleet))
         self.at(self.now + int(self.rng.expovariate(self.load * RATE) * SECOND), self.ask)
 
     def listed(self, places: dict[str, list[str]]) -> None:
@@ -180,25 +182,25 @@
 
     def strike(self) -> None:
         """One, often a keeper, is killed, frozen or cut off."""
-        guard = self.rng.choice(list(self.guards.values()))
+        node = self.rng.choice(list(self.nodes.values()))
         if self.rng.random() < 0.7 and self.chosen:
             kept = [
                 max(held, key=lambda one: weight(CUSTOMER, one))
                 for held in self.chosen[-1]["places"].values()
             ]
-            guard = self.guards.get(self.rng.choice(kept), guard)
+            node = self.nodes.get(self.rng.choice(kept), node)
         kind, lasts = self.rng.randrange(4), self.rng.randrange(500, 9000) * MS
-        if kind == 0 and len(self.guards) > self.fleet // 2:
-            del self.guards[guard.station]
-            self.at(self.now + lasts, lambda: self.start(guard.station))
+        if kind == 0 and len(self.nodes) > self.fleet // 2:
+            del self.nodes[node.station]
+            self.at(self.now + lasts, lambda: self.start(node.station))
         elif kind == 1:
-            guard.frozen_until = self.now + lasts
+            node.frozen_until = self.now + lasts
         elif kind == 2:  # half of them have no news, and go on with each other
-            for one in self.guards.values():
+            for one in self.nodes.values():
                 if self.rng.random() < 0.5:
                     one.deaf_until = self.now + lasts
         else:
-            guard.cut_until = self.now + lasts
+            node.cut_until = self.now + lasts
         self.at(self.now + self.rng.randrange(500, 3000) * MS, self.strike)
 
     def run(self, seconds: float) -> None:
@@ -243,7 +245,7 @@
     world.at(world.now, world.ask)
     world.run(12)
     for station in halves[0]:
-        world.guards[station].deaf_until = world.now + 20 * SECOND
+        world.nodes[station].deaf_until = world.now + 20 * SECOND
     world.listed({place: halves[1][at::3] for at, place in enumerate("abc")})
     world.run(12)
     return world
@@ -252,29 +254,36 @@
 @pytest.mark.parametrize("without", ["nothing", "wait", "news"])
 def test_keepers_that_do_not_wait_or_go_on_without_news_would_pass_a_quota(without, monkeypatch) -> None:
     if without == "wait":
-        monkeypatch.setattr(Pots, "wait", lambda self: 0)
+        monkeypatch.setattr(QuotaKeepers, "wait", lambda self: 0)
     elif without == "news":
-        monkeypatch.setattr(Guarded, "fresh", lambda self, now, most: True)
+        monkeypatch.setattr(GatewayProcess, "fresh", lambda self, now, most: True)
     assert (parted().worst() > MOST) == (without != "nothing")
 
 
 def test_a_part_is_begun_with_once_nobody_else_can_have_it() -> None:
-    pots = Pots("a0", ("a",), lambda: FENCE, lambda now, most: True, lambda station: 0)
+    quota_keepers = QuotaKeepers("a0", ("a",), lambda: FENCE, lambda now, most: True, lambda station: 0)
     held = {"places": {"a": ["a0"], "b": ["b1"]}}
     whole = FENCE + GRANT_NS
     now = 10 * SECOND
-    assert pots.learn(None, 0) and pots.learn(held | {"term": 1}, now) and pots.begins(1) == now + whole
-    assert pots.learn({"term": 2, "places": held["places"] | {"b": ["b2"]}}, now + SECOND)
-    assert pots.begins(1) == now + whole  # it was its own all the time
-    assert pots.learn(held | {"term": 4}, now + 20 * SECOND)
-    assert pots.begins(1) == now + 20 * SECOND + whole  # by the third list it may have been another's
-    assert not pots.learn(held | {"term": 4}, now + 21 * SECOND)
-    assert pots.learn(held | {"term": 4, "settled": True}, now + 21 * SECOND)
-    assert pots.begins(1) == now + 21 * SECOND + GRANT_NS
     assert (
-        pots.learn(held | {"term": 5, "places": {"a": ["a9"], "b": ["b1"]}}, now) and pots.begins(1) is None
+        quota_keepers.learn(None, 0)
+        and quota_keepers.learn(held | {"term": 1}, now)
+        and quota_keepers.begins(1) == now + whole
+    )
+    assert quota_keepers.learn({"term": 2, "places": held["places"] | {"b": ["b2"]}}, now + SECOND)
+    assert quota_keepers.begins(1) == now + whole  # it was its own all the time
+    assert quota_keepers.learn(held | {"term": 4}, now + 20 * SECOND)
+    assert (
+        quota_keepers.begins(1) == now + 20 * SECOND + whole
+    )  # by the third list it may have been another's
+    assert not quota_keepers.learn(held | {"term": 4}, now + 21 * SECOND)
+    assert quota_keepers.learn(held | {"term": 4, "settled": True}, now + 21 * SECOND)
+    assert quota_keepers.begins(1) == now + 21 * SECOND + GRANT_NS
+    assert (
+        quota_keepers.learn(held | {"term": 5, "places": {"a": ["a9"], "b": ["b1"]}}, now)
+        and quota_keepers.begins(1) is None
     )
-    anew = Pots("a0", ("a",), lambda: FENCE, lambda now, most: True, lambda station: 0)
+    anew = QuotaKeepers("a0", ("a",), lambda: FENCE, lambda now, most: True, lambda station: 0)
     assert anew.learn(held | {"term": 4, "settled": True}, now) and anew.begins(1) == now + GRANT_NS
 
 
@@ -290,8 +299,8 @@
             {place: sorted({*held[change % 2 :], kept[at]}) for at, (place, held) in enumerate(lists.items())}
         )
         for station in kept:
-            account = world.guards[station].gateway.quotas.accounts[CUSTOMER]
-            world.guards[station].sync(world.now)
+            account = world.nodes[station].gateway.quotas.accounts[CUSTOMER]
+            world.nodes[station].sync(world.now)
             assert account.ceiling.fill(world.now) < 5  # of 14
         world.run(8)
 
@@ -307,7 +316,7 @@
 
 
 def test_a_large_fleet_gets_lists_and_these_change_seldom() -> None:
-    rota, silence, now = Rota(), Counter[str](), 50 * SECOND
+    quota_placement, silence, now = QuotaPlacement(), Counter[str](), 50 * SECOND
     senders = {f"t{n}": {"name": f"t{n}", "rate_per_s": 19.0, "surge": 19.0} for n in range(9)}
     state: Any = apply(
         None,
@@ -315,28 +324,30 @@
         | dict.fromkeys(("routes", "carrier_lines", "limits"), {})
         | {"senders": senders},
     )[0]
-    guards = [Guard(f"{'abc'[n % 3]}{n}", f"z{n % 6}", "abc"[n % 3], "", "", 1, 0, READY) for n in range(77)]
+    nodes = [
+        GatewayRecord(f"{'abc'[n % 3]}{n}", f"z{n % 6}", "abc"[n % 3], "", "", 1, 0, READY) for n in range(77)
+    ]
 
-    def turn(seconds: float, there: list[Guard]) -> dict[str, list[str]]:
+    def turn(seconds: float, there: list[GatewayRecord]) -> dict[str, list[str]]:
         nonlocal state, now
         for _ in range(int(seconds * 10)):
             now += SECOND // 10
-            op = rota.wanted(there, state, lambda one: silence[one], BOUNDS, now)
+            op = quota_placement.wanted(there, state, lambda one: silence[one], BOUNDS, now)
             if op is not None:
                 state = apply(state, op)[0] or state
         return state.get("keepers", {}).get("places", {})
 
-    assert not crowded(state, BOUNDS, 11) and turn(3, guards[:11]) == {}
-    lists = turn(3, guards[:76])
+    assert not crowded(state, BOUNDS, 11) and turn(3, nodes[:11]) == {}
+    lists = turn(3, nodes[:76])
     assert sorted(lists) == ["a", "b", "c"] and sum(map(len, lists.values())) == 76
-    assert turn(CHANGE_NS / SECOND - 2, guards) == lists  # the last one waits
-    assert sum(map(len, (lists := turn(JOINS_NS / SECOND + 3, guards)).values())) == 77
+    assert turn(CHANGE_NS / SECOND - 2, nodes) == lists  # the last one waits
+    assert sum(map(len, (lists := turn(JOINS_NS / SECOND + 3, nodes)).values())) == 77
     silence["a0"] = SILENT_NS // 2
-    assert turn(20, guards) == lists
+    assert turn(20, nodes) == lists
     silence["a0"] = 2 * SILENT_NS
-    assert turn(20, guards)["a"] == [one for one in lists["a"] if one != "a0"]
-    silence.update({one.station: 2 * SILENT_NS for one in guards if one.region == "b"})
-    assert turn(20, guards)["b"] == lists["b"]  # cut off
+    assert turn(20, nodes)["a"] == [one for one in lists["a"] if one != "a0"]
+    silence.update({one.station: 2 * SILENT_NS for one in nodes if one.region == "b"})
+    assert turn(20, nodes)["b"] == lists["b"]  # cut off
     assert state["keepers"]["settled"]
     held = state
     state = apply(state, {"do": "evacuate", "zone": "z1", "begin": True})[0]
--- a/tests/test_running_members.py
+++ b/tests/test_running_members.py
@@ -22,7 +22,7 @@
 from pepperrun.cli.members import worded
 from pepperrun.lab.ports import free_ports
 from pepperrun.lab.processes import dies_with_us
-from pepperrun.members.config import members_of, read_members
+from pepperrun.membership.config import members_of, read_members
 from pepperrun.tool.application import configurations
 from pepperrun.tool.commands import check, write
 
--- a/tests/test_swarm.py
+++ b/tests/test_simulation.py
@@ -8,14 +8,14 @@
 
 import pytest
 
-from pepperrun.foundation.errors import HiveError
+from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.settings import Bounds
-from pepperrun.swarm import experiments, results
-from pepperrun.swarm.clockwork import Machine, World, spawn
-from pepperrun.swarm.days import Day
-from pepperrun.swarm.judges import Asked, Edition, Judges, Seen
-from pepperrun.swarm.plans import Plan, Trouble, drawn_plan
-from pepperrun.swarm.shrinking import shrunk
+from pepperrun.simulation import experiments, results
+from pepperrun.simulation.virtual_time import Machine, World, spawn
+from pepperrun.simulation.days import Day
+from pepperrun.simulation.judges import Asked, Edition, Judges, Seen
+from pepperrun.simulation.plans import Plan, Trouble, drawn_plan
+from pepperrun.simulation.shrinking import shrunk
 
 SECOND = 1_000_000_000
 
@@ -29,7 +29,7 @@
 
 def played(*words):
     """A day by the command, which fixes the order of sets: what it printed."""
-    command = [sys.executable, "-m", "pepperrun.swarm", *words]
+    command = [sys.executable, "-m", "pepperrun.simulation", *words]
     return subprocess.run(command, capture_output=True, text=True, timeout=120).stdout
 
 
@@ -176,7 +176,7 @@
 end_s = 17.0
 [variants.now]
 [variants.slow]
-set = { "shape.constants" = { "waggle.follower:TICK_NS" = 900000000 } }
+set = { "shape.constants" = { "distribution.follower:TICK_NS" = 900000000 } }
 """
 
 
@@ -211,7 +211,7 @@
 def test_an_experiment_that_names_what_there_is_not_is_refused(tmp_path, text):
     path = tmp_path / "x.toml"
     path.write_text(text)
-    with pytest.raises(HiveError, match="bad-experiment"):
+    with pytest.raises(PepperrunError, match="bad-experiment"):
         list(experiments.cells(experiments.load(path), tmp_path))
 
 
@@ -219,7 +219,7 @@
     """An empty disk that goes on voting: two troubles are enough of the eight that were drawn."""
     kinds = ["dark-amnesia", "change", "core-wipe", "core-power"]
     words = ["fuzz", "--seeds", "7", "--gates", "1", "--rate", "2", "--bug", "empty-votes", "--only", *kinds]
-    command = [sys.executable, "-m", "pepperrun.swarm", *words]
+    command = [sys.executable, "-m", "pepperrun.simulation", *words]
     where = {"cwd": tmp_path, "env": os.environ | {"PYTHONPATH": str(experiments.ROOT)}}
     out = subprocess.run(command, capture_output=True, text=True, timeout=120, **where).stdout
     (path,) = (tmp_path / "found").glob("*.json")
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -10,20 +10,21 @@
 
 import pytest
 from standins import SECOND, StandIn, answer, going
-from test_forager import Hive, ok, route
-from test_wax import CONTACTS, ME, filled
+from test_dataplane import Cluster, ok, route
+from test_storage import CONTACTS, ME, filled
 
-from pepperrun import beekeeper
-from pepperrun.apiary import explain, losses, page, state
-from pepperrun.apiary.lines import pairs_of, read
+from pepperrun.operator import loss_accounting
+from pepperrun import operatorctl
+from pepperrun.operator import explain, page, state
+from pepperrun.operator.event_log import pairs_of, read
 from pepperrun.core.interface import Outcome
-from pepperrun.forager.trace import Spigot, Trace
+from pepperrun.dataplane.trace import Spigot, Trace
 from pepperrun.foundation import logs
-from pepperrun.foundation.errors import HiveError
-from pepperrun.queen.values import FIRST_LIFE
-from pepperrun.swarm import crashes, replays
-from pepperrun.wax import formats, records
-from pepperrun.wax.store import Wax
+from pepperrun.foundation.errors import PepperrunError
+from pepperrun.consensus.values import FIRST_LIFE
+from pepperrun.simulation import crashes, replays
+from pepperrun.storage import formats, records
+from pepperrun.storage.store import DiskStore
 
 
 def older(folder: Path) -> dict[bytes, bytes]:
@@ -54,22 +55,22 @@
 ) -> None:
     memory = filled(tmp_path, 2000)
     raw = older(tmp_path)
-    with pytest.raises(HiveError, match="no step leads on from format 0"):
+    with pytest.raises(PepperrunError, match="no step leads on from format 0"):
         records.recall(raw)
     monkeypatch.setitem(formats.STEPS, 0, apart)
     assert records.recall(raw) == memory
-    wax = Wax(str(tmp_path))
-    with wax._open().begin(write=True) as transaction:
+    disk = DiskStore(str(tmp_path))
+    with disk._open().begin(write=True) as transaction:
         for key in [bytes(key) for key in transaction.cursor().iternext(values=False)]:
             transaction.delete(key)
         for key, data in (raw | {b"extra": records.sealed(1)}).items():
             transaction.put(key, data)
-    wax.close()
-    assert Wax(str(tmp_path)).begin("s", ME, []) == replace(memory, starts=memory.starts + 1)
+    disk.close()
+    assert DiskStore(str(tmp_path)).begin("s", ME, []) == replace(memory, starts=memory.starts + 1)
     monkeypatch.delitem(formats.STEPS, 0)
     again = state.raw_records(tmp_path)
     assert not records.faults(again) and b"extra" not in again
-    with pytest.raises(HiveError, match="disk-newer"):
+    with pytest.raises(PepperrunError, match="disk-newer"):
         records.recall({b"life": records.sealed([formats.FORMAT + 1])})
 
 
@@ -77,23 +78,23 @@
     memory, file = filled(tmp_path / "a", 2000), tmp_path / "copy.json"
 
     def run(*words: object) -> int:
-        return beekeeper.main(["state", *map(str, words)])
+        return operatorctl.main(["state", *map(str, words)])
 
     assert run("check", tmp_path / "a") == 0 and run("export", tmp_path / "a", file) == 0
     assert run("restore", tmp_path / "b", file, "--same-life") == 1 and "retire" in capsys.readouterr().err
     assert run("restore", tmp_path / "a", file) == 1  # not empty
     assert run("restore", tmp_path / "b", file) == 0
-    made = Wax(str(tmp_path / "b")).begin("s", ME, CONTACTS)
+    made = DiskStore(str(tmp_path / "b")).begin("s", ME, CONTACTS)
     # Neither its votes nor what was chosen: both are for the others to say, even where first_run is true.
     assert made.life not in (memory.life, FIRST_LIFE) and made.chosen is None and made.promised.round == -1
     # Retired, a life goes on once, and not where it was.
     assert run("export", tmp_path / "a", file, "--retire") == 0
     assert run("restore", tmp_path / "c", file, "--same-life") == 0
     assert run("restore", tmp_path / "d", file, "--same-life") == 1
-    with pytest.raises(HiveError, match="disk-other"):
-        Wax(str(tmp_path / "c")).begin("s", "10.0.0.2", [])  # it, too, has a life named `first`
-    assert Wax(str(tmp_path / "c")).begin("s", ME, []) == replace(memory, starts=memory.starts + 1)
-    assert Wax(str(tmp_path / "a")).begin("s", ME, CONTACTS).life not in (memory.life, FIRST_LIFE)
+    with pytest.raises(PepperrunError, match="disk-other"):
+        DiskStore(str(tmp_path / "c")).begin("s", "10.0.0.2", [])  # it, too, has a life named `first`
+    assert DiskStore(str(tmp_path / "c")).begin("s", ME, []) == replace(memory, starts=memory.starts + 1)
+    assert DiskStore(str(tmp_path / "a")).begin("s", ME, CONTACTS).life not in (memory.life, FIRST_LIFE)
     file.write_text(file.read_text().replace('"x"', '"y"', 1))
     assert run("restore", tmp_path / "e", file) == 2
 
@@ -109,9 +110,9 @@
     assert len(records.faults({**raw, b"chosen": b"x" * 40})) == 2
     del raw[b"promised"]
     assert "The record promised is missing." in records.faults(raw)
-    assert beekeeper.main(["state", "check", str(tmp_path)]) == 1
+    assert operatorctl.main(["state", "check", str(tmp_path)]) == 1
     assert capsys.readouterr().out.count("The checksum of body:") == 1
-    assert beekeeper.main(["state", "check", str(tmp_path / "none")]) == 2
+    assert operatorctl.main(["state", "check", str(tmp_path / "none")]) == 2
 
 
 def test_what_was_synced_outlasts_kills_and_power_cuts(tmp_path: Path) -> None:
@@ -152,20 +153,20 @@
     told: list[tuple[float, str, dict[str, Any]]] = []
 
     async def test() -> None:
-        hive = Hive(route("r", "/p/", route_kind="unsafe", tries=1))
-        front = hive.plane.front
-        hive.plane.log_requests(100)
+        cluster = Cluster(route("r", "/p/", route_kind="unsafe", tries=1))
+        front = cluster.plane.front
+        cluster.plane.log_requests(100)
         front.trace = Trace(front, 100, lambda name, **pairs: told.append((1, name, pairs)))
-        hive.plane.gatekeeper.observer = front.trace.over
+        cluster.plane.gatekeeper.observer = front.trace.over
         full = answer(503, b"", b"Not-Run: 1", b"Attempt-Id: i1")
         worker = await StandIn(ok(), full).start()
-        hive.work("w1", worker.port)
+        cluster.work("w1", worker.port)
         for want in (200, 503):
-            client = await hive.ask()
+            client = await cluster.ask()
             assert (await client.answer())[0] == want
-        assert (await (await hive.ask(key="none")).answer())[0] == 401
-        hive.fresh = 1
-        assert (await (await hive.ask(Attempt_Id="i9")).answer())[0] == 503
+        assert (await (await cluster.ask(key="none")).answer())[0] == 401
+        cluster.fresh = 1
+        assert (await (await cluster.ask(Attempt_Id="i9")).answer())[0] == 503
         await asyncio.sleep(0)
         assert not front.trace.said
 
@@ -206,7 +207,7 @@
     assert "  core core 1: 50 ms" in text and text[-1] == "slowest: g2, 500 ms"
     assert "  gatekeeper g3: no line of it, it went on to a later one or never had it" in text
     out = tmp_path / "page.html"
-    assert beekeeper.main(["report", *map(str, paths), "--out", str(out)]) == 0
+    assert operatorctl.main(["report", *map(str, paths), "--out", str(out)]) == 0
     assert out.read_text().count("data:image/png") == 4
     assert [round(ms) for _, number, ms in page.in_force(lines) if number == 7] == [200, 500]
     assert json.dumps(pairs_of(logs.line("x", {"a": 'q "1" \\', "b": ""}))) == json.dumps(
@@ -269,8 +270,12 @@
     pairs = {"id": "i", "aim": 400, "ms": ms, "status": status, "reason": reason}
     told = [(at, "request", pairs) for at in (1.0, 1.2, 3.0)]
     lines = read([log(tmp_path / "g.log", *told, (3.5, "requests-left-out", {"count": 7}))])
-    text = losses.table(lines)
+    text = loss_accounting.table(lines)
     rows = [row.split() for row in text[1:3]]
     assert [f"{3 * lost:.2f}", "3", reason] in rows and ["0.00", "7", "left", "out"] in rows
-    assert losses.by_second(losses.found(lines), lines[0].at)[reason] == {0: 200 * lost, 2: 100 * lost}
+    found = loss_accounting.found(lines)
+    assert loss_accounting.by_second(found, lines[0].at)[reason] == {
+        0: 200 * lost,
+        2: 100 * lost,
+    }
     assert sum(row.startswith("second") for row in text) == (2 if lost else 0)
--- a/tests/test_wax.py
+++ b/tests/test_storage.py
@@ -11,39 +11,39 @@
 import lmdb
 import pytest
 
-from pepperrun.foundation.errors import HiveError
-from pepperrun.queen.texts import Texts
-from pepperrun.queen.values import FIRST_LIFE, Ballot, Held, Memory, digest_of
-from pepperrun.wax.store import Wax
+from pepperrun.foundation.errors import PepperrunError
+from pepperrun.consensus.canonical_json import Texts
+from pepperrun.consensus.values import FIRST_LIFE, Ballot, Held, Memory, digest_of
+from pepperrun.storage.store import DiskStore
 
 ME, CONTACTS = "10.0.0.1", ["10.0.0.1", "10.0.0.2", "10.0.0.3"]
 
 
 def filled(folder: Path, size: int = 300_000) -> Memory:
     """A machine that has taken a value, not known as chosen; its disk is closed."""
-    wax = Wax(str(folder), 64)
-    memory = wax.begin("s", ME, CONTACTS)
+    disk = DiskStore(str(folder), 64)
+    memory = disk.begin("s", ME, CONTACTS)
     assert memory.chosen is not None
     body = {"routes": "é" * (size // 2)}
     value = replace(memory.chosen.value, number=1, digest=digest_of(body))
     memory.promised = Ballot(3, "x")
     memory.accepted = Held(Ballot(3, "x"), value, body)
-    wax.save(memory)
-    wax.close()
+    disk.save(memory)
+    disk.close()
     return memory
 
 
 def test_what_was_saved_is_there_and_starts_are_counted(tmp_path: Path) -> None:
     memory = filled(tmp_path)
     for starts in (2, 3):
-        wax = Wax(str(tmp_path), 64)
-        assert wax.begin("s", ME, CONTACTS) == replace(memory, starts=starts)  # first_run may still be true
-        wax.close()
+        disk = DiskStore(str(tmp_path), 64)
+        assert disk.begin("s", ME, CONTACTS) == replace(memory, starts=starts)  # first_run may still be true
+        disk.close()
 
 
 def test_only_a_first_contact_with_an_empty_disk_begins(tmp_path: Path) -> None:
     lives = [
-        Wax(str(tmp_path / str(at))).begin("s", me, contacts)
+        DiskStore(str(tmp_path / str(at))).begin("s", me, contacts)
         for at, (me, contacts) in enumerate([(ME, CONTACTS), ("10.0.0.4", CONTACTS), (ME, []), (ME, [])])
     ]
     assert lives[0].life == FIRST_LIFE and lives[0].chosen == lives[0].accepted is not None
@@ -54,7 +54,7 @@
 def test_a_file_that_never_got_its_first_record_is_an_empty_disk(tmp_path: Path) -> None:
     lmdb.open(str(tmp_path), lock=False).close()
     assert (tmp_path / "data.mdb").exists()
-    assert Wax(str(tmp_path)).begin("s", ME, CONTACTS).life == FIRST_LIFE
+    assert DiskStore(str(tmp_path)).begin("s", ME, CONTACTS).life == FIRST_LIFE
 
 
 @pytest.mark.parametrize("where", ["head", "body", "record", "lost record"])
@@ -74,47 +74,47 @@
     if where == "lost record":
         with lmdb.open(str(tmp_path), lock=False) as env, env.begin(write=True) as transaction:
             transaction.delete(b"promised")
-    wax = Wax(str(tmp_path), 64)
-    again = wax.begin("s", ME, CONTACTS)
+    disk = DiskStore(str(tmp_path), 64)
+    again = disk.begin("s", ME, CONTACTS)
     assert again.life not in (memory.life, FIRST_LIFE)
     assert again.chosen is None and again.accepted is None and again.starts == 1
-    wax.close()
-    assert Wax(str(tmp_path), 64).begin("s", ME, []).life == again.life
+    disk.close()
+    assert DiskStore(str(tmp_path), 64).begin("s", ME, []).life == again.life
 
 
 def test_a_promise_does_not_write_the_body_again(tmp_path: Path) -> None:
     filled(tmp_path)
-    wax = Wax(str(tmp_path), 64)
-    memory = wax.begin("s", ME, [])
+    disk = DiskStore(str(tmp_path), 64)
+    memory = disk.begin("s", ME, [])
     written: list[int] = []
-    seal = wax.saved.copy()
+    seal = disk.saved.copy()
     memory.promised, memory.chosen = Ballot(4, "y"), memory.accepted
-    wax.save(memory)
-    env = wax.env
+    disk.save(memory)
+    env = disk.env
     assert env is not None
     with env.begin() as transaction:
         bodies = [key for key, _ in transaction.cursor() if bytes(key).startswith(b"body:")]
         written += [transaction.stat()["overflow_pages"]]
     # The first body went with the value that named it; the other stayed where it was.
-    assert len(bodies) == 1 and written[0] <= 300_000 // 4096 + 2 and seal != wax.saved
+    assert len(bodies) == 1 and written[0] <= 300_000 // 4096 + 2 and seal != disk.saved
     assert env.info()["map_size"] == 32 * 1024 * 1024
 
 
 def test_after_a_failure_all_is_written_anew(tmp_path: Path) -> None:
-    wax = Wax(str(tmp_path), 1)  # of which half is the map's
-    memory = wax.begin("s", ME, CONTACTS)
+    disk = DiskStore(str(tmp_path), 1)  # of which half is the map's
+    memory = disk.begin("s", ME, CONTACTS)
     assert memory.chosen is not None
     small = memory.accepted
     body = {"fill": "x" * 1_000_000}
     memory.accepted = Held(
         Ballot(1, "x"), replace(memory.chosen.value, number=1, digest=digest_of(body)), body
     )
-    with pytest.raises(HiveError, match="disk-failed"):
-        wax.save(memory)
+    with pytest.raises(PepperrunError, match="disk-failed"):
+        disk.save(memory)
     memory.accepted, memory.promised = small, Ballot(9, "z")
-    wax.save(memory)
-    wax.close()
-    assert Wax(str(tmp_path), 1).begin("s", ME, []).promised == Ballot(9, "z")
+    disk.save(memory)
+    disk.close()
+    assert DiskStore(str(tmp_path), 1).begin("s", ME, []).promised == Ballot(9, "z")
 
 
 @pytest.mark.parametrize("error", [lmdb.DiskError("full"), lmdb.Error("x: Input/output error")])
@@ -128,9 +128,9 @@
 
     with monkeypatch.context() as patch:
         patch.setattr(lmdb, "open", refuses)
-        with pytest.raises(HiveError, match="disk-failed"):
-            Wax(str(tmp_path), 64).begin("s", ME, [])
-    assert Wax(str(tmp_path), 64).begin("s", ME, []).life == memory.life
+        with pytest.raises(PepperrunError, match="disk-failed"):
+            DiskStore(str(tmp_path), 64).begin("s", ME, [])
+    assert DiskStore(str(tmp_path), 64).begin("s", ME, []).life == memory.life
 
 
 def test_a_change_writes_the_text_of_what_it_changed() -> None:
