--- a/pepperrun/control/inspection.py
+++ b/pepperrun/control/inspection.py
@@ -3,43 +3,60 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
+from pepperrun.consensus.replica import Replica
+from pepperrun.control.cells import Cells
+from pepperrun.control.mesh import Mesh
 from pepperrun.control.records import GONE
+from pepperrun.distribution.publisher import Publisher
 from pepperrun.foundation.netstring import Message
-
-if TYPE_CHECKING:
-    from pepperrun.control.hub import Hub
+from pepperrun.foundation.settings import Settings
 
 MS = 1_000_000
 
 
-def shown(hub: Hub, now: int) -> Message:
+class CoreMachine(Protocol):
+    """What `show` reads of a running core machine; `control.hub.Hub` is one."""
+
+    settings: Settings
+    life: int
+    replica: Replica
+    cells: Cells
+    mesh: Mesh
+    publisher: Publisher
+    retiring: bool
+
+    def age_ms(self, now: int) -> float | None:
+        """How old what this machine knows may be; None where nothing is known."""
+
+
+def shown(core: CoreMachine, now: int) -> Message:
     """The answer to `show`: ages in ms, addresses as the settings have them. Nothing secret is in it."""
-    me, replica, body = hub.settings.me, hub.replica, hub.replica.body
-    value, memory, age = replica.value, replica.register.memory, hub.age_ms(now)
+    me, replica, body = core.settings.me, core.replica, core.replica.body
+    value, memory, age = replica.value, replica.register.memory, core.age_ms(now)
     return {
         **{"k": "shown", "class": "sorting", "station": me.station, "ip": me.ip, "zone": me.zone},
-        **{"region": me.region, "starts": hub.life, "life": memory.life, "votes": replica.votes},
+        **{"region": me.region, "starts": core.life, "life": memory.life, "votes": replica.votes},
         **{"number": replica.number, "edition": body.get("edition", 0), "seats": body.get("seats", 0)},
         **{"age_ms": None if age is None else round(age), "majority": not replica.minority},
         "voters": [list(one) for one in value.voters] if value else [],
         "leaving_voters": [list(one) for one in value.was if one not in value.voters] if value else [],
-        **{"keeper": replica.keeper, "stopping": hub.retiring, "peers": hub.mesh.cores()},
-        **{"evacuated": sorted(body.get("evacuated", ())), "cells": _cells(hub, now)},
+        **{"keeper": replica.keeper, "stopping": core.retiring, "peers": core.mesh.cores()},
+        **{"evacuated": sorted(body.get("evacuated", ())), "cells": _cells(core, now)},
         "children": [
             {"station": port.name, "number": peer.number}
-            for port, peer in hub.publisher.peers.items()
+            for port, peer in core.publisher.peers.items()
             if peer.pushed
         ],
     }
 
 
-def _cells(hub: Hub, now: int) -> dict[str, Any]:
+def _cells(core: CoreMachine, now: int) -> dict[str, Any]:
     """By zone: workers by line and state, gatekeepers with their states and when they were last heard."""
-    cells = hub.cells
+    cells = core.cells
     out: dict[str, dict[str, Any]]
-    out = {zone: {"workers": {}, "guards": []} for zone in sorted(hub.settings.network.zones)}
+    out = {zone: {"workers": {}, "guards": []} for zone in sorted(core.settings.network.zones)}
     counted = Counter((one.zone, one.line, one.state) for one in cells.workers.values())
     for (zone, line, state), count in sorted(counted.items()):
         held = out.setdefault(zone, {"workers": {}, "guards": []})
--- a/pepperrun/dataplane/front.py
+++ b/pepperrun/dataplane/front.py
@@ -5,7 +5,7 @@
 import random
 import re
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 from pepperrun.exchange import End, Exchange, Final
 from pepperrun.dataplane.gate import AGAIN_NS, Gate
@@ -21,7 +21,6 @@
 
 if TYPE_CHECKING:
     from pepperrun.dataplane.numbering import Ledger
-    from pepperrun.dataplane.trace import Trace
 
 SECOND = 1_000_000_000
 UPLOAD_NS = 600 * SECOND  # a body that stands still ends within seconds; one that comes has this long
@@ -56,6 +55,16 @@
         return self.limits_of() if self.limits_of is not None else super().times
 
 
+class RequestLog(Protocol):
+    """Where requests are logged that were not simply served; `dataplane.trace.Trace` is one."""
+
+    def answered(self, exchange: Exchange[Any, Any], status: int, final: Final[Any]) -> None:
+        """A final answer."""
+
+    def at_once(self, request: Request, status: int) -> None:
+        """Answered without the decisions."""
+
+
 class Front:
     """What all connections of this front share."""
 
@@ -79,7 +88,7 @@
         self.rng = random.Random(seed)
         self.sure_ns = sure_ns  # what is held may be so old for a word on what there is not
         self.table: Table | None = None
-        self.trace: Trace | None = None  # where requests are logged
+        self.trace: RequestLog | None = None  # where requests are logged
         self._times, self._keep = Times(), b""
 
     def take(self, table: Table) -> None:
--- a/pepperrun/operator/explain.py
+++ b/pepperrun/operator/explain.py
@@ -5,13 +5,10 @@
 
 from __future__ import annotations
 
-import argparse
 from collections import defaultdict
-from pathlib import Path
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
-from pepperrun.operator import loss_accounting
-from pepperrun.operator.event_log import Line, read
+from pepperrun.operator.event_log import Line
 
 SLACK_S = 0.01  # `ms` of a call is rounded
 
@@ -154,40 +151,3 @@
         source, at = max(found.gateways.items(), key=lambda one: one[1])
         out.append(f"slowest: {source}, {(at - start) * 1000:.0f} ms")
     return out
-
-
-# The command.
-
-
-def _explain(options: argparse.Namespace) -> int:
-    lines = read(options.logs)
-    print(
-        "\n".join(attempt(options.id, lines) if options.kind == "attempt" else change(options.number, lines))
-    )
-    return 0
-
-
-def _report(options: argparse.Namespace) -> int:
-    from pepperrun.operator import page
-
-    lines = read(options.logs)
-    page.write(lines, options.out)
-    print("\n".join(loss_accounting.table(lines)))
-    print(options.out)
-    return 0
-
-
-def register(commands: Any) -> None:
-    """Adds `explain` and `report` to a command's subparsers."""
-    text = "tell from log files what became of a request or a change"
-    top = commands.add_parser("explain", help=text, description=text)
-    kinds = top.add_subparsers(dest="kind", required=True, metavar="WHAT")
-    one = kinds.add_parser("attempt", help="one request, of gatekeepers with --trace")
-    one.add_argument("id", metavar="ID", help="its Attempt-Id")
-    two = kinds.add_parser("change", help="one number of the agreed state: when it was in force where")
-    two.add_argument("number", type=int, metavar="N", help="as `show` and the lines `agreed` tell it")
-    three = commands.add_parser("report", help="a page with plots from log files")
-    three.add_argument("--out", type=Path, required=True, metavar="FILE", help="HTML")
-    for command, does in ((one, _explain), (two, _explain), (three, _report)):
-        command.add_argument("logs", nargs="+", type=Path, metavar="LOGFILE", help="one for each process")
-        command.set_defaults(does=does)
--- a/pepperrun/operatorctl.py
+++ b/pepperrun/operatorctl.py
@@ -8,7 +8,7 @@
 import sys
 from collections.abc import Callable
 
-from pepperrun.operator import explain, files, inspection, local_cluster, problems, state
+from pepperrun.operator import files, inspection, local_cluster, log_commands, problems, state
 from pepperrun.operator.calls import PATIENCE_S, Caller, Told, addresses
 from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.settings import address
@@ -143,7 +143,7 @@
     one.add_argument("--folder", metavar="DIR", help="settings, disks and logs go there (else a new one)")
     one.add_argument("--for", dest="duration", type=float, metavar="SECONDS", help="end by itself")
     state.register(commands)
-    explain.register(commands)
+    log_commands.register(commands)
     return top
 
 
--- a/pepperrun/simulation/actors.py
+++ b/pepperrun/simulation/actors.py
@@ -6,18 +6,16 @@
 import math
 from collections import deque
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from pepperrun.control.matchers import Answer, Call
 from pepperrun.core.interface import Outcome
 from pepperrun.net.http1 import Request
-from pepperrun.simulation.virtual_time import MS, Machine
-from pepperrun.simulation.judges import Asked, Edition, Seen
-
-if TYPE_CHECKING:
-    from pepperrun.simulation.days import Day
-    from pepperrun.simulation.nodes import Gate
-    from pepperrun.simulation.plans import Route
+from pepperrun.simulation.judges import Asked, Edition, Judges, Seen
+from pepperrun.simulation.measures import Measures
+from pepperrun.simulation.nodes import Core, Gate
+from pepperrun.simulation.plans import Route, Shape
+from pepperrun.simulation.virtual_time import MS, Machine, World
 
 SECOND = 1000 * MS
 BEAT = 1500 * MS
@@ -25,10 +23,38 @@
 Done = Callable[[Answer | None], None]
 
 
+class Stage(Protocol):
+    """What the actors know of the day that they play in; `simulation.days.Day` is one."""
+
+    world: World
+    shape: Shape
+    judges: Judges
+    measures: Measures
+    cores: list[Core]
+    gates: list[Gate]
+    workers: dict[str, Worker]
+    client_machines: list[Machine]
+    keys: dict[str, list[str]]
+    cold_ns: int
+    tokens: int
+
+    def say(self, text: str) -> None:
+        """A line of the log."""
+
+    def drawn(self, on: int) -> dict[str, Any]:
+        """The next configuration on top of the one with edition `on`."""
+
+    def weight(self, at: int) -> float:
+        """How much a tenant sends."""
+
+    def call(self, machine: Machine, at: int, call: Call, done: Done) -> None:
+        """A control call to a core machine; None where no answer comes in time."""
+
+
 class Worker:
     """An address at which one life of a worker after the other serves."""
 
-    def __init__(self, day: Day, machine: Machine, line: str) -> None:
+    def __init__(self, day: Stage, machine: Machine, line: str) -> None:
         self.day, self.machine, self.line = day, machine, line
         self.address = f"{machine.ip}:90"
         self.lives, self.id, self.serial, self.state = 0, "", 0, "boarding"
@@ -159,7 +185,7 @@
 class Clients:
     """All clients: each request goes to some gatekeeper near its zone, and some come again."""
 
-    def __init__(self, day: Day, rate: float) -> None:
+    def __init__(self, day: Stage, rate: float) -> None:
         self.day, self.rate, self.count = day, rate, 0
         self.routes = list(day.shape.routes)
         self.shares = [one.share for one in day.shape.routes.values()]
@@ -232,7 +258,7 @@
 class Operator:
     """Puts configurations and evacuations, with the patience of a person's tool."""
 
-    def __init__(self, day: Day, machine: Machine) -> None:
+    def __init__(self, day: Stage, machine: Machine) -> None:
         self.day, self.machine = day, machine
 
     def order(self, call: Call, done: Callable[[int], None], core: int, left: int = 8) -> None:
@@ -334,7 +360,7 @@
 
 
 def attempt(
-    day: Day, gate: Gate, exchange: Any, address: str, id: str, over: Callable[[Outcome], None]
+    day: Stage, gate: Gate, exchange: Any, address: str, id: str, over: Callable[[Outcome], None]
 ) -> None:
     """Brings a request to a worker and its end back, as far as links allow."""
     world, worker, loop = day.world, day.workers[address], gate.machine.loop
