Follower split by job, messages of the relay tree typed, same bytes on the wire

Cause: follower.py had 480 lines and six jobs; tick, tock, want, change and agreed were bare maps in two files. Change: uplink (one link: ticks, what it asks for), freshness (what tocks prove), core_selection, parent_selection, own_record and messages stand beside a follower of 350 lines that decides and puts them together; the publisher reads and writes the same types. Ruled out: base classes or callbacks between the parts; each is called by the follower alone.

--- a/pepperrun/distribution/publisher.py
+++ b/pepperrun/distribution/publisher.py
@@ -16,6 +16,7 @@
 from pepperrun.foundation.netstring import Message, encode, length
 from pepperrun.distribution import repair
 from pepperrun.distribution.digests import Record, Sums, record_id
+from pepperrun.distribution.messages import TICK, WANT, Agreed, Change, Tick, Tock, Want
 
 BATCH_MS = 15  # records that change together go together
 SILENT_NS = 5_000_000_000  # gatekeepers tick each 400 ms: one that is silent for so long is gone
@@ -134,15 +135,10 @@
             return False
         peer.heard_at = now
         kind = message["k"]
-        if kind == "tick":
-            self._tick(port, peer, message, now)
-        elif kind == "want":
-            whole = bool(message.get("whole"))
-            if not whole and peer.number >= self.source.number and port.unsent():
-                peer.sent_at = now  # a long one goes out slowly: once more of it would only take longer
-            elif whole or peer.number < self.source.number or now - peer.sent_at > UNDER_WAY_NS:
-                peer.number = int(message["n"])
-                self._bring(port, peer, now, whole, asked=True)
+        if kind == TICK:
+            self._tick(port, peer, Tick.read(message), now)
+        elif kind == WANT:
+            self._want(port, peer, Want.read(message), now)
         elif kind in ("ask", "cells", "digests"):
             for back in repair.heard(self.source, self.source.merge, message, now):
                 port.write(encode(back))
@@ -150,23 +146,29 @@
             return False
         return True
 
-    def _tick(self, port: Port, peer: _Peer, message: Message, now: int) -> None:
+    def _want(self, port: Port, peer: _Peer, want: Want, now: int) -> None:
+        if not want.whole and peer.number >= self.source.number and port.unsent():
+            peer.sent_at = now  # a long one goes out slowly: once more of it would only take longer
+        elif want.whole or peer.number < self.source.number or now - peer.sent_at > UNDER_WAY_NS:
+            peer.number = want.number
+            self._bring(port, peer, now, want.whole, asked=True)
+
+    def _tick(self, port: Port, peer: _Peer, tick: Tick, now: int) -> None:
         source = self.source
-        if "g" in message:
-            peer.gateway = GatewayRecord.read(message["g"])
+        if tick.gateway is not None:
+            peer.gateway = tick.gateway
         if peer.gateway is not None:
             source.beat(peer.gateway, now)
         age = source.age_ms(now)
-        tock: Message = {"k": "tock", "t": message["t"], "age": None if age is None else math.ceil(age)}
-        tock |= {"n": source.number, "d": source.sums.whole()}
-        cores = source.cores
-        if cores != peer.cores:
-            tock["cores"] = peer.cores = [list(row) for row in cores]
-        port.write(encode(tock))
-        pushed = bool(message.get("root"))
-        peer.number = max(peer.number, int(message["n"]))  # not less where more is on its way
-        peer.pushed = pushed
-        if pushed and peer.number < source.number:
+        age_ms = None if age is None else math.ceil(age)
+        cores = None
+        if source.cores != peer.cores:
+            cores = peer.cores = [list(row) for row in source.cores]
+        tock = Tock(tick.sent_at, age_ms, source.number, source.sums.whole(), cores)
+        port.write(encode(tock.wire()))
+        peer.number = max(peer.number, tick.number)  # not less where more is on its way
+        peer.pushed = tick.attaches
+        if tick.attaches and peer.number < source.number:
             self._bring(port, peer, now)
         if now - self.swept > SILENT_NS // 5:
             self._sweep(now)
@@ -185,7 +187,7 @@
             self.history.clear()
         if change is not None and state is not None:
             base, op = change
-            frame = encode({"k": "change", "base": base, "n": number, "op": op, "seal": seal(state)})
+            frame = encode(Change(base, number, op, seal(state)).wire())
             self.history.append((base, number, frame))
             while len(self.history) > HISTORY or sum(len(one[2]) for one in self.history) > HISTORY_BYTES:
                 del self.history[0]
@@ -213,7 +215,7 @@
                 at = after
         if whole or at != number or peer.number <= 0:
             if self.whole[0] != number:
-                self.whole = (number, encode({"k": "agreed", "n": number, "state": state}))
+                self.whole = (number, encode(Agreed(number, state).wire()))
             missing = [self.whole[1]]
         if not asked and not self._passed_on(peer, missing, now):
             return
--- a/pepperrun/distribution/service.py
+++ b/pepperrun/distribution/service.py
@@ -148,13 +148,13 @@
         self.publisher.turn(self.clock())
 
     def moved(self) -> None:
-        """Who of the other gatekeepers is thought to be there has changed: `follower.standing` says who."""
+        """Who of the other gatekeepers is thought to be there changed: see `follower.parents.standing`."""
         self.follower.moved(self.clock())
         self.settle()
 
     def contacts(self, contacts: list[Address]) -> None:
         """The settings name other core machines to ask first."""
-        self.follower.contacts = contacts
+        self.follower.cores.contacts = contacts
 
     def tell(self) -> None:
         """The own row has changed (ready, leaving): said to the core now, not at the next tick."""
--- a/pepperrun/gateway_node.py
+++ b/pepperrun/gateway_node.py
@@ -53,7 +53,7 @@
             settings, self.life, secrets.randbits(32), self.plane.peer_messages.send, self.on_probes
         )
         self.plane.peer_messages.others[MARK] = self.probes.received
-        self.news.follower.standing = self.probes.there
+        self.news.follower.parents.standing = self.probes.there
         self.news.shown = lambda now: inspection.shown(self.row(), self.news, self.plane, self.probes, now)
         self.asked = ready_listener(time.monotonic_ns, self.plane.ready)
         self.stop = asyncio.Event()
--- a/pepperrun/simulation/distribution_days.py
+++ b/pepperrun/simulation/distribution_days.py
@@ -97,10 +97,8 @@
             if max(gate.age_ms(), cells) > FRESH_MS:
                 return f"{gate.station} knows its news to be {gate.age_ms():.0f} and {cells:.0f} ms old"
             said = gate.follower.core.said
-            if any(
-                control_node.book.gateways[gate.station].wire() != said
-                for control_node in world.control_nodes
-            ):
+            known = [control_node.book.gateways[gate.station] for control_node in world.control_nodes]
+            if any(record != said for record in known):
                 return f"{gate.station} is not known as it is"
         books = [control_node.book for control_node in world.control_nodes] + [
             gate.book for gate in world.gates
--- a/pepperrun/simulation/nodes.py
+++ b/pepperrun/simulation/nodes.py
@@ -165,7 +165,7 @@
             *(self.settings, self.life, seed ^ 1, peer_messages.send, self._on_probes), clock=loop.clock
         )
         peer_messages.others[MARK] = self.probes.received
-        self.news.follower.standing = self.probes.there
+        self.news.follower.parents.standing = self.probes.there
         loop.datagrams(PORT, peer_messages)
         spawn(loop, self.news.start())
         self._look()
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -1,6 +1,7 @@
 """Distribution in virtual time: news goes through dead relays and cuts, freshness is never overstated."""
 
 import asyncio
+import json
 import random
 import zlib
 from collections import Counter
@@ -17,7 +18,7 @@
 from pepperrun.simulation.narrow_links import Narrow, told
 from pepperrun.simulation.distribution_days import CORES, ZONES, Day
 from pepperrun.simulation.distribution_world import MS, World
-from pepperrun.distribution import repair
+from pepperrun.distribution import messages, repair
 from pepperrun.distribution.book import NewsBook
 from pepperrun.distribution.digests import Sums
 from pepperrun.distribution.follower import Follower
@@ -93,7 +94,7 @@
     world.run(1000)
     assert not world.lags(number)
     assert all("w1" in gate.book.workers for gate in world.gates if gate.alive)
-    lost = [replace(one.follower.row(), state="lost") for one in world.gates if not one.alive]
+    lost = [replace(one.follower.own_record.row(), state="lost") for one in world.gates if not one.alive]
     world.control_nodes[0].book.take_cells([], lost)  # what the core concludes from their silence
     world.run(6000)
     whole = [gate for gate in world.gates if gate.alive and gate.follower.root]
@@ -385,3 +386,23 @@
     world.sizes.clear()
     assert len(told(world, 1, 3)) == 27  # a short one goes down the tree
     assert sum(world.sizes[control_node.station] for control_node in world.control_nodes) < 10_000
+
+
+def test_typed_messages_keep_their_bytes_and_read_back():
+    row = GatewayRecord("s", "z", "r", "10.0.0.1:80", "10.0.0.1:90", 3)
+    listed = '["s","z","r","10.0.0.1:80","10.0.0.1:90",3,0,"starting"]'
+    for message, text in (
+        (messages.Tick(5, 7, True, row), '{"k":"tick","t":5,"n":7,"g":' + listed + ',"root":true}'),
+        (messages.Tick(5, 7, False), '{"k":"tick","t":5,"n":7,"root":false}'),
+        (messages.Tock(5, None, 7, "d"), '{"k":"tock","t":5,"age":null,"n":7,"d":"d"}'),
+        (
+            messages.Tock(5, 12, 7, "d", [["10.0.0.1", "z"]]),
+            '{"k":"tock","t":5,"age":12,"n":7,"d":"d","cores":[["10.0.0.1","z"]]}',
+        ),
+        (messages.Want(7), '{"k":"want","n":7}'),
+        (messages.Want(7, whole=True), '{"k":"want","n":7,"whole":true}'),
+        (messages.Change(6, 7, {"do": 1}, "s"), '{"k":"change","base":6,"n":7,"op":{"do":1},"seal":"s"}'),
+        (messages.Agreed(7, {"edition": 1}), '{"k":"agreed","n":7,"state":{"edition":1}}'),
+    ):
+        assert encode(message.wire()) == b"%d:%b," % (len(text), text.encode())
+        assert type(message).read(json.loads(text)) == message
