Leavers end with no vote and no duty; a lost voter is replaced within catch_up_s

Cause: a machine told to stop named another keeper and ended, still a voter; a dead one kept its place for 4 s.

Ruled out: a spare as an extra voter (an even number bears no more losses); replacing on a link's end (a killed process is back within a second).

The world counts the copies of each chosen value on the disks and asserts a majority of each set with its body. The test of a roll said that no vote moves; it now asserts for each machine that has ended that no value names it (a spare has its vote), all else as before.

--- a/pepperrun/consensus/messages.py
+++ b/pepperrun/consensus/messages.py
@@ -13,6 +13,7 @@
 | want, body | d, w | a body by its digest, and the answer |
 | read | s, c, l | stamp `s`: have you taken anything later than my `c`? |
 | seen | s, l, a, c, q | what was taken and chosen, where it is not `c`; `q`: the keeper, where it is silent |
+| leave | l | life `l` was told to stop: its vote should go to another; a later `read` of it takes that back |
 """
 
 from __future__ import annotations
@@ -40,6 +41,7 @@
     "body": "dw",
     "read": "scl",
     "seen": "sl",
+    "leave": "l",
 }
 
 
--- a/pepperrun/consensus/replica.py
+++ b/pepperrun/consensus/replica.py
@@ -70,6 +70,7 @@
         self.look = False  # at whether the voters are as they should be
         self.stopping = False
         self.next_keeper = ""  # who should be the keeper instead of the one there is
+        self.leaving: set[str] = set()  # machines that said that they stop, and were not heard anew since
 
     # What is held.
 
@@ -116,6 +117,22 @@
         """Are fewer up than decide? Then changes fail at once."""
         return not self._decides(self._up())
 
+    @property
+    def released(self) -> bool:
+        """May this machine, which is to stop, end for good with no vote and no duty left behind?
+
+        True as well where nobody is there to take its place: then it stays named, as a machine that is down.
+        """
+        value, accepted = self.value, self.register.memory.accepted
+        if value is None:
+            return True
+        heirs = set(self._up()) - self.leaving - {self.me}
+        if value.keeper == self.me and heirs & value.ips:
+            return False
+        if value.was or (accepted is not None and accepted.ballot > self.register.chosen_at):
+            return False  # a change is under way, and may concern this machine
+        return self.me not in value.ips or not heirs - value.ips
+
     @property
     def _known(self) -> Value | None:
         """What is chosen, else what was taken: who votes, as far as is known here."""
@@ -173,7 +190,11 @@
         kind = made["t"]
         self.hearing.message(ip, made.get("l"), now)
         if kind == "read":
+            self.leaving.discard(ip)
             self._asked(ip, made)
+        elif kind == "leave":
+            self.look |= ip not in self.leaving
+            self.leaving.add(ip)
         elif kind == "seen":
             self._seen(ip, made)
         else:
@@ -192,9 +213,13 @@
         return token
 
     def retire(self, now: int) -> None:
-        """This process is to stop: if it is the keeper it names another. Goes on otherwise until it ends."""
+        """This process is to stop: its duty and its vote go to others. Goes on otherwise until it ends.
+
+        It should end when it is `released`, or when its time is over.
+        """
         self._at(now)
         self.stopping = self.look = True
+        self._tell_leave()
         self._succession(self._up())
         self._start()
 
@@ -254,8 +279,9 @@
             value = replace(value, keeper=self.next_keeper)
         if value.keeper != self.me or value.was or self.stopping:
             return value
-        up = self._up()
+        up = {ip: life for ip, life in self._up().items() if ip not in self.leaving}
         lost = {one.ip for one in value.voters if self.hearing.silence(one.ip, self.now) > self.pace.lost}
+        lost |= self.leaving
         places = {ip: (self.regions.get(zone, ""), zone) for ip, zone in self.hearing.zones.items()}
         voters = wanted(value, up, lost, places, self.most)
         return value if voters == value.voters else replace(value, voters=voters, was=value.voters)
@@ -265,7 +291,7 @@
         self.next_keeper, value = "", self.value
         if value is None:
             return  # no chosen value, no keeper
-        order = [ip for ip in successors(value, set(up)) if ip != value.keeper]
+        order = [ip for ip in successors(value, set(up) - self.leaving) if ip != value.keeper]
         if value.keeper == self.me:
             if self.stopping and order:
                 self.next_keeper = order[0]
@@ -289,8 +315,16 @@
         ask = {"t": "read", "s": self.stamp, "c": register.chosen_at, "l": register.memory.life}
         ips = self.voters | (self.hearing.links if self.value is None else set())
         register.out += [(ip, ask) for ip in sorted(ips) if ip in self.hearing.links]
+        if self.stopping:
+            self._tell_leave()
         self._weigh(self.stamp)
 
+    def _tell_leave(self) -> None:
+        """All that are linked are told, so that none of them names this machine anew."""
+        register = self.register
+        leave = {"t": "leave", "l": register.memory.life}
+        register.out += [(ip, leave) for ip in sorted(self.hearing.links)]
+
     def _asked(self, ip: str, message: Message) -> None:
         register, theirs = self.register, message["c"]
         answer: Message = {"t": "seen", "s": message["s"], "l": register.memory.life}
--- a/pepperrun/consensus/voter.py
+++ b/pepperrun/consensus/voter.py
@@ -33,7 +33,7 @@
     patience: int = 1500 * MS  # for a change, unless told otherwise
     up: int = 1200 * MS  # who was heard within it is up
     silent: int = 1500 * MS  # a keeper not heard for so long gets a successor
-    lost: int = 4000 * MS  # a voter not heard for so long gives its place to a machine that is up
+    lost: int = 2000 * MS  # a voter not heard for so long gives its place to a machine that is up
     lazy: int = 5000 * MS  # until it is kept that something was chosen: not right after it was acknowledged
 
 
--- a/pepperrun/control_node.py
+++ b/pepperrun/control_node.py
@@ -21,6 +21,8 @@
 LOOK_S = 2.0  # between two looks whether the settings file has changed
 ANSWERED_S = 1.5  # for what was read, once told to stop
 SENT_S = 0.1  # for the last messages to go out
+HANDED_OVER_S = 3.0  # at most until its vote and its duty are others': half of the usual `grace_s`
+RELEASED_EACH_S = 0.05  # between two looks whether they are
 
 
 class ControlNode:
@@ -66,10 +68,20 @@
         logs.event("stopping", station=self.settings.me.station)
         self.hub.retire()
         listener.close()
-        await asyncio.gather(*(server.close(ANSWERED_S) for server in self.servers.values()))
+        closing = (server.close(ANSWERED_S) for server in self.servers.values())
+        await asyncio.gather(self.handed_over(), *closing)
         await asyncio.sleep(SENT_S)
         self.hub.close()
 
+    async def handed_over(self) -> None:
+        """Until nothing that the other core machines need rests on this one, or the time for it is over."""
+        looks = int(HANDED_OVER_S / RELEASED_EACH_S)
+        for _ in range(looks):
+            if self.hub.replica.released:
+                return
+            await asyncio.sleep(RELEASED_EACH_S)
+        logs.event("not-released", station=self.settings.me.station)
+
     def reread(self) -> None:
         """The settings file may have changed; one that is no good changes nothing."""
         self.looked = self.stamp()
--- a/pepperrun/simulation/consensus_world.py
+++ b/pepperrun/simulation/consensus_world.py
@@ -15,11 +15,15 @@
 from typing import Any
 
 from pepperrun.consensus.replica import Replica
-from pepperrun.consensus.values import FIRST_LIFE, Body, Memory, Op, beginning, digest_of
-from pepperrun.consensus.voter import MS
+from pepperrun.consensus.values import FIRST_LIFE, Body, Life, Memory, Op, Value, beginning, digest_of
+from pepperrun.consensus.voter import MS, Pace
+from pepperrun.simulation.copies import Copies, deciding
 
 BREAKS = 2000 * MS  # unacknowledged for so long: a link is over
 AGAIN = 100 * MS  # until a link that can be is up
+ENDS = 500 * MS  # from being told to stop to the end, at least
+ENDS_AT_ONCE = 100 * MS  # of a process that waits for nobody
+HANDED_OVER = 3000 * MS  # at most, as in `control_node`
 Pair = tuple[str, str]
 
 
@@ -55,6 +59,24 @@
             self.synced = replace(memory)
 
 
+def _wrong(disk: Disk) -> str:
+    """What is wrong with what it keeps, or nothing."""
+    return disk.wrong if isinstance(disk, CountedDisk) else ""
+
+
+class CountedDisk(Disk):
+    """Tells the ledger what it has synced."""
+
+    def __init__(self, ip: str, copies: Copies, late: bool = False) -> None:
+        super().__init__(late)
+        self.ip, self.copies, self.wrong = ip, copies, ""
+
+    def save(self, memory: Memory) -> None:
+        super().save(memory)
+        if self.synced is not None:
+            self.wrong = self.wrong or self.copies.saved(self.ip, self.synced)
+
+
 @dataclass
 class Machine:
     """One of the core. `consensus` None: it is down."""
@@ -66,6 +88,7 @@
     frozen: bool = False
     waiting: list[tuple[str, Any]] = field(default_factory=list)
     started: int = 0
+    started_at: int = 0
     lives: int = 0
     tick_at: int = -1
     gone: bool = False  # for good
@@ -86,9 +109,13 @@
 class World:
     """Machines `10.0.Z.N`, one zone each `zZ`; two zones a region. The first three are the first contacts."""
 
-    def __init__(self, count: int, seed: int, most: int = 5, late_disks: bool = False) -> None:
+    def __init__(
+        self, count: int, seed: int, most: int = 5, late_disks: bool = False, pace: Pace | None = None
+    ) -> None:
         self.rng, self.seed, self.most, self.late_disks = random.Random(seed), seed, most, late_disks
-        self.now = 0
+        self.now, self.pace, self.copies = 0, pace, Copies()
+        self.counts_copies = not late_disks  # else such a disk is found at once, not by what is lost
+        self.waits_released = True  # False: a bug put in on purpose, who is told to stop just ends
         self.events: list[tuple[int, int, tuple[Any, ...]]] = []
         self.turn = 0
         self.machines: dict[str, Machine] = {}
@@ -104,16 +131,21 @@
         for _ in range(count):
             self.add()
         self.contacts = sorted(self.machines)[:3]
+        self.copies.began(beginning(self.contacts))
         for ip in list(self.machines):
             self.start(ip, first=True)
 
-    def add(self) -> str:
+    def add(self, zone: str = "") -> str:
         """One more machine, with an empty disk, not started."""
         at = len(self.machines)
         ip = f"10.0.{at}.1"
-        self.machines[ip] = Machine(ip, f"z{at % 12}", Disk(self.late_disks))
+        self.machines[ip] = Machine(ip, zone or f"z{at % 12}", self.disk(ip))
         return ip
 
+    def disk(self, ip: str) -> CountedDisk:
+        """An empty one, which is counted."""
+        return CountedDisk(ip, self.copies, self.late_disks)
+
     # Faults.
 
     def start(self, ip: str, first: bool = False) -> None:
@@ -130,10 +162,15 @@
                 memory.accepted = memory.chosen = beginning(self.contacts)
         memory.starts += 1
         machine.disk.save(memory)
-        machine.started += 1
+        machine.started, machine.started_at = machine.started + 1, self.now
         machine.frozen, machine.waiting = False, []
         seed = self.rng.randrange(1 << 30)
-        how: dict[str, Any] = {"zone": machine.zone, "regions": self.regions, "most": self.most}
+        how: dict[str, Any] = {
+            "zone": machine.zone,
+            "regions": self.regions,
+            "most": self.most,
+            "pace": self.pace,
+        }
         machine.replica = Replica(ip, memory, machine.disk, judge, seed=seed, now=self.now, **how)
         self._pump(machine)
         self._later(AGAIN, ("connect", ip))
@@ -155,7 +192,34 @@
     def wipe(self, ip: str) -> None:
         """Its disk is lost, with the power."""
         self.kill(ip, power=True)
-        self.machines[ip].disk = Disk(self.late_disks)
+        self.machines[ip].disk = self.disk(ip)
+        if self.counts_copies:
+            self.wrong = self.wrong or self.copies.lacking(self.present())
+
+    def remove(self, ip: str) -> None:
+        """It is gone for good, with its disk."""
+        self.machines[ip].gone = True
+        self.wipe(ip)
+
+    def present(self, running: bool = False) -> set[Life]:
+        """Lives whose disk is there. `running`: and whose process runs and is not frozen."""
+        return {
+            Life(ip, one.disk.synced.life)
+            for ip, one in self.machines.items()
+            if one.disk.synced is not None
+            and not one.gone
+            and (not running or (one.replica is not None and not one.frozen))
+        }
+
+    @property
+    def newest(self) -> Value:
+        """The value that was chosen last, as far as any machine knows."""
+        assert self.copies.newest is not None
+        return self.copies.newest[1]
+
+    def unbearable(self, losses: Iterable[frozenset[str]]) -> list[frozenset[str]]:
+        """Those further losses that would leave no majority of the voters, running, in the lives named."""
+        return deciding(self.newest, self.present(running=True), losses)
 
     def freeze(self, ip: str) -> None:
         """The process stands still; its links hold."""
@@ -171,12 +235,13 @@
         self._tick(machine)
 
     def retire(self, ip: str) -> None:
-        """It is told to stop, and ends half a second later."""
+        """It is told to stop, and ends when it is released, half a second later at the earliest."""
         machine = self.machines[ip]
         if machine.replica is not None:
             machine.replica.retire(self.now)
             self._pump(machine)
-            self._later(500 * MS, ("end", ip, machine.started))
+            ends = ENDS if self.waits_released else ENDS_AT_ONCE
+            self._later(ends, ("end", ip, machine.started, self.now + HANDED_OVER))
 
     def cut(self, side: Iterable[str], other: Iterable[str] | None = None) -> None:
         """Nothing goes between these and the others (all others) any more."""
@@ -246,8 +311,7 @@
             if machine.tick_at == self.now:
                 self._tick(machine)
         elif kind == "end":
-            if self.machines[event[1]].started == event[2] and self.machines[event[1]].replica is not None:
-                self.kill(event[1])
+            self._ends(*event[1:])
         elif kind == "connect":
             self._connect(event[1])
         elif kind == "broken":
@@ -259,6 +323,16 @@
             if one.answer is None and (len(event) == 2 or one.token == event[2]):
                 self._send(one)
 
+    def _ends(self, ip: str, started: int, latest: int) -> None:
+        """A process that was told to stop does so when it is released, or when its time is over."""
+        machine = self.machines[ip]
+        if machine.started != started or machine.replica is None:
+            return
+        if machine.replica.released or self.now >= latest or not self.waits_released:
+            self.kill(ip)
+        else:
+            self._later(50 * MS, ("end", ip, started, latest))
+
     @staticmethod
     def _pair(one: str, two: str) -> Pair:
         return (one, two) if one < two else (two, one)
@@ -352,6 +426,10 @@
     def _look(self, machine: Machine) -> None:
         replica = machine.replica
         assert replica is not None
+        held = replica.register.memory.chosen
+        if held is not None:
+            wrong = _wrong(machine.disk) or self.copies.chose(held)
+            self.wrong = self.wrong or (wrong if self.counts_copies else "")
         seen = (replica.value, replica.fresh_at, self.answers)
         if seen == machine.seen:
             return
--- a/pepperrun/simulation/replays.py
+++ b/pepperrun/simulation/replays.py
@@ -61,12 +61,13 @@
         self.disk.save(now)
         self.saves_seen.append(Save(image, (self.folder / FILE).read_bytes(), was, now))
         super().save(memory)
+        self.world.copies.saved(self.ip, memory)
 
     def _power(self, found: Memory) -> str:
         """In a child: power is lost now, with this on the disk. What is wrong in the end, or nothing."""
         world = self.world
         world.kill(self.ip, power=True)
-        disk = world.machines[self.ip].disk = Disk()
+        disk = world.machines[self.ip].disk = world.disk(self.ip)
         disk.synced = replace(found)
         world.run(DOWN_MS)
         world.start(self.ip)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -109,7 +109,7 @@
     assert newest is not None and newest.number == 1 and len(newest.voters) == 7
 
 
-def test_a_roll_of_the_whole_core_holds_up_no_change_and_moves_no_vote() -> None:
+def test_a_roll_of_the_whole_core_holds_up_no_change_and_leaves_no_vote_behind() -> None:
     world = World(12, 5, most=7)
     world.run(4000)
     ips = sorted(world.machines)
@@ -124,6 +124,7 @@
         held = [one.replica.keeper for other, one in world.machines.items() if one.replica and other != ip]
         assert ip not in held and len(set(held)) == 1
         world.run(1000)
+        assert world.machines[ip].replica is None and ip not in world.newest.ips  # a spare has its vote
         world.start(ip)
         world.run(500)
     ends_well(world)
--- /dev/null
+++ b/tests/test_voter_changes.py
@@ -0,0 +1,230 @@
+"""Changes of voters: copies at each step, leavers, and how soon another loss can be borne."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from types import SimpleNamespace
+
+import pytest
+
+from pepperrun import control_node
+from pepperrun.consensus import messages
+from pepperrun.consensus.values import Life, Memory, beginning, digest_of
+from pepperrun.simulation.consensus_world import World
+from pepperrun.simulation.copies import Copies, deciding
+from pepperrun.simulation.replacement_days import GROWN, SMALL, Bugs, Day, Kind, Loss, Step
+
+
+def settled(count: int, seed: int = 3, most: int = 5) -> World:
+    world = World(count, seed, most=most)
+    world.run(4000)
+    assert not world.settled() and len(world.newest.voters) == most and not world.newest.was
+    return world
+
+
+def drawn(kind: Kind, step: Step, loss: Loss, seed: int) -> Day:
+    day = Day(seed)
+    day.kind, day.step, day.loss = kind, step, loss
+    return day
+
+
+@pytest.mark.parametrize("loss", Loss)
+@pytest.mark.parametrize("step", Step)
+def test_another_loss_is_borne_at_each_step_of_a_planned_replacement(step: Step, loss: Loss) -> None:
+    for seed in range(2):
+        day = drawn(Kind.PLANNED, step, loss, seed)
+        assert not day.play(), (seed, day.name)
+
+
+@pytest.mark.parametrize("kind", [Kind.KILLED_MIDWAY, Kind.UNPLANNED, Kind.EMPTY, Kind.TWO])
+@pytest.mark.parametrize("loss", Loss)
+def test_another_loss_is_borne_once_a_successor_had_its_time(kind: Kind, loss: Loss) -> None:
+    for seed in range(2):
+        day = drawn(kind, Step.CAUGHT_UP, loss, seed)
+        assert not day.play(), (seed, day.name)
+        assert max(day.times.bearable, default=0) < 0.7 * SMALL.catch_up_ms
+
+
+def test_a_drawn_day_of_a_grown_site() -> None:
+    day = Day(1, GROWN)
+    assert not day.play(), day.name
+
+
+@pytest.mark.parametrize(
+    ("bugs", "kind", "wrong"),
+    [
+        (Bugs(lost_ms=4000), Kind.UNPLANNED, "can be borne only"),
+        (Bugs(lost_ms=4000), Kind.KILLED_MIDWAY, "and no majority of"),
+        (Bugs(stays_named=True), Kind.PLANNED, "and no majority of"),
+    ],
+)
+def test_who_keeps_its_place_too_long_is_found(bugs: Bugs, kind: Kind, wrong: str) -> None:
+    found = []
+    for seed in range(8):
+        day = Day(seed, bugs=bugs)
+        day.kind, day.step = kind, Step.CAUGHT_UP
+        found.append(day.play())
+    assert any(wrong in one for one in found), found
+
+
+def test_who_is_told_to_stop_ends_with_no_vote_and_no_duty_where_a_spare_is_there() -> None:
+    world = settled(6)
+    keeper = world.newest.keeper
+    replica = world.machines[keeper].replica
+    assert replica is not None
+    world.retire(keeper)
+    assert not replica.released
+    world.run(500)
+    assert replica.released and world.machines[keeper].replica is None
+    assert keeper not in world.newest.ips and world.newest.keeper != keeper
+    assert len(world.newest.voters) == 5 and not world.newest.was
+
+
+def test_where_nobody_is_there_instead_it_stays_named_and_ends_without_waiting() -> None:
+    world = settled(5)
+    voters = world.newest.voters
+    told = world.now
+    ip = sorted(world.newest.ips - {world.newest.keeper})[0]
+    replica = world.machines[ip].replica
+    assert replica is not None
+    world.retire(ip)
+    assert replica.released  # at once
+    world.run(600)
+    assert world.machines[ip].replica is None and world.now - told < 700_000_000
+    world.run(5000)
+    assert world.newest.voters == voters
+    world.start(ip)
+    world.run(3000)
+    assert not world.settled() and world.newest.voters == voters
+
+
+def test_a_leaver_that_is_cut_off_ends_when_its_time_is_over() -> None:
+    world = settled(6)
+    ip = sorted(world.newest.ips - {world.newest.keeper})[0]
+    world.cut([ip])
+    world.run(300)
+    world.retire(ip)
+    world.run(3200)
+    assert world.machines[ip].replica is None
+    world.run(1500)
+    assert ip not in world.newest.ips  # it was lost, so the spare votes
+
+
+def test_two_that_leave_at_once_don_t_name_each_other() -> None:
+    world = settled(7)
+    order = sorted(world.newest.ips)
+    keeper = world.newest.keeper
+    follows = order[(order.index(keeper) + 1) % len(order)]
+    world.retire(follows)
+    world.retire(keeper)
+    world.run(1500)
+    assert not {keeper, follows} & world.newest.ips
+    assert world.newest.keeper not in (keeper, follows)
+    world.run(2000)
+    assert not world.settled()
+
+
+def test_all_told_to_stop_at_once_end_at_once_and_keep_their_votes() -> None:
+    world = settled(7)
+    voters = world.newest.voters
+    for ip in world.machines:
+        world.retire(ip)
+    world.run(1200)
+    assert not any(one.replica for one in world.machines.values())
+    for ip in world.machines:
+        world.start(ip)
+    world.run(5000)
+    assert not world.settled() and len(world.newest.voters) == len(voters)
+
+
+def test_who_was_told_to_stop_and_is_back_may_vote_again() -> None:
+    world = settled(6)
+    ip = sorted(world.newest.ips - {world.newest.keeper})[0]
+    world.retire(ip)
+    world.run(1500)
+    world.start(ip)
+    world.run(1000)
+    assert ip not in world.newest.ips  # a spare
+    for machine in world.machines.values():
+        assert machine.replica is not None and ip not in machine.replica.leaving
+    lost = sorted(world.newest.ips - {world.newest.keeper})[0]
+    world.remove(lost)
+    world.run(3000)
+    assert ip in world.newest.ips and lost not in world.newest.ips
+
+
+def test_a_keeper_killed_while_it_hands_over_is_followed_within_the_time_to_be_in_touch() -> None:
+    for after_ms in (0, 20, 40, 60, 90, 150, 300):
+        world = settled(6, seed=after_ms)
+        keeper = world.newest.keeper
+        world.retire(keeper)
+        world.run(after_ms)
+        world.remove(keeper)
+        world.run(3200)
+        value = world.newest
+        assert keeper not in value.ips and value.keeper != keeper and not value.was, after_ms
+
+
+def test_copies_are_counted_on_disks() -> None:
+    first = beginning(["a", "b", "c"])
+    later = first._replace(ballot=first.ballot._replace(round=1))
+    copies = Copies()
+    copies.began(first)
+    assert not copies.chose(first) and copies.fewest == 3
+    memory = Memory("first", accepted=later)
+    assert not copies.saved("a", memory)
+    assert "with 1 copies among 3" in copies.chose(later)
+    assert not copies.lacking({Life("a", "first"), Life("b", "first")})  # they are of two minds: no decision
+    assert "without a copy" in copies.lacking({Life("b", "first"), Life("c", "first")})
+    body = {"m": 1}
+    wrong = later._replace(value=replace(later.value, digest=digest_of(body)))
+    assert "without its body" in Copies().saved("a", Memory("first", accepted=wrong))
+    present = {Life(ip, "first") for ip in "abc"}
+    some, most = frozenset("a"), frozenset("ab")
+    assert deciding(first.value, present, [some, most]) == [most]
+
+
+def test_a_disk_that_syncs_too_late_has_too_few_copies() -> None:
+    world = World(5, 1, late_disks=True)
+    world.counts_copies = True
+    world.run(3000)
+    assert "is known as chosen with" in world.wrong
+
+
+def test_the_word_of_a_leaver_is_checked_and_passed_over_by_who_does_not_know_it() -> None:
+    assert messages.read({"t": "leave", "l": "first"}) == {"t": "leave", "l": "first"}
+    assert messages.known({"t": "leave"})
+
+
+class Leaver:
+    """A hub whose replica is released after so many looks."""
+
+    def __init__(self, looks: int) -> None:
+        self.looks, self.seen = looks, 0
+
+    @property
+    def replica(self) -> Leaver:
+        return self
+
+    @property
+    def released(self) -> bool:
+        self.seen += 1
+        return self.seen > self.looks
+
+
+@pytest.mark.parametrize(("looks", "slept"), [(0, 0.0), (5, 0.25), (1000, control_node.HANDED_OVER_S)])
+def test_the_program_waits_until_it_is_released_but_not_for_ever(
+    monkeypatch: pytest.MonkeyPatch, looks: int, slept: float
+) -> None:
+    sleeps: list[float] = []
+
+    async def sleep(time_s: float) -> None:
+        sleeps.append(time_s)
+
+    monkeypatch.setattr(asyncio, "sleep", sleep)
+    node = object.__new__(control_node.ControlNode)
+    node.hub = Leaver(looks)  # type: ignore[assignment]
+    node.settings = SimpleNamespace(me=SimpleNamespace(station="s1"))  # type: ignore[assignment]
+    asyncio.run(node.handed_over())
+    assert sum(sleeps) == pytest.approx(slept)
