--- a/pepperrun/simulation/consensus_world.py
+++ b/pepperrun/simulation/consensus_world.py
@@ -107,10 +107,16 @@
 
 
 class World:
-    """Machines `10.0.Z.N`, one zone each `zZ`; two zones a region. The first three are the first contacts."""
+    """Machines `10.0.Z.N`, one zone each `zZ`; two zones a region. The first `contacts` are the first contacts."""
 
     def __init__(
-        self, count: int, seed: int, most: int = 5, late_disks: bool = False, pace: Pace | None = None
+        self,
+        count: int,
+        seed: int,
+        most: int = 5,
+        late_disks: bool = False,
+        pace: Pace | None = None,
+        contacts: int = 3,
     ) -> None:
         self.rng, self.seed, self.most, self.late_disks = random.Random(seed), seed, most, late_disks
         self.now, self.pace, self.copies = 0, pace, Copies()
@@ -130,7 +136,7 @@
         self.answers = 0
         for _ in range(count):
             self.add()
-        self.contacts = sorted(self.machines)[:3]
+        self.contacts = sorted(self.machines)[:contacts]
         self.copies.began(beginning(self.contacts))
         for ip in list(self.machines):
             self.start(ip, first=True)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -251,6 +251,31 @@
     assert ended == {200, 412}
 
 
+@pytest.mark.parametrize("contacts", [1, 2])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_fewer_than_three_first_contacts_begin_and_others_join_them(seed: int, contacts: int) -> None:
+    world = World(5, seed, contacts=contacts)
+    one = world.change(0, 1, sorted(world.machines))  # sent before anybody has met
+    world.run(3000)
+    assert one.answer == 200 and len(world.newest.voters) == 5 and not world.settled()
+    for ip in sorted(world.machines)[:contacts]:
+        world.wipe(ip)
+    assert until(world, world.change(1, 2, sorted(world.machines)[contacts:])) == 200
+    ends_well(world)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_start_with_a_dark_first_contact_takes_changes_and_lets_it_in_later(seed: int) -> None:
+    world = World(5, seed)
+    dark = sorted(world.machines)[seed % 3]
+    world.cut([dark])
+    one = world.change(0, 1, [ip for ip in sorted(world.machines) if ip != dark])
+    assert until(world, one) == 200
+    world.heal()
+    ends_well(world)
+    assert readmitted(world)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_the_first_contacts_are_replaced_one_by_one(seed: int) -> None:
     world = calm(seed)
--- a/tests/test_dataplane.py
+++ b/tests/test_dataplane.py
@@ -204,6 +204,19 @@
     going(test)
 
 
+def test_a_client_may_rest_for_four_fifths_of_the_configurations_idle_limit():
+    async def test():
+        cluster = Cluster(route("r", "/p/"), limits={"dwell_ms": 2500, "envelope_ms": 700})
+        times = cluster.plane.listener.times
+        assert times.idle_ns >= 2500 * MS and times.silent_ns >= 2500 * MS
+        assert times.whole_ns >= 700 * MS
+        cluster.agree(route("r", "/p/"), limits={"dwell_ms": 9000, "envelope_ms": 700})
+        assert cluster.plane.listener.times.idle_ns >= 9000 * MS  # connections that are open already, too
+        cluster.plane.close()
+
+    going(test)
+
+
 def test_a_late_second_answer_is_told_by_its_id():
     """On the same connection it comes in the place of the next; that one's client must not get it."""
 
