--- a/pepperrun/simulation/consensus_world.py
+++ b/pepperrun/simulation/consensus_world.py
@@ -107,7 +107,7 @@
 
 
 class World:
-    """Machines `10.0.Z.N`, one zone each `zZ`; two zones a region. The first `contacts` are the first contacts."""
+    """Machines `10.0.Z.N`, one zone each `zZ`; two zones a region. The first `contacts` of them begin."""
 
     def __init__(
         self,
