--- a/pepperrun/membership/member.py
+++ b/pepperrun/membership/member.py
@@ -18,12 +18,15 @@
 from pepperrun.membership.links import Links
 from pepperrun.membership.names import Names
 from pepperrun.membership.outbox import Outbox
+from pepperrun.membership.own_side import OwnSide
 from pepperrun.membership.probing import Probe, Prober
 from pepperrun.membership.records import Book, Record
+from pepperrun.membership.replay_guard import ReplayGuard
 from pepperrun.membership.roster import listed
-from pepperrun.membership.states import MOVES, Config, Happened, Me, On, Own, Window
+from pepperrun.membership.self_doubt import SelfDoubt
+from pepperrun.membership.states import MOVES, Config, Happened, Me, On, Own
 from pepperrun.membership.suspicion import WATCHERS, Suspicions
-from pepperrun.membership.views import Side, Views, side_of
+from pepperrun.membership.views import Side, Views
 from pepperrun.membership.wire import (
     INCARNATIONS,
     LIVES,
@@ -44,8 +47,6 @@
 NEWS_EACH = 40_000_000  # what is new goes on at once, in one datagram for so long
 NEWS_TO = 2  # members that hear it then
 NEWS_RATE, NEWS_BURST = 20.0, 20.0  # datagrams of news a second at most: a storm must not fill the intakes
-MOST_ASKED = 4  # at the same time, of those that remain when several are gone
-DOUBT_AFTER = 4  # probes in a row to nothing, over as many periods: it may be this one that is not heard
 STALL_NS = SECOND // 2  # a standstill of this process: it doubts itself, not the others
 EVENTS = 512  # kept for whoever asks
 COUNTS = ("sent", "sent_bytes", "heard", "forged", "replayed", "foreign", "suspected", "buried", "denied")
@@ -68,6 +69,9 @@
         )
         self.prober = Prober(self.book, self.links, self.rng, config.period_ns, self.outbox.post)
         self.suspicions = Suspicions(self.book, self.prober, config.suspect_ns)
+        self.replays = ReplayGuard(self.own, self.book, self.outbox, self.counts)
+        self.self_doubt = SelfDoubt(self.book, self.links, self.prober, self.rng, config.period_ns)
+        self.own_side = OwnSide(self.me, self.roster, self.book, self.views, self.prober, now)
         self.names = Names(self.own, self.book, self.prober, self.outbox, self._note, self._happened)
         self.handlers: dict[Kind, Callable[[Datagram, int], None]] = {
             Kind.PING: self._ping,
@@ -80,16 +84,10 @@
             Kind.TAKEN: self._taken,
         }
         self.events: deque[Happened] = deque(maxlen=EVENTS)
-        self.windows: dict[tuple[int, int], Window] = {}  # by member and life
-        self.considered, self.candidate, self.suspected = -1, frozenset[tuple[int, int]](), False
         self.news = Bucket(NEWS_RATE, NEWS_BURST, NEWS_BURST, now)
         self.started = self.seen_at = self.moved_at = now
-        self.apart = frozenset[int]()  # who was missing when it last stood on a smaller side
-        self.smaller = False  # it stands on one
-        self.returned_at = now - 60 * SECOND  # when it last came back, from a smaller side or a standstill
         self.hello_at = self.knock_at = now
         self.news_at = 0  # when what is new goes on; 0: there is nothing
-        self.doubt = False  # after a standstill, until another member answers
         self.told_of: Callable[[Happened], None] | None = None
 
     @property
@@ -97,6 +95,29 @@
         """How many there may be."""
         return len(self.roster)
 
+    @property
+    def doubt(self) -> bool:
+        """It may be this one that is not heard."""
+        return self.self_doubt.doubts
+
+    @property
+    def returned_at(self) -> int:
+        """When it last came back, from a smaller side or a standstill."""
+        return self.own_side.returned_at
+
+    @property
+    def apart(self) -> frozenset[int]:
+        """Who was missing when it last stood on a smaller side."""
+        return self.own_side.apart
+
+    def configured(self) -> frozenset[int]:
+        """All members but those that left in order."""
+        return self.own_side.configured()
+
+    def side(self) -> Side:
+        """Where this one stands, by its view."""
+        return self.own_side.side()
+
     def rekey(self, keys: Keys) -> None:
         """Other keys hold at once, for what is sent and what is taken in."""
         self.config = replace(self.config, keys=keys)
@@ -109,7 +130,7 @@
         self.names.held.pop(member, None)
         self.prober.heard.pop(member, None)
         self.views.told.pop(member, None)
-        self.windows = {key: window for key, window in self.windows.items() if key[0] != member}
+        self.replays.forget(member)
 
     # Own state.
 
@@ -146,7 +167,7 @@
         stood, self.seen_at = now - self.seen_at, max(now, self.seen_at)
         if stood < STALL_NS or self.own.state is not Me.MEMBER:
             return
-        self.doubt = len(self.book.others(State.ALIVE, State.SUSPECT, State.DEAD)) > 0
+        self.self_doubt.stood_still()
         self.prober.void()
         self.names.claims.clear()
         self.prober.worse()
@@ -235,8 +256,9 @@
         if probe.claim:
             self.names.claim_holds(probe.target, now)
             return
-        self.prober.failed_in_row += 1
-        self._do_i_hear(now)
+        if self.self_doubt.probe_failed(now):
+            failed = self.prober.failed_in_row
+            self._happened(now, "hears nobody", self.me, self.me, f"{failed} probes")
         if probe.silent and len(probe.silent) == len(probe.helpers):
             self.prober.worse()  # all helpers keep silent: it may be this one that does not hear
         known = self.book.get(probe.target)
@@ -246,20 +268,6 @@
             self.counts["suspected"] += 1
         self._note(Rumour(known.member, known.life, known.incarnation, State.SUSPECT, self.me), now)
 
-    def _do_i_hear(self, now: int) -> None:
-        """Many probes in a row came to nothing: those that seem well are asked before it doubts itself."""
-        failed = self.prober.failed_in_row
-        well = [m for m in self.book.others(State.ALIVE) if m not in self.links.failed]
-        if failed == DOUBT_AFTER:
-            for member in self.rng.sample(well, min(len(well), DOUBT_AFTER)):
-                if not self.prober.asking(member):
-                    self.prober.ask(member, now)
-        if self.doubt or failed < DOUBT_AFTER or well and failed < 2 * DOUBT_AFTER:
-            return
-        if now - self.prober.answered_at >= DOUBT_AFTER * self.config.period_ns:
-            self.doubt = True
-            self._happened(now, "hears nobody", self.me, self.me, f"{failed} probes")
-
     def _bury(self, known: Record, now: int) -> None:
         self.counts["buried"] += 1
         self._note(Rumour(known.member, known.life, known.incarnation, State.DEAD, self.me), now)
@@ -287,7 +295,7 @@
         self._soon(now)
         if life != rumour.life:
             self.links.forget(rumour.member)
-            self.windows.pop((rumour.member, life), None)
+            self.replays.forget_life(rumour.member, life)
             self.prober.heard.pop(rumour.member, None)
         if was is not rumour.state or life != rumour.life:
             self._happened(now, WORDS[rumour.state], rumour.member, rumour.witness, f"life {rumour.life}")
@@ -333,7 +341,7 @@
         if datagram.sender != sender:
             self.counts["foreign"] += 1
             return
-        if not self._in_order(datagram, now):
+        if not self.replays.in_order(datagram):
             return
         self.counts["heard"] += 1
         if datagram.kind not in (Kind.HELLO, Kind.TAKEN) and not self._current(datagram, now):
@@ -348,23 +356,6 @@
             self.outbox.post(sender, Kind.NEWS)
         self._consider(now)
 
-    def _in_order(self, datagram: Datagram, now: int) -> bool:
-        """No replay: a new number of its life, and for this life of the receiver where that matters."""
-        known = self.book.get(datagram.sender)
-        if known is not None and known.life == datagram.life:
-            window = self.windows.setdefault((datagram.sender, datagram.life), Window())
-            if not window.new(datagram.sequence):
-                self.counts["replayed"] += 1
-                return False
-        if datagram.to_life != self.own.life and datagram.kind is not Kind.HELLO:
-            if datagram.kind is Kind.PING:
-                # The life that is asked for has ended: whoever answers here says which one this is.
-                self.outbox.post(datagram.sender, Kind.ACK, probe=datagram.probe, to_life=datagram.life)
-            else:
-                self.counts["replayed"] += 1
-            return False
-        return True
-
     def _current(self, datagram: Datagram, now: int) -> bool:
         """Is it from the life that is known here? A later one is taken in, an earlier one told of that."""
         sender, known = datagram.sender, self.book.get(datagram.sender)
@@ -410,9 +401,8 @@
         if probe is None:
             return
         if self.doubt:
-            self.doubt, self.returned_at = False, now
-            if not self.smaller:
-                self.apart = frozenset()
+            self.self_doubt.doubts = False
+            self.own_side.answered(now)
             self._happened(now, "is answered", self.me, datagram.sender)
         if probe.for_whom is not None:
             self.outbox.post(probe.for_whom[0], Kind.ACK, probe=probe.for_whom[1], subject=probe.target)
@@ -439,52 +429,10 @@
     def _consider(self, now: int) -> None:
         if self.own.state is not Me.MEMBER:
             return
-        if self.book.changes != self.considered:
-            self.considered = self.book.changes
-            self.candidate = frozenset(
-                (m, known.life) for m, known in self.book.records.items() if known.there
-            )
-            self.suspected = any(known.state is State.SUSPECT for known in self.book.records.values())
-            self.views.note(self.candidate, now)
-        view = self.views.consider(self.candidate, self.suspected or bool(self._unheard(now)), now)
+        view = self.own_side.consider(now)
         if view is not None:
-            smaller = self.side() in (Side.MINORITY, Side.ALONE)
-            if smaller:
-                self.apart = self.configured() - view.numbers()
-            elif self.smaller:
-                self.returned_at = now
-            self.smaller = smaller
-            self._happened(
-                now, "view", self.me, self.me, f"{view.number} {view.digest:08x} {len(view.members)}"
-            )
-
-    def _unheard(self, now: int) -> list[int]:
-        """Where several are gone others may be too: each that remains is heard first, and asked for that."""
-        if self.candidate is self.views.view.members or self.candidate == self.views.view.members:
-            return []
-        gone = self.views.view.numbers() - {member for member, _ in self.candidate}
-        if len(gone) < 2:
-            return []
-        since = self.views.differs_since
-        unheard = [m for m, _ in self.candidate if m != self.me and self.prober.heard.get(m, 0) < since]
-        free = MOST_ASKED - len(self.prober.probes)
-        for member in unheard:
-            if free <= 0:
-                break
-            if not self.prober.asking(member):
-                self.prober.ask(member, now)
-                free -= 1
-        return unheard
-
-    def configured(self) -> frozenset[int]:
-        """All members but those that left in order."""
-        left = self.book.others(State.LEFT)
-        return self.roster.every - set(left) if left else self.roster.every
-
-    def side(self) -> Side:
-        """Where this one stands, by its view."""
-        here = self.views.view.numbers() | {self.me}
-        return side_of(here, self.configured(), self.me, self.views.ids)
+            what = f"{view.number} {view.digest:08x} {len(view.members)}"
+            self._happened(now, "view", self.me, self.me, what)
 
     # For others to see.
 
