--- a/pepperrun/simulation/consensus_world.py
+++ b/pepperrun/simulation/consensus_world.py
@@ -15,14 +15,9 @@
 from typing import Any
 
 from pepperrun.consensus.replica import Replica
-<<<<<<< HEAD
 from pepperrun.consensus.values import FIRST_LIFE, Body, Life, Memory, Op, Value, beginning, digest_of
-from pepperrun.consensus.voter import MS, Pace
+from pepperrun.consensus.voter import MS, Apply, Pace
 from pepperrun.simulation.copies import Copies, deciding
-=======
-from pepperrun.consensus.values import FIRST_LIFE, Body, Memory, Op, beginning, digest_of
-from pepperrun.consensus.voter import MS, Apply
->>>>>>> d301a6a9b4885c0c68329ecf95bfc1dee2d5908e
 
 BREAKS = 2000 * MS  # unacknowledged for so long: a link is over
 AGAIN = 100 * MS  # until a link that can be is up
@@ -114,7 +109,8 @@
 class World:
     """Machines `10.0.Z.N`, one zone each `zZ`; two zones a region. The first `contacts` of them begin."""
 
-<<<<<<< HEAD
+    apply: Apply = staticmethod(judge)  # what judges changes at a machine that starts
+
     def __init__(
         self,
         count: int,
@@ -124,11 +120,6 @@
         pace: Pace | None = None,
         contacts: int = 3,
     ) -> None:
-=======
-    apply: Apply = staticmethod(judge)  # what judges changes at a machine that starts
-
-    def __init__(self, count: int, seed: int, most: int = 5, late_disks: bool = False) -> None:
->>>>>>> d301a6a9b4885c0c68329ecf95bfc1dee2d5908e
         self.rng, self.seed, self.most, self.late_disks = random.Random(seed), seed, most, late_disks
         self.now, self.pace, self.copies = 0, pace, Copies()
         self.counts_copies = not late_disks  # else such a disk is found at once, not by what is lost
@@ -182,18 +173,13 @@
         machine.started, machine.started_at = machine.started + 1, self.now
         machine.frozen, machine.waiting = False, []
         seed = self.rng.randrange(1 << 30)
-<<<<<<< HEAD
         how: dict[str, Any] = {
             "zone": machine.zone,
             "regions": self.regions,
             "most": self.most,
             "pace": self.pace,
         }
-        machine.replica = Replica(ip, memory, machine.disk, judge, seed=seed, now=self.now, **how)
-=======
-        how: dict[str, Any] = {"zone": machine.zone, "regions": self.regions, "most": self.most}
         machine.replica = Replica(ip, memory, machine.disk, self.apply, seed=seed, now=self.now, **how)
->>>>>>> d301a6a9b4885c0c68329ecf95bfc1dee2d5908e
         self._pump(machine)
         self._later(AGAIN, ("connect", ip))
 
