--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -448,7 +448,7 @@
 @pytest.mark.parametrize(
     ("rules", "seed"),
     [
-        (Rules(rounds=4, restarts=1, spares=1, bug="empty-votes", counts=False), 1),
+        (Rules(rounds=4, restarts=1, spares=1, bug="empty-votes", counts=False), 6),
         (Rules(rounds=4, wipes=0, spares=1, bug="hasty", counts=False), 4),
         (Rules(rounds=4, wipes=0, spares=1, bug="one-step", counts=False), 4),
         (Rules(rounds=3, restarts=2, bug="late-sync", counts=False), 1),
