A cut-off control node says 503 only: promises and links older than a call count no more

Cause: an order that came while a round was asking was judged by that round; its promises may be older than the call, so a node that was frozen or held up could refuse (412) or confirm on a state from before it. An invalid body was refused (400) by any node. A node that heard others and did not reach them (cut in one direction, or a hello sent before the cut) took itself for one with a majority and kept callers for 850 ms. Ruled out: reads (their question is sent after the call), wall clock (not used by the core's decisions). Change: orders that came after a round began are settled only by its accepted proposal, else by the next round; a 400 and a read need a majority's answer asked for after the call, and a node that knows that it has none says 503 at once; `Hearing.reached` counts answers to questions, not messages.

--- a/pepperrun/consensus/liveness.py
+++ b/pepperrun/consensus/liveness.py
@@ -23,6 +23,7 @@
         self.zones = {me: zone}
         self.links: set[str] = set()
         self.heard: dict[str, int] = {}
+        self.answered: dict[str, int] = {}  # when its last answer to a question of this machine came
         self.lives: dict[str, str] = {}  # as the machines themselves told last
         self.opinions: dict[str, Opinion] = {}
 
@@ -30,6 +31,7 @@
         """A link is up."""
         self.links.add(ip)
         self.zones[ip], self.heard[ip] = zone, now
+        self.answered.pop(ip, None)  # a hello may have been sent before anything of this machine got there
 
     def disconnected(self, ip: str) -> None:
         """It is gone; when it was heard last still counts for how long it has been lost."""
@@ -41,12 +43,18 @@
         if life is not None:
             self.lives[ip] = life
 
+    def answer(self, ip: str, now: int) -> None:
+        """A machine answered a question: messages pass both ways."""
+        self.answered[ip] = now
+
     def thawed(self, now: int) -> None:
         """This process stood still: it can't say of anybody that it was silent."""
         self.since = now
         self.opinions.clear()
         for ip in self.links:
             self.heard[ip] = now
+            if ip in self.answered:
+                self.answered[ip] = now
 
     def silence(self, ip: str, now: int) -> int:
         """For how long nothing came from it; 0 for this machine."""
@@ -57,6 +65,14 @@
         ups = {ip: self.lives.get(ip, "") for ip in self.links if self.silence(ip, now) <= within}
         return ups | {self.me: self.life}
 
+    def reached(self, now: int, within: int) -> dict[str, str]:
+        """Those of `up` that answered a question lately (voters are asked): messages pass both ways."""
+        return {
+            ip: life
+            for ip, life in self.up(now, within).items()
+            if ip == self.me or (ip in self.answered and now - self.answered[ip] <= within)
+        }
+
     def agreed_silent(self, value: Value, own: bool, now: int, within: int) -> bool:
         """Do those that decide say that the keeper is silent?"""
         lives = [
--- a/pepperrun/consensus/register.py
+++ b/pepperrun/consensus/register.py
@@ -80,6 +80,7 @@
     """One that this machine has begun."""
 
     ballot: Ballot
+    wished: int = 0  # the last token given before it began
     asked: set[str] = field(default_factory=set)
     promises: dict[str, Promise] = field(default_factory=dict)
     fetching: str = ""  # the digest of a body that is on its way
@@ -166,7 +167,7 @@
         if self.phase is not Phase.IDLE or (chosen is None and accepted is None):
             return
         self.latest = Ballot(max(self.latest.round, self.memory.promised.round) + 1, self.by)
-        self.round = Round(self.latest)
+        self.round = Round(self.latest, self.tokens)
         self.phase, self.until = Phase.ASKING, now + self.pace.round
         for held in (chosen, accepted):
             if held is not None:
@@ -259,6 +260,8 @@
             if base.ballot > self.chosen_at:
                 self._choose(base, self.steps.get(base.ballot))
                 self._tell({"t": "chosen", "b": base.ballot}, self.round.asked)
+            # Promises may be older than a wish that came meanwhile: it is judged by the next round.
+            round.judged = [one for one in round.judged if one.token <= round.wished]
             self._settle()
             return
         round.put, round.base = Held(round.ballot, value, body), base.value.digest
--- a/pepperrun/consensus/replica.py
+++ b/pepperrun/consensus/replica.py
@@ -114,7 +114,7 @@
     @property
     def minority(self) -> bool:
         """Are fewer up than decide? Then changes fail at once."""
-        return not self._decides(self._up())
+        return not self._decides()
 
     @property
     def _known(self) -> Value | None:
@@ -125,10 +125,11 @@
     def _up(self) -> dict[str, str]:
         return self.hearing.up(self.now, self.pace.up)
 
-    def _decides(self, up: Mapping[str, str]) -> bool:
+    def _decides(self) -> bool:
         value = self._known
         if value is None:
             return False
+        up = self.hearing.reached(self.now, self.pace.up)
         # Who is linked and has not told its life yet may well be the one that votes.
         return value.quorum(
             one for group in value.sets for one in group if one.ip in up and up[one.ip] in ("", one.life)
@@ -227,7 +228,7 @@
         self.look = False
         if not (register.wishes or look or self.later > register.chosen_at):
             return
-        if not self._decides(self._up()):
+        if not self._decides():
             if register.wishes:
                 register.give_up("minority")
             return
@@ -314,6 +315,7 @@
             self.hearing.opinions.pop(ip, None)
         if reading is None:
             return
+        self.hearing.answer(ip, self.now)
         if message.get("c", NONE) > register.chosen_at:
             register.ask_news(ip)
         # What is left out is the same as what was asked about, which this machine knows as chosen.
--- a/pepperrun/control/handlers.py
+++ b/pepperrun/control/handlers.py
@@ -86,6 +86,14 @@
     return told(503, code, detail, AGAIN_S)
 
 
+def _cut_off() -> Answer:
+    return not_now("minority", "This machine is not linked with a majority.")
+
+
+def _not_fresh() -> Answer:
+    return not_now("not-fresh", "It is not known whether what is held is the newest.")
+
+
 class Control:
     """Answers calls on the control and the directory port."""
 
@@ -117,7 +125,7 @@
         """POST /crew/ID/beat"""
         core = self.core
         if core.minority():
-            return not_now("minority", "This machine is not linked with a majority.")
+            return _cut_off()
         try:
             word = read_beat(call.values["id"], call.body)
         except PepperrunError as error:
@@ -132,7 +140,7 @@
         """POST /crew/ID/leave"""
         core = self.core
         if core.minority():
-            return not_now("minority", "This machine is not linked with a majority.")
+            return _cut_off()
         token = core.cells.leave(call.values["id"], core.voters() // 2, core.now())
         core.after()
         return Answer(200, b"{}") if token is None else self._once_held(token, b"{}")
@@ -153,15 +161,23 @@
         """POST /timetable/replace and /timetable/amend"""
 
         def answer(call: Call) -> Answer | Awaited:
+            if self.core.minority():
+                return _cut_off()
             try:
                 op = read(call.body, _based_on(call))
             except PepperrunError as error:
-                event("refused", code=error.code, detail=error.detail)
-                return told(400, error.code, error.detail)
+                return self._refused(error)
             return self.order(call, op, PATIENCE + len(call.body) * PER_KB // 1024)
 
         return answer
 
+    async def _refused(self, error: PepperrunError) -> Answer:
+        """What is invalid by itself: refused by a machine that has a majority, as any order is."""
+        if not await self._fresh():
+            return _not_fresh()
+        event("refused", code=error.code, detail=error.detail)
+        return told(400, error.code, error.detail)
+
     def begin(self, call: Call) -> Answer | Awaited:
         """POST /evacuate/ZONE/begin"""
         return self._evacuate(call, True)
@@ -184,7 +200,7 @@
             path = "/" + "/".join(call.path)
             return Answer(307, headers=(("Location", f"http://{other}{path}"),))
         if core.minority() or core.retiring:
-            return not_now("minority", "This machine is not linked with a majority.")
+            return _cut_off()
         return self._ordered(op, patience)
 
     async def _ordered(self, op: Op, patience: int) -> Answer:
@@ -201,13 +217,20 @@
 
     async def read(self, call: Call) -> Answer:
         """GET /timetable/read"""
-        core = self.core
+        if self.core.minority():
+            return _cut_off()
+        if not await self._fresh():
+            return _not_fresh()
+        return Answer(200, json.dumps(written(self.core.body()), separators=(",", ":")).encode())
+
+    async def _fresh(self) -> bool:
+        """Has a majority answered a question that was asked after this call came?"""
         try:
             async with asyncio.timeout(FRESH_S):
-                await core.fresh()
+                await self.core.fresh()
         except TimeoutError:
-            return not_now("not-fresh", "It is not known whether what is held is the newest.")
-        return Answer(200, json.dumps(written(core.body()), separators=(",", ":")).encode())
+            return False
+        return True
 
     # Clients.
 
--- a/pepperrun/simulation/nodes.py
+++ b/pepperrun/simulation/nodes.py
@@ -26,7 +26,7 @@
 from pepperrun.consensus.values import FIRST_LIFE, Memory, beginning
 from pepperrun.membership.gateway_probe_service import GatewayProbes
 from pepperrun.membership.gateway_probe_wire import MARK
-from pepperrun.simulation import bugs
+from pepperrun.simulation import bugs, control_bugs
 from pepperrun.simulation.virtual_time import MS, Loop, Machine, World, spawn
 from pepperrun.simulation.measures import Measures
 from pepperrun.simulation.consensus_world import Disk
@@ -94,6 +94,7 @@
         loop = self.machine.loop
         assert loop is not None
         self.hub = Hub(self.settings, memory, self.disk, memory.starts, loop.clock)
+        control_bugs.put_in(self.bug, self.hub)
         self.tree = Control(self.hub).tree()
         spawn(loop, link.listen(self.settings.internal_port, self.hub, self.hub.hello))
         self.hub.start()
--- a/pepperrun/simulation/virtual_time.py
+++ b/pepperrun/simulation/virtual_time.py
@@ -30,6 +30,7 @@
         self.queue: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
         self.machines: dict[str, Machine] = {}
         self.cuts: set[tuple[str, str]] = set()  # nothing comes from the first ip to the second
+        self.refused: set[tuple[str, str]] = set()  # the second ip refuses connections of the first
         self.loss, self.most = 0.0, most
         self.crashes: list[str] = []
         self.dead: list[Loop] = []  # kept, so that nothing of them is finished at a moment chosen by chance
@@ -230,7 +231,7 @@
         if not both:
             await asyncio.sleep(3600)
         other = world.machines[host].loop
-        if other is None or port not in other.servers:
+        if other is None or port not in other.servers or (mine.ip, host) in self.world.refused:
             raise ConnectionRefusedError(host)
         near, far = End(self), End(other)
         near.peer, far.peer = far, near
