Logic that stood twice made one: JSON files, buffered connections, loads, repair's copy

Change: config.json_object reads a settings file's object in five places; net.buffered.BufferedConnection is the base of four small protocols; bench.players.LoadPlayer plays a load when it is due for the bench and the lab; a publisher's Source is repair's Copy and more. Ruled out, as they are no logic: import lists (the heads of features/playing.py, benchmarks/ill_workers.py, tests/test_long_running.py), fields of data classes that look alike (most pairs by shape), the signature of ended in dataplane/outcomes.py and gatekeeper.py, which is one interface said by its two sides.

--- a/pepperrun/bench/askers.py
+++ b/pepperrun/bench/askers.py
@@ -17,7 +17,7 @@
 import numpy
 from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
 
-from pepperrun.net.buffer import Buffer
+from pepperrun.net.buffered import BufferedConnection
 from pepperrun.net.http1 import ANSWER_ROOM, HttpError, Response, ResponseParser
 
 MOST_US = 60_000_000
@@ -26,28 +26,19 @@
 PERCENTILES = {"p50_ms": 50, "p99_ms": 99, "p999_ms": 99.9, "most_ms": 100}
 
 
-class Connection(asyncio.BufferedProtocol):
+class Connection(BufferedConnection):
     """One request at a time; `done` is told of each answer's status, or 0 where there was none."""
 
     def __init__(self, owner: Askers) -> None:
-        self.owner, self.buffer = owner, Buffer(ANSWER_ROOM)
+        super().__init__(ANSWER_ROOM)
+        self.owner = owner
         self.parser = ResponseParser(self.buffer)
-        self.transport: asyncio.Transport | None = None
         self.intended: int | None = None
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.transport = None
+    def ended(self) -> None:
         self._done(0)
 
-    def get_buffer(self, sizehint: int) -> memoryview:
-        return self.buffer.room()
-
-    def buffer_updated(self, nbytes: int) -> None:
-        self.buffer.filled(nbytes, 0)
+    def came(self) -> None:
         try:
             answer = self.parser.next()
         except HttpError:
--- a/pepperrun/bench/fleet_process.py
+++ b/pepperrun/bench/fleet_process.py
@@ -21,7 +21,7 @@
 
 from pepperrun.model.fleet import Fleet
 from pepperrun.model.node import Node, Taken
-from pepperrun.net.buffer import Buffer
+from pepperrun.net.buffered import BufferedConnection
 from pepperrun.net.http1 import ROOM, HttpError, Request, RequestParser, write_response
 
 HOST = "127.0.0.1"
@@ -30,23 +30,20 @@
 REJECTED = (b"X-Rejected", b"1")
 
 
-class Connection(asyncio.BufferedProtocol):
+class Connection(BufferedConnection):
     """A gatekeeper's connection to a node."""
 
     def __init__(self, node: StandInNode) -> None:
-        self.node, self.buffer = node, Buffer(ROOM)
+        super().__init__(ROOM)
+        self.node = node
         self.parser = RequestParser(self.buffer)
-        self.transport: asyncio.Transport | None = None
         self.key: object | None = None
         self.units = b"1"
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
+    def opened(self) -> None:
         self.node.connections.add(self)
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.transport = None
+    def ended(self) -> None:
         self.node.connections.discard(self)
         if self.key is not None:
             self.node.give_up(self)
@@ -54,11 +51,7 @@
     def eof_received(self) -> bool:
         return False
 
-    def get_buffer(self, sizehint: int) -> memoryview:
-        return self.buffer.room()
-
-    def buffer_updated(self, nbytes: int) -> None:
-        self.buffer.filled(nbytes, 0)
+    def came(self) -> None:
         try:
             request = self.parser.next()
         except HttpError:
--- a/pepperrun/bench/players.py
+++ b/pepperrun/bench/players.py
@@ -97,12 +97,39 @@
         return sum(connection.extra for connection in self.all)
 
 
-class Player(Caller):
-    """Plays requests of a captured day."""
+class LoadPlayer(Caller):
+    """Plays a load: each request, a row that begins with its time, when it is due."""
 
     def __init__(self, given: dict[str, Any]) -> None:
         super().__init__(given["ports"])
         self.load: list[list[Any]] = given["load"]
+        self.late = 0.0  # ms, the most that one was sent after it was due
+
+    async def _play(self, number: int, start: int) -> None:
+        """One request, with its further tries."""
+        raise NotImplementedError
+
+    async def play_all(self, start: int, patience_s: float) -> int:
+        """Plays all; how many were not over so long after the last one was sent."""
+        tasks = set()
+        for number, item in enumerate(self.load):
+            at = start + item[0]
+            while (left := at - time.monotonic_ns()) > 0:
+                await asyncio.sleep(left / 1e9)
+            self.late = max(self.late, -left / 1e6)
+            task = asyncio.create_task(self._play(number, start))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+        if tasks:
+            await asyncio.wait(tasks, timeout=patience_s)
+        return len(tasks)
+
+
+class Player(LoadPlayer):
+    """Plays requests of a captured day."""
+
+    def __init__(self, given: dict[str, Any]) -> None:
+        super().__init__(given)
         self.methods: list[str] = given["methods"]
         self.classes: list[str] = given["classes"]
         self.plans: list[str] = given["plans"]
@@ -110,7 +137,6 @@
         self.honour = given["honour"]
         self.random = random.Random(given["seed"])
         self.results: list[list[int | None]] = [[None, 0, 0] for _ in self.load]  # took, tries, last status
-        self.late = 0.0
 
     async def _play(self, number: int, start: int) -> None:
         at, gatekeeper, cls, plan, customer, units, true, budget, spread, first, work = self.load[number]
@@ -140,17 +166,7 @@
 
     async def run(self, start: int) -> dict[str, Any]:
         """Plays all; what became of each."""
-        tasks = set()
-        for number, item in enumerate(self.load):
-            at = start + item[0]
-            while (left := at - time.monotonic_ns()) > 0:
-                await asyncio.sleep(left / 1e9)
-            self.late = max(self.late, -left / 1e6)
-            task = asyncio.create_task(self._play(number, start))
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
-        if tasks:
-            await asyncio.wait(tasks, timeout=60)
+        await self.play_all(start, 60)
         return {"results": self.results, "late_ms": self.late}
 
 
--- a/pepperrun/bench/worker.py
+++ b/pepperrun/bench/worker.py
@@ -5,32 +5,21 @@
 import asyncio
 import sys
 
-from pepperrun.net.buffer import Buffer
+from pepperrun.net.buffered import BufferedConnection
 from pepperrun.net.http1 import ROOM, HttpError, RequestParser, write_response
 
 HOST = "127.0.0.1"
 
 
-class Worker(asyncio.BufferedProtocol):
+class Worker(BufferedConnection):
     """Answers each request after the service time, one at a time on a connection."""
 
     def __init__(self, service_s: float) -> None:
-        self.service_s, self.buffer = service_s, Buffer(ROOM)
+        super().__init__(ROOM)
+        self.service_s = service_s
         self.parser = RequestParser(self.buffer)
-        self.transport: asyncio.Transport | None = None
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.transport = None
-
-    def get_buffer(self, sizehint: int) -> memoryview:
-        return self.buffer.room()
-
-    def buffer_updated(self, nbytes: int) -> None:
-        self.buffer.filled(nbytes, 0)
+    def came(self) -> None:
         try:
             while self.parser.next() is not None:
                 asyncio.get_running_loop().call_later(self.service_s, self._answer)
--- a/pepperrun/config.py
+++ b/pepperrun/config.py
@@ -211,12 +211,7 @@
 
 def read_config(text: str, env: Mapping[str, str]) -> Config:
     """The file named by `NODE_CONFIG`; `NODE_NAME`, `NODE_LISTEN` and `NODE_DISCOVERY` stand in for keys."""
-    try:
-        table = json.loads(text)
-    except (ValueError, RecursionError) as error:
-        raise ValueError(f"NODE_CONFIG: not JSON: {error}") from None
-    if not isinstance(table, dict):
-        raise ValueError("NODE_CONFIG: not an object")
+    table = json_object(text, "NODE_CONFIG: ")
     params = get(table, "settings", dict, required=True)
     watched = table.get("discovery") or env.get("NODE_DISCOVERY")  # else the known list stands
     calls = table.get("admin") or env.get("NODE_ADMIN")
@@ -307,6 +302,17 @@
 }
 
 
+def json_object(text: str, where: str = "") -> dict[str, Any]:
+    """A settings file's one JSON object; ValueError, which begins with `where`, for anything else."""
+    try:
+        table = json.loads(text)
+    except (ValueError, RecursionError) as error:
+        raise ValueError(f"{where}not JSON: {error}") from None
+    if not isinstance(table, dict):
+        raise ValueError(f"{where}not an object")
+    return table
+
+
 def known_keys(table: Mapping[str, Any], allowed: str, where: str = "") -> None:
     """In a file of our own a key that nothing reads is a slip, and may leave a door open."""
     for key in table:
@@ -316,12 +322,7 @@
 
 def read_auth(text: str) -> AuthConfig:
     """The forward authentication file; ValueError names a bad key."""
-    try:
-        table = json.loads(text)
-    except (ValueError, RecursionError) as error:
-        raise ValueError(f"forward-auth: not JSON: {error}") from None
-    if not isinstance(table, dict):
-        raise ValueError("forward-auth: not an object")
+    table = json_object(text, "forward-auth: ")
     known_keys(table, _AUTH_KEYS[""])
     servers = _objects(table, "servers")
     plans, classes = _objects(table, "plans"), _objects(table, "classes")
--- a/pepperrun/distribution/publisher.py
+++ b/pepperrun/distribution/publisher.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from hashlib import blake2b
 from typing import Any, Protocol
@@ -16,7 +16,7 @@
 from pepperrun.control.taken_orders import without_older
 from pepperrun.foundation.netstring import Message, encode, length
 from pepperrun.distribution import repair
-from pepperrun.distribution.digests import Record, Sums, record_id
+from pepperrun.distribution.digests import Record, record_id
 from pepperrun.distribution.messages import TICK, WANT, Agreed, Change, Tick, Tock, Want
 
 BATCH_MS = 15  # records that change together go together
@@ -41,7 +41,7 @@
     def close(self) -> None: ...
 
 
-class Source(Protocol):
+class Source(repair.Copy, Protocol):
     """Whose news is sent: the core's cells and agreement, or a relay's book."""
 
     @property
@@ -50,15 +50,6 @@
     @property
     def state(self) -> dict[str, Any] | None: ...
 
-    @property
-    def workers(self) -> Mapping[str, Worker]: ...
-
-    @property
-    def gateways(self) -> Mapping[str, GatewayRecord]: ...
-
-    @property
-    def sums(self) -> Sums: ...
-
     @property
     def cores(self) -> list[list[str]]:
         """[ip, zone] of each core machine."""
--- a/pepperrun/lab/clients.py
+++ b/pepperrun/lab/clients.py
@@ -13,40 +13,38 @@
 import time
 from typing import Any
 
-from pepperrun.bench.players import BROKEN, NOBODY, TIMED_OUT, Caller
+from pepperrun.bench.players import BROKEN, NOBODY, TIMED_OUT, LoadPlayer
 
 
-class Clients(Caller):
+class Clients(LoadPlayer):
     """Plays a load."""
 
     def __init__(self, given: dict[str, Any]) -> None:
-        super().__init__(given["ports"])
-        self.load: list[list[Any]] = given["load"]
+        super().__init__(given)
         self.classes, self.plans = given["classes"], given["plans"]
         self.retries, self.moves_on_s = given["retries"], given["moves_on_s"]
         self.budget_s: float = given["deadline_s"]
         self.random = random.Random(given["seed"])
         self.tries: list[list[int]] = []  # call, try, gatekeeper, sent, ended, status
-        self.late = 0.0
 
-    async def _play(self, call: int, start: int) -> None:
-        at, gatekeeper, cls, plan, customer, spread, first, work = self.load[call]
+    async def _play(self, number: int, start: int) -> None:
+        at, gatekeeper, cls, plan, customer, spread, first, work = self.load[number]
         give_up = start + at + int(self.budget_s * 1e9)
-        for number in range(self.retries + 1):
+        for attempt in range(self.retries + 1):
             left_ns = give_up - time.monotonic_ns()
             if left_ns <= 20_000_000:
                 return
             method, body = ("POST", b"confirm") if cls else ("GET", b"")
-            key = f"Idempotency-Key: k{call}-{number}\r\nContent-Length: 7\r\n" if cls else ""
-            query = f"customer={customer:016x}&work={work}&true=1&call={call}-{number}&cls={cls}"
+            key = f"Idempotency-Key: k{number}-{attempt}\r\nContent-Length: 7\r\n" if cls else ""
+            query = f"customer={customer:016x}&work={work}&true=1&call={number}-{attempt}&cls={cls}"
             head = (
                 f"{method} /{self.classes[cls]}?{query} HTTP/1.1\r\nHost: lab\r\n"
-                f"X-Call-Id: c{call}-{number}\r\nX-Plan: {self.plans[plan]}\r\n"
+                f"X-Call-Id: c{number}-{attempt}\r\nX-Plan: {self.plans[plan]}\r\n"
                 f"X-Budget: {left_ns // 1000}u\r\n"
                 f"X-Quota: units=1,spread={spread},first={first}\r\n{key}\r\n"
             )
             sent = time.monotonic_ns()
-            row = [call, number, gatekeeper, sent, 0, TIMED_OUT]
+            row = [number, attempt, gatekeeper, sent, 0, TIMED_OUT]
             self.tries.append(row)
             status, wait_s = await self.once(gatekeeper, head.encode() + body, left_ns / 1e9 + 0.1)
             row[4], row[5] = time.monotonic_ns(), status
@@ -62,18 +60,8 @@
 
     async def run(self, start: int) -> dict[str, Any]:
         """Plays all."""
-        tasks = set()
-        for call, item in enumerate(self.load):
-            at = start + item[0]
-            while (left := at - time.monotonic_ns()) > 0:
-                await asyncio.sleep(left / 1e9)
-            self.late = max(self.late, -left / 1e6)
-            task = asyncio.create_task(self._play(call, start))
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
-        if tasks:
-            await asyncio.wait(tasks, timeout=30)
-        return {"tries": self.tries, "extra": self.extra(), "late_ms": self.late, "left": len(tasks)}
+        left = await self.play_all(start, 30)
+        return {"tries": self.tries, "extra": self.extra(), "late_ms": self.late, "left": left}
 
 
 def main() -> None:
--- a/pepperrun/membership/config.py
+++ b/pepperrun/membership/config.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-from pepperrun.config import get, known_keys
+from pepperrun.config import get, json_object, known_keys
 from pepperrun.membership.keys import Keys, read_keys
 
 KEYS = "key_file region zone period_ms suspect_ms names"
@@ -61,10 +60,5 @@
 
 def read_members(text: str, folder: Path) -> MembersConfig:
     """The operators' file; ValueError names a bad key."""
-    try:
-        table = json.loads(text)
-    except (ValueError, RecursionError) as error:
-        raise ValueError(f"not JSON: {error}") from None
-    if not isinstance(table, dict):
-        raise ValueError("not an object")
+    table = json_object(text)
     return members_of(table, folder)
--- a/pepperrun/metrics/__init__.py
+++ b/pepperrun/metrics/__init__.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import resource
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
 
-from pepperrun.config import Address, address, get, known_keys
+from pepperrun.config import Address, address, get, json_object, known_keys
 from pepperrun.gatekeeper import Gatekeeper
 from pepperrun.log import say
-from pepperrun.net.buffer import Buffer
+from pepperrun.net.buffered import BufferedConnection
 from pepperrun.net.listener import Listener
 from pepperrun.net.server_side import ServerSide
 
@@ -74,12 +73,7 @@
 
 def read_metrics(text: str) -> MetricsConfig:
     """The metrics file; ValueError names a bad key."""
-    try:
-        table = json.loads(text)
-    except (ValueError, RecursionError) as error:
-        raise ValueError(f"metrics: not JSON: {error}") from None
-    if not isinstance(table, dict):
-        raise ValueError("metrics: not an object")
+    table = json_object(text, "metrics: ")
     known_keys(table, "graphite collectd interval_s prefix host")
     graphite = address(table, "graphite") if table.get("graphite") else None
     collectd = get(table, "collectd", str)
@@ -95,25 +89,14 @@
     return MetricsConfig(interval, prefix, graphite, collectd or None, host)
 
 
-class Link(asyncio.BufferedProtocol):
+class Link(BufferedConnection):
     """A connection on which lines go out; `heard` is given each line that comes back."""
 
     def __init__(self, heard: Callable[[str], None]) -> None:
-        self.heard, self.buffer = heard, Buffer(MOST_UNREAD)
-        self.transport: asyncio.Transport | None = None
+        super().__init__(MOST_UNREAD)
+        self.heard = heard
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.transport = None
-
-    def get_buffer(self, sizehint: int) -> memoryview:
-        return self.buffer.room()
-
-    def buffer_updated(self, nbytes: int) -> None:
-        self.buffer.filled(nbytes, 0)
+    def came(self) -> None:
         while (at := self.buffer.find(b"\n")) >= 0:
             self.heard(self.buffer.take(at + 1).decode("utf-8", "replace").strip())
         if self.buffer.full():
--- a/pepperrun/parking/config.py
+++ b/pepperrun/parking/config.py
@@ -1,14 +1,13 @@
-"""The operators' file on clients' connections, read with `json` alone: the serving path starts lean."""
+"""The operators' file on clients' connections, read as JSON: the serving path starts lean."""
 
 from __future__ import annotations
 
-import json
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
 from pepperrun.core.clock import SECOND
-from pepperrun.config import get, known_keys
+from pepperrun.config import get, json_object, known_keys
 
 KEYS = (
     "idle_s first_byte_s request_s most most_asking park_after_s give_way_after_s holders most_here turn_ms"
@@ -47,12 +46,7 @@
 
 def read_clients(text: str) -> ClientsConfig:
     """The clients file; ValueError names a bad key."""
-    try:
-        table = json.loads(text)
-    except (ValueError, RecursionError) as error:
-        raise ValueError(f"clients: not JSON: {error}") from None
-    if not isinstance(table, dict):
-        raise ValueError("clients: not an object")
+    table = json_object(text, "clients: ")
     known_keys(table, KEYS)
 
     def ns(key: str, default: float, least: float, most: float) -> int:
