--- a/pepperrun/simulation/cutoff_days.py
+++ b/pepperrun/simulation/cutoff_days.py
@@ -200,10 +200,13 @@
     def _trouble(self) -> None:
         kind, victim, span = self.rng.choice(KINDS), self._victim(), self.rng.choice(SPANS_S)
         now = self.world.now
-        if self.busy_until.get(victim, 0) > now:
-            return
+        if self.busy_until.get(victim, 0) <= now:
+            self._befall(kind, victim, now + int(span * SECOND))
+
+    def _befall(self, kind: str, victim: str, until: int) -> None:
+        """A trouble begins at a node, and lasts until then."""
+        now = self.world.now
         self.found.kinds[kind] += 1
-        until = now + int(span * SECOND)
         self.busy_until[victim] = until
         others = [ip for ip in self.cores if ip != victim]
         inward, outward = {(ip, victim) for ip in others}, {(victim, ip) for ip in others}
