--- a/pepperrun/simulation/cutoff_days.py
+++ b/pepperrun/simulation/cutoff_days.py
@@ -25,6 +25,7 @@
 
 from pepperrun import log
 from pepperrun.consensus.register import Phase
+from pepperrun.control.hub import Hub
 from pepperrun.control.matchers import Answer, Call
 from pepperrun.control.records import READY, GatewayRecord
 from pepperrun.distribution.service import Subscriber
@@ -221,7 +222,7 @@
         elif kind == "freeze" and self.rng.random() < 0.5:
             self._freeze(victim, until)
         elif kind == "freeze":
-            self._freeze_in_round(victim, now + min(2 * SECOND, until - now), until)
+            self._freeze_in_round(victim, now + (until - now) // 2, until)
         else:
             self._hang_disk(victim, until)
 
@@ -278,9 +279,9 @@
             self.world.at(until, self._thaw, loop)
 
     def _freeze_in_round(self, victim: str, latest: int, until: int) -> None:
-        """The worst moment: the node has asked for promises and not read them."""
+        """The worst moment: it has asked for promises, and will refuse the orders that it has."""
         hub, now = self.cores[victim].hub, self.world.now
-        if now >= latest or (hub is not None and hub.replica.register.phase is Phase.ASKING):
+        if now >= latest or (hub is not None and _refuses(hub)):
             self._freeze(victim, until)
         else:
             self.world.at(now + MS, self._freeze_in_round, victim, latest, until)
@@ -408,6 +409,13 @@
                 self._wrong(LINEARIZABLE, f"the history of {what} is {kind}:\n{worded(one.stuck)}")
 
 
+def _refuses(hub: Hub) -> bool:
+    """Is a round asking, for orders only that build on another edition?"""
+    register, edition = hub.replica.register, hub.replica.body.get("edition", 0)
+    bases = [wish.op.get("on", edition) for wish in register.wishes]
+    return register.phase is Phase.ASKING and bool(bases) and edition not in bases
+
+
 def _is_timer(item: tuple[Callable[..., None], tuple[Any, ...]]) -> bool:
     return bool(item[1]) and isinstance(item[1][0], TimerHandle)
 
--- a/pepperrun/simulation/cutoff_operators.py
+++ b/pepperrun/simulation/cutoff_operators.py
@@ -96,7 +96,7 @@
         if kind == "evacuate":
             self.evacuated = not self.evacuated
             return Evacuate(self.zone, self.evacuated)
-        on = max(0, self.edition - (rng.random() < 0.1))
+        on = max(0, self.edition - (rng.random() < 0.2))
         edition = on + rng.randint(1, 2)
         # Rates tell the orders of all operators apart: no two are the same unless one is sent again.
         self.serial += 1
