Evacuations in doubt: how long a zone stood empty counts only where its start was seen

Cause: a core machine that was cut off, or came with an empty disk, learnt late of a zone's first order, and as the keeper would have let a doubted order lapse too soon. Found by reading, then by drawn zones with machines cut off.

Change: `note` is told whether the state went on by one operation just taken; else the longest hold counts.

--- a/pepperrun/control/evacuations.py
+++ b/pepperrun/control/evacuations.py
@@ -136,10 +136,10 @@
         self.learnt: dict[tuple[str, bool], int] = {}  # by zone and kind of order: the last one at, ns
         self.emptied: dict[str, int] = {}  # by zone: when its first order came, where that was seen
         self.asked_at = now - ASKED_AGAIN_NS
-        self.note(body, now)
+        self.note(body, now, at_once=False)
 
-    def note(self, body: Mapping[str, Any], now: int) -> None:
-        """The agreed state went on."""
+    def note(self, body: Mapping[str, Any], now: int, at_once: bool) -> None:
+        """The agreed state went on. `at_once`: by one operation, which was taken just now."""
         evacuated: list[str] = body.get("evacuated", [])
         for zone in {*evacuated, *body.get("evacuations", {}), *self.noted}:
             orders, standing = ZoneOrders.of(body, zone), evacuated.count(zone)
@@ -147,9 +147,9 @@
             moved = [begin for begin in (True, False) if orders.serial(begin) != before.serial(begin)]
             for begin in moved:
                 self.learnt[zone, begin] = now
-            if len(moved) == 2 or not standing or now == self.since:
+            if not standing or (moved and not at_once):
                 self.emptied.pop(zone, None)
-            elif not stood:
+            elif not stood and at_once:
                 self.emptied[zone] = now
             if orders == before and standing != stood:  # a version that keeps no serials was at work
                 self.learnt[zone, standing > stood] = now
--- a/pepperrun/control/hub.py
+++ b/pepperrun/control/hub.py
@@ -310,7 +310,7 @@
         held = list(self.replica.body.get("evacuated", ()))
         for zone in set(self.evacuated) - set(held):
             self.cells.doubt(zone, now)
-        self.evacuations.note(self.replica.body, now)
+        self.evacuations.note(self.replica.body, now, at_once=change.op is not None)
         self.evacuated = held
         known = (change.base, change.op) if change.op is not None else None
         what = _told(change.op) if change.op is not None else {}
