Data plane and records by the field's names: workers, service, slots, tenant, keys

Cause: the withdrawn theme stood in code that is ours alone. Change: crew and mates are workers and known workers by number, Worker's and Beat's line and berths are service and slots, a Lot's sender and line its tenant and service, stamps are keys; rows of records are by position and headers stand in dataplane/wire.py, so nothing on the wire, on disks or in settings changes. Ruled out: the dataclasses of control.configuration, which dacite reads by the pages' names; the decisions' own line (core/interface.py), an interface of its own.

--- a/benchmarks/ill_workers.py
+++ b/benchmarks/ill_workers.py
@@ -93,11 +93,11 @@
         self.ledger.seats = self.ledger.gateways = 84
         self.classes = {}
         for name, (safe, service, _, _, aim, deadline) in KINDS.items():
-            line = self.ledger.line(service)
+            line = self.ledger.service(service)
             self.classes[name] = self.ledger.kind(line, safe, aim * MS, deadline * MS, 2)
         self.rows, self.of, self.ill = list[Backend](), dict[int, list[int]](), set[int]()
         for service, number in SERVICES.items():
-            line = self.ledger.line(service)
+            line = self.ledger.service(service)
             own = [self.rng.getrandbits(32) for _ in range(number)]
             self.of |= {one: own for one in own}
             self.rows += [Backend(one, at % ZONES, line=line) for at, one in enumerate(own)]
@@ -142,7 +142,7 @@
         self.at(self.rng.expovariate(self.rate), lambda: self.ask(node))
         name = self.rng.choices(list(KINDS), [row[2] for row in KINDS.values()])[0]
         safe, service, _, _, _, deadline = KINDS[name]
-        line, id = self.ledger.line(service), next(self.order)
+        line, id = self.ledger.service(service), next(self.order)
         self.info[id] = name, self.now
         self.asked += FROM <= self.now < FROM + FOR + 2 * SECOND
         self.tell(node, Request(id, 1, 0, self.classes[name], deadline * MS, line=line, lot=(line, safe)))
--- a/features/playing.py
+++ b/features/playing.py
@@ -295,7 +295,7 @@
         self.gateways, self.hums, self.log, self.least = {}, {}, [], TENANT.surge
         for name in ("g1", "g2"):
             ledger = Ledger(Bounds())
-            self.plan, self.line = ledger.plan(TENANT), ledger.line("ant")
+            self.plan, self.line = ledger.plan(TENANT), ledger.service("ant")
             self.kind = ledger.kind(self.line, True, 400 * MS, 1500 * MS, 2)
             ledger.meet(2)
             peers, gateway = Peers(name), Gateway(ledger.settings(), 1)
--- a/pepperrun/control/cells.py
+++ b/pepperrun/control/cells.py
@@ -38,11 +38,11 @@
     """A worker's word of itself. `cold`: ns."""
 
     id: str
-    line: str
+    service: str
     address: str
     zone: str
     edition: str
-    berths: int
+    slots: int
     state: str
     cold: int
     serial: int
@@ -148,7 +148,7 @@
         cold = now + beat.cold if beat.cold > 0 else 0
         state = UNLOADING if old is not None and old.state == UNLOADING else beat.state
         new = Worker(
-            *(beat.id, beat.line, beat.address, beat.zone, beat.edition, beat.berths),
+            *(beat.id, beat.service, beat.address, beat.zone, beat.edition, beat.slots),
             *(max(beat.serial, old.serial if old is not None else 0), state, cold),
         )
         if old is None:
--- a/pepperrun/control/inspection.py
+++ b/pepperrun/control/inspection.py
@@ -53,14 +53,14 @@
 
 
 def _cells(core: CoreMachine, now: int) -> dict[str, Any]:
-    """By zone: workers by line and state, gatekeepers with their states and when they were last heard."""
+    """By zone: workers by service and state, gatekeepers with their states and when they were last heard."""
     cells = core.cells
     out: dict[str, dict[str, Any]]
     out = {zone: {"workers": {}, "guards": []} for zone in sorted(core.settings.network.zones)}
-    counted = Counter((one.zone, one.line, one.state) for one in cells.workers.values())
-    for (zone, line, state), count in sorted(counted.items()):
+    counted = Counter((one.zone, one.service, one.state) for one in cells.workers.values())
+    for (zone, service, state), count in sorted(counted.items()):
         held = out.setdefault(zone, {"workers": {}, "guards": []})
-        held["workers"].setdefault(line, {})[state] = count
+        held["workers"].setdefault(service, {})[state] = count
     for one in sorted(cells.gateways.values(), key=lambda gateway: gateway.station):
         held = out.setdefault(one.zone, {"workers": {}, "guards": []})
         row: dict[str, Any] = {"station": one.station, "state": one.state, "counter": one.counter}
--- a/pepperrun/control/records.py
+++ b/pepperrun/control/records.py
@@ -29,11 +29,11 @@
     """
 
     id: str
-    line: str
+    service: str
     address: str
     zone: str
     edition: str = ""
-    berths: int = 1
+    slots: int = 1
     serial: int = 0
     state: str = BOARDING
     cold_until: int = 0
@@ -49,18 +49,18 @@
         """For another process, or for a digest where `now` is 0."""
         left = max(0, self.cold_until - now) // 1_000_000 if now else 0
         return [
-            *(self.id, self.line, self.address, self.zone, self.edition, self.berths, self.serial),
+            *(self.id, self.service, self.address, self.zone, self.edition, self.slots, self.serial),
             *(self.state, left, self.unsure),
         ]
 
     @classmethod
     def read(cls, row: list[Any], now: int) -> Worker:
         """From another process; ValueError or TypeError where it can't be meant."""
-        id, line, address, zone, edition, berths, serial, state, left, unsure, *_ = row
+        id, service, address, zone, edition, slots, serial, state, left, unsure, *_ = row
         if state not in FINAL:
             raise ValueError(f"a worker's state can't be {state!r}")
         cold = now + int(left) * 1_000_000 if left else 0
-        return cls(id, line, address, zone, edition, int(berths), int(serial), state, cold, bool(unsure))
+        return cls(id, service, address, zone, edition, int(slots), int(serial), state, cold, bool(unsure))
 
 
 @dataclass(slots=True, frozen=True)
--- a/pepperrun/dataplane/front.py
+++ b/pepperrun/dataplane/front.py
@@ -153,10 +153,10 @@
                 challenge = b"WWW-Authenticate", b"Token"
                 return self._unsure((401, [challenge, TEXT], b"no such key\n"), request.arrived)
             plan, customer = tenant.plan, tenant.customer
-        if match is not None and table.stamped:
+        if match is not None and table.asks_keys:
             dropped = dropped | {b"authorization"}  # it may be a key, and no worker is to see one
         at = way.draw(self.rng)
-        lot = Lot(table, way, host, path, key if tenant is not None else None, tenant, way.lines[at])
+        lot = Lot(table, way, host, path, key if tenant is not None else None, tenant, way.services[at])
         if lot.homes is not None and not lot.homes:
             # Homes of its route and of its tenant have no region in common: no wait could bring it a worker.
             return self.back_later(MOST_WAIT_NS)
@@ -172,7 +172,7 @@
             "patience": max(1, left_ns) if more_ns else 0,
             "spread": self.ledger.gateways,
             "first": 0,
-            "line": lot.line,
+            "line": lot.service,
             "rank": lot.rank,
             "lot": lot,
         }
--- a/pepperrun/dataplane/gate.py
+++ b/pepperrun/dataplane/gate.py
@@ -27,12 +27,12 @@
     def __init__(
         self,
         bounds: Bounds,
-        crew: WorkerTable,
+        workers: WorkerTable,
         shares: ColdShares,
         fresh_at: Callable[[], int],
         cells_at: Callable[[], int],
     ) -> None:
-        self.crew, self.shares, self.fresh_at, self.cells_at = crew, shares, fresh_at, cells_at
+        self.workers, self.shares, self.fresh_at, self.cells_at = workers, shares, fresh_at, cells_at
         self.table: Table | None = None
         self.ejection: OutlierEjection | None = None
         self.safe_at: dict[int, int] = {}  # by service: when a repeatable request last went out
@@ -55,39 +55,39 @@
         assert isinstance(lot, Lot)
         if table is None or not lot.stands(table):
             return AGAIN_NS
-        if lot.sender is not None and self.total and not self.fresh(now, self.fence_ns):
+        if lot.tenant is not None and self.total and not self.fresh(now, self.fence_ns):
             return AGAIN_NS
         return 0
 
     def may(self, lot: object, backend: int, now: int) -> bool:
         """May it go to this worker now?"""
         assert isinstance(lot, Lot)
-        crew = self.crew
-        mate = crew.mates.get(backend)
-        if mate is None or mate.line != lot.line or crew.address(backend) is None:
+        workers = self.workers
+        known = workers.by_number.get(backend)
+        if known is None or known.service != lot.service or workers.address(backend) is None:
             return False
-        if lot.homes is not None and mate.region not in lot.homes:
+        if lot.homes is not None and known.region not in lot.homes:
             return False
         if self.ejection is not None:
-            safe = lot.safe or now - self.safe_at.get(lot.line, -SAFE_NS) >= SAFE_NS
+            safe = lot.safe or now - self.safe_at.get(lot.service, -SAFE_NS) >= SAFE_NS
             if not self.ejection.may(backend, now, safe):
                 return False
         if not self._cold(backend, now):
             self.shares.warm(backend)
             return True
-        rate = self._cold_per_s(mate.line)
-        return rate is None or self.shares.may(backend, mate.worker.id, mate.worker.zone, rate, now)
+        rate = self._cold_per_s(known.service)
+        return rate is None or self.shares.may(backend, known.record.id, known.record.zone, rate, now)
 
     def sent(self, lot: object, backend: int, now: int) -> None:
         """It goes there."""
         assert isinstance(lot, Lot)
         if lot.safe:
-            self.safe_at[lot.line] = now
+            self.safe_at[lot.service] = now
         if self.ejection is not None:
             self.ejection.sent(backend, now)
-        mate = self.crew.mates.get(backend)
-        if mate is not None and self._cold(backend, now):
-            rate = self._cold_per_s(mate.line)
+        known = self.workers.by_number.get(backend)
+        if known is not None and self._cold(backend, now):
+            rate = self._cold_per_s(known.service)
             if rate is not None:
                 self.shares.sent(backend, rate, now)
 
@@ -95,19 +95,19 @@
         """May what was sent off to this worker still be written now? It may have waited for a connection."""
         if self.open(lot, now):
             return False
-        mate = self.crew.mates.get(backend)
-        if mate is None or self.crew.address(backend) is None:
+        known = self.workers.by_number.get(backend)
+        if known is None or self.workers.address(backend) is None:
             return False
-        return lot.homes is None or mate.region in lot.homes
+        return lot.homes is None or known.region in lot.homes
 
     def _cold(self, backend: int, now: int) -> bool:
         if now - self.cells_at() > UNHEARD_MS * MS:
             return True
-        return self.crew.cold(self.crew.mates[backend], now)
+        return self.workers.cold(self.workers.by_number[backend], now)
 
-    def _cold_per_s(self, line: int) -> float | None:
+    def _cold_per_s(self, service: int) -> float | None:
         """What a cold worker of a service bears; None where its service knows no cold."""
-        known = self.table.lines.get(line) if self.table is not None else None
+        known = self.table.services.get(service) if self.table is not None else None
         if known is None:
             return 0.0
         return None if known.cold_per_s <= 0 and known.cold_s <= 0 else known.cold_per_s
--- a/pepperrun/dataplane/inspection.py
+++ b/pepperrun/dataplane/inspection.py
@@ -95,11 +95,11 @@
 def _workers(plane: Plane, now: int) -> dict[str, dict[str, int]]:
     """By service: how many in each state, and how many of the boarding ones are cold or may be."""
     out: dict[str, Counter[str]] = {}
-    for mate in plane.crew.mates.values():
-        counted = out.setdefault(mate.worker.line, Counter())
-        counted[mate.worker.state] += 1
-        if mate.worker.state == BOARDING:
-            counted["cold"] += plane.crew.cold(mate, now)
-            counted["astray"] += bool(mate.astray)
-            counted["ill"] += plane.rounds.ejection.out(mate.number, now)
+    for known in plane.workers.by_number.values():
+        counted = out.setdefault(known.record.service, Counter())
+        counted[known.record.state] += 1
+        if known.record.state == BOARDING:
+            counted["cold"] += plane.workers.cold(known, now)
+            counted["astray"] += bool(known.astray)
+            counted["ill"] += plane.rounds.ejection.out(known.number, now)
     return {line: dict(sorted(counted.items())) for line, counted in sorted(out.items())}
--- a/pepperrun/dataplane/numbering.py
+++ b/pepperrun/dataplane/numbering.py
@@ -36,7 +36,7 @@
 
     def __init__(self, bounds: Bounds, zone: int = 0) -> None:
         self.bounds, self.zone = bounds, zone
-        self.lines: dict[str, int] = {}
+        self.services: dict[str, int] = {}
         self.classes: dict[tuple[int, bool, int, int, int], int] = {}
         self.rows = [RequestClass("none", 1000 * MS, 10_000 * MS, Repeat.UNSAFE)]
         self.plans = {"": 0}  # by tenant
@@ -46,16 +46,16 @@
         self.kept = False  # one gatekeeper of each place keeps a tenant's part
         self.changed = True
 
-    def line(self, name: str) -> int:
+    def service(self, name: str) -> int:
         """The number of a service."""
-        if name not in self.lines:
-            self.lines[name] = len(self.lines)
+        if name not in self.services:
+            self.services[name] = len(self.services)
             self.changed = True
-        return self.lines[name]
+        return self.services[name]
 
-    def kind(self, line: int, safe: bool, target_ns: int, deadline_ns: int, tries: int) -> int:
+    def kind(self, service: int, safe: bool, target_ns: int, deadline_ns: int, tries: int) -> int:
         """The class of such requests of a service; of too many kinds the last ones share one."""
-        key = line, safe, target_ns, deadline_ns, tries
+        key = service, safe, target_ns, deadline_ns, tries
         if key not in self.classes:
             if len(self.rows) >= MOST_CLASSES:
                 alike = [at for (_, same, _, _, _), at in self.classes.items() if same == safe]
@@ -139,7 +139,7 @@
             peer_intake=PEER_INTAKE,
             retry_after=True,
             max_retry_after_ns=MOST_WAIT_NS,
-            lines=max(1, len(self.lines)),
+            lines=max(1, len(self.services)),
             further_share=bounds.retry_ratio * RATIO_PART,
             further_burst=bounds.retry_slack * SLACK_PART / self.parts,
             seats=self.parts,
--- a/pepperrun/dataplane/outcomes.py
+++ b/pepperrun/dataplane/outcomes.py
@@ -81,15 +81,15 @@
         self,
         loop: asyncio.AbstractEventLoop,
         clock: Callable[[], int],
-        crew: WorkerTable,
+        workers: WorkerTable,
         peer_messages: PeerMessages,
         passed: Ended,
         draw: Callable[[], float],
     ) -> None:
-        self.loop, self.clock, self.crew, self.peer_messages, self.passed = (
+        self.loop, self.clock, self.workers, self.peer_messages, self.passed = (
             loop,
             clock,
-            crew,
+            workers,
             peer_messages,
             passed,
         )
@@ -122,20 +122,20 @@
         self.mates = [lives[name][1] for name in next_ones if name in lives]
 
     def _ward(self, worker: int) -> list[int]:
-        crew, now, one = self.crew, self.clock(), self.crew.mates.get(worker)
+        workers, now, one = self.workers, self.clock(), self.workers.by_number.get(worker)
         if one is None:
             return []
         return [
             number
-            for number, mate in crew.mates.items()
-            if (mate.line, mate.region) == (one.line, one.region)
-            and mate.worker.state == BOARDING
-            and not crew.cold(mate, now)
-            and crew.address(number) is not None
+            for number, known in workers.by_number.items()
+            if (known.service, known.region) == (one.service, one.region)
+            and known.record.state == BOARDING
+            and not workers.cold(known, now)
+            and workers.address(number) is not None
         ]
 
     def _verdict(self, worker: int, chart: Chart) -> None:
-        name = self.crew.names.get(worker, "?")
+        name = self.workers.names.get(worker, "?")
         event("ill", worker=name, ms=chart.out_ns // MS, seen_by=len(chart.sources))
 
     # What is seen.
@@ -163,7 +163,7 @@
         """It got no connection: none may go there now, or all that this gatekeeper may have were busy."""
         if outcome is not Outcome.CONNECT_FAILED:
             return False
-        return self.crew.address(backend) is None or self.clock() >= exchange.deadline - MS
+        return self.workers.address(backend) is None or self.clock() >= exchange.deadline - MS
 
     def _saw(self, backend: int, good: bool, now: int) -> None:
         self.ejection.saw(backend, good, now)
@@ -219,7 +219,7 @@
         source = self.peer_messages.peers.of(word[0], word[1])
         if source is None:
             return
-        known = [count for count in word[2] if count.worker in self.crew.mates]
+        known = [count for count in word[2] if count.worker in self.workers.by_number]
         self.ejection.told(source, known, self.clock())
         for step in word[3]:
             self.wear.heard(step)
--- a/pepperrun/dataplane/plane.py
+++ b/pepperrun/dataplane/plane.py
@@ -55,10 +55,10 @@
         self.settings, self.clock, self.fresh_at, self.cells_at = settings, clock, fresh_at, cells_at
         self.ledger = Ledger(bounds)
         zones = {me.zone: me.region} | settings.network.zones
-        self.crew = WorkerTable(self.ledger, zones, me.zone, me.region)
-        self.ledger.zone = self.crew.zone_number(me.zone)
+        self.workers = WorkerTable(self.ledger, zones, me.zone, me.region)
+        self.ledger.zone = self.workers.zone_number(me.zone)
         self.shares = ColdShares(me.station, zones, bounds.cold_excess, bounds.cold_slack)
-        self.gate = Gate(bounds, self.crew, self.shares, fresh_at, cells_at)
+        self.gate = Gate(bounds, self.workers, self.shares, fresh_at, cells_at)
         self.peers = Peers(me.station)
         near = me.zone, me.region
         self.quota_keepers = QuotaKeepers(
@@ -71,17 +71,17 @@
         self.gatekeeper.gateway.further.level = 1.0  # the life before may have spent what was saved up
         self.peer_messages = PeerMessages(self.peers, life, self.gatekeeper.heard)
         self.rounds = SharedOutcomes(
-            loop, clock, self.crew, self.peer_messages, self.gatekeeper.ended, random.Random(seed).random
+            loop, clock, self.workers, self.peer_messages, self.gatekeeper.ended, random.Random(seed).random
         )
         self.gate.ejection = self.rounds.ejection
         limits = me.limits
         budget = Budget(max(4, int((limits.memory_mb - BASE_MB) / 2) if limits.memory_mb else 64) << 20)
         sockets = max(64, (limits.file_handles or 2048) - KEPT_FILES)
-        wire = WorkerWire(self.crew, self.gate, clock, self._astray)
+        wire = WorkerWire(self.workers, self.gate, clock, self._astray)
         self.servers = ServerSide(
             loop,
             clock,
-            self.crew,
+            self.workers,
             self.rounds.ended,
             wire,
             sockets // 2,
@@ -113,11 +113,11 @@
         self.ledger.agreed(int(state.get("seats", 0)))
         self._keep(state.get("keepers"), table)
         self._settle()
-        moved = self.crew.evacuate(table.evacuated, self.clock())
+        moved = self.workers.evacuate(table.evacuated, self.clock())
         self.table = self.gate.table = table
         self.front.take(table)
         self._listed(moved)
-        self._berths()
+        self._bound_connections()
 
     def _keep(self, listed: dict[str, Any] | None, table: Table) -> None:
         """Who keeps quotas, as agreed on."""
@@ -136,11 +136,11 @@
 
     def on_workers(self, changed: Iterable[Worker]) -> None:
         """Records of workers that are new or have changed."""
-        listing = self.crew.take(changed)
+        listing = self.workers.take(changed)
         self._settle()
         self._listed(listing)
-        self.shares.forget(self.crew.mates)
-        self.rounds.ejection.forget(self.crew.mates)
+        self.shares.forget(self.workers.by_number)
+        self.rounds.ejection.forget(self.workers.by_number)
 
     def on_gateways(self, changed: Iterable[GatewayRecord]) -> None:
         """Records of gatekeepers that are new or have changed."""
@@ -155,7 +155,7 @@
             self.ledger.meet(len(members) + 1)
             self.ledger.changed = True
             self._settle()
-            self._berths()
+            self._bound_connections()
 
     def stand(self, absent: frozenset[str], doubt: bool) -> None:
         """These gatekeepers are thought to be absent: they keep no store. Who doubts itself grants nothing.
@@ -178,26 +178,25 @@
             self.gatekeeper.listed(listing)
             self.servers.listed()
 
-    def _berths(self) -> None:
+    def _bound_connections(self) -> None:
         """This gatekeeper's part of the connections that one worker takes from all."""
-        caps = (
-            [line.berth_cap for line in self.table.lines.values() if line.berth_cap > 0] if self.table else []
-        )
+        services = self.table.services.values() if self.table else ()
+        caps = [service.berth_cap for service in services if service.berth_cap > 0]
         each = int(min(caps) * CAP_PART) // self.ledger.gateways if caps else 0
         self.servers.most_each = max(LEAST_EACH, each) if caps else 0
 
     def _astray(self, backend: int) -> None:
         now = self.clock()
-        event("astray", worker=self.crew.names.get(backend, "?"))
-        self._listed(self.crew.gone_astray(backend, now))
-        asyncio.get_running_loop().call_later(4, lambda: self._listed(self.crew.found(self.clock())))
+        event("astray", worker=self.workers.names.get(backend, "?"))
+        self._listed(self.workers.gone_astray(backend, now))
+        asyncio.get_running_loop().call_later(4, lambda: self._listed(self.workers.found(self.clock())))
 
     def _tell(self, peer: int, data: bytes) -> None:
         self.peer_messages.tell(peer, data)
 
     def _log(self, text: str) -> None:
         """A line of the decisions, with the worker's id in place of its number."""
-        names = self.crew.names
+        names = self.workers.names
         text = re.sub(r"backend (\d+)", lambda match: f"worker {names.get(int(match[1]), match[1])}", text)
         event("decisions", text=text)
 
@@ -224,7 +223,7 @@
         self.ledger.bounds, self.ledger.changed = bounds, True
         self.gate.bind(bounds)
         self._settle()
-        self._listed(self.crew.rezone(zones))
+        self._listed(self.workers.rezone(zones))
 
     def close(self) -> None:
         """Ends it all."""
--- a/pepperrun/dataplane/routes.py
+++ b/pepperrun/dataplane/routes.py
@@ -60,10 +60,10 @@
 
 
 class Way:
-    """A route, ready for use. `lines` and `classes`: numbers of its services and of its requests there."""
+    """A route, ready for use. `services` and `classes`: numbers of its services and of its requests there."""
 
     __slots__ = (
-        *("classes", "deadline_ns", "homes", "item", "lines", "name", "route", "safe", "shares", "tries"),
+        *("classes", "deadline_ns", "homes", "item", "services", "name", "route", "safe", "shares", "tries"),
         "unstamped",
     )
 
@@ -80,22 +80,22 @@
             parts = [(route.line, 1.0)]
         if not parts:
             raise ValueError("it names no service")
-        self.lines = [ledger.line(name) for name, _ in parts]
+        self.services = [ledger.service(name) for name, _ in parts]
         self.shares = [share for _, share in parts]
         kind = self.safe, int(route.target_ms * MS), self.deadline_ns, self.tries
-        self.classes = [ledger.kind(line, *kind) for line in self.lines]
+        self.classes = [ledger.kind(service, *kind) for service in self.services]
 
     def draw(self, rng: random.Random) -> int:
-        """The place among `lines` of the service that one request goes to."""
-        if len(self.lines) == 1:
+        """The place among `services` of the service that one request goes to."""
+        if len(self.services) == 1:
             return 0
-        return rng.choices(range(len(self.lines)), self.shares)[0]
+        return rng.choices(range(len(self.services)), self.shares)[0]
 
 
 class Tenant:
-    """A sender, ready for use."""
+    """A tenant, ready for use."""
 
-    __slots__ = ("customer", "homes", "item", "name", "plan", "sender", "stamps")
+    __slots__ = ("customer", "homes", "item", "keys", "name", "plan", "sender")
 
     def __init__(self, item: Item, ledger: Ledger) -> None:
         self.item = item
@@ -104,7 +104,7 @@
         self.customer = number_of(self.sender.name)
         self.homes = homes_of(self.sender.home_regions)
         self.plan = ledger.plan(self.sender)
-        self.stamps = [stamp.encode() for stamp in self.sender.stamps]
+        self.keys = [key.encode() for key in self.sender.stamps]
 
 
 class Table:
@@ -114,12 +114,12 @@
         self.number, self.edition = number, int(state.get("edition") or 0)
         self.limits: Limits = read_item(Limits, state.get("limits") or {})
         self.evacuated = frozenset(state.get("evacuated") or ())
-        self.stamped = bool(state.get("senders"))  # are keys asked for at all?
-        self.lines: dict[int, CarrierLine] = {}
+        self.asks_keys = bool(state.get("senders"))  # are keys asked for at all?
+        self.services: dict[int, CarrierLine] = {}
         for item in (state.get("carrier_lines") or {}).values():
-            line = made(item, lambda one: read_item(CarrierLine, one))
-            if line is not None:
-                self.lines[ledger.line(line.name)] = line
+            service = made(item, lambda one: read_item(CarrierLine, one))
+            if service is not None:
+                self.services[ledger.service(service.name)] = service
         self.ways: dict[str, Way] = _taken(
             state.get("routes"), before.ways if before else {}, lambda one: Way(one, ledger)
         )
@@ -131,7 +131,7 @@
         self.tenants: dict[str, Tenant] = _taken(
             state.get("senders"), tenants, lambda one: Tenant(one, ledger)
         )
-        self.keys = {stamp: tenant for tenant in self.tenants.values() for stamp in tenant.stamps}
+        self.keys = {key: tenant for tenant in self.tenants.values() for key in tenant.keys}
 
     def find(self, host: bytes, path: bytes) -> Way | None:
         """Among the routes of a host the one with the longest prefix that begins the path."""
@@ -148,7 +148,7 @@
 
     def keyed(self, way: Way) -> bool:
         """Does a request on this route need a key?"""
-        return self.stamped and not way.unstamped
+        return self.asks_keys and not way.unstamped
 
 
 def host_of(text: bytes) -> bytes:
@@ -165,7 +165,7 @@
 class Lot:
     """What decides where one request may go; read again when the configuration has moved on."""
 
-    __slots__ = ("homes", "host", "key", "line", "number", "path", "rank", "safe", "sender", "way")
+    __slots__ = ("homes", "host", "key", "number", "path", "rank", "safe", "service", "tenant", "way")
 
     def __init__(
         self,
@@ -175,14 +175,14 @@
         path: bytes,
         key: bytes | None,
         tenant: Tenant | None,
-        line: int,
+        service: int,
     ) -> None:
-        self.number, self.way, self.line, self.safe = table.number, way, line, way.safe
+        self.number, self.way, self.service, self.safe = table.number, way, service, way.safe
         self.host, self.path, self.key = host, path, key
         # A tenant's precedence goes before that of the route.
-        senders = tenant.sender.precedence if tenant is not None else None
-        self.rank = (senders or 0) * RANKS + min(RANKS - 1, way.route.precedence)
-        self.sender = tenant.name if tenant is not None else None
+        precedence = tenant.sender.precedence if tenant is not None else None
+        self.rank = (precedence or 0) * RANKS + min(RANKS - 1, way.route.precedence)
+        self.tenant = tenant.name if tenant is not None else None
         self.homes = bound(way.homes, tenant.homes if tenant is not None else None)
 
     def stands(self, table: Table) -> bool:
@@ -190,14 +190,14 @@
         if self.number == table.number:
             return True
         way = table.find(self.host, self.path)
-        if way is None or self.line not in way.lines or way.safe != self.safe:
+        if way is None or self.service not in way.services or way.safe != self.safe:
             return False
         tenant = None
-        if table.keyed(way) != (self.sender is not None):
+        if table.keyed(way) != (self.tenant is not None):
             return False
-        if self.sender is not None:
+        if self.tenant is not None:
             tenant = table.keys.get(self.key or b"")
-            if tenant is None or tenant.name != self.sender:
+            if tenant is None or tenant.name != self.tenant:
                 return False
         self.number, self.way = table.number, way
         self.homes = bound(way.homes, tenant.homes if tenant is not None else None)
--- a/pepperrun/dataplane/trace.py
+++ b/pepperrun/dataplane/trace.py
@@ -90,7 +90,7 @@
             "request",
             id=_id(exchange.asked),
             route=lot.way.name,
-            tenant=lot.sender.decode("latin-1") if lot.sender is not None else "-",
+            tenant=lot.tenant.decode("latin-1") if lot.tenant is not None else "-",
             kind="safe" if lot.safe else "unsafe",
             aim=lot.way.route.target_ms,
             status=status,
@@ -111,7 +111,7 @@
 
     def _tries(self, exchange: Exchange[Any, Any]) -> str:
         """Of each attempt: worker, when it was sent, how it ended, how long that took (ms)."""
-        names = self.front.gate.crew.names
+        names = self.front.gate.workers.names
         parts = []
         for backend, sent, outcome, ended in exchange.trace or ():
             how = outcome.value if outcome is not None else "out"
@@ -140,17 +140,17 @@
             return "no-worker"
         if exchange.trace and any(one[2] in (Outcome.FULL, Outcome.CONNECT_FAILED) for one in exchange.trace):
             return "budget" if len(exchange.attempts) < exchange.lot.way.tries else "tries"
-        crew = self.front.gate.crew
-        return "cold" if all(crew.cold(mate, now) for mate in there) else "full"
+        workers = self.front.gate.workers
+        return "cold" if all(workers.cold(known, now) for known in there) else "full"
 
     def _there(self, lot: Lot) -> list[Any]:
-        crew = self.front.gate.crew
+        workers = self.front.gate.workers
         return [
-            mate
-            for mate in crew.mates.values()
-            if mate.line == lot.line
-            and crew.address(mate.number) is not None
-            and (lot.homes is None or mate.region in lot.homes)
+            known
+            for known in workers.by_number.values()
+            if known.service == lot.service
+            and workers.address(known.number) is not None
+            and (lot.homes is None or known.region in lot.homes)
         ]
 
 
--- a/pepperrun/dataplane/wire.py
+++ b/pepperrun/dataplane/wire.py
@@ -54,8 +54,8 @@
             return None
         id = self.crew.names[attempt.backend].encode()
         more = b"Deadline-Ms: %d\r\nExpect-Worker: %b\r\n" % (max(1, left_ns // MS), id)
-        if lot.sender is not None:
-            more += b"Sender: %b\r\n" % lot.sender
+        if lot.tenant is not None:
+            more += b"Sender: %b\r\n" % lot.tenant
         return write_asked(exchange.asked, more)
 
     def safe(self, attempt: Attempt) -> bool:
--- a/pepperrun/dataplane/workers.py
+++ b/pepperrun/dataplane/workers.py
@@ -1,4 +1,4 @@
-"""The crew (the workers) as this gatekeeper uses them: numbers, addresses, zones, who is cold or left out."""
+"""The workers as this gatekeeper uses them: numbers, addresses, zones, who is cold or left out."""
 
 from __future__ import annotations
 
@@ -19,13 +19,14 @@
 FAR_ZONE, FAR_REGION = 1.02, 2.2  # how much slower a worker counts for its distance; see SYSTEM.md, Prices
 
 
-class Mate:
+class KnownWorker:
     """One life of a worker. `number` stands for its id in the decisions."""
 
-    __slots__ = ("address", "astray", "line", "number", "region", "worker")
+    __slots__ = ("address", "astray", "number", "record", "region", "service")
 
-    def __init__(self, worker: Worker, number: int, line: int, region: str | None, where: Address) -> None:
-        self.worker, self.number, self.line, self.region, self.address = worker, number, line, region, where
+    def __init__(self, record: Worker, number: int, service: int, region: str | None, where: Address) -> None:
+        self.record, self.number, self.service = record, number, service
+        self.region, self.address = region, where
         self.astray = 0  # until then its address is known to be another's
 
 
@@ -34,7 +35,7 @@
 
     def __init__(self, ledger: Ledger, zones: Mapping[str, str], zone: str, region: str) -> None:
         self.ledger, self.zones, self.zone, self.region = ledger, zones, zone, region
-        self.mates: dict[int, Mate] = {}
+        self.by_number: dict[int, KnownWorker] = {}
         self.names: dict[int, str] = {}
         self.ids: dict[str, int] = {}
         self.zone_numbers: dict[str, int] = {}
@@ -56,10 +57,10 @@
         for worker in workers:
             number = self.id_of(worker.id)
             if worker.state == GONE:
-                self.mates.pop(number, None)
-                line = self.ledger.line(worker.line)
+                self.by_number.pop(number, None)
+                service = self.ledger.service(worker.service)
                 changed.append(
-                    Backend(number, self.zone_number(worker.zone), state=BackendState.GONE, line=line)
+                    Backend(number, self.zone_number(worker.zone), state=BackendState.GONE, line=service)
                 )
                 continue
             try:
@@ -67,12 +68,12 @@
             except PepperrunError as error:
                 trouble(error, worker=worker.id)
                 continue
-            line = self.ledger.line(worker.line)
-            mate = Mate(worker, number, line, self.zones.get(worker.zone), where)
-            self.mates[number] = mate
-            changed.append(self._row(mate))
+            service = self.ledger.service(worker.service)
+            known = KnownWorker(worker, number, service, self.zones.get(worker.zone), where)
+            self.by_number[number] = known
+            changed.append(self._row(known))
         for row in changed:
-            if row.state is BackendState.GONE and row.id not in self.mates:
+            if row.state is BackendState.GONE and row.id not in self.by_number:
                 self.ids.pop(self.names.pop(row.id, ""), None)
         return BackendList(ListKind.DELTA, tuple(changed))
 
@@ -84,62 +85,65 @@
         for zone in self.evacuated - zones:
             self.reopened[zone] = now + REOPENED_NS
         self.evacuated = zones
-        rows = [self._row(mate) for mate in self.mates.values() if mate.worker.zone in moved]
+        rows = [self._row(known) for known in self.by_number.values() if known.record.zone in moved]
         return BackendList(ListKind.DELTA, tuple(rows)) if rows else None
 
     def gone_astray(self, number: int, now: int) -> BackendList | None:
         """Another worker answers at its address."""
-        mate = self.mates.get(number)
-        if mate is None:
+        known = self.by_number.get(number)
+        if known is None:
             return None
-        mate.astray = now + ASTRAY_NS
-        return BackendList(ListKind.DELTA, (self._row(mate),))
+        known.astray = now + ASTRAY_NS
+        return BackendList(ListKind.DELTA, (self._row(known),))
 
     def found(self, now: int) -> BackendList | None:
         """Those whose time astray is over are tried again."""
-        back = [mate for mate in self.mates.values() if mate.astray and now >= mate.astray]
-        for mate in back:
-            mate.astray = 0
-        return BackendList(ListKind.DELTA, tuple(self._row(mate) for mate in back)) if back else None
+        back = [known for known in self.by_number.values() if known.astray and now >= known.astray]
+        for known in back:
+            known.astray = 0
+        return BackendList(ListKind.DELTA, tuple(self._row(known) for known in back)) if back else None
 
     def rezone(self, zones: Mapping[str, str]) -> BackendList:
         """Zones and their regions, as the settings have them now."""
         self.zones = zones
-        for mate in self.mates.values():
-            mate.region = zones.get(mate.worker.zone)
-        return BackendList(ListKind.DELTA, tuple(self._row(mate) for mate in self.mates.values()))
+        for known in self.by_number.values():
+            known.region = zones.get(known.record.zone)
+        return BackendList(ListKind.DELTA, tuple(self._row(known) for known in self.by_number.values()))
 
     def zone_number(self, name: str) -> int:
         """The number of a zone."""
         return self.zone_numbers.setdefault(name, len(self.zone_numbers))
 
-    def _row(self, mate: Mate) -> Backend:
+    def _row(self, known: KnownWorker) -> Backend:
         state = BackendState.GONE
-        if mate.worker.state == BOARDING:
-            closed = mate.worker.zone in self.evacuated or mate.astray
+        if known.record.state == BOARDING:
+            closed = known.record.zone in self.evacuated or known.astray
             state = BackendState.DRAINING if closed else BackendState.READY
-        elif mate.worker.state == UNLOADING:
+        elif known.record.state == UNLOADING:
             state = BackendState.DRAINING
-        near = 1.0 if mate.worker.zone == self.zone else FAR_ZONE
-        far = near if mate.region == self.region else FAR_REGION
-        return Backend(mate.number, self.zone_number(mate.worker.zone), state=state, line=mate.line, far=far)
+        near = 1.0 if known.record.zone == self.zone else FAR_ZONE
+        far = near if known.region == self.region else FAR_REGION
+        zone = self.zone_number(known.record.zone)
+        return Backend(known.number, zone, state=state, line=known.service, far=far)
 
     # For `ServerSide`.
 
     def address(self, backend: int) -> Address | None:
         """Where a worker listens; None for one to which nothing may be sent now."""
-        mate = self.mates.get(backend)
-        if mate is None or mate.worker.state != BOARDING or mate.astray or mate.worker.zone in self.evacuated:
+        known = self.by_number.get(backend)
+        if known is None or known.astray:
             return None
-        return mate.address
+        if known.record.state != BOARDING or known.record.zone in self.evacuated:
+            return None
+        return known.address
 
     def listed(self, backend: int) -> bool:
         """Is it in the roster?"""
-        return backend in self.mates
+        return backend in self.by_number
 
     # For the gate.
 
-    def cold(self, mate: Mate, now: int) -> bool:
+    def cold(self, known: KnownWorker, now: int) -> bool:
         """Is it cold, or may it be?"""
-        worker = mate.worker
+        worker = known.record
         return worker.unsure or worker.cold_until > now or self.reopened.get(worker.zone, 0) > now
--- a/pepperrun/simulation/actors.py
+++ b/pepperrun/simulation/actors.py
@@ -382,7 +382,7 @@
             back(Outcome.CONNECT_FAILED)
         elif not worker.serve(name, id, back, token):
             day.say(f"astray {name} {id}")
-            number = gate.plane.crew.ids.get(id)
+            number = gate.plane.workers.ids.get(id)
             if number is not None:
                 do(gate.plane._astray, number)
             back(Outcome.MOOT)
--- a/pepperrun/simulation/nodes.py
+++ b/pepperrun/simulation/nodes.py
@@ -240,9 +240,9 @@
 
     def _write(self, exchange: Any, attempt: int, backend: int, left: int) -> None:
         plane, now = self.gate.plane, self.loop.clock()
-        mate = plane.crew.mates.get(backend)
+        known = plane.workers.by_number.get(backend)
         ended = plane.gatekeeper.ended
-        if exchange.end is not None or mate is None or not plane.gate.still(exchange.lot, backend, now):
+        if exchange.end is not None or known is None or not plane.gate.still(exchange.lot, backend, now):
             ended(exchange, attempt, backend, Outcome.MOOT)
             return
 
@@ -257,7 +257,7 @@
                 )
 
         self.loop.call_later(max(0.0, left / 1e9), over, Outcome.TIMEOUT)
-        self.gate.attempt(self.gate, exchange, mate.worker.address, mate.worker.id, over)
+        self.gate.attempt(self.gate, exchange, known.record.address, known.record.id, over)
 
     def cancel(self, exchange: Any, attempt: int) -> None:
         """What is cancelled runs on at the worker."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -217,7 +217,7 @@
 def test_the_tree_of_matchers_finds_who_answers_or_says_what_is_missing() -> None:
     core = Core()
     based = {"based-on": "0"}
-    assert call(core, "POST", "/crew/i-7/beat", BEAT).status == 200 and core.cells.workers["i-7"].berths == 2
+    assert call(core, "POST", "/crew/i-7/beat", BEAT).status == 200 and core.cells.workers["i-7"].slots == 2
     assert call(core, "POST", "/crew/i%2D7/leave").status == 200 and core.cells.workers["i-7"].state == "gone"
     assert call(core, "POST", "/timetable/replace", whole(), **based).status == 200
     assert call(core, "POST", "/timetable/replace", whole()).status == 400  # no Based-On
--- a/tests/test_dataplane.py
+++ b/tests/test_dataplane.py
@@ -108,7 +108,7 @@
     assert host_of(b"H.Example:8080") == b"h.example"
     way, rng = found.ways["s"], random.Random(1)
     drawn = sum(way.draw(rng) for _ in range(2000))
-    assert len(way.lines) == 2 and 120 < drawn < 290
+    assert len(way.services) == 2 and 120 < drawn < 290
 
 
 def test_what_the_core_takes_is_served():
@@ -318,7 +318,7 @@
 def lot(held: Table, key: bytes = b"k1", path: bytes = b"/p/") -> Lot:
     way, tenant = held.find(b"h.example", path), held.keys.get(key)
     assert way is not None
-    return Lot(held, way, b"h.example", path, key, tenant, way.lines[0])
+    return Lot(held, way, b"h.example", path, key, tenant, way.services[0])
 
 
 def test_with_old_news_no_key_counts_and_without_a_key_it_goes_on():
@@ -341,7 +341,7 @@
     async def test():
         cluster = Cluster(route("r", "/p/"))
         cluster.work("w1", 1, zone="a")
-        gate, number = cluster.plane.gate, cluster.plane.crew.ids["w1"]
+        gate, number = cluster.plane.gate, cluster.plane.workers.ids["w1"]
         waits = lot(cluster.plane.table)
         now = time.monotonic_ns()
         assert gate.open(waits, now) == 0 and gate.may(waits, number, now) and gate.still(waits, number, now)
@@ -437,14 +437,15 @@
         cluster = Cluster(route("r", "/p/"))
         cluster.work("w1", 1, zone="a")
         cluster.work("w2", 1, zone="b", unsure=True)
-        crew, now = cluster.plane.crew, time.monotonic_ns()
-        one, two = (crew.mates[crew.ids[name]] for name in ("w1", "w2"))
-        assert not crew.cold(one, now) and crew.cold(two, now)
+        workers, now = cluster.plane.workers, time.monotonic_ns()
+        one, two = (workers.by_number[workers.ids[name]] for name in ("w1", "w2"))
+        assert not workers.cold(one, now) and workers.cold(two, now)
         cluster.agree(route("r", "/p/"), evacuated=["a"])
-        assert crew.address(one.number) is None
+        assert workers.address(one.number) is None
         cluster.agree(route("r", "/p/"))
         now = time.monotonic_ns()
-        assert crew.address(one.number) and crew.cold(one, now) and not crew.cold(one, now + 10 * SECOND)
+        assert workers.address(one.number) and workers.cold(one, now)
+        assert not workers.cold(one, now + 10 * SECOND)
         # Its share of a cold worker is nobody's until it is known who is there.
         assert not cluster.plane.gate.may(lot(cluster.plane.table), two.number, now + 60 * SECOND)
         cluster.cells = now - 10 * SECOND  # nothing has been heard: any may have turned cold
@@ -471,7 +472,7 @@
 def decisions() -> tuple[Gateway, Ledger, int]:
     """The decisions with one ready worker and one class."""
     ledger = Ledger(Bounds())
-    line = ledger.line("one")
+    line = ledger.service("one")
     cls = ledger.kind(line, True, 1000 * MS, 3000 * MS, 2)
     gateway = Gateway(ledger.settings(), 1)
     gateway.handle(SECOND, [BackendList(ListKind.DELTA, (Backend(7, 0, line=line),))])
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -165,7 +165,7 @@
             cluster.plane.gatekeeper.gateway.further.level = 1.0
             assert (await (await cluster.ask()).answer())[0] in (502, 503)
         assert full.heads and failing.heads
-        charts, ids = cluster.plane.rounds.ejection.charts, cluster.plane.crew.ids
+        charts, ids = cluster.plane.rounds.ejection.charts, cluster.plane.workers.ids
         assert ids["full"] not in charts and charts[ids["ill"]].score >= BAD
 
     going(test)
@@ -194,7 +194,7 @@
         assert one.ejection.sharers == 2 and len(one.mates) == 1 and not three.mates
         heard = asyncio.Event()
         two.peer_messages.others[MARK] = lambda data, addr: (two.received(data, addr), heard.set())
-        worker = clusters[0].plane.crew.ids["w1"]
+        worker = clusters[0].plane.workers.ids["w1"]
         one._saw(worker, False, one.clock())
         one.wear.saw(400 * MS, True)
         one.tell()
@@ -216,7 +216,7 @@
         worker = await StandIn(b"").start()  # takes the request and says nothing
         cluster = Cluster(route("r", "/p/"))
         cluster.work("mute", worker.port)
-        rounds, number = cluster.plane.rounds, cluster.plane.crew.ids["mute"]
+        rounds, number = cluster.plane.rounds, cluster.plane.workers.ids["mute"]
         client = await cluster.ask()
         await worker.arrived.get()
         (attempt,) = cluster.plane.servers.attempts.values()
--- a/tests/test_quota_keepers.py
+++ b/tests/test_quota_keepers.py
@@ -38,7 +38,7 @@
         self.world, self.station, self.place = world, station, station[0]
         self.ledger = Ledger(BOUNDS)
         self.ledger.plan(TENANT)
-        self.ledger.line("one")
+        self.ledger.service("one")
         self.cls = self.ledger.kind(0, True, 2 * SECOND, 5 * SECOND, 1)
         self.ledger.meet(len(world.stations))
         self.fresh_at, self.known = 0, 0
