Conversations of scripted clients and workers; seven faults of the data plane

Ruled out: closing a connection after each refusal (new connections to full workers have a price). The harness: `python -m pepperrun.simulation.conversations`: the data plane in a loop of its own that can stand still, clients and workers in another, real sockets, one virtual clock.

--- a/pepperrun/dataplane/front.py
+++ b/pepperrun/dataplane/front.py
@@ -29,6 +29,7 @@
 KEPT_OVER_NS = SECOND  # a connection is kept for so much longer than its client is told
 _ID = re.compile(rb"[\x21-\x2b\x2d-\x7e]{1,256}\Z")
 _TOKEN = re.compile(rb"(?i:token)[ \t]+([\x21-\x7e]{1,512})[ \t]*\Z")
+_SCHEME = re.compile(rb"(?i)(?:\A|[\s,])token(?:[\s,]|\Z)")  # also in fields that came twice and stand joined
 _MS = re.compile(rb"[0-9]{1,12}(?:\.[0-9]{1,6})?\Z")
 # Ours to say to a worker, whatever the client sent.
 OURS = frozenset((b"deadline-ms", b"expect-worker", b"sender"))
@@ -37,11 +38,14 @@
     b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade content-length".split()
 )
 
+END_TO_END = frozenset((b"host", b"attempt-id", b"postmark"))  # not a connection's own, whatever it names
+
 
 def fields_less(fields: Fields, names: dict[bytes, bytes], dropped: frozenset[bytes]) -> Fields:
     """The fields that go on to the next hop."""
     if b"connection" in names:
-        dropped = dropped | {name.strip() for name in names[b"connection"].lower().split(b",")}
+        named = {name.strip() for name in names[b"connection"].lower().split(b",")}
+        dropped = dropped | named - END_TO_END
     return [pair for pair in fields if pair[0].lower() not in dropped]
 
 
@@ -153,7 +157,7 @@
                 challenge = b"WWW-Authenticate", b"Token"
                 return self._unsure((401, [challenge, TEXT], b"no such key\n"), request.arrived)
             plan, customer = tenant.plan, tenant.customer
-        if match is not None and table.stamped:
+        if told is not None and table.stamped and _SCHEME.search(told) is not None:
             dropped = dropped | {b"authorization"}  # it may be a key, and no worker is to see one
         at = way.draw(self.rng)
         lot = Lot(table, way, host, path, key if tenant is not None else None, tenant, way.lines[at])
--- a/pepperrun/dataplane/wire.py
+++ b/pepperrun/dataplane/wire.py
@@ -71,7 +71,8 @@
     def foreign(self, attempt: Attempt, response: Response) -> bool:
         given = response.names.get(b"attempt-id")
         if given is None:
-            return not turned_away(response)
+            # A refusal without an id, behind answers on the same connection, may be a surplus one.
+            return not turned_away(response) or attempt.connection is None or attempt.connection.served > 0
         return given != attempt.exchange.asked.names[b"attempt-id"]
 
     def judge(self, attempt: Attempt, response: Response) -> tuple[Outcome, float]:
--- a/pepperrun/fronts/http_client.py
+++ b/pepperrun/fronts/http_client.py
@@ -76,7 +76,8 @@
             return
         if self.partial() and not self.closing and not self.unwritten() and self.transport is not None:
             text = b"the request did not come whole in time\n"
-            self.transport.write(write_response(408, [TEXT], text, close=True))
+            bodiless = self.parser.asks_for_head()
+            self.transport.write(write_response(408, [TEXT], text, close=True, bodiless=bodiless))
         self.close()
 
     def close(self) -> None:
@@ -156,9 +157,13 @@
         if step is not None:
             step[0].left(step[1])
 
+    def _owes(self) -> bool:
+        """Is an answer awaited, or on its way? The next one would stand inside it: that request waits."""
+        return self.step is not None or self.download is not None
+
     def _read(self) -> None:
-        """Begins the next request, unless one has not been answered."""
-        while self.step is None and not self.closing and self.transport is not None:
+        """Begins the next request, unless one has not been answered whole."""
+        while not self._owes() and not self.closing and self.transport is not None:
             try:
                 request = self.parser.next()
             except HttpError as error:
@@ -186,7 +191,7 @@
         if self.upload is not None:
             self._pass_on(self.upload)
             return
-        ahead = self.step is not None and len(self.buffer) >= AHEAD
+        ahead = self._owes() and len(self.buffer) >= AHEAD
         if ahead and self.transport is not None and not self.paused:
             self.paused = True  # more was sent ahead than is held for a client
             self.transport.pause_reading()
@@ -259,15 +264,19 @@
         """
         transport, request = self.transport, self.request
         assert transport is not None
-        self.closing = self.lingering = True
         self.request = None
-        self.buffer.forget()
+        bodiless = request.method == b"HEAD" if request is not None else self.parser.asks_for_head()
         self.answers, self.since = self.answers + 1, self.clock()
-        bodiless = request is not None and request.method == b"HEAD"
         transport.write(write_response(*answer[:3], close=True, bodiless=bodiless))
+        self._linger(transport)
+
+    def _linger(self, transport: asyncio.Transport) -> None:
+        """Nothing more goes out; what still comes is read and dropped, until the client has closed too."""
+        self.closing = self.lingering = True
+        self.buffer.forget()
         if not transport.is_closing():
             transport.write_eof()
-            if self.paused:  # what is left of it is read and dropped
+            if self.paused:
                 self.paused = False
                 transport.resume_reading()
 
@@ -341,12 +350,15 @@
         self._answered(close)
 
     def _answered(self, close: bool) -> None:
-        if self.transport is None:
+        transport = self.transport
+        if transport is None:
             return
-        if close:
-            self.transport.close()
-        else:
+        if not close:
             self.listener.answered(self)
+        elif self.paused or len(self.buffer) or not transport.is_closing() and unread(transport):
+            self._linger(transport)  # a close on unread bytes would reset it, and the answer might be lost
+        else:
+            transport.close()
 
     # An answer whose body is longer than is held, as it comes from a backend.
 
--- a/pepperrun/fronts/kept.py
+++ b/pepperrun/fronts/kept.py
@@ -62,7 +62,7 @@
     def busy(self) -> bool:
         """Is a request on it, whole or in part, or an answer not yet written?"""
         if self.lingering:
-            return False
+            return self.unwritten()
         owes = self.step is not None or self.download is not None or self.unwritten()
         return owes or self.partial() or self.woken > 0
 
@@ -77,7 +77,7 @@
     def due(self, crowded: bool) -> int | None:
         """When the connection ends if nothing more happens on it; None while an answer is owed."""
         if self.lingering:
-            return self.since + LINGER_NS
+            return self.since + (STUCK_NS if self.unwritten() else LINGER_NS)
         if self.stuck is not None:
             return self.stuck + STUCK_NS
         if self.upload is not None and not self.paused:
--- a/pepperrun/net/http1.py
+++ b/pepperrun/net/http1.py
@@ -29,6 +29,7 @@
 _FIELD = re.compile(rb"(" + _TOKEN + rb"):[ \t]*([^\r\n]*?)[ \t]*\r\n")
 _REQUEST = re.compile(rb"(" + _TOKEN + rb") ([\x21-\x7e]+) HTTP/1\.([01])\Z")
 _RESPONSE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\x00-\x08\x0a-\x1f\x7f]*)?\Z")
+_HEAD_METHOD = b"HEAD "
 _CHUNK = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\x00-\x08\x0a-\x1f\x7f]*)?\Z")
 
 REASONS = {
@@ -198,6 +199,7 @@
         self.buffer, self.most_body, self.most_head = buffer, most_body, MAX_HEAD
         self.hold = hold  # bytes of a body from which on the message is given early; None: never
         self.seen = 0  # bytes in which the end of the head was looked for
+        self.started = b""  # the start line of a message that is not yet given
         self.body: Body | None = None  # of the message whose head has been read
         self.parts: list[bytes] = []  # of it, while it is held
 
@@ -215,6 +217,7 @@
             raise HttpError(431, "the head is too long")
         head = buffer.take(at + 4)
         start, _, rest = head[:-2].partition(b"\r\n")
+        self.started = start
         if _FIELDS.fullmatch(rest) is None:
             raise HttpError(400, "a header field can't be read")
         fields: list[tuple[bytes, bytes]] = _FIELD.findall(rest)
@@ -278,6 +281,10 @@
         super().__init__(buffer, most_body, hold)
         self.request: Request | None = None  # its head has been read
 
+    def asks_for_head(self) -> bool:
+        """Does the request that is being read, or that could not be read, want an answer without a body?"""
+        return (self.started or self.buffer.peek(len(_HEAD_METHOD))).startswith(_HEAD_METHOD)
+
     def next(self) -> Request | None:
         """The next request, whole or longer than is held, or None until more has come."""
         if self.request is None:
@@ -295,6 +302,7 @@
         if not self._gather(self.body):
             return None
         request, self.request = self.request, None
+        self.started = b""
         request.body, request.whole = self._held(), self.body.done
         return request
 
--- a/pepperrun/net/server_side.py
+++ b/pepperrun/net/server_side.py
@@ -113,7 +113,7 @@
         safe = self.wire.safe(attempt)
         while pool.idle:
             connection = pool.idle[-1]
-            if not self._fit(connection, now):
+            if not self._fit(connection, now) or self._same(connection, attempt):
                 pool.idle.pop().close()
             elif safe or self.wear.trusted(now - connection.idle_since, STALE_UNSAFE):
                 pool.idle.pop()
@@ -217,12 +217,21 @@
         # Bytes that nothing was asked for, or an end that has not been read: neither takes a request.
         return not unread(transport)
 
+    def _same(self, connection: Connection, attempt: Attempt) -> bool:
+        """Was this very request the last on it? A late second answer to that would be taken for its own."""
+        name = self.wire.name(attempt)
+        return name is not None and name == connection.asked
+
     def free(self, connection: Connection) -> None:
         """A connection can take the next attempt that waits, or is idle."""
         pool, now = connection.pool, self.clock()
         connection.idle_since = now
         while pool.waiting:
-            attempt = pool.waiting.popleft()
+            attempt = pool.waiting[0]
+            if self._same(connection, attempt):
+                connection.close()
+                return  # its end opens another
+            pool.waiting.popleft()
             # It may have waited for this connection while the list came to call the backend draining or gone.
             if self.directory.address(pool.backend) != pool.address:
                 self.end(attempt, Outcome.CONNECT_FAILED)
--- /dev/null
+++ b/pepperrun/simulation/conversations/bugs.py
@@ -0,0 +1,155 @@
+"""Bugs that are put in by a switch, to see that the judge finds them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+from unittest import mock
+
+from pepperrun.core.interface import Outcome
+from pepperrun.dataplane import front, wire
+from pepperrun.dataplane.front import Front
+from pepperrun.dataplane.wire import WorkerWire
+from pepperrun.exchange import End
+from pepperrun.fronts.http_client import HttpClient
+from pepperrun.net import connection, server_side
+from pepperrun.net.connection import Connection
+from pepperrun.net.server_side import ServerSide
+from pepperrun.net.stream import Stream
+
+Patches = list[Any]
+
+
+def _ids_not_compared() -> Patches:
+    """An answer is taken for that of the request that waits, whatever its Attempt-Id."""
+    return [
+        mock.patch.object(WorkerWire, "foreign", lambda *_: False),
+        mock.patch.object(WorkerWire, "surplus", lambda *_: False),
+    ]
+
+
+def _reused_after_surplus() -> Patches:
+    """What came behind an answer stays for the next, and an answer without an id is taken for it."""
+
+    def release(self: Connection, response: Any) -> None:
+        self.served, self.head_at = self.served + 1, 0
+        if response.close() or self.unsent:
+            self.close()
+        elif self.transport is not None and not self.transport.is_closing():
+            self.side.free(self)
+
+    def foreign(self: WorkerWire, attempt: Any, response: Any) -> bool:
+        given = response.names.get(b"attempt-id")
+        return given is not None and bool(given != attempt.exchange.asked.names[b"attempt-id"])
+
+    return [
+        mock.patch.object(Connection, "_release", release),
+        mock.patch.object(WorkerWire, "foreign", foreign),
+        mock.patch.object(connection, "unread", lambda _: False),
+        mock.patch.object(server_side, "unread", lambda _: False),
+    ]
+
+
+def _sent_again_after_reset() -> Patches:
+    """A connection that broke before any answer is taken for one on which nothing was asked."""
+    return [mock.patch.object(Connection, "_broke", lambda self: Outcome.CONNECT_FAILED)]
+
+
+def _promise_after_run() -> Patches:
+    """What may have run is refused."""
+    answer = Front.answer
+
+    def refuse(self: Front, exchange: Any, final: Any) -> Any:
+        given = answer(self, exchange, final)
+        return self.back_later() if given[0] == 502 else given
+
+    return [mock.patch.object(Front, "answer", refuse)]
+
+
+def _short_looks_whole() -> Patches:
+    """An answer whose worker broke off is ended as if it were whole."""
+    return [mock.patch.object(Stream, "fail", lambda self: self.finish())]
+
+
+def _encoded_passes() -> Patches:
+    """No look at whether a worker's answer is encoded or tells its length."""
+    judge = WorkerWire.judge
+
+    def lenient(self: WorkerWire, attempt: Any, response: Any) -> Any:
+        response.names.pop(b"content-encoding", None)
+        return judge(self, attempt, response)
+
+    return [
+        mock.patch.object(WorkerWire, "judge", lenient),
+        mock.patch.object(wire, "delimited", lambda _: True),
+    ]
+
+
+def _awaits(client: HttpClient) -> bool:
+    return client.step is not None
+
+
+def _next_inside_answer() -> Patches:
+    """The next request is read while a long answer is on its way, and answered in the middle of it."""
+    return [mock.patch.object(HttpClient, "_owes", _awaits)]
+
+
+def _any_no_is_believed() -> Patches:
+    """A refusal without an id is believed on a connection that has brought answers before."""
+
+    def foreign(self: WorkerWire, attempt: Any, response: Any) -> bool:
+        given = response.names.get(b"attempt-id")
+        if given is None:
+            return not wire.turned_away(response)
+        return bool(given != attempt.exchange.asked.names[b"attempt-id"])
+
+    return [mock.patch.object(WorkerWire, "foreign", foreign)]
+
+
+def _same_connection_again() -> Patches:
+    """What a worker refused may go to it again on the same connection, where a late second no is its own."""
+    return [mock.patch.object(ServerSide, "_same", lambda *_: False)]
+
+
+def _per_hop_takes_all() -> Patches:
+    """What `Connection` names is dropped, also where a client or worker can't do without it."""
+    return [mock.patch.object(front, "END_TO_END", frozenset[bytes]())]
+
+
+def _late_answer_counts_as_refused() -> Patches:
+    """A request whose time is up is refused, though a worker is at work on it."""
+    answer = Front.answer
+
+    def refuse(self: Front, exchange: Any, final: Any) -> Any:
+        return self.back_later() if final.end is End.OUT_OF_TIME else answer(self, exchange, final)
+
+    return [mock.patch.object(Front, "answer", refuse)]
+
+
+BUGS: dict[str, Callable[[], Patches]] = {
+    "ids-not-compared": _ids_not_compared,
+    "reused-after-surplus": _reused_after_surplus,
+    "sent-again-after-reset": _sent_again_after_reset,
+    "promise-after-run": _promise_after_run,
+    "short-looks-whole": _short_looks_whole,
+    "encoded-passes": _encoded_passes,
+    "next-inside-answer": _next_inside_answer,
+    "any-no-is-believed": _any_no_is_believed,
+    "same-connection-again": _same_connection_again,
+    "per-hop-takes-all": _per_hop_takes_all,
+    "late-counts-as-refused": _late_answer_counts_as_refused,
+}
+
+
+@contextmanager
+def put_in(name: str) -> Iterator[None]:
+    """This bug is there for as long as the context lasts; "" for none."""
+    patches = BUGS[name]() if name else []
+    for patch in patches:
+        patch.start()
+    try:
+        yield
+    finally:
+        for patch in patches:
+            patch.stop()
--- /dev/null
+++ b/pepperrun/simulation/conversations/scripts.py
@@ -0,0 +1,321 @@
+"""What is drawn: requests with their bytes, how clients send them, how workers answer, what else happens."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+HOST_NAME = b"h.example"
+KEYS = {b"stamp-ann-1": b"ann", b"stamp-ann-2": b"ann", b"stamp-bob-1": b"bob"}
+UNKNOWN_KEY = b"stamp-nobody"
+SMUGGLED = b"smuggled"
+ROUTES = {b"/safe/": "safe", b"/once/": "once", b"/open/": "open", b"/split/": "split", b"/none/": "none"}
+UNSAFE_ROUTES = ("once", "split")
+LONG = 70_000  # bytes: more than is held of a body
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@dataclass
+class Asked:
+    """A request as its client means it, and the bytes it sends for it."""
+
+    id: bytes
+    method: bytes
+    target: bytes
+    route: str
+    key: bytes | None
+    body: bytes
+    head: bytes
+    sent_body: bytes  # with its framing
+    malformed: bool = False  # can be read in two ways, or not at all: no worker may run it
+    deadline_ms: int = 2000
+    expects_continue: bool = False
+
+    @property
+    def raw(self) -> bytes:
+        """All its bytes."""
+        return self.head + self.sent_body
+
+    @property
+    def repeatable(self) -> bool:
+        """May it run more than once?"""
+        return self.route not in UNSAFE_ROUTES
+
+
+@dataclass
+class Turn:
+    """One request of a client's script. `break_at`: bytes after which it goes wrong."""
+
+    asked: Asked
+    pause_s: float = 0.0
+    pipelined: bool = False
+    fresh: bool = False  # on a new connection
+    pieces: tuple[int, ...] = ()
+    piece_pause_s: float = 0.0
+    break_at: int | None = None
+    break_how: str = "reset"
+
+
+@dataclass
+class Reply:
+    """What a worker does with one request."""
+
+    kind: str = "answer"  # answer | not-run | silence
+    status: int = 200
+    headers: Headers = field(default_factory=list)
+    size: int = 10
+    framing: str = "length"  # length | chunks | end | bad-chunks | longer | shorter
+    id: str = "own"  # own | none | other
+    postmark: bool = True
+    pieces: tuple[int, ...] = ()
+    delay_s: float = 0.0
+    cut_at: int | None = None  # bytes of the answer after which the connection breaks
+    cut_how: str = "reset"
+    cut_request_at: int | None = None  # bytes of the request after which it breaks: nothing is run
+    late_second: bool = False  # the answer before is sent again in the place of this one
+    surplus: bytes = b""
+    surplus_delay_s: float = 0.0
+    close: bool = False
+    idle_close_s: float = -1.0
+    early: bool = False  # answers before the body is whole
+
+
+@dataclass
+class Happening:
+    """Something beside clients and workers."""
+
+    at_s: float
+    kind: str  # freeze | drain | reread | move | revoke | restart | hand-on
+    span_s: float = 0.0
+    told_s: float = 0.0  # how much later the data plane hears of it
+
+
+@dataclass
+class Script:
+    """A conversation."""
+
+    seed: int
+    clients: list[list[Turn]]
+    happenings: list[Happening] = field(default_factory=list)
+    replies: list[Reply] | None = None  # in order, and then as a worker should; None: drawn
+
+
+def _chunked(rng: random.Random, body: bytes) -> bytes:
+    out, at = [], 0
+    while at < len(body):
+        size = rng.choice((1, 7, 500, 9000, 40_000))
+        piece = body[at : at + size]
+        out.append(b"%x%b\r\n%b\r\n" % (len(piece), rng.choice((b"", b"", b";a=b")), piece))
+        at += size
+    return b"".join(out) + b"0\r\n\r\n"
+
+
+def _inner(number: int) -> bytes:
+    """A request that stands inside another's body."""
+    lines = b"GET /once/in HTTP/1.1\r\nHost: %b\r\nAttempt-Id: %b-%d\r\n" % (HOST_NAME, SMUGGLED, number)
+    return lines + b"Authorization: Token stamp-ann-1\r\n\r\n"
+
+
+def _odd_fields(rng: random.Random) -> Headers:
+    """Fields that are well formed, and that a worker must not see, or must see as they are."""
+    return rng.choice(
+        (
+            [(b"Sender", b"eve")],
+            [(b"sEnDeR", b"eve"), (b"SENDER", b"eve")],
+            [(b"Expect-Worker", b"w9")],
+            [(b"Connection", b"host")],
+            [(b"Connection", b"Attempt-Id, keep-alive")],
+            [(b"Connection", b"authorization, deadline-ms")],
+            [(b"Keep-Alive", b"timeout=1")],
+            [(b"X-Mixed-CASE", b"  spaced  ")],
+            [(b"Postmark", b"forged.0")],
+            [(b"Not-Run", b"1")],
+            [(b"Authorization", b"Token stamp-bob-1")],
+            [(b"TE", b"trailers"), (b"Upgrade", b"websocket")],
+        )
+    )
+
+
+def _malform(rng: random.Random, asked: Asked, number: int) -> None:
+    """Makes it one that can't be read, or that could be read in two ways, with another inside."""
+    inner = _inner(number)
+    start, _, rest = asked.head.partition(b"\r\n")
+    bare = rest.replace(b"Content-Length: %d\r\n" % len(asked.body), b"").replace(
+        b"Transfer-Encoding: chunked\r\n", b""
+    )
+    fields = bare[:-2]
+    tails = (
+        b"Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n",
+        b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"Content-Length: 0\r\nContent-Length: %d\r\n\r\n" % len(inner),
+        b"Content-Length: 0, 0\r\n\r\n",
+        b"Content-Length: +0\r\n\r\n",
+        b"Content-Length: 0x0\r\n\r\n",
+        b"Content-Length : 0\r\n\r\n",
+        b"Transfer-Encoding: xchunked\r\n\r\n",
+        b"Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+        b"Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+        b"X-Folded: a\r\n Content-Length: 5\r\n\r\n",
+        b"Sender : eve\r\n\r\n",
+        b"X-Bare: a\nContent-Length: 5\r\n\r\n",
+        b"X-Nul: a\x00b\r\n\r\n",
+        b"Host: other.example\r\n\r\n",
+        b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+        b"Transfer-Encoding: chunked\r\n\r\n5\r\nhelloworld\r\n0\r\n\r\n",
+    )
+    asked.malformed, asked.body = True, b""
+    if rng.random() < 0.15:  # it can be read, and says too much: what follows would be a request of its own
+        twice = rng.choice((b"Attempt-Id: second\r\n\r\n", b"Deadline-Ms: soon\r\n\r\n"))
+        asked.head, asked.sent_body = start + b"\r\n" + fields + twice, b""
+    else:
+        asked.head, asked.sent_body = start + b"\r\n" + fields + rng.choice(tails), inner
+
+
+def draw_request(rng: random.Random, conversation: int, number: int) -> Asked:
+    """One request."""
+    id = b"i%d-%d" % (conversation, number)
+    method = rng.choice((b"GET", b"GET", b"POST", b"PUT", b"HEAD", b"DELETE"))
+    prefix = rng.choices(list(ROUTES), (5, 8, 2, 2, 1))[0]
+    target = prefix + rng.choice((b"a", b"A/b?q=%2F&x=/..", b"%41//b", b"", b"a?" + b"z" * 300, b";p=1"))
+    if rng.random() < 0.03:
+        target = b"http://" + HOST_NAME + target
+    route = ROUTES[prefix] if target.startswith(b"/") else "none"
+    key = rng.choice((*KEYS, *KEYS, *KEYS, UNKNOWN_KEY, None))
+    deadline_ms = rng.choice((300, 1500, 2000, 4000))
+    body = b""
+    if method in (b"POST", b"PUT") or method == b"DELETE" and rng.random() < 0.3:
+        size = rng.choice((0, 1, 40, 3000, 3000, LONG, 200_000))
+        body = (_inner(number) + bytes(rng.choices(b"abc\r\n0 ", k=100)) + b"b" * size)[:size]
+    fields: Headers = [(b"Host", HOST_NAME), (b"Attempt-Id", id), (b"Deadline-Ms", b"%d" % deadline_ms)]
+    if key is not None:
+        fields.append((b"Authorization", b"Token " + key))
+    rng.shuffle(fields)
+    asked = Asked(id, method, target, route, key, body, b"", body, deadline_ms=deadline_ms)
+    if body and rng.random() < 0.1:
+        fields.append((b"Expect", b"100-continue"))
+        asked.expects_continue = True
+    if rng.random() < 0.15:
+        odd = _odd_fields(rng)
+        if key is not None or odd[0][0] != b"Authorization":
+            fields += odd
+    if body and rng.random() < 0.4:
+        fields.append((b"Transfer-Encoding", b"chunked"))
+        asked.sent_body = _chunked(rng, body)
+    elif body or method != b"GET":
+        fields.append((b"Content-Length", b"%d" % len(body)))
+    if rng.random() < 0.04:
+        fields.append((b"Connection", b"close"))
+    lines = b"".join(b"%b: %b\r\n" % pair for pair in fields)
+    asked.head = b"%b %b HTTP/1.1\r\n%b\r\n" % (method, target, lines)
+    if rng.random() < 0.04:
+        _malform(rng, asked, number)
+    return asked
+
+
+def _cuts(rng: random.Random, length: int) -> tuple[int, ...]:
+    if length < 2 or rng.random() < 0.7:
+        return ()
+    near = min(length - 1, 600)  # heads are where splits matter most
+    return tuple(sorted({rng.randint(1, near if rng.random() < 0.8 else length - 1) for _ in range(3)}))
+
+
+def draw_turn(rng: random.Random, conversation: int, number: int) -> Turn:
+    """A request and how it is sent."""
+    turn = Turn(draw_request(rng, conversation, number))
+    length = len(turn.asked.raw)
+    turn.pause_s = rng.choice((0.0, 0.0, 0.0, 0.002, 0.3, 1.1, 3.9, 4.0, 4.8, 5.0))
+    turn.pipelined = rng.random() < 0.3
+    turn.fresh = rng.random() < 0.2
+    turn.pieces = _cuts(rng, length)
+    turn.piece_pause_s = rng.choice((0.0, 0.001, 0.05, 0.9))
+    if rng.random() < 0.12:
+        turn.break_at = rng.randint(0, length if rng.random() < 0.3 else min(length, 500))
+        if turn.asked.method == b"HEAD":  # who has not said so gets an answer with a body
+            turn.break_at = max(turn.break_at, len(b"HEAD "))
+        turn.break_how = rng.choice(("reset", "close", "half", "silence"))
+    return turn
+
+
+_SURPLUS = (
+    b"garbage\r\n",
+    b"\r\n",
+    b"HTTP/1.1 200 OK\r\nPostmark: surplus.0\r\nContent-Length: 5\r\n\r\nextra",
+    b"HTTP/1.1 200 OK\r\nPostmark: surplus.0\r\nAttempt-Id: unknown\r\nContent-Length: 5\r\n\r\nextra",
+    b"HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 500 No\r\nPostmark: surplus.0\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\n",
+    b"HTTP/1.1 200",
+)
+
+
+def draw_reply(rng: random.Random) -> Reply:
+    """What a worker does; mostly, but for one thing or two, as it should."""
+    reply = Reply(size=rng.choice((0, 1, 10, 10, 2000, 9000, LONG, 300_000)))
+    reply.framing = rng.choice(("length", "length", "chunks"))
+    reply.delay_s = rng.choice((0.0, 0.0, 0.0, 0.01, 0.3, 1.0))
+    if rng.random() < 0.4:
+        reply.pieces = tuple(sorted({rng.randint(1, 400), rng.randint(1, 20_000)}))
+    for _ in range(rng.choice((0, 0, 1, 1, 1, 2))):
+        _spoil(rng, reply)
+    if reply.framing in ("longer", "bad-chunks"):
+        reply.surplus = b""  # it would be the rest of the body
+    return reply
+
+
+def _spoil(rng: random.Random, reply: Reply) -> None:
+    match rng.randrange(18):
+        case 0:
+            reply.status = rng.choice((201, 204, 302, 304, 400, 404, 408, 429, 500, 502, 503, 504))
+        case 1:
+            reply.kind, reply.status = "not-run", rng.choice((503, 503, 429, 421, 400, 408))
+        case 2:
+            reply.kind = "silence"
+        case 3 | 4:
+            reply.cut_at = rng.choice((0, rng.randint(0, 250), rng.randint(0, reply.size + 250)))
+            reply.cut_how = rng.choice(("reset", "close", "silence"))
+        case 5:
+            reply.cut_request_at = rng.randint(0, rng.choice((20, 400, 100_000)))
+        case 6 | 7:
+            reply.late_second = True
+        case 8 | 9 | 10:
+            reply.surplus = rng.choice(_SURPLUS)
+            reply.surplus_delay_s = rng.choice((0.0, 0.0, 0.0005, 0.002, 0.3, 1.0))
+        case 11:
+            reply.id = rng.choice(("none", "other"))
+        case 12:
+            reply.framing = rng.choice(("end", "bad-chunks", "longer", "shorter"))
+        case 13:
+            reply.headers.append((b"Content-Encoding", b"gzip"))
+        case 14:
+            reply.close = True
+        case 15:
+            reply.idle_close_s = rng.choice((0.0, 0.0005, 0.2, 1.0, 3.0))
+        case 16:
+            names = (b"Postmark", b"attempt-id", b"content-length", b"x-other, postmark")
+            reply.headers.append((b"Connection", rng.choice(names)))
+        case 17:
+            reply.postmark = rng.random() < 0.5
+            reply.early = not reply.postmark
+
+
+def draw_happening(rng: random.Random) -> Happening:
+    """Something beside clients and workers."""
+    kinds = ("freeze", "drain", "reread", "move", "revoke", "restart", "restart", "hand-on", "hand-on")
+    at_s, kind = rng.choice((0.0, 0.005, 0.3, 1.0, 4.0)), rng.choice(kinds)
+    return Happening(at_s, kind, rng.choice((0.5, 2.0, 6.0, 20.0)), rng.choice((0.0, 0.2, 3.0)))
+
+
+def draw_script(seed: int) -> Script:
+    """A conversation."""
+    rng = random.Random(seed)
+    number, clients = 0, []
+    for _ in range(rng.choice((1, 1, 2, 3))):
+        turns = []
+        for _ in range(rng.choice((1, 2, 3, 4, 6))):
+            turns.append(draw_turn(rng, seed, number))
+            number += 1
+        clients.append(turns)
+    happenings = [draw_happening(rng) for _ in range(rng.choice((0, 0, 1, 1, 2)))]
+    return Script(seed, clients, sorted(happenings, key=lambda one: one.at_s))
--- /dev/null
+++ b/pepperrun/simulation/conversations/stepping.py
@@ -0,0 +1,121 @@
+"""Two event loops on real sockets in one thread, under one virtual clock.
+
+The data plane runs in one loop, clients and workers in the other, so that the first can stand still while the
+others go on. Time passes only when neither has anything to do: a conversation of minutes takes milliseconds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+Result = TypeVar("Result")
+START_S = 1000.0
+QUIET_ROUNDS = 2  # of both loops without an event, before time passes
+MOST_ROUNDS = 200_000  # of one conversation; more is a loop that never rests
+
+
+class EagerSelector(selectors.DefaultSelector):
+    """Never waits: the stage decides when time passes."""
+
+    seen = 0
+
+    def select(self, timeout: float | None = None) -> Any:
+        events = super().select(0)
+        self.seen += len(events)
+        return events
+
+
+class SteppedLoop(asyncio.SelectorEventLoop):
+    """A loop that is run one round at a time."""
+
+    def __init__(self, stage: Stage) -> None:
+        self.stage, self.eager = stage, EagerSelector()
+        self.crashes: list[str] = []
+        super().__init__(self.eager)
+        self.set_exception_handler(self._crashed)
+
+    def _crashed(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        self.crashes.append(f"{context.get('message')}: {context.get('exception')!r}")
+
+    def time(self) -> float:
+        return self.stage.now
+
+    def round(self) -> bool:
+        """Runs what is ready; False where nothing was and nothing is."""
+        internals: Any = self
+        before = self.eager.seen
+        had = len(internals._ready) > 0
+        asyncio.events._set_running_loop(self)
+        try:
+            internals._run_once()
+        finally:
+            asyncio.events._set_running_loop(None)
+        return had or self.eager.seen > before or len(internals._ready) > 0
+
+    def next_at(self) -> float | None:
+        """When its next timer is due."""
+        scheduled: Any = getattr(self, "_scheduled")  # noqa: B009
+        return scheduled[0].when() if scheduled else None
+
+
+class Stage:
+    """The clock and both loops."""
+
+    def __init__(self) -> None:
+        self.now = START_S
+        self.plane, self.peers = SteppedLoop(self), SteppedLoop(self)
+        self.frozen_until = 0.0
+        self.rounds = 0
+
+    def clock(self) -> int:
+        """The virtual time in nanoseconds."""
+        return int(self.now * 1e9)
+
+    def freeze(self, seconds: float) -> None:
+        """The data plane's process stands still; its sockets go on receiving."""
+        self.frozen_until = self.now + seconds
+
+    def _round(self) -> bool:
+        self.rounds += 1
+        if self.rounds > MOST_ROUNDS:
+            raise RuntimeError("the loops never come to rest")
+        active = self.peers.round()
+        if self.now >= self.frozen_until:
+            active = self.plane.round() or active
+        return active
+
+    def _advance(self, most: float) -> None:
+        """To the next timer of a loop that runs."""
+        frozen = self.now < self.frozen_until
+        dues = [self.peers.next_at(), self.frozen_until if frozen else self.plane.next_at()]
+        due = min((one for one in dues if one is not None), default=most)
+        self.now = min(most, max(self.now, due) + 1e-9)
+
+    def run(self, coro: Coroutine[Any, Any, Result], loop: SteppedLoop, limit_s: float) -> Result:
+        """Runs both loops until this one's coroutine is over; TimeoutError past so much virtual time."""
+        task = loop.create_task(coro)
+        end, quiet = self.now + limit_s, 0
+        while not task.done():
+            quiet = 0 if self._round() else quiet + 1
+            if quiet < QUIET_ROUNDS:
+                continue
+            if self.now >= end:
+                task.cancel()
+                raise TimeoutError(f"not over after {limit_s} s of virtual time")
+            self._advance(end)
+            quiet = 0
+        return task.result()
+
+    def close(self) -> None:
+        """Ends what is left in both loops."""
+        self.frozen_until = 0.0
+        for loop in (self.plane, self.peers):
+            for task in asyncio.all_tasks(loop):
+                task.cancel()
+        for _ in range(6):
+            self._round()
+        for loop in (self.plane, self.peers):
+            loop.close()
