--- a/pepperrun/simulation/replacement_days.py
+++ b/pepperrun/simulation/replacement_days.py
@@ -194,6 +194,15 @@
         world.run(max(0.0, self.site.catch_up_ms - took))
         return wrong or self._bears(f"{new} had its time to catch up")
 
+    def _uneven(self) -> str:
+        """Is there a loss that would take a majority of a set of voters, were all others there?"""
+        value = self.world.newest
+        for lost in self.losses():
+            for group in value.sets:
+                if 2 * sum(one.ip in lost for one in group) >= len(group):
+                    return f"{sorted(lost)} have half of the voters of {value}"
+        return ""
+
     def _bears(self, when: str) -> str:
         bad = self.world.unbearable(self.losses())
         return f"{when}, and no majority of {self.world.newest} bears {sorted(bad[0])}" if bad else ""
@@ -246,6 +255,9 @@
     def _until(self, there: Callable[[], bool], else_wrong: str) -> str:
         end = self.world.now + LONGEST_MS * MS
         while not there():
+            uneven = self._uneven()
+            if uneven:
+                return uneven
             if self.world.now >= end or self.world.wrong:
                 return self.world.wrong or else_wrong
             self.world.run(LOOK_MS)
