A new link forgets the life told on the one before; plans in the search name no lost life

In the program the plan is made when the promises are in, from lives that were told; but a new link to a machine kept the life told on the link before, so that a new keeper could name the lost life anew until the first word.

Change: `Replica.connected` forgets the life; who has not told it stays as named. In the search goals name no life that is lost or leaving when they are judged; `--bug stale-lives` takes that away.

Ruled out: refusing a value that names an unknown life (who takes it can't know).

--- a/pepperrun/consensus/replica.py
+++ b/pepperrun/consensus/replica.py
@@ -166,6 +166,7 @@
             return
         self._at(now)
         self.hearing.connected(ip, zone, now)
+        self.hearing.lives.pop(ip, None)  # its disk may be another than on the link before
         self.register.others = set(self.hearing.links)
         if self.value is None or ip in self.value.ips:
             self.read_at = min(self.read_at, now + self.pace.read // 8)
--- a/pepperrun/simulation/order_plans.py
+++ b/pepperrun/simulation/order_plans.py
@@ -69,11 +69,9 @@
         return {} if body is None else body
 
 
-def change_but(
-    plan: Plan, leaving: frozenset[str], goal: tuple[Life, ...], value: Value, known: bool
-) -> Value:
-    """A change to the goal, unless that names anew who was told to stop."""
-    if any(one.ip in leaving and one.ip not in value.ips for one in goal):
+def change_but(plan: Plan, void: frozenset[Life], goal: tuple[Life, ...], value: Value, known: bool) -> Value:
+    """A change to the goal, unless that names anew who was told to stop, or a life that is lost."""
+    if any(life in void and life not in value.voters for life in goal):
         return finish(value, known)
     return plan(goal, value, known)
 
@@ -86,8 +84,9 @@
 CHANGES: dict[str, Plan] = {"hasty": change_hasty, "one-step": change_hasty, "early": change_early}
 REGISTERS: dict[str, type[Register]] = {"one-step": OneStep, "bodiless": Bodiless}
 # Of the others the world sees to: `empty-votes`, `late-sync`; who is told to stop ends as soon as it is not
-# among those that come (`leaves-early`), or at once (`leaves-named`).
+# among those that come (`leaves-early`), or at once (`leaves-named`); a plan names lives that are lost
+# (`stale-lives`).
 BUGS = (
     *("", "hasty", "one-step", "early", "empty-votes", "late-sync"),
-    *("bodiless", "leaves-early", "leaves-named"),
+    *("bodiless", "leaves-early", "leaves-named", "stale-lives"),
 )
--- a/pepperrun/simulation/order_world.py
+++ b/pepperrun/simulation/order_world.py
@@ -101,12 +101,13 @@
     leaving: frozenset[str] = frozenset()  # told to stop; the others have heard of it
     ended: frozenset[str] = frozenset()  # gone for good
     synced: dict[Life, Ballot] = field(default_factory=dict)  # by lives that may be lost since
+    void: frozenset[Life] = frozenset()  # lost or told to stop: nobody is to name them anew
 
     def fork(self) -> World:
         """One more like it."""
         machines = {ip: clone(one) for ip, one in self.machines.items()}
         counts = (self.rounds, self.restarts, self.wipes, self.now)
-        gone = (self.leaving, self.ended, dict(self.synced))
+        gone = (self.leaving, self.ended, dict(self.synced), self.void)
         return World(self.rules, machines, set(self.sent), dict(self.chosen), self.told, *counts, *gone)
 
     def key(self) -> int:
@@ -341,7 +342,7 @@
         world.rounds += 1
         if what == "voters":
             plan = CHANGES.get(world.rules.bug, change)
-            one.plan = partial(change_but, plan, world.leaving, action[2])
+            one.plan = partial(change_but, plan, world.void, action[2])
         else:
             one.wish({"m": f"{arg}{world.rounds}"}, 1 << 62)
         one.begin(world.now)
@@ -354,29 +355,40 @@
         memory = one.store.synced
         _start(world, arg, replace(memory, starts=memory.starts + 1))
     elif what == "leave":
-        _leave(world, arg)
+        world.leaving |= {arg}
+        _void(world, one.life)
     elif what == "hand":
         world.rounds += 1
         one.plan = partial(hand_over, action[2])
         one.begin(world.now)
     elif what in ("end", "killed"):
         world.wipes += what == "killed"
+        _lost(world, one.life)
         world.ended |= {arg}
         del world.machines[arg]
     else:
         world.wipes += 1
+        _lost(world, one.life)
         life = f"{arg}{world.wipes + 1}" if world.rules.bug != "empty-votes" else one.memory.life
         _start(world, arg, Memory(life, one.memory.starts + 1))
+        if arg in world.leaving:
+            _void(world, Life(arg, life))
     return world.collect()
 
 
-def _leave(world: World, ip: str) -> None:
-    """All hear that it is to stop: plans that are under way don't name it anew."""
-    world.leaving |= {ip}
+def _lost(world: World, life: Life) -> None:
+    """That life has no disk any more; whoever keeps the voters sees that before it plans."""
+    if world.rules.bug not in ("stale-lives", "empty-votes"):
+        _void(world, life)
+
+
+def _void(world: World, life: Life) -> None:
+    """All hear of it: plans that are under way don't name that life anew."""
+    world.void |= {life}
     for one in world.machines.values():
         if isinstance(one.plan, partial) and one.plan.func is change_but:
             plan, _, goal = one.plan.args
-            one.plan = partial(change_but, plan, world.leaving, goal)
+            one.plan = partial(change_but, plan, world.void, goal)
 
 
 def _late(one: Register) -> None:
--- a/tests/test_voter_changes.py
+++ b/tests/test_voter_changes.py
@@ -168,6 +168,18 @@
         assert keeper not in value.ips and value.keeper != keeper and not value.was, after_ms
 
 
+def test_a_keeper_lets_in_no_life_that_it_heard_on_an_older_link() -> None:
+    world = settled(5)
+    replica = world.machines[world.newest.keeper].replica
+    assert replica is not None
+    ip = sorted(world.newest.ips - {replica.me})[0]
+    voters = tuple(Life(one.ip, "later") if one.ip == ip else one for one in world.newest.voters)
+    known = replace(world.newest, voters=voters)  # another keeper has let it in with an empty disk
+    replica.disconnected(ip, world.now)
+    replica.connected(ip, world.machines[ip].zone, world.now)
+    assert replica.register.plan(known, True) == known
+
+
 def test_copies_are_counted_on_disks() -> None:
     first = beginning(["a", "b", "c"])
     later = first._replace(ballot=first.ballot._replace(round=1))
@@ -260,5 +272,5 @@
 def test_who_is_told_to_stop_is_not_named_anew_by_a_plan_under_way() -> None:
     value = beginning(["a", "b", "c"]).value
     goal = (Life("b", "first"), Life("c", "first"), Life("d", "d1"))
-    assert change_but(change, frozenset("a"), goal, value, True).voters == goal
-    assert change_but(change, frozenset("d"), goal, value, True) == value
+    assert change_but(change, frozenset({Life("a", "first")}), goal, value, True).voters == goal
+    assert change_but(change, frozenset({Life("d", "d1")}), goal, value, True) == value
