--- a/pepperrun/simulation/orders.py
+++ b/pepperrun/simulation/orders.py
@@ -32,7 +32,7 @@
     Value,
     beginning,
 )
-from pepperrun.consensus.voter import MS
+from pepperrun.consensus.voter import MS, Steps
 from pepperrun.simulation.explorer import Action, Found, Game
 
 SETTLES_IN = 600  # steps of a fair run, from any state that was reached
@@ -88,6 +88,15 @@
             super()._counted()
 
 
+class OlderChosen(Register):
+    """A bug put in on purpose: answers that come late bring back what an older ballot chose."""
+
+    def _choose(self, held: Held, steps: Steps | None) -> None:
+        if held.ballot <= self.chosen_at:
+            self.memory.chosen = held
+        super()._choose(held, steps)
+
+
 class Disk:
     """What a loss of power leaves. `late`: a bug put in on purpose, answers go out before the sync."""
 
@@ -110,6 +119,7 @@
     new.__dict__.update(one.__dict__)
     new.memory, new.steps, new.wishes = replace(one.memory), dict(one.steps), list(one.wishes)
     new.own, new.out, new.results, new.changes = list(one.own), list(one.out), list(one.results), []
+    new.recent, new.bridged = one.recent.copy(), dict(one.bridged)
     was = one.round
     new.round = replace(was, asked=set(was.asked), promises=dict(was.promises), taken=set(was.taken))
     new.round.ops, new.round.judged = list(was.ops), list(was.judged)
@@ -130,7 +140,8 @@
     bug: str = ""
 
 
-BUGS = ("", "hasty", "one-step", "early", "empty-votes", "late-sync")
+BUGS = ("", "hasty", "one-step", "early", "empty-votes", "late-sync", "older-chosen")
+MAKES: dict[str, type[Register]] = {"one-step": OneStep, "older-chosen": OlderChosen}
 CHANGES: dict[str, Callable[[tuple[Life, ...], Value, bool], Value]] = {
     "hasty": change_hasty,
     "one-step": change_hasty,
@@ -151,12 +162,14 @@
     restarts: int = 0
     wipes: int = 0
     now: int = 0
+    known: dict[str, Ballot] = field(default_factory=dict)  # by ip, what its process knew as chosen
 
     def fork(self) -> World:
         """One more like it."""
         machines = {ip: clone(one) for ip, one in self.machines.items()}
         counts = (self.rounds, self.restarts, self.wipes, self.now)
-        return World(self.rules, machines, set(self.sent), dict(self.chosen), self.told, *counts)
+        sent, chosen, known = set(self.sent), dict(self.chosen), dict(self.known)
+        return World(self.rules, machines, sent, chosen, self.told, *counts, known)
 
     def key(self) -> int:
         """What makes a difference to what may still happen, or to what would be wrong then."""
@@ -187,10 +200,22 @@
         """Takes over what was sent, chosen and told; what is wrong with that, or nothing."""
         for ip, one in self.machines.items():
             one.flush()
+            decided = one.round.put
             for receiver, message in one.out:
+                # A round that ends after a later one is known here is told of, and not kept as the newest.
+                if (
+                    message["t"] == "chosen"
+                    and decided is not None
+                    and message["b"] == decided.ballot
+                    and self.chosen.setdefault(decided.ballot, decided) != decided
+                ):
+                    return f"{decided.ballot} chose both {self.chosen[decided.ballot]} and {decided}"
                 # Once is enough: a second one that is the same changes nothing that the first has not.
                 self.sent.add((ip, receiver, json.dumps(message)))
             one.out.clear()
+            if one.chosen_at < self.known.get(ip, NONE):
+                return f"{ip} went back from {self.known[ip]} to {one.chosen_at}"
+            self.known[ip] = one.chosen_at
             held = one.memory.chosen
             if held is not None and self.chosen.setdefault(held.ballot, held) != held:
                 return f"{held.ballot} chose both {self.chosen[held.ballot]} and {held}"
@@ -256,7 +281,8 @@
     disk = Disk(world.rules.bug == "late-sync")
     disk.save(memory)
     disk.save(memory)
-    make = OneStep if world.rules.bug == "one-step" else Register
+    make = MAKES.get(world.rules.bug, Register)
+    world.known.pop(ip, None)
     one = make(ip, memory, disk, mark, ord(ip), world.now)
     one.plan = finish_early if world.rules.bug == "early" else finish
     world.machines[ip] = one
