Simulation: its workers and what judges see of them name the service

Cause: line stood for service in actors and judges. Ruled out: the toy workers' berths, whose slots are a semaphore of that name.

--- a/pepperrun/simulation/actors.py
+++ b/pepperrun/simulation/actors.py
@@ -54,8 +54,8 @@
 class Worker:
     """An address at which one life of a worker after the other serves."""
 
-    def __init__(self, day: Stage, machine: Machine, line: str) -> None:
-        self.day, self.machine, self.line = day, machine, line
+    def __init__(self, day: Stage, machine: Machine, service: str) -> None:
+        self.day, self.machine, self.service = day, machine, service
         self.address = f"{machine.ip}:90"
         self.lives, self.id, self.serial, self.state = 0, "", 0, "boarding"
         self.cold_until, self.core = 0, 0
@@ -74,7 +74,7 @@
         self.lives += 1
         self.id, self.serial, self.state = f"{self.machine.name}.{self.lives}", 0, "boarding"
         self.machine.power = True
-        seen = Seen(self.id, self.line, self.machine.zone, self.machine.region)
+        seen = Seen(self.id, self.service, self.machine.zone, self.machine.region)
         day.judges.workers[self.id] = seen
         self.cold_until = world.now + day.cold_ns if world.now else 0
         if self.cold_until:
@@ -92,7 +92,7 @@
         body = {
             "address": self.address,
             "notice": {
-                "line": self.line,
+                "line": self.service,
                 "zone": self.machine.zone,
                 "edition": "1",
                 "berths": day.shape.slots or 8,
--- a/pepperrun/simulation/days.py
+++ b/pepperrun/simulation/days.py
@@ -326,7 +326,7 @@
             return None
         worker.end()
         if how == "handed":  # another service's worker gets the address at once
-            worker.line = "main"
+            worker.service = "main"
             worker.start()
             return None
         return lambda: None if worker.id else worker.start()
--- a/pepperrun/simulation/judges.py
+++ b/pepperrun/simulation/judges.py
@@ -56,7 +56,7 @@
     """What a worker knows of itself."""
 
     id: str
-    line: str
+    service: str
     zone: str
     region: str
     cold: list[list[int]] = field(default_factory=list)  # spans
@@ -123,11 +123,11 @@
             self.wrong("TWICE", f"{id} ran at {one.runs[0][1]} and at {worker}")
         if not one.safe and one.status in (429, 503):
             self.wrong("REFUSED", f"{id} was refused with {one.status} and ran later")
-        self.arrivals[at.line].append((now, bool(one.runs)))
+        self.arrivals[at.service].append((now, bool(one.runs)))
         one.runs.append((now, worker))
-        may = [edition for edition in self._might_hold() if edition.lines.get(one.route) == at.line]
+        may = [edition for edition in self._might_hold() if edition.lines.get(one.route) == at.service]
         if not may:
-            self.wrong("ROUTE", f"{id} on {one.route} ran at {worker} of {at.line}")
+            self.wrong("ROUTE", f"{id} on {one.route} ran at {worker} of {at.service}")
             return
         homes = may[-1].homes.get(one.route)
         if homes and at.region not in homes:
