--- a/pepperrun/distribution/core_selection.py
+++ b/pepperrun/distribution/core_selection.py
@@ -41,9 +41,12 @@
         return SAME_REGION if known else FAR
 
     def best(self, cores: Iterable[list[str]], now: int, but: Address | None = None) -> Address:
-        """The nearest that has not failed lately; first contacts only where none of the core will do."""
+        """The nearest that has not failed lately; first contacts only where none of the core will do.
+
+        A core machine that is cut off lists itself alone, so those that were listed before count as well.
+        """
         listed = {(str(row[0]), self.internal_port) for row in cores}
-        known = listed.union(self.contacts)
+        known = listed.union(self.contacts, ((ip, self.internal_port) for ip in self.zone_of))
 
         def order(address: Address) -> tuple[int, bool, int, bytes]:
             until = self.avoided.get(address, (0, 0))[0]
