A leaver stays one between two words of it; a fair run lets who is behind ask for news

Cause: a `read` of a machine that stops took its `leave` back until the next frame; a dead voter's place could be given to it just then.

--- a/pepperrun/consensus/messages.py
+++ b/pepperrun/consensus/messages.py
@@ -13,7 +13,7 @@
 | want, body | d, w | a body by its digest, and the answer |
 | read | s, c, l | stamp `s`: have you taken anything later than my `c`? |
 | seen | s, l, a, c, q | what was taken and chosen, where it is not `c`; `q`: the keeper, where it is silent |
-| leave | l | life `l` was told to stop: its vote should go to another; a later `read` of it takes that back |
+| leave | l | life `l` was told to stop: its vote should go to another. Said again with each `read` |
 """
 
 from __future__ import annotations
--- a/pepperrun/consensus/replica.py
+++ b/pepperrun/consensus/replica.py
@@ -70,7 +70,7 @@
         self.look = False  # at whether the voters are as they should be
         self.stopping = False
         self.next_keeper = ""  # who should be the keeper instead of the one there is
-        self.leaving: set[str] = set()  # machines that said that they stop, and were not heard anew since
+        self.left_at: dict[str, int] = {}  # machines that stop, and when they said so last
 
     # What is held.
 
@@ -117,6 +117,11 @@
         """Are fewer up than decide? Then changes fail at once."""
         return not self._decides()
 
+    @property
+    def leaving(self) -> set[str]:
+        """Machines that were told to stop, and have not started anew since."""
+        return set(self.left_at)
+
     @property
     def released(self) -> bool:
         """May this machine, which is to stop, end for good with no vote and no duty left behind?
@@ -168,6 +173,7 @@
         self._at(now)
         self.hearing.connected(ip, zone, now)
         self.hearing.lives.pop(ip, None)  # its disk may be another than on the link before
+        self.left_at.pop(ip, None)
         self.register.others = set(self.hearing.links)
         if self.value is None or ip in self.value.ips:
             self.read_at = min(self.read_at, now + self.pace.read // 8)
@@ -192,11 +198,12 @@
         kind = made["t"]
         self.hearing.message(ip, made.get("l"), now)
         if kind == "read":
-            self.leaving.discard(ip)
+            if now - self.left_at.get(ip, now) > self.pace.up:
+                del self.left_at[ip]  # it says no more that it stops
             self._asked(ip, made)
         elif kind == "leave":
-            self.look |= ip not in self.leaving
-            self.leaving.add(ip)
+            self.look |= ip not in self.left_at
+            self.left_at[ip] = now
         elif kind == "seen":
             self._seen(ip, made)
         else:
--- a/pepperrun/simulation/orders.py
+++ b/pepperrun/simulation/orders.py
@@ -86,15 +86,17 @@
 def _go_on(world: World, keeper: str) -> str:
     """Nothing is on its way: rounds try again, who lacks what is chosen asks, the keeper lets in who came."""
     one = world.machines[keeper]
+    ahead = max(world.machines.values(), key=lambda two: two.chosen_at)
     for other in world.machines.values():
         if other.phase is not Phase.IDLE:
             world.now = max(world.now, other.until)
             other.tick(world.now)
+            if other.chosen_at < ahead.chosen_at:  # else it may ask for ever those who have gone
+                other.ask_news(ahead.me)
             if other.wishes:
                 other.begin(world.now)
             return world.collect()
     world.now += 1000 * MS
-    ahead = max(world.machines.values(), key=lambda two: two.chosen_at)
     for other in world.machines.values():
         if other.chosen_at < ahead.chosen_at:
             other.now = world.now
--- a/tests/test_voter_changes.py
+++ b/tests/test_voter_changes.py
@@ -156,6 +156,22 @@
     assert ip in world.newest.ips and lost not in world.newest.ips
 
 
+def test_who_leaves_is_a_leaver_between_two_words_of_it_and_until_it_says_so_no_more() -> None:
+    world = settled(6)
+    keeper, other = sorted(world.newest.ips)[:2]
+    replica = world.machines[keeper].replica
+    assert replica is not None
+    replica.receive(other, {"t": "leave", "l": "first"}, world.now)
+    read = {"t": "read", "s": 1, "c": [0, ""], "l": "first"}
+    replica.receive(other, read, world.now)
+    assert other in replica.leaving
+    replica.receive(other, read, world.now + 2 * replica.pace.up)
+    assert other not in replica.leaving
+    replica.receive(other, {"t": "leave", "l": "first"}, world.now)
+    replica.connected(other, "z1", world.now)
+    assert not replica.leaving
+
+
 def test_a_keeper_killed_while_it_hands_over_is_followed_within_the_time_to_be_in_touch() -> None:
     for after_ms in (0, 20, 40, 60, 90, 150, 300):
         world = settled(6, seed=after_ms)
