Publisher: a whole body on its way is not sent again, one long change at a time

Cause: a 'want' that came while a whole body was on its way and the number had grown reset what the peer was taken to hold, so the whole went out again; each long change of a storm was queued on a narrow link behind the one before. In the narrow world (2 Mbit/s, 10,000 routes, each change as long as the whole, one each 330 ms) a gatekeeper was 24 numbers and 8.6 s behind after 12 s, and went on falling back.

Change: a link carries what is written, in order; a 'want' is answered with what came after what was sent, and with all of it only when asked for whole or when nothing has come for 2 s. A change of over 32 KB on the link waits until the one before is told of as held, then the newest goes at once. 64 changes (256 KB as before) are kept instead of 16.

Ruled out: the size that the socket tells as unsent alone: kernel buffers hide some hundred KB of it.

--- a/pepperrun/distribution/publisher.py
+++ b/pepperrun/distribution/publisher.py
@@ -22,8 +22,10 @@
 BATCH_MS = 15  # records that change together go together
 SILENT_NS = 5_000_000_000  # gatekeepers tick each 400 ms: one that is silent for so long is gone
 UNDER_WAY_NS = 2_000_000_000  # what was sent so lately is not sent again: it is on its way
-HISTORY = 16  # changes kept for those who are a little behind
+HISTORY = 64  # changes kept for those who are a little behind
 HISTORY_BYTES = 256 * 1024
+LONG_BYTES = 32 * 1024  # on the link: 0.13 s of 2 Mbit/s, the narrowest that there is
+LONG_NS = 5_000_000_000  # a long one that is not told of as held after this is not waited for any more
 PASSED_NS = 600_000_000  # what is too long to be passed on has come from the core by then, or is passed on
 
 
@@ -84,7 +86,10 @@
 
     heard_at: int
     number: int = -1  # what it holds, or will once it has read what was sent; -1 before its first word
-    sent_at: int = 0  # when more was last sent
+    held: int = -1  # what it said that it holds
+    since: int = 0  # since when more than that is on its way, and nothing of it has come
+    long: int = -1  # the number of the last long one that was sent
+    long_at: int = 0
     pushed: bool = False  # it attaches for the pushes
     gateway: GatewayRecord | None = None
     cores: list[list[str]] | None = None  # as last told
@@ -130,7 +135,7 @@
         if kind == TICK:
             self._tick(port, peer, Tick.read(message), now)
         elif kind == WANT:
-            self._want(port, peer, Want.read(message), now)
+            self._wanted(port, peer, Want.read(message), now)
         elif kind in ("ask", "cells", "digests"):
             for back in repair.heard(self.source, self.source.merge, message, now):
                 port.write(encode(back))
@@ -138,12 +143,21 @@
             return False
         return True
 
-    def _want(self, port: Port, peer: _Peer, want: Want, now: int) -> None:
-        if not want.whole and peer.number >= self.source.number and port.unsent():
-            peer.sent_at = now  # a long one goes out slowly: once more of it would only take longer
-        elif want.whole or peer.number < self.source.number or now - peer.sent_at > UNDER_WAY_NS:
-            peer.number = want.number
-            self._bring(port, peer, now, want.whole, asked=True)
+    def _wanted(self, port: Port, peer: _Peer, want: Want, now: int) -> None:
+        """It holds `want.number` and asks for what came after.
+
+        A link carries all that is written to it, in order. So what was sent is on its way, however long that
+        takes, and only what came after it goes out; all of it again if nothing of it comes for too long.
+        """
+        if want.number != peer.held:
+            peer.held, peer.since = want.number, now
+        overdue = now - peer.since > UNDER_WAY_NS
+        if overdue and port.unsent():
+            overdue, peer.since = False, now
+        if want.whole or overdue:
+            peer.number, peer.long, peer.since = want.number, -1, now
+        peer.number = max(peer.number, want.number)
+        self._bring(port, peer, now, want.whole, asked=True)
 
     def _tick(self, port: Port, peer: _Peer, tick: Tick, now: int) -> None:
         source = self.source
@@ -159,6 +173,8 @@
         tock = Tock(tick.sent_at, age_ms, source.number, source.sums.whole(), cores)
         port.write(encode(tock.wire()))
         peer.number = max(peer.number, tick.number)  # not less where more is on its way
+        if tick.number != peer.held:
+            peer.held, peer.since = tick.number, now
         peer.pushed = tick.attaches
         if tick.attaches and peer.number < source.number:
             self._bring(port, peer, now)
@@ -211,7 +227,14 @@
             missing = [self.whole[1]]
         if not asked and not self._passed_on(peer, missing, now):
             return
-        peer.number, peer.sent_at = number, now
+        is_long = sum(length(frame) for frame in missing) > LONG_BYTES
+        if is_long and not whole and peer.held < peer.long and now - peer.long_at < LONG_NS:
+            return  # one is on its way; once that is held, the newest then goes at once instead of each
+        if is_long:
+            peer.long, peer.long_at = number, now
+        if peer.number <= peer.held:
+            peer.since = now
+        peer.number = number
         for frame in missing:
             port.write(frame)
 
