Agreement: nothing older comes back; catching up by one body and the changes after it

Cause 1: 'taken' messages of a machine's own round that came after it knew a later ballot as chosen set its chosen value back to the older one, while it went on to call itself fresh (test_late_answers_to_an_own_round_bring_back_nothing_older failed before). Voter._choose now keeps the newest whatever comes.

Cause 2: who lacked the body that an operation builds on asked every machine that spoke of something newer, each 200 ms, and got the whole body from each. Where that takes longer on a link than the time between two changes it never caught up: 200 KB at 300 bytes a ms with a change each 100 ms: 44 whole bodies (9 MB) in 8 s and still behind. Now one machine is asked at a time, and each machine keeps the last changes (64 operations, 128 KB) to answer with these on a body that the asker holds. Who asks twice from the same place gets the whole: an older version, or another apply, can't be led in a circle.

--- a/pepperrun/consensus/voter.py
+++ b/pepperrun/consensus/voter.py
@@ -13,9 +13,11 @@
 from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.logs import event, trouble
 from pepperrun.consensus.messages import Message, read, wire
+from pepperrun.consensus.recent_changes import RecentChanges
 from pepperrun.consensus.values import NONE, Ballot, Body, Held, Life, Memory, Op, Store, digest_of
 
 MS = 1_000_000
+MOST_DOUBLED = 3  # times that the wait for a body that was asked for is doubled
 
 # Judges an operator's change on a body: the new body, or None for no change, and what to tell the operator
 # (any JSON). Pure, the same on all machines; leaves the body that it is given alone. An op that the body has
@@ -64,7 +66,9 @@
         self.chosen_when = now
         self.steps: dict[Ballot, Steps] = {}  # of what was taken and not yet chosen
         self.latest = max(memory.promised, memory.accepted.ballot if memory.accepted else NONE)
-        self.asked_news: dict[str, int] = {}
+        self.recent = RecentChanges()
+        self.news_from, self.news_at, self.news_asked = NONE, now, 0  # chosen then, when last, how often
+        self.bridged: dict[str, Ballot] = {}  # by ip, what was held where operations were sent last
         self.own: list[Message] = []  # to itself: read when what it rests on is synced
         self.out: list[tuple[str, Message]] = []
         self.changes: list[Change] = []
@@ -203,25 +207,44 @@
         self._choose(Held(ballot, message["v"], body), steps)
 
     def ask_news(self, ip: str) -> None:
-        """Asks another machine for what it knows as chosen, not too often."""
-        if self.now - self.asked_news.get(ip, -self.pace.read) < self.pace.read // 2:
-            return
-        self.asked_news[ip] = self.now
+        """Asks another machine for what it knows as chosen: one at a time, the next where that says nothing.
+
+        Each answer may be a whole body, which takes its time on the way, and all others have the same.
+        """
+        if self.news_from != self.chosen_at:
+            self.news_from, self.news_asked = self.chosen_at, 0
+        if self.news_asked:
+            wait = (self.pace.read // 2) << min(MOST_DOUBLED, self.news_asked - 1)
+            if self.now - self.news_at < wait:
+                return
+        self.news_at, self.news_asked = self.now, self.news_asked + 1
         held = (self.memory.chosen, self.memory.accepted)
         digests = [one.value.digest for one in held if one is not None]
         self._send(ip, {"t": "news", "c": self.chosen_at, "h": digests})
 
     def _news(self, ip: str, message: Message) -> None:
+        """Answers with the newest value, its body as short as it can be told to who holds these bodies."""
         chosen = self.memory.chosen
         if chosen is None or chosen.ballot <= message["c"]:
             return
         answer: Message = {"t": "chosen", "b": chosen.ballot, "v": wire(chosen.value)}
         if chosen.value.digest not in message["h"]:
-            answer["w"] = chosen.body
+            bridge = self.recent.bridge(message["h"], chosen.value.digest)
+            if bridge is None or self.bridged.get(ip) == message["c"]:
+                answer["w"] = chosen.body
+            else:  # asked again with the same held, it could make nothing of them: then the whole
+                answer |= {"f": bridge.base, "o": bridge.ops}
+                self.bridged[ip] = message["c"]
         self._send(ip, answer)
 
     def _choose(self, held: Held, steps: Steps | None) -> None:
-        """It is known as chosen. Whoever hears of it keeps it as taken: one more disk that has it."""
+        """It is known as chosen. Whoever hears of it keeps it as taken: one more disk that has it.
+
+        What is known never goes back: answers to a round of its own may come late, when a later ballot is
+        known as chosen already.
+        """
+        if held.ballot <= self.chosen_at:
+            return
         before = self.memory.chosen
         self.memory.chosen, self.unsaved, self.chosen_when = held, True, self.now
         if self.accepted_at < held.ballot:
@@ -235,8 +258,10 @@
             start = before.value.number
             if steps is not None and steps.base == before.value.digest and start + len(steps.ops) == number:
                 self.changes += [Change(start + at, start + at + 1, op) for at, op in enumerate(steps.ops)]
+                self.recent.add(steps.base, steps.ops, held.value.digest)
             else:
                 self.changes.append(Change(start, number, None))
+                self.recent.clear()
 
     # Sending.
 
--- a/pepperrun/simulation/consensus_world.py
+++ b/pepperrun/simulation/consensus_world.py
@@ -15,7 +15,18 @@
 from typing import Any
 
 from pepperrun.consensus.replica import Replica
-from pepperrun.consensus.values import FIRST_LIFE, Body, Life, Memory, Op, Value, beginning, digest_of
+from pepperrun.consensus.values import (
+    FIRST_LIFE,
+    NONE,
+    Ballot,
+    Body,
+    Life,
+    Memory,
+    Op,
+    Value,
+    beginning,
+    digest_of,
+)
 from pepperrun.consensus.voter import MS, Apply, Pace
 from pepperrun.simulation.copies import Copies, deciding
 
@@ -93,6 +104,7 @@
     tick_at: int = -1
     gone: bool = False  # for good
     seen: Any = None  # what was looked at last
+    newest: Ballot = NONE  # known as chosen when that was looked at
 
 
 @dataclass
@@ -134,6 +146,7 @@
         self.tries: list[Try] = []
         self.bodies: dict[int, str] = {}
         self.bytes = 0
+        self.rate = 0.0  # bytes a ms that go over a link; 0: as many as come
         self.wrong = ""
         self.answers = 0
         for _ in range(count):
@@ -171,7 +184,7 @@
         memory.starts += 1
         machine.disk.save(memory)
         machine.started, machine.started_at = machine.started + 1, self.now
-        machine.frozen, machine.waiting = False, []
+        machine.frozen, machine.waiting, machine.newest = False, [], NONE
         seed = self.rng.randrange(1 << 30)
         how: dict[str, Any] = {
             "zone": machine.zone,
@@ -404,6 +417,7 @@
             if pair not in self.links:
                 continue
             at = self.now + int(self.rng.uniform(0.5, 25) * MS)
+            at += int(len(text) / self.rate * MS) if self.rate else 0
             at = self.fifo[machine.ip, ip] = max(at, self.fifo.get((machine.ip, ip), 0))
             starts = (machine.started, self.machines[ip].started)
             self._later(at - self.now, ("message", machine.ip, ip, json.loads(text), starts))
@@ -445,6 +459,9 @@
             digest = digest_of(replica.body)
             if self.bodies.setdefault(replica.number, digest) != digest:
                 self.wrong = f"two bodies of number {replica.number}, the second at {machine.ip}"
+            if replica.register.chosen_at < machine.newest:
+                self.wrong = f"{machine.ip} went back from {machine.newest} to {replica.register.chosen_at}"
+            machine.newest = replica.register.chosen_at
         machine.seen = seen
         if replica.fresh_at is not None:
             taken = replica.body.get("taken", [])
--- a/pepperrun/simulation/order_world.py
+++ b/pepperrun/simulation/order_world.py
@@ -62,6 +62,7 @@
     new.__dict__.update(one.__dict__)
     new.memory, new.steps, new.wishes = replace(one.memory), dict(one.steps), list(one.wishes)
     new.own, new.out, new.results, new.changes = list(one.own), list(one.out), list(one.results), []
+    new.recent, new.bridged = one.recent.copy(), dict(one.bridged)
     was = one.round
     new.round = replace(was, asked=set(was.asked), promises=dict(was.promises), taken=set(was.taken))
     new.round.ops, new.round.judged = list(was.ops), list(was.judged)
@@ -102,13 +103,15 @@
     ended: frozenset[str] = frozenset()  # gone for good
     synced: dict[Life, Ballot] = field(default_factory=dict)  # by lives that may be lost since
     void: frozenset[Life] = frozenset()  # lost or told to stop: nobody is to name them anew
+    known: dict[str, Ballot] = field(default_factory=dict)  # by ip, what its process knew as chosen
 
     def fork(self) -> World:
         """One more like it."""
         machines = {ip: clone(one) for ip, one in self.machines.items()}
         counts = (self.rounds, self.restarts, self.wipes, self.now)
         gone = (self.leaving, self.ended, dict(self.synced), self.void)
-        return World(self.rules, machines, set(self.sent), dict(self.chosen), self.told, *counts, *gone)
+        sent, chosen, known = set(self.sent), dict(self.chosen), dict(self.known)
+        return World(self.rules, machines, sent, chosen, self.told, *counts, *gone, known)
 
     def key(self) -> int:
         """What makes a difference to what may still happen, or to what would be wrong then."""
@@ -141,10 +144,22 @@
         for ip, one in self.machines.items():
             one.flush()
             wrong = wrong or self._count(one)
+            decided = one.round.put
             for receiver, message in one.out:
+                # A round that ends after a later one is known here is told of, and not kept as the newest.
+                if (
+                    message["t"] == "chosen"
+                    and decided is not None
+                    and message["b"] == decided.ballot
+                    and self.chosen.setdefault(decided.ballot, decided) != decided
+                ):
+                    return f"{decided.ballot} chose both {self.chosen[decided.ballot]} and {decided}"
                 # Once is enough: a second one that is the same changes nothing that the first has not.
                 self.sent.add((ip, receiver, json.dumps(message)))
             one.out.clear()
+            if one.chosen_at < self.known.get(ip, NONE):
+                return f"{ip} went back from {self.known[ip]} to {one.chosen_at}"
+            self.known[ip] = one.chosen_at
             held = one.memory.chosen
             if held is not None and self.chosen.setdefault(held.ballot, held) != held:
                 return f"{held.ballot} chose both {self.chosen[held.ballot]} and {held}"
@@ -273,6 +288,7 @@
     disk.save(memory)
     disk.save(memory)
     make = REGISTERS.get(world.rules.bug, Register)
+    world.known.pop(ip, None)
     one = make(ip, memory, disk, mark, ord(ip), world.now)
     one.plan = finish_early if world.rules.bug == "early" else finish
     world.machines[ip] = one
