--- a/pepperrun/distribution/publisher.py
+++ b/pepperrun/distribution/publisher.py
@@ -144,7 +144,7 @@
         return True
 
     def _wanted(self, port: Port, peer: _Peer, want: Want, now: int) -> None:
-        """It holds `number` and asks for what came after.
+        """It holds `want.number` and asks for what came after.
 
         A link carries all that is written to it, in order. So what was sent is on its way, however long that
         takes, and only what came after it goes out; all of it again if nothing of it comes for too long.
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -18,7 +18,7 @@
 from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.netstring import Decoder, encode, packed
 from pepperrun.simulation.catch_up_days import EARLY_READS, HALF_BODY, Day, HoardingStore
-from pepperrun.simulation.orders import mark
+from pepperrun.simulation.order_plans import mark
 from pepperrun.storage import formats, records
 from pepperrun.storage.store import FILE, DiskStore
 
