--- a/benchmarks/capacity_members.py
+++ b/benchmarks/capacity_members.py
@@ -1,6 +1,6 @@
-"""What the probes among gatekeepers take by the size of the group, and what a quota's messages take.
+"""What probes among gatekeepers, messages of quotas and callers' look-ups take, by size.
 
-    python3 benchmarks/capacity_members.py [--sizes 30 100 300] [--seconds 10] [--rate 95]
+    python3 benchmarks/capacity_members.py [--sizes 30 100 300] [--listed 1000 10000] [--seconds 10]
 
 `probe`: real `GatewayProber`s in virtual time with 1 ms between them and nobody ill: datagrams and payload
 bytes a second, ms of processor time a second, of one. `quota`: bytes and processor time of the ask and the
@@ -13,12 +13,16 @@
 
 import argparse
 import heapq
+import itertools
 import json
 import time
 from typing import Any
 
-from capacity_common import each_us, gateway_rows, in_child, law
+from capacity_common import ZONES, best_ms, each_us, gateway_rows, in_child, law, state
 
+from pepperrun.control.cells import Cells
+from pepperrun.control.changes import written
+from pepperrun.control.directory import choose
 from pepperrun.control.quota_placement import first
 from pepperrun.control.records import GatewayRecord
 from pepperrun.core import gossip
@@ -29,12 +33,11 @@
 from pepperrun.membership.gateway_prober import MOST, GatewayProber
 
 MS = 1_000_000
-WARM_NS = 6_000 * MS
 IP_UDP = 28
 PERIOD = 13 * MS  # between two looks at one prober, at most
 
 
-def probed(size: int, seconds: float) -> dict[str, float]:
+def probed(size: int, seconds: float, warm_s: float) -> dict[str, float]:
     """A group that has met, then is looked at."""
     records = [GatewayRecord.read(row) for row in gateway_rows(size)]
     probers = [GatewayProber(one.station, one.region, one.life, at, 1) for at, one in enumerate(records)]
@@ -47,10 +50,11 @@
     events: list[tuple[int, int, int, Any]] = [(at * MS // 7, at, at, None) for at in range(size)]
     heapq.heapify(events)
     count, sent, size_of = size, 0, 0
-    end, began = WARM_NS + int(seconds * 1e9), 0.0
+    warm = int(warm_s * 1e9)
+    end, began = warm + int(seconds * 1e9), 0.0
     while events and events[0][0] < end:
         now, _, at, what = heapq.heappop(events)
-        if now >= WARM_NS and not began:
+        if now >= warm and not began:
             began, sent, size_of = time.process_time(), 0, 0
         prober = probers[at]
         if what is None:
@@ -89,6 +93,29 @@
     }
 
 
+def resolve_costs(size: int) -> dict[str, float]:
+    """One client's look-up at the directory."""
+    cells, seeds = Cells("10.9.0.1", 1500, 0), itertools.count()
+    for row in gateway_rows(size):
+        cells.gateway(GatewayRecord.read(row), MS)
+
+    def asked() -> None:
+        choose(cells.ready_gateways(MS), "zone-3", "region-1", ZONES, next(seeds))
+
+    return {"look_up_us": each_us(asked, 30)}
+
+
+def read_costs(size: int) -> dict[str, float]:
+    """A read of the whole configuration with so many tenants: bytes, and what it takes to make."""
+    body = state(0, size)
+    text = json.dumps(written(body), separators=(",", ":"))
+    return {
+        "read_ms": best_ms(lambda: json.dumps(written(body), separators=(",", ":")), 3),
+        "read_bytes": len(text),
+        "read_parsed_ms": best_ms(lambda: json.loads(text), 3),
+    }
+
+
 def quota(rate: float) -> None:
     """Messages of one kept quota, and parts of a split one."""
     ask = gossip.Message(1, 2, 0, 0.1, asks=[gossip.Ask(7, 1, 1.0, 0.0, 1, 1, 1)])
@@ -120,14 +147,22 @@
     parser.add_argument("--sizes", type=int, nargs="+", default=[30, 100, 300])
     parser.add_argument("--listed", type=int, nargs="+", default=[1000, 3000, 10000, 30000])
     parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--warm", type=float, default=25.0, help="seconds until all have met")
     parser.add_argument("--rate", type=float, default=95.0, help="requests a second of one gatekeeper")
     given = parser.parse_args()
     quota(given.rate)
     lists = [in_child(lambda size=size: keepers_costs(size)) for size in given.listed]
     for name in lists[0]:
         law(f"keepers {name}", given.listed, [row[name] for row in lists], name.rpartition("_")[2])
+    looked = [in_child(lambda size=size: resolve_costs(size)) for size in given.listed]
+    law("directory look_up_us", given.listed, [row["look_up_us"] for row in looked], "us")
+    reads = [in_child(lambda size=size: read_costs(size)) for size in given.listed]
+    for name in reads[0]:
+        law(
+            f"operator {name} by tenants", given.listed, [row[name] for row in reads], name.rpartition("_")[2]
+        )
     print(f"probe most={MOST} gatekeepers are watched by one")
-    rows = [in_child(lambda size=size: probed(size, given.seconds)) for size in given.sizes]
+    rows = [in_child(lambda size=size: probed(size, given.seconds, given.warm)) for size in given.sizes]
     for name in rows[0]:
         law(f"probe {name}", given.sizes, [row[name] for row in rows], name)
 
--- a/benchmarks/capacity_push.py
+++ b/benchmarks/capacity_push.py
@@ -5,7 +5,8 @@
 `worker`: one worker's row that has changed, by workers held. `gateway`: one that leaves and comes back, by
 gatekeepers. `parent`: the choice of a parent that each change in the own zone brings (a 59th of all are
 there). `tenants`: as `gateway`, with 300 gatekeepers, by tenants. `start`: ms to take in all gatekeepers'
-rows in messages of 48, the size of a range that is sent whole. Ms of processor time.
+rows in messages of 48, the size of a range that is sent whole. `event`: a turn of the
+decisions in which next to nothing happens, by services. Ms of processor time.
 """
 
 from __future__ import annotations
@@ -17,7 +18,7 @@
 from dataclasses import replace
 from typing import Any
 
-from capacity_common import gateway_rows, in_child, law, state, worker_rows
+from capacity_common import each_us, gateway_rows, in_child, law, state, worker_rows
 from capacity_memory import book_with, plane_for
 
 from pepperrun.control.records import GONE, READY, GatewayRecord, Worker
@@ -94,12 +95,26 @@
     return (time.process_time() - began) * 1000
 
 
+def event_handled(size: int) -> float:
+    """One turn of the decisions with a message that says nothing: what any event brings, by services."""
+    book = NewsBook()
+    plane = plane_for(book)
+    book.take_agreed(1, state(size, 0, size))
+
+    def turn() -> None:
+        plane.gatekeeper.heard(1, b"-")
+        plane.gatekeeper.catch_up()
+
+    return each_us(turn, 50) / 1000
+
+
 MEASURES: dict[str, Callable[[int], float]] = {
     "worker": worker_pushed,
     "gateway": gateway_pushed,
     "parent": parent_chosen,
     "tenants": lambda size: gateway_pushed(300, size),
     "start": started,
+    "event": event_handled,
 }
 
 
