--- a/pepperrun/simulation/linearizability.py
+++ b/pepperrun/simulation/linearizability.py
@@ -94,7 +94,7 @@
     """A zone that one operator empties and takes back: how many orders to empty it stand, from least to most.
 
     An order that is sent again is the same order, or another one if it comes late: either is permitted here.
-    So one that takes an order back and may be a repeat may leave it standing; for how long is not judged here.
+    So one that takes an order back and may be a repeat may leave it standing (how long is not judged).
     """
 
     zone: str
