Who leaves is released by fresh knowledge only: an old value may name it not

Ruled out: waiting for news only (nobody need be there to tell); an earlier read round at the stop (the roll of the whole core then saw the old keeper 200 ms after a change; not understood, so left out).

Change: `released` without a vote needs a read round begun after the stop that found nothing newer: its voters have heard `leave`. The old state is the bug `leaves-stale`.

--- a/pepperrun/consensus/replica.py
+++ b/pepperrun/consensus/replica.py
@@ -68,7 +68,7 @@
         self.fresh: int | None = None
         self.later, self.later_since = NONE, now  # taken by somebody, and not known as chosen
         self.look = False  # at whether the voters are as they should be
-        self.stopping = False
+        self.stopping, self.stopped_at = False, now
         self.next_keeper = ""  # who should be the keeper instead of the one there is
         self.left_at: dict[str, int] = {}  # machines that stop, and when they said so last
 
@@ -136,7 +136,10 @@
             return False
         if value.was or (accepted is not None and accepted.ballot > self.register.chosen_at):
             return False  # a change is under way, and may concern this machine
-        return self.me not in value.ips or not heirs - value.ips
+        if self.me in value.ips:
+            return not heirs - value.ips
+        # An older value may name it not, and a newer one that it has not heard of name it.
+        return not heirs or (self.fresh is not None and self.fresh >= self.stopped_at)
 
     @property
     def _known(self) -> Value | None:
@@ -228,6 +231,7 @@
         """
         self._at(now)
         self.stopping = self.look = True
+        self.stopped_at = now  # voters that answer a later read have heard of it
         self._tell_leave()
         self._succession(self._up())
         self._start()
--- a/pepperrun/simulation/order_plans.py
+++ b/pepperrun/simulation/order_plans.py
@@ -98,9 +98,9 @@
     "older-chosen": OlderChosen,
 }
 # Of the others the world sees to: `empty-votes`, `late-sync`; who is told to stop ends as soon as it is not
-# among those that come (`leaves-early`), or at once (`leaves-named`); a plan names lives that are lost
-# (`stale-lives`).
+# among those that come (`leaves-early`), at once (`leaves-named`), or by an old value (`leaves-stale`); a
+# plan names lives that are lost (`stale-lives`).
 BUGS = (
     *("", "hasty", "one-step", "early", "empty-votes", "late-sync"),
-    *("bodiless", "leaves-early", "leaves-named", "stale-lives", "older-chosen"),
+    *("bodiless", "leaves-early", "leaves-named", "leaves-stale", "stale-lives", "older-chosen"),
 )
--- a/pepperrun/simulation/order_world.py
+++ b/pepperrun/simulation/order_world.py
@@ -267,7 +267,13 @@
         if bug == "leaves-early":
             return ip not in {life.ip for life in chosen.value.voters}
         later = accepted is not None and accepted.ballot > chosen.ballot
-        return not later and not chosen.value.was and ip not in chosen.value.ips
+        out = not later and not chosen.value.was and ip not in chosen.value.ips
+        return out and (bug == "leaves-stale" or self._fresh(chosen))
+
+    def _fresh(self, chosen: Held) -> bool:
+        """Have those that decide on this taken nothing later?"""
+        held = {one.life: one.accepted_at for one in self.machines.values()}
+        return chosen.value.quorum(life for life, at in held.items() if at <= chosen.ballot)
 
 
 def begun(rules: Rules) -> World:
--- a/tests/test_voter_changes.py
+++ b/tests/test_voter_changes.py
@@ -83,6 +83,17 @@
     assert len(world.newest.voters) == 5 and not world.newest.was
 
 
+def test_who_knows_an_old_value_that_names_it_not_is_not_released_by_that() -> None:
+    world = settled(6)
+    spare = next(ip for ip in sorted(world.machines) if ip not in world.newest.ips)
+    replica = world.machines[spare].replica
+    assert replica is not None and replica.fresh_at is not None
+    replica.retire(world.now)
+    assert not replica.released  # a newer value may name it
+    world.run(600)  # a read round later
+    assert replica.released and replica.fresh_at >= replica.stopped_at
+
+
 def test_where_nobody_is_there_instead_it_stays_named_and_ends_without_waiting() -> None:
     world = settled(5)
     voters = world.newest.voters
