An answer shows contact as of when its question was sent, not of when it comes

Ruled out: a wrong answer: each rests on a quorum of its own. Change: `Hearing.answer` is told when the question was sent.

--- a/pepperrun/consensus/liveness.py
+++ b/pepperrun/consensus/liveness.py
@@ -23,7 +23,7 @@
         self.zones = {me: zone}
         self.links: set[str] = set()
         self.heard: dict[str, int] = {}
-        self.answered: dict[str, int] = {}  # when its last answer to a question of this machine came
+        self.answered: dict[str, int] = {}  # when the last question was asked that it has answered
         self.lives: dict[str, str] = {}  # as the machines themselves told last
         self.opinions: dict[str, Opinion] = {}
 
@@ -43,9 +43,9 @@
         if life is not None:
             self.lives[ip] = life
 
-    def answer(self, ip: str, now: int) -> None:
-        """A machine answered a question: messages pass both ways."""
-        self.answered[ip] = now
+    def answer(self, ip: str, asked_at: int) -> None:
+        """A machine answered a question that was asked then: messages passed both ways since."""
+        self.answered[ip] = max(asked_at, self.answered.get(ip, asked_at))
 
     def thawed(self, now: int) -> None:
         """This process stood still: it can't say of anybody that it was silent."""
--- a/pepperrun/consensus/replica.py
+++ b/pepperrun/consensus/replica.py
@@ -357,7 +357,7 @@
             self.hearing.opinions.pop(ip, None)
         if reading is None:
             return
-        self.hearing.answer(ip, self.now)
+        self.hearing.answer(ip, reading.sent_at)
         if message.get("c", NONE) > register.chosen_at:
             register.ask_news(ip)
         # What is left out is the same as what was asked about, which this machine knows as chosen.
