--- a/pepperrun/operator/local_cluster.py
+++ b/pepperrun/operator/local_cluster.py
@@ -253,18 +253,18 @@
             own = f", own {child.ip}:{internal_port}" if child.role != "worker" else ""
             pid = child.process.pid if child.process is not None else 0
             rows.append(f"{child.name:10} {pid:>8}  {child.ip:14} {child.zone:9} {serves}{own}")
-        bee, service = "python3 -m pepperrun.operatorctl", self.sizes.services[0]
+        command, service = "python3 -m pepperrun.operatorctl", self.sizes.services[0]
         curl = f"curl -i -H 'Host: {HOST}' -H 'Attempt-Id: 1' -H 'Authorization: Token {self.key}'"
         return "\n".join(
             [
                 *(f"settings, disks and logs: {self.folder}", *rows, "", "a request:"),
                 *(f"  {curl} http://{counter}/{service}/1", "the system:"),
                 *(
-                    f"  {bee} show {self.gateways[0]}:{internal_port}",
-                    f"  {bee} show {self.cores[0]}:{internal_port}",
+                    f"  {command} show {self.gateways[0]}:{internal_port}",
+                    f"  {command} show {self.cores[0]}:{internal_port}",
                 ),
-                f"  {bee} read --at {at}",
-                f"  {bee} evacuate {next(iter(ZONES))} --at {at}",
+                f"  {command} read --at {at}",
+                f"  {command} evacuate {next(iter(ZONES))} --at {at}",
             ]
         )
 
