--- a/pepperrun/core/quotas.py
+++ b/pepperrun/core/quotas.py
@@ -123,9 +123,7 @@
         self.inbox, self.outbox = gossip.Inbox(), gossip.Outbox()
         self.standing = NEUTRAL  # what membership, where it is on, knows of the others
         self.keepers = Keepers(self)
-        self.quota_keepers: QuotaKeepers | None = (
-            None  # where one gatekeeper of each place keeps a tenant's part
-        )
+        self.quota_keepers: QuotaKeepers | None = None  # who keeps a tenant's part in each place
 
     def resettle(self, settings: Settings, now: int) -> None:
         """Plans that came to those known, another number of gateways: each account's parts follow."""
