Sight: a line when a client leaves over an open attempt, and when work outlives its client

Cause: no line said that a client had left or what became of its attempts, so that 'nobody ends the attempt' (H1) could not be told from 'the close is not heard' (H2) or 'heard late' (H3). Change: client-left and attempt-outlived-client, with counts in show; no decision changes. Ruled out: nothing yet.

--- a/pepperrun/dataplane/attempt_reports.py
+++ b/pepperrun/dataplane/attempt_reports.py
@@ -1,7 +1,9 @@
-"""Reports of attempts that this gatekeeper gave up, or judged late, while their worker may be at work.
+"""Reports of attempts that this gatekeeper gave up, or judged late, while their worker may be at work, and of
+attempts whose client has left.
 
-From these lines and counts one can tell, after the fact, who ended an attempt and on what evidence. Lines are
-limited to so many a second; the counts, which `show` has, are complete.
+From these lines and counts one can tell, after the fact, who ended an attempt and on what evidence, when a
+client's leaving was heard, and how long work went on after it. Lines are limited to so many a second; the
+counts, which `show` has, are complete.
 """
 
 from __future__ import annotations
@@ -10,6 +12,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from pepperrun.core.interface import Outcome
 from pepperrun.dataplane.answer_times import AnswerTime
 from pepperrun.dataplane.numbering import MS
 from pepperrun.dataplane.trace import LogRateLimit
@@ -18,6 +21,8 @@
 from pepperrun.net.connection import AbandonReason, Attempt
 
 ABANDONED, LATE, ANSWERED_OVER = "attempt-abandoned", "attempt-late", "answered-over-attempt"
+CLIENT_LEFT, OUTLIVED = "client-left", "attempt-outlived-client"
+OUTLIVED_NS = 500 * MS  # work that goes on for so long after its client has left is done for nobody
 LINES_PER_S = 20.0
 MOST_ID = 64  # characters of an attempt id
 
@@ -48,6 +53,7 @@
         self.abandoned_by_reason: Counter[AbandonReason] = Counter()
         self.counts: Counter[str] = Counter()  # by event
         self._limit = LogRateLimit(LINES_PER_S, clock())
+        self._left_at: dict[tuple[int, int], int] = {}  # by request and attempt, while the attempt is out
 
     def abandoned(self, attempt: Attempt, reason: AbandonReason) -> None:
         """Record that this side ends an attempt that has been written to its worker."""
@@ -64,6 +70,20 @@
         number = max(exchange.open)
         self._write(ANSWERED_OVER, exchange, number, None, end=end.value.replace(" ", "-"))
 
+    def client_left(self, attempts: list[Attempt]) -> None:
+        """Record that the client of these attempts has left while they are out."""
+        for attempt in attempts:
+            self._left_at[attempt.exchange.id, attempt.number] = self.clock()
+            written = attempt.connection is not None
+            self._write(CLIENT_LEFT, attempt.exchange, attempt.number, attempt.backend, written=written)
+
+    def ended(self, exchange: Exchange[Any, Any], number: int, worker: int, outcome: Outcome) -> None:
+        """Record an attempt that ended long after its client had left."""
+        left_at = self._left_at.pop((exchange.id, number), None)
+        if left_at is not None and (after_ns := self.clock() - left_at) > OUTLIVED_NS:
+            ended = {"after_ms": after_ns // MS, "outcome": outcome.value}
+            self._write(OUTLIVED, exchange, number, worker, **ended)
+
     def _write(
         self, event: str, exchange: Exchange[Any, Any], number: int, worker: int | None, **more: object
     ) -> None:
--- a/pepperrun/dataplane/inspection.py
+++ b/pepperrun/dataplane/inspection.py
@@ -8,7 +8,7 @@
 
 from pepperrun.control.records import GatewayRecord, WorkerState
 from pepperrun.core.clock import Bucket
-from pepperrun.dataplane.attempt_reports import ANSWERED_OVER, LATE
+from pepperrun.dataplane.attempt_reports import ANSWERED_OVER, CLIENT_LEFT, LATE, OUTLIVED
 from pepperrun.dataplane.plane import Plane
 from pepperrun.distribution.service import DistributionService
 from pepperrun.distribution.tree import parents
@@ -56,6 +56,7 @@
         "attempts": {outcome.name.lower(): count for outcome, count in keeper.outcomes.items()},
         "abandoned": {str(reason): count for reason, count in plane.reports.abandoned_by_reason.items()},
         **{"late": plane.reports.counts[LATE], "answered_over": plane.reports.counts[ANSWERED_OVER]},
+        **{"clients_left": plane.reports.counts[CLIENT_LEFT], "outlived": plane.reports.counts[OUTLIVED]},
         "answer_times": _answer_times(plane),
     }
 
--- a/pepperrun/dataplane/outcome_sharing.py
+++ b/pepperrun/dataplane/outcome_sharing.py
@@ -148,6 +148,7 @@
     ) -> None:
         """An attempt has ended."""
         now, key = self.clock(), (exchange.id, attempt)
+        self.reports.ended(exchange, attempt, backend, outcome)
         if outcome is Outcome.OK:
             self.answer_times[exchange.cls].add(now - exchange.attempts[attempt])
         if key in self.late:
--- a/pepperrun/dataplane/plane.py
+++ b/pepperrun/dataplane/plane.py
@@ -23,6 +23,7 @@
 from pepperrun.dataplane.trace import Trace
 from pepperrun.dataplane.wire import WorkerWire
 from pepperrun.dataplane.workers import WorkerTable
+from pepperrun.exchange import Exchange
 from pepperrun.foundation.logs import event
 from pepperrun.foundation.settings import Settings
 from pepperrun.gatekeeper import Gatekeeper
@@ -103,6 +104,7 @@
             budget,
         )
         self.servers.on_abandon = self.reports.abandoned
+        self.gatekeeper.on_client_left = self._on_client_left
         self.outcome_sharing.start(self.servers)
         self.gatekeeper.backends = self.servers
         sure_ns = int(max(bounds.edition_ms - ANSWER_NS / MS, bounds.edition_ms / 2) * MS)
@@ -210,6 +212,9 @@
     def _restore_misdirected(self) -> None:
         self._listed(self.workers.restore_misdirected(self.clock()))
 
+    def _on_client_left(self, exchange: Exchange[Any, Any]) -> None:
+        self.reports.client_left(self.servers.attempts_of(exchange))
+
     def _tell(self, peer: int, data: bytes) -> None:
         self.peer_messages.tell(peer, data)
 
--- a/pepperrun/gatekeeper.py
+++ b/pepperrun/gatekeeper.py
@@ -115,6 +115,8 @@
         self.observer: Callable[[AnyExchange], None] | None = None  # told of each exchange that is over
         # Told of a final answer of this side's own while an attempt is out.
         self.on_answered_over: Callable[[AnyExchange, End], None] = lambda exchange, end: None
+        # Told of a client that has left while an attempt of its request is out.
+        self.on_client_left: Callable[[AnyExchange], None] = lambda exchange: None
         self.by_class = [dict.fromkeys(End, 0) for _ in settings.classes]
         self.outcomes = {outcome: 0 for outcome in Outcome}
 
@@ -139,6 +141,8 @@
     def left(self, exchange: AnyExchange) -> None:
         """The client has gone away."""
         if self._finish(exchange, Final(End.LEFT)):
+            if exchange.open:
+                self.on_client_left(exchange)
             self._over.append(exchange)
             self._event(ClientLeft(exchange.id))
 
--- a/pepperrun/net/server_side.py
+++ b/pepperrun/net/server_side.py
@@ -160,6 +160,11 @@
             if not self.directory.listed(backend):
                 del self.pools[backend]
 
+    def attempts_of(self, exchange: Exchange[Any, Any]) -> list[Attempt]:
+        """The attempts of a request that are out, in the order in which they began."""
+        found = (self.attempts.get((exchange.id, number)) for number in sorted(exchange.open))
+        return [attempt for attempt in found if attempt is not None]
+
     # Attempts.
 
     def end(self, attempt: Attempt, outcome: Outcome, given: object = None, units: float = 0.0) -> None:
