A run that may be repeated ends with its client; closes behind unread bytes are heard

Beside it: a connection whose reading is paused (sent ahead, an upload that waits for its worker) is in no selector, so its end was not heard; an attempt that waits for a connection stayed in line for a client who had gone; an upload broken off by its client counted as three failures of the worker.

Change: ClientLeft makes the decisions cancel each open attempt of a class that may be repeated (cancel_when_client_left: the system and forward authentication; not the platform's front, where only an answer tells the true units). net/hangup.py watches connections that are not read in one epoll instance (EPOLLRDHUP). Whatever ends a request withdraws its attempts that have no connection yet, as MOOT. A body that its client broke off ends its attempt as CANCELLED.

--- a/pepperrun/config.py
+++ b/pepperrun/config.py
@@ -399,6 +399,7 @@
         max_attempts=_positive(table, "max_attempts", 3),
         second_copies=get(table, "second_copies", bool, False),
         may_cancel=True,
+        cancel_when_client_left=True,
         peer_messages=peers > 1,
         peer_intake=100.0,
         retry_after=True,
--- a/pepperrun/core/gateway.py
+++ b/pepperrun/core/gateway.py
@@ -26,7 +26,9 @@
     Outcome,
     PeerMessage,
     Refuse,
+    Repeat,
     Request,
+    RequestExpired,
     Send,
     Settings,
     StreamStarted,
@@ -60,7 +62,7 @@
         self.look_at, self.most_left, self.garbled = 0, [0] * len(settings.classes), 0
         self.logged, self.telling = Seldom(LOG_EVERY), True
         self.handlers = {Request: self._arrive, AttemptEnded: self._ended, BackendList: self._list}
-        self.handlers[AttemptSuspected] = self._suspected
+        self.handlers |= {AttemptSuspected: self._suspected, RequestExpired: self._expired}
         self.handlers |= {ClientLeft: self._gone, StreamStarted: self._gone, PeerMessage: self._hear}
 
     def resettle(self, settings: Settings) -> None:
@@ -105,8 +107,24 @@
         if (held := self.held.get(event.request)) is not None:
             held.stream = isinstance(event, StreamStarted)
             if not held.stream:
+                self._cancel_abandoned(held)
                 self._close(held)
 
+    def _expired(self, event: RequestExpired) -> None:
+        if (held := self.held.get(event.request)) is not None:
+            self._close(held)
+
+    def _cancel_abandoned(self, held: Held) -> None:
+        """Nobody waits for its attempts any more, and closing the request alone would not end their work.
+
+        What may not be repeated goes on: that it was cut off would not tell whether it ran.
+        """
+        if not self.settings.cancel_when_client_left or held.kind.repeat is not Repeat.SAFE:
+            return
+        for number, attempt in enumerate(held.attempts):
+            if attempt.out:
+                self.actions.append(Cancel(held.id, number))
+
     def avoided(self) -> set[int]:
         """Backends of the list that are left out for their failures, whatever the class."""
         return {id for lane in self.lanes for id in lane.fleet.avoided(self.now)}
--- a/pepperrun/core/interface.py
+++ b/pepperrun/core/interface.py
@@ -131,6 +131,9 @@
     do at least `cold_from` of its work and all of it after `cold_ns`; sent more than `tip_multiple` times its
     capacity for `tip_for_ns` it falls over. `peer_intake` is how many messages a second a gateway takes in.
 
+    `cancel_when_client_left`: the attempts of a client who has left are cancelled where its class may be
+    repeated; not where only answers tell what a request has cost.
+
     `seats`: among so many gateways hard ceilings are split where that is more than there are now. `lines` is
     how many services there are, each with its own backends, queues and bound. A further attempt is paid for
     by `further_share` of each first one and by `further_burst` saved up; with `strict_further` each that may
@@ -149,6 +152,7 @@
     max_attempts: int = 1
     second_copies: bool = False
     may_cancel: bool = False
+    cancel_when_client_left: bool = False
     may_probe: bool = False
     peer_messages: bool = False
     peer_intake: float = 0.0
@@ -319,6 +323,16 @@
     request: int
 
 
+@dataclass(slots=True)
+class RequestExpired:
+    """The request has got its final answer without the decisions: its time, or its process's, is over.
+
+    Its attempts end with their own deadlines, or with the process.
+    """
+
+    request: int
+
+
 @dataclass(slots=True)
 class TimerFired:
     """A timer asked for with `SetTimer` is due."""
@@ -351,6 +365,7 @@
     | AttemptEnded
     | AttemptSuspected
     | ClientLeft
+    | RequestExpired
     | TimerFired
     | ProbeEnded
     | PeerMessage
--- a/pepperrun/dataplane/numbering.py
+++ b/pepperrun/dataplane/numbering.py
@@ -156,6 +156,7 @@
             further_burst=bounds.retry_slack * SLACK_PART / self.parts,
             seats=self.parts,
             strict_further=True,
+            cancel_when_client_left=True,
             follows_best=True,
             marks=False,
             own_plans=True,
--- a/pepperrun/fronts/http_client.py
+++ b/pepperrun/fronts/http_client.py
@@ -50,6 +50,11 @@
     return [pair for pair in request.fields if pair[0].lower() not in dropped]
 
 
+def _descriptor(transport: asyncio.Transport) -> int:
+    number: int = transport.get_extra_info("socket").fileno()
+    return number
+
+
 class HttpClient(KeptClient):
     """A client's connection. Fronts derive from it."""
 
@@ -106,6 +111,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         if self.parked:
             return
+        if self.paused and self.transport is not None:
+            self.listener.hangups.forget(_descriptor(self.transport))
         self.transport = None
         self.listener.remove(self)
         self._left()
@@ -193,8 +200,7 @@
             return
         ahead = self._owes() and len(self.buffer) >= AHEAD
         if ahead and self.transport is not None and not self.paused:
-            self.paused = True  # more was sent ahead than is held for a client
-            self.transport.pause_reading()
+            self._stop_reading(self.transport)  # more was sent ahead than is held for a client
 
     # A body that is longer than is held, on its way to a backend.
 
@@ -228,16 +234,40 @@
         transport = self.transport
         if transport is None or transport.is_closing() or self.lingering or on == self.paused:
             return
-        self.paused, now = on, self.clock()
+        now = self.clock()
         if on:
             self.paused_at = now
-            transport.pause_reading()
+            self._stop_reading(transport)
             return
         self.buffer.last_at = now  # time in which it was not read is not the client's
         self.head_at += now - self.paused_at if self.head_at else 0
+        self._read_on(transport)
+
+    def _stop_reading(self, transport: asyncio.Transport) -> None:
+        """Reads no more for now. Its client may leave meanwhile, which no read would tell."""
+        self.paused = True
+        transport.pause_reading()
+        self.listener.hangups.watch(_descriptor(transport), self._hung_up)
+
+    def _read_on(self, transport: asyncio.Transport) -> None:
+        """Reads again."""
+        self.paused = False
+        self.listener.hangups.forget(_descriptor(transport))
         if not self.held:
             transport.resume_reading()
 
+    def _hung_up(self, broken: bool) -> None:
+        """Its client has left, behind bytes that are not read.
+
+        An upload that may not be repeated goes on: all of it may have arrived.
+        """
+        transport, step = self.transport, self.step
+        if transport is None or transport.is_closing():
+            return
+        if not broken and self.upload is not None and step is not None and not step[0].may_repeat(step[1]):
+            return
+        transport.abort()
+
     def _nobody(self) -> None:
         """The backend takes no more of it; the module says what follows. What comes meanwhile is dropped."""
         if self.upload is not None:
@@ -277,8 +307,7 @@
         if not transport.is_closing():
             transport.write_eof()
             if self.paused:
-                self.paused = False
-                transport.resume_reading()
+                self._read_on(transport)
 
     def health(self, request: Request) -> Answer:
         """`/health`: the process runs. `/ready`: it also takes new clients."""
@@ -322,8 +351,7 @@
         """Reads on after an answer."""
         if self.step is None and len(self.buffer) and not self.held:
             if self.paused and self.transport is not None and not self.closing:
-                self.paused = False
-                self.transport.resume_reading()
+                self._read_on(self.transport)
             self._read()
 
     def _proceed(self, what: Step | Answer) -> None:
--- a/pepperrun/gatekeeper.py
+++ b/pepperrun/gatekeeper.py
@@ -29,7 +29,9 @@
     Outcome,
     PeerMessage,
     Refuse,
+    Repeat,
     Request,
+    RequestExpired,
     Send,
     SetTimer,
     Settings,
@@ -79,6 +81,9 @@
 
     def cancel(self, exchange: AnyExchange, attempt: int) -> None: ...
 
+    def withdraw(self, exchange: AnyExchange) -> None:
+        """End those of its attempts that have not been written to a backend, as `Outcome.MOOT`."""
+
     def close_idle(self, backend: int) -> None: ...
 
 
@@ -141,8 +146,6 @@
     def left(self, exchange: AnyExchange) -> None:
         """The client has gone away."""
         if self._finish(exchange, Final(End.LEFT)):
-            if exchange.open:
-                self.on_client_left(exchange)
             self._over.append(exchange)
             self._event(ClientLeft(exchange.id))
 
@@ -172,6 +175,10 @@
         spent = exchange.spent
         self._event(AttemptEnded(exchange.id, attempt, backend, outcome, elapsed, done, units, spent=spent))
 
+    def may_repeat(self, exchange: AnyExchange) -> bool:
+        """May its request run more than once?"""
+        return self.settings.classes[exchange.cls].repeat is Repeat.SAFE
+
     def suspected(self, exchange: AnyExchange, attempt: int) -> None:
         """An attempt's backend may hang. It stays out; the decisions may send another beside it."""
         if exchange.end is None and exchange.open == {attempt}:
@@ -183,10 +190,10 @@
         self.by_class[exchange.cls][end] += 1
 
     def expire(self, exchange: AnyExchange) -> None:
-        """The client's time is up, which only its front knows."""
+        """The client's time is up, which only its front knows, or this process's is."""
         if self._finish(exchange, Final(End.OUT_OF_TIME, late=True)):
             self._over.append(exchange)
-            self._event(ClientLeft(exchange.id))
+            self._event(RequestExpired(exchange.id))
 
     def listed(self, backends: BackendList) -> None:
         """Discovery has told something."""
@@ -360,8 +367,8 @@
 
     def _finish(self, exchange: AnyExchange, final: Final[Any]) -> bool:
         first = exchange.finish(final)
-        if first and exchange.open and final.end in (End.REFUSED, End.FAILED, End.OUT_OF_TIME):
-            self.on_answered_over(exchange, final.end)
+        if first and exchange.open:
+            self._finished_over(exchange, final.end)
         if first and exchange.passing and final.end is End.SERVED:
             self.under_way += 1
         else:
@@ -370,6 +377,15 @@
             exchange.finished = self.clock()
         return first
 
+    def _finished_over(self, exchange: AnyExchange, end: End) -> None:
+        """It has its end while attempts are out: those that wait for a connection would run for nobody."""
+        if end is End.LEFT:
+            self.on_client_left(exchange)
+        elif end is not End.SERVED:
+            self.on_answered_over(exchange, end)
+        if self.backends is not None:
+            self.backends.withdraw(exchange)
+
     def _drop(self, exchange: AnyExchange) -> None:
         if exchange.end is not None and not exchange.open:
             gone = self.exchanges.pop(exchange.id, None)
--- a/pepperrun/model/actors.py
+++ b/pepperrun/model/actors.py
@@ -134,6 +134,9 @@
         if held is not None:
             self.day.world.after(0, self._timed_out, exchange, attempt, held[1], Outcome.CANCELLED)
 
+    def withdraw(self, exchange: AnyExchange) -> None:
+        """For the gatekeeper: nothing waits for a connection, as connections are not modelled."""
+
     def close_idle(self, backend: int) -> None:
         """Connections are not modelled."""
 
--- a/pepperrun/net/connection.py
+++ b/pepperrun/net/connection.py
@@ -73,6 +73,7 @@
 
     DECISION = "decision"  # the decisions asked for it
     SUPERSEDED = "superseded"  # another attempt of its request has been answered
+    CLIENT_LEFT = "client-left"  # nobody waits for its answer
     DEADLINE = "deadline"  # the client's time, or the route's, is over
     STALLED = "stalled"  # its answer had begun and came no further
 
@@ -218,6 +219,7 @@
         self.deadline = 0  # of the request whose answer passes through
         self.paused = False  # its client takes no more of the answer now
         self.unsent = False  # the last byte of the request is not yet written
+        self.unfinished = False  # nor will it be: its client has gone
         self.idle_since = self.heard_at = self.started_at = 0
         self.served = 0  # answers so far
         self.keeps_ns = 0  # how long the backend keeps it while idle, where it has said so
@@ -306,7 +308,7 @@
 
     def broken(self) -> None:
         """The client has gone, or sends what can't be read: what the backend has is no request."""
-        self.upload = None
+        self.upload, self.unfinished = None, True
         self.close()
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -503,7 +505,13 @@
             self.download.fail()  # its client must see that it is not whole
             self.download = None
         if attempt is not None:
-            self.side.end(attempt, Outcome.CONNECT_FAILED if self.unsent else self._broke())
+            self.side.end(attempt, self._lost_outcome())
+
+    def _lost_outcome(self) -> Outcome:
+        """How an attempt ended whose connection is gone; a body that its client broke off blames nobody."""
+        if self.unfinished:
+            return Outcome.CANCELLED
+        return Outcome.CONNECT_FAILED if self.unsent else self._broke()
 
     def _broke(self) -> Outcome:
         """How an attempt ended whose connection broke under it: a kept one that did so at once was stale."""
--- a/pepperrun/net/listener.py
+++ b/pepperrun/net/listener.py
@@ -11,6 +11,7 @@
 from pepperrun.config import Address
 from pepperrun.core.clock import SECOND
 from pepperrun.log import say
+from pepperrun.net.hangup import HangupWatch
 
 SWEEP_S = 0.25
 PAUSE_S = 0.05  # between looks for room while there is none
@@ -93,6 +94,7 @@
         self.backlog = BACKLOG
         self.on = False  # connections are being accepted
         self.address: Address = ("", 0)
+        self.hangups = HangupWatch(loop)  # of clients that are not read now
         self._tasks: set[asyncio.Task[None]] = set()
         self._sweeper: asyncio.TimerHandle | None = None
         self._changed: asyncio.Future[None] | None = None
@@ -300,6 +302,7 @@
 
     def close(self) -> None:
         """Ends it all."""
+        self.hangups.close()
         if self._sweeper is not None:
             self._sweeper.cancel()
         if self.socket is not None:
--- a/pepperrun/net/server_side.py
+++ b/pepperrun/net/server_side.py
@@ -14,7 +14,7 @@
 from pepperrun.config import Address
 from pepperrun.core.clock import SECOND
 from pepperrun.core.interface import Outcome
-from pepperrun.exchange import Exchange
+from pepperrun.exchange import End, Exchange
 from pepperrun.log import say
 from pepperrun.net.buffer import unread
 from pepperrun.net.connection import AbandonReason, Attempt, Connection, Judge, Pool, Wear, Wire
@@ -129,13 +129,19 @@
         pool.waiting.append(attempt)
         self._open(backend, pool)
 
-    def cancel(
-        self, exchange: Exchange[Any, Any], number: int, reason: AbandonReason = AbandonReason.DECISION
-    ) -> None:
-        """Gives an attempt up: its connection closes."""
+    def cancel(self, exchange: Exchange[Any, Any], number: int, reason: AbandonReason | None = None) -> None:
+        """Gives an attempt up: its connection closes. HTTP/1.1 has no other way to stop its worker."""
+        if reason is None:
+            reason = AbandonReason.CLIENT_LEFT if exchange.end is End.LEFT else AbandonReason.DECISION
         if (attempt := self.attempts.get((exchange.id, number))) is not None:
             self._give_up(attempt, Outcome.CANCELLED, reason)
 
+    def withdraw(self, exchange: Exchange[Any, Any]) -> None:
+        """Ends those of its attempts that wait for a connection: they have reached no backend."""
+        for attempt in self.attempts_of(exchange):
+            if attempt.connection is None:
+                self.end(attempt, Outcome.MOOT)
+
     def close_idle(self, backend: int) -> None:
         """Closes the idle connections to a backend."""
         if (pool := self.pools.get(backend)) is not None:
--- a/pepperrun/simulation/nodes.py
+++ b/pepperrun/simulation/nodes.py
@@ -293,6 +293,13 @@
             self.gate.give_up(self.gate, *written)
         self._end(attempt, Outcome.CANCELLED)
 
+    def withdraw(self, exchange: Any) -> None:
+        """What waits for a connection ends."""
+        for number in sorted(exchange.open):
+            attempt = self.attempts.get((exchange.id, number))
+            if attempt is not None and attempt.connection is None:
+                self._end(attempt, Outcome.MOOT)
+
     def close_idle(self, backend: int) -> None:
         """Connections are not modelled."""
 
--- a/tests/test_client_leaves.py
+++ b/tests/test_client_leaves.py
@@ -9,20 +9,29 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 import struct
 from collections.abc import Callable
-from typing import Any
+from typing import Any, cast
 
 import pytest
+from helpers import MS, Driver, only
 from standins import HOST, Client, StandIn, going, stall, wait_then
 from test_dataplane import Cluster, ok, route
 
 from pepperrun.core.interface import (
+    AttemptEnded,
+    AttemptSuspected,
+    Cancel,
+    ClientLeft,
     Outcome,
+    Request,
+    Send,
 )
 from pepperrun.exchange import End
 from pepperrun.fronts.http_client import AHEAD
+from pepperrun.fronts.kept import KeptClient
 
 SAFE, UNSAFE = 0, 3  # classes of `Driver`
 LONG = 1 << 20  # bytes: more than any buffer of a gatekeeper holds
@@ -65,19 +74,25 @@
         client: Client = await self.ask(Attempt_Id=id, Deadline_Ms="12000", **more)
         return client
 
+    def connections(self) -> list[KeptClient]:
+        """Clients' connections that are up."""
+        return cast(list[KeptClient], list(self.plane.listener.clients))
+
     def heard_leaving(self, count: int = 1) -> bool:
         """Has it been heard that so many clients have left?"""
         return self.gatekeeper.counts[End.LEFT] == count
 
+    def at_rest(self) -> bool:
+        """Is nothing of any request left, neither of its client's side nor of its attempts'?"""
+        return not (self.gatekeeper.exchanges or self.gatekeeper.gateway.held or self.servers.attempts)
+
     def blames_nobody(self) -> bool:
-        """No failure of a worker, no retry, no place in the bound that is still taken, nothing left over."""
+        """Is there no failure of a worker, and no place in the bound that is still taken?"""
         gateway, sharing = self.gatekeeper.gateway, self.plane.outcome_sharing
         fleets = [lane.fleet for lane in gateway.lanes]
         marks = [bad for fleet in fleets for bad, _ in fleet.news.known.values()]
         blamed = sharing.ejection.records or any(marks) or sharing.late
-        places = [fleet.out for fleet in fleets]
-        taken = any(places) or gateway.held or self.gatekeeper.exchanges or self.servers.attempts
-        return not blamed and not taken
+        return not blamed and not any(fleet.out for fleet in fleets)
 
 
 def run_at(worker: StandIn) -> Any:
@@ -100,7 +115,7 @@
         cluster.plane.listener.draining = draining
         leave(client)
         await worker.closed.get()  # its connection ends, long before the deadline of 12 s
-        await until(lambda: not cluster.gatekeeper.exchanges)
+        await until(cluster.at_rest)
         assert cluster.gatekeeper.counts[End.LEFT] == 1 and len(worker.heads) == 1
         assert cluster.gatekeeper.outcomes[Outcome.CANCELLED] == 1 and cluster.blames_nobody()
         assert cluster.plane.outcome_sharing.answer_times == {}  # no sample of how long work takes
@@ -120,13 +135,53 @@
         leave(client)
         await until(cluster.heard_leaving)
         worker.go.set()
-        await until(lambda: not cluster.gatekeeper.exchanges)
+        await until(cluster.at_rest)
         assert cluster.gatekeeper.outcomes[Outcome.OK] == 1 and cluster.blames_nobody()
         assert worker.closed.empty() and cluster.gatekeeper.outcomes[Outcome.CANCELLED] == 0
 
     going(test)
 
 
+def test_who_leaves_and_comes_back_at_once_is_served() -> None:
+    async def test() -> None:
+        cluster, worker = Leavers(), await StandIn(stall, ok()).start()
+        cluster.work("w1", worker.port)
+        client = await cluster.ask_long()
+        await run_at(worker)
+        client.writer.close()
+        again = await cluster.ask_long()
+        assert (await again.answer())[::2] == (200, b"fine")
+        await worker.closed.get()
+        await until(lambda: cluster.heard_leaving() and cluster.at_rest())
+        assert cluster.blames_nobody() and len(worker.heads) == 2
+
+    going(test)
+
+
+def test_hundreds_who_leave_at_once_blame_no_worker_and_free_their_places() -> None:
+    """A region's clients go at once; each of their runs ends, and who stayed is served."""
+
+    async def test() -> None:
+        count = 60
+        cluster, worker = Leavers(), await StandIn(*[stall] * count, ok()).start()
+        cluster.work("w1", worker.port)
+        clients = [await cluster.ask_long(f"i{number}") for number in range(count)]
+        await until(lambda: len(cluster.servers.attempts) + waiting_in(cluster) == count)
+        for client in clients:
+            client.writer.close()
+        await until(lambda: cluster.heard_leaving(count) and cluster.at_rest())
+        assert cluster.blames_nobody()
+        worker.plan[:] = [ok()]
+        assert (await (await cluster.ask_long()).answer())[0] == 200
+
+    going(test)
+
+
+def waiting_in(cluster: Leavers) -> int:
+    """How many requests wait for a turn."""
+    return sum(held.waiting for held in cluster.gatekeeper.gateway.held.values())
+
+
 # Not yet at work.
 
 
@@ -145,6 +200,30 @@
     going(test)
 
 
+@pytest.mark.parametrize("kind", ["safe", "unsafe"])
+def test_an_attempt_that_waits_for_a_connection_ends_with_its_client(kind: str) -> None:
+    """It has reached no worker, so it ends at once, whatever its route; others get the connection."""
+
+    async def test() -> None:
+        cluster, worker = Leavers(kind), await StandIn(wait_then(ok(id=b"first")), ok()).start()
+        cluster.servers.most_each = 1
+        cluster.work("w1", worker.port)
+        first = await cluster.ask_long("first")
+        await run_at(worker)
+        second = await cluster.ask_long("gone")
+        await until(lambda: len(cluster.servers.attempts) == 2)
+        second.writer.close()
+        await until(lambda: len(cluster.servers.attempts) == 1)
+        worker.go.set()
+        assert (await first.answer())[0] == 200
+        assert (await (await cluster.ask_long()).answer())[0] == 200
+        await until(cluster.at_rest)
+        assert cluster.gatekeeper.outcomes[Outcome.MOOT] == 1 and cluster.blames_nobody()
+        assert not any(b"gone" in head for head in worker.heads) and worker.connections == 1
+
+    going(test)
+
+
 # A close that stands behind bytes which are not read.
 
 
@@ -152,7 +231,15 @@
     """Sends requests behind the first until the gatekeeper reads no more of them."""
     behind = b"GET /p/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: gone\r\nAuthorization: Token k1\r\n\r\n"
     client.writer.write(behind * (4 * AHEAD // len(behind)))
-    await until(lambda: any(kept.paused for kept in cluster.plane.listener.clients))
+    await until(lambda: any(kept.paused for kept in cluster.connections()))
+
+
+def close_has_arrived(cluster: Leavers) -> bool:
+    """Has each client's close reached this machine, whatever stands before it in the socket's buffer?"""
+    poll = select.poll()
+    for kept in cluster.connections():
+        poll.register(kept.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+    return len(poll.poll(0)) == len(cluster.connections())
 
 
 @WAYS
@@ -167,15 +254,33 @@
         await sends_ahead(cluster, client)
         leave(client)
         await worker.closed.get()
-        await until(lambda: not cluster.gatekeeper.exchanges)
+        await until(cluster.at_rest)
         assert len(worker.heads) == 1 and cluster.blames_nobody()
 
     going(test)
 
 
-def shut_down(client: Client) -> None:
-    """As a process that ends: what it has not handed to the system is gone."""
-    client.writer.get_extra_info("socket").shutdown(socket.SHUT_WR)
+@WAYS
+def test_requests_behind_an_unsafe_one_never_run_once_their_client_has_left(
+    leave: Callable[[Client], None],
+) -> None:
+    """The first goes on; what its client sent behind it reaches no worker."""
+
+    async def test() -> None:
+        cluster, worker = Leavers("unsafe"), await StandIn(wait_then(ok()), ok()).start()
+        cluster.work("w1", worker.port)
+        client = await cluster.ask_long()
+        await run_at(worker)
+        await sends_ahead(cluster, client)
+        leave(client)
+        await until(lambda: close_has_arrived(cluster))
+        worker.go.set()
+        await until(
+            lambda: cluster.gatekeeper.outcomes[Outcome.OK] == 1 and not cluster.plane.listener.clients
+        )
+        assert len(worker.heads) == 1 and cluster.gatekeeper.outcomes[Outcome.CANCELLED] == 0
+
+    going(test)
 
 
 class DeafWorker(asyncio.Protocol):
@@ -193,16 +298,18 @@
         self.transport.pause_reading()
 
 
-async def stuck(cluster: Leavers, client: Client) -> None:
-    """Until nothing moves any more: the worker reads no more, so neither does the gatekeeper."""
-    unsent, still = 0, 0
-    while still < 500 or not any(kept.paused for kept in cluster.plane.listener.clients):
-        before, unsent = unsent, client.writer.transport.get_write_buffer_size()
-        still = still + 1 if unsent == before else 0
+async def uploads_until_nobody_reads(cluster: Leavers, client: Client) -> None:
+    """Sends until the worker takes no more, so that the gatekeeper reads no more for as long as we look."""
+    unread = 0
+    while unread < 500:
+        if not unread:
+            client.writer.write(b"x" * AHEAD)
+            await client.writer.drain()
+        unread = unread + 1 if any(kept.paused for kept in cluster.connections()) else 0
         await asyncio.sleep(0)
 
 
-@pytest.mark.parametrize("leave", [reset, shut_down])
+@pytest.mark.parametrize("leave", [reset, half_close])
 def test_a_close_during_an_upload_that_waits_for_its_worker_is_heard(leave: Callable[[Client], None]) -> None:
     """Its request will never be whole, which is no failure of the worker's."""
 
@@ -211,11 +318,99 @@
         server = await asyncio.get_running_loop().create_server(lambda: worker, HOST, 0)
         cluster.work("w1", server.sockets[0].getsockname()[1])
         client = await cluster.ask_long(method="POST", Content_Length=str(64 * LONG))
-        client.writer.write(b"x" * (48 * LONG))
-        await stuck(cluster, client)
+        await uploads_until_nobody_reads(cluster, client)
         leave(client)
-        await until(lambda: not cluster.servers.attempts and not cluster.gatekeeper.exchanges)
+        await until(cluster.at_rest)
         assert cluster.heard_leaving() and cluster.blames_nobody()
         server.close()
 
     going(test)
+
+
+@WAYS
+def test_a_long_answer_ends_with_its_client(leave: Callable[[Client], None]) -> None:
+    """The client takes no more of its answer, has sent ahead, and leaves: the worker is let go."""
+
+    async def test() -> None:
+        cluster, worker = Leavers(), await StandIn(ok(b"x" * (64 * LONG))).start()
+        cluster.work("w1", worker.port)
+        client = await cluster.ask_long()
+        await until(lambda: any(kept.stuck is not None for kept in cluster.connections()))
+        await sends_ahead(cluster, client)
+        leave(client)
+        await worker.closed.get()
+        await until(lambda: not cluster.connections())
+        assert cluster.blames_nobody()
+
+    going(test)
+
+
+def test_a_connection_taken_over_from_another_process_hears_its_client_leave() -> None:
+    async def test() -> None:
+        before, after = Leavers(), Leavers()
+        worker = await StandIn(ok(), stall).start()
+        before.work("w1", worker.port)
+        after.work("w1", worker.port)
+        client = await before.ask_long()
+        assert (await client.answer())[0] == 200
+        (kept,) = before.connections()
+        given = kept.give(2048)
+        assert given is not None
+        snapshot, descriptor = given
+        await after.plane.listener.adopt(socket.socket(fileno=descriptor), snapshot)
+        await after.ask_long(client=client)
+        await until(lambda: len(worker.heads) == 2)
+        client.writer.close()
+        await until(lambda: after.heard_leaving() and after.at_rest())
+        assert after.gatekeeper.outcomes[Outcome.CANCELLED] == 1 and after.blames_nobody()
+
+    going(test)
+
+
+# The decisions by themselves, where two things happen in one turn.
+
+
+def ending(**more: Any) -> Driver:
+    return Driver(cancel_when_client_left=True, **more)
+
+
+def sent(actions: list[Any]) -> Send:
+    (send,) = only(actions, Send)
+    return send
+
+
+def test_the_decisions_end_each_repeatable_attempt_of_who_left_and_no_other() -> None:
+    driver = ending()
+    kept = sent(driver.ask(cls=SAFE))
+    both = sent(driver.ask(cls=SAFE))
+    beside = sent(driver.feed(AttemptSuspected(both.request, 0)))
+    assert beside.request == both.request
+    assert only(driver.feed(ClientLeft(both.request)), Cancel) == [
+        Cancel(both.request, 0),
+        Cancel(both.request, 1),
+    ]
+    unsafe = sent(driver.ask(cls=UNSAFE))
+    assert only(driver.feed(ClientLeft(unsafe.request)), Cancel) == []
+    cancelled = [AttemptEnded(both.request, number, 0, Outcome.CANCELLED, 50 * MS, True) for number in (0, 1)]
+    assert only(driver.feed(*cancelled), Send) == [] and set(driver.gateway.held) == {
+        kept.request,
+        unsafe.request,
+    }
+    assert not any(bad for bad, _ in driver.gateway.fleet.news.known.values())
+
+
+def test_who_leaves_in_the_turn_of_an_answer_or_of_a_request_causes_nothing() -> None:
+    driver = ending()
+    send = sent(driver.ask(cls=SAFE))
+    answered = AttemptEnded(send.request, 0, send.backend, Outcome.OK, 50 * MS, True)
+    assert only(driver.feed(answered, ClientLeft(send.request)), Cancel) == []
+    asked = Request(99, 1, 0, SAFE, left_ns=3000 * MS, units=1.0, spread=1, first=0)
+    assert only(driver.feed(asked, ClientLeft(99)), Send) == [] and not driver.gateway.held
+
+
+def test_where_answers_settle_what_was_charged_attempts_run_on() -> None:
+    """The sidecar's plans are charged by the true units, which only an answer tells."""
+    driver = Driver()
+    send = sent(driver.ask(cls=SAFE))
+    assert only(driver.feed(ClientLeft(send.request)), Cancel) == []
+    assert list(driver.gateway.held) == [send.request]
--- a/tests/test_gatekeeper.py
+++ b/tests/test_gatekeeper.py
@@ -87,6 +87,9 @@
     def cancel(self, exchange: Any, attempt: int) -> None:
         self.cancelled.append(attempt)
 
+    def withdraw(self, exchange: Any) -> None:
+        pass
+
     def close_idle(self, backend: int) -> None:
         pass
 
