A test for the pause in which nobody is judged late

Cause: the guard of check_late_attempts against pauses of its own process could be taken out and all tests passed. Change: a test. Result: passes, and fails with the guard taken out.

--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -103,6 +103,25 @@
     return shared.ejection.records[worker]
 
 
+def test_attempts_that_are_late_since_this_process_stood_still_count_as_nobodys_failure():
+    """After a pause the answers may lie unread; the check after the next one counts what is late still."""
+
+    async def test():
+        cluster, worker, clients = await at_work(3)
+        answers_taken(cluster, 100, 300 * MS)
+        begun, number = begun_at(cluster), cluster.plane.workers.ids["w1"]
+        shared = check_at(cluster, begun)
+        shared.clock = lambda: begun + 2500 * MS
+        shared.check_late_attempts()
+        assert not shared.late and number not in shared.ejection.records
+        shared.clock = lambda: begun + 2750 * MS
+        shared.check_late_attempts()
+        assert len(shared.late) == 3 and number in shared.ejection.records
+        assert await all_served(worker, clients)
+
+    going(test)
+
+
 def test_a_changed_aim_keeps_the_class_of_its_route_and_goes_with_each_request():
     """Work takes as long as before; tries and time are asked of the route, not of the class."""
 
