--- a/pepperrun/operator/toy_workers.py
+++ b/pepperrun/operator/toy_workers.py
@@ -117,13 +117,11 @@
 
     async def _work(self, id: str, reader: asyncio.StreamReader) -> bool:
         """Takes its time; False, and it stops, where the connection closes meanwhile."""
-        began = time.monotonic_ns()
-        self._write(id, began)
-        mean_ms = self.work_ms
-        if mean_ms <= 0:
+        began, work_s = time.monotonic_ns(), self._draw_work_s()
+        self._write(id, began, takes=int(work_s * 1e9))
+        if not work_s:
             self._write(id, began, "answered")
             return True
-        work_s = random.lognormvariate(math.log(mean_ms) - SPREAD**2 / 2, SPREAD) / 1000
         closed = asyncio.ensure_future(reader.read(1))  # nothing is sent ahead of an answer
         await asyncio.wait({closed}, timeout=work_s)
         was_cut = closed.done()
@@ -131,12 +129,16 @@
         self._write(id, began, "cut" if was_cut else "answered")
         return not was_cut
 
-    def _write(self, id: str, began: int, end: str = "") -> None:
+    def _draw_work_s(self) -> float:
+        if self.work_ms <= 0:
+            return 0.0
+        return random.lognormvariate(math.log(self.work_ms) - SPREAD**2 / 2, SPREAD) / 1000
+
+    def _write(self, id: str, began: int, end: str = "", takes: int = 0) -> None:
         if self.record is None:
             return
         row: dict[str, object] = {"id": id, "worker": self.id, "began": began}
-        if end:
-            row |= {"ended": time.monotonic_ns(), "end": end}
+        row |= {"ended": time.monotonic_ns(), "end": end} if end else {"takes": takes}
         self.record.write(json.dumps(row) + "\n")
         self.record.flush()
 
--- a/pepperrun/soak/clients.py
+++ b/pepperrun/soak/clients.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from pepperrun.foundation.settings import Address
+from pepperrun.soak.leaving import BEHIND, BEHIND_PADDING, Leave, draw_leave, leave
 from pepperrun.soak.records import Sent
 
 CONNECT_S = 1.0
@@ -37,6 +38,7 @@
     region: str
     routes: tuple[Route, ...]
     key: str
+    leave_share: float = 0.0  # of requests whose clients leave before the answer
 
 
 class Client:
@@ -107,32 +109,60 @@
     # Requests.
 
     async def _request(self) -> None:
-        assert self.streams is not None
-        assert self.where is not None
         route = self.rng.choices(self.target.routes, [one.share for one in self.target.routes])[0]
-        self.count += 1
-        now = time.monotonic_ns()
-        id = f"{self.name}-{self.count}"
-        one = Sent(id, self.where[0], route.is_safe, now, now + route.deadline_ms * 1_000_000)
-        self.sent.append(one)
+        one = self._next(route)
+        leaving = draw_leave(self.rng, self.target.leave_share)
+        patience_s = route.deadline_ms / 1000 + OVER_S if leaving is None else leaving[1]
         try:
-            async with asyncio.timeout(route.deadline_ms / 1000 + OVER_S):
+            async with asyncio.timeout(patience_s):
                 keeps = await self._exchange(one, route)
+        except TimeoutError:
+            keeps = False
+            if leaving is not None:
+                await self._leave(one, route, leaving[0])
         except (OSError, EOFError, ValueError, KeyError):
             keeps = False
-        one.ended = time.monotonic_ns()
+        one.ended = one.ended or time.monotonic_ns()
         if not keeps:
             self._drop()
 
-    async def _exchange(self, one: Sent, route: Route) -> bool:
-        """Send one request and take its answer; whether the connection can be used again."""
+    def _next(self, route: Route) -> Sent:
+        assert self.where is not None
+        self.count += 1
+        now = time.monotonic_ns()
+        id = f"{self.name}-{self.count}"
+        one = Sent(id, self.where[0], route.is_safe, now, now + route.deadline_ms * 1_000_000)
+        self.sent.append(one)
+        return one
+
+    async def _leave(self, one: Sent, route: Route, how: Leave) -> None:
+        """Leave without the answer, and without those to what is sent behind it."""
         assert self.streams is not None
-        reader, writer = self.streams
+        gone = [one]
+        if how.sends_ahead:
+            gone += [self._next(route) for _ in range(BEHIND)]
+            padding = b"Padding: " + BEHIND_PADDING
+            self.streams[1].write(b"".join(self._written(behind, route, padding) for behind in gone[1:]))
+            await asyncio.sleep(0)  # the system has taken them
+        now = time.monotonic_ns()
+        for each in gone:
+            each.left, each.way, each.ended = now, how, now
+        await leave(self.streams, how, route.deadline_ms / 1000)
+
+    def _written(self, one: Sent, route: Route, more: bytes = b"") -> bytes:
         method, target = ("GET" if route.is_safe else "POST"), f"{route.prefix}{one.id}"
         fields = [f"{method} {target} HTTP/1.1", f"Host: {route.host}", f"Attempt-Id: {one.id}"]
         fields += [f"Deadline-Ms: {route.deadline_ms}", f"Authorization: Token {self.target.key}"]
         fields += [] if route.is_safe else ["Content-Length: 4"]
-        writer.write("\r\n".join([*fields, "", ""]).encode() + (b"" if route.is_safe else b"body"))
+        head = "\r\n".join([*fields, ""]).encode() + (more + b"\r\n" if more else b"")
+        return head + b"\r\n" + (b"" if route.is_safe else b"body")
+
+    async def _exchange(self, one: Sent, route: Route) -> bool:
+        """Send one request and take its answer; whether the connection can be used again."""
+        assert self.streams is not None
+        reader, writer = self.streams
+        target = f"{route.prefix}{one.id}"
+        writer.write(self._written(one, route))
         status, answer = await _head(reader)
         body = await reader.readexactly(int(answer["content-length"]))
         one.status, one.is_from_worker = status, "postmark" in answer
--- a/pepperrun/soak/command.py
+++ b/pepperrun/soak/command.py
@@ -19,6 +19,7 @@
     "at_once": "gatekeepers that are stopped in one step of a roll",
     "gap_s": "seconds between two steps",
     "grace_s": "seconds from SIGTERM on",
+    "leave_share": "of the requests, whose clients leave before the answer",
 }
 
 
--- a/pepperrun/soak/judge.py
+++ b/pepperrun/soak/judge.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from pepperrun.soak.records import Run, RunEnd, Sent, Stop
@@ -19,6 +19,9 @@
 SEEN_LATE_NS = 1_000_000_000  # a client may see the end of a process so much later
 LONG_AGO_NS = 10_000_000_000  # a stop that was told before is not shown with a request
 EARLY_SENT = 0.5  # of the grace: if it was sent by then
+GONE_NS = 500_000_000  # after its client has left no request reaches a worker, nor is one still at work
+GONE_FEW = 3  # requests that may all the same
+GONE_PART = 0.25  # of the runs that would have lasted so long: so many may all the same
 
 
 @dataclass(frozen=True)
@@ -31,7 +34,7 @@
 
 
 def judge(sent: Sequence[Sent], runs: Sequence[Run], stops: Sequence[Stop], grace_ns: int) -> list[Finding]:
-    """Return what broke a rule: LOST, TWICE, REFUSED, MIXED, UNASKED."""
+    """Return what broke a rule: LOST, TWICE, REFUSED, MIXED, UNASKED, GONE, CUT."""
     by_id: dict[str, list[Run]] = defaultdict(list)
     for run in sorted(runs, key=lambda one: one.began):
         by_id[run.id].append(run)
@@ -48,7 +51,25 @@
         rule = _broken(one, by_id.get(one.id, []), stops_of[one.gateway], grace_ns)
         if rule:
             found.append(Finding(rule, one.id, way(one, by_id.get(one.id, []), stops_of[one.gateway])))
-    return found
+    return found + _gone([one for one in sent if one.left], by_id, stops_of)
+
+
+def _gone(
+    left: Sequence[Sent], by_id: Mapping[str, Sequence[Run]], stops_of: Mapping[str, Sequence[Stop]]
+) -> list[Finding]:
+    """Work for clients who have left, where it is more than the rule allows."""
+    reached, at_work, lasting = list[Sent](), list[Sent](), 0
+    for one in left:
+        for run in by_id.get(one.id, []):
+            if run.began > one.left + GONE_NS:
+                reached.append(one)
+            elif one.is_safe and run.began + run.takes > one.left + GONE_NS:
+                lasting += 1
+                if not run.ended or run.ended > one.left + GONE_NS:
+                    at_work.append(one)
+    broken = reached if len(reached) > GONE_FEW else []
+    broken = broken + (at_work if len(at_work) > max(GONE_FEW, GONE_PART * lasting) else [])
+    return [Finding("GONE", one.id, way(one, by_id[one.id], stops_of.get(one.gateway, []))) for one in broken]
 
 
 def _broken(one: Sent, runs: Sequence[Run], stops: Sequence[Stop], grace_ns: int) -> str:
@@ -58,11 +79,24 @@
         return "TWICE"
     if not one.is_safe and runs and one.status in PROMISES and not one.is_from_worker:
         return "REFUSED"
+    if one.left:
+        is_cut = any(run.end is RunEnd.CUT and not _may_cut(one, run, stops, grace_ns) for run in runs)
+        return "CUT" if is_cut and not one.is_safe else ""
     if one.ended and runs and not one.is_from_worker and _lost(one, runs, stops, grace_ns):
         return "LOST"
     return ""
 
 
+def _may_cut(one: Sent, run: Run, stops: Sequence[Stop], grace_ns: int) -> bool:
+    """Return whether its time is over, or its gatekeeper's."""
+    if run.ended >= one.deadline - DEADLINE_SLACK_NS:
+        return True
+    return any(
+        stop.told + LAST_SIXTH * grace_ns <= run.ended <= (stop.ended or stop.told + grace_ns) + SEEN_LATE_NS
+        for stop in stops
+    )
+
+
 def _lost(one: Sent, runs: Sequence[Run], stops: Sequence[Stop], grace_ns: int) -> bool:
     """No complete answer of a worker for a request that was passed on, and no reason that the rule allows."""
     if one.ended >= one.deadline - DEADLINE_SLACK_NS:
@@ -86,7 +120,7 @@
         rows.append((run.began - one.sent, f"{run.worker} runs it"))
         if run.ended:
             rows.append((run.ended - one.sent, f"its run ends: {run.end}"))
-    status = one.status or "no complete answer"
+    status = f"left by {one.way}" if one.left else one.status or "no complete answer"
     rows.append((one.ended - one.sent, f"the client has {status}{' ' + one.problem if one.problem else ''}"))
     near = [stop for stop in stops if one.sent - LONG_AGO_NS < stop.told < one.ended]
     rows += [(stop.told - one.sent, f"{stop.gateway} gets SIGTERM") for stop in near]
--- a/pepperrun/soak/records.py
+++ b/pepperrun/soak/records.py
@@ -26,6 +26,7 @@
     began: int
     ended: int
     end: RunEnd
+    takes: int = 0  # how long its work takes, if nothing cuts it
 
 
 @dataclass
@@ -42,6 +43,10 @@
         Whether the answer has a worker's `Postmark`.
     problem : str
         What is wrong with a success: another request's, a changed body.
+    left : int
+        When its client left without its answer; 0 where it stayed.
+    way : str
+        How it left.
     """
 
     id: str
@@ -53,6 +58,8 @@
     status: int = 0
     is_from_worker: bool = False
     problem: str = ""
+    left: int = 0
+    way: str = ""
 
 
 @dataclass
@@ -66,7 +73,7 @@
 
 def read_runs(files: Iterable[Path]) -> list[Run]:
     """Return the runs that workers recorded; a last line that was cut short is passed over."""
-    began: dict[tuple[str, str, int], None] = {}
+    began: dict[tuple[str, str, int], int] = {}
     runs: list[Run] = []
     for file in files:
         for line in file.read_text().splitlines():
@@ -76,8 +83,8 @@
                 continue
             key = (row["id"], row["worker"], row["began"])
             if "ended" not in row:
-                began[key] = None
+                began[key] = row.get("takes", 0)
                 continue
-            began.pop(key, None)
-            runs.append(Run(*key, row["ended"], RunEnd(row["end"])))
-    return runs + [Run(*key, 0, RunEnd.WORKING) for key in began]
+            takes = began.pop(key, 0)
+            runs.append(Run(*key, row["ended"], RunEnd(row["end"]), takes))
+    return runs + [Run(*key, 0, RunEnd.WORKING, takes) for key, takes in began.items()]
--- a/pepperrun/soak/run.py
+++ b/pepperrun/soak/run.py
@@ -36,6 +36,7 @@
     at_once: int = 2
     gap_s: float = 0.5
     grace_s: float = 6.0
+    leave_share: float = 0.15
 
 
 @dataclass
@@ -46,6 +47,7 @@
     requests: int = 0
     by_status: dict[str, int] = field(default_factory=dict)
     runs: int = 0
+    left: dict[str, int] = field(default_factory=dict)
     planned: dict[str, int] = field(default_factory=dict)
     findings: list[Finding] = field(default_factory=list)
 
@@ -61,6 +63,7 @@
         rows = [
             f"seed {self.options.seed}: {self.requests} requests, {self.runs} runs",
             f"answers: {statuses}",
+            f"left: {', '.join(f'{how}: {count}' for how, count in sorted(self.left.items()))}",
             f"planned: {planned}",
             f"{len(self.findings)} findings",
             *(f"{one.rule}: {one.text}" for one in self.findings[:SHOWN]),
@@ -110,7 +113,9 @@
     regions = sorted(set(ZONES.values()))
     clients = []
     for number in range(options.clients):
-        target = Target(directory, regions[number % len(regions)], routes(12000), cluster.key)
+        target = Target(
+            directory, regions[number % len(regions)], routes(12000), cluster.key, options.leave_share
+        )
         clients.append(Client(f"c{number}", target, random.Random(rng.random()), sent))
     series = Series(cluster, random.Random(rng.random()), options.at_once, options.gap_s)
     no_series, no_clients = asyncio.Event(), asyncio.Event()
@@ -131,5 +136,6 @@
     runs = [one for one in read_runs(sorted(records.glob("*.jsonl"))) if one.began >= began]
     findings = judge(sent, runs, series.stops, int(options.grace_s * 1e9))
     findings += [Finding("GRACE", name, f"{name} outlived its grace") for name in series.late]
-    statuses = Counter(str(one.status or "no answer") for one in sent)
-    return Report(options, len(sent), dict(statuses), len(runs), dict(series.counts), findings)
+    statuses = Counter(str(one.status or "no answer") for one in sent if not one.left)
+    left = Counter(one.way for one in sent if one.left)
+    return Report(options, len(sent), dict(statuses), len(runs), dict(left), dict(series.counts), findings)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -50,6 +50,40 @@
     assert [found.rule for found in judge([one], runs, [STOP], GRACE)] == rules
 
 
+def left(number: int, is_safe: bool = True) -> Sent:
+    """A request whose client left a second after it asked."""
+    return Sent(f"q{number}", "g1", is_safe, 0, 12 * SECOND, SECOND, left=SECOND, way="close")
+
+
+def worked(
+    number: int, ended: float, end: RunEnd = RunEnd.CUT, takes: float = 5.0, began: float = 0.1
+) -> Run:
+    return Run(f"q{number}", "w1", int(began * SECOND), int(ended * SECOND), end, int(takes * SECOND))
+
+
+@pytest.mark.parametrize(
+    ("runs", "found"),
+    [
+        ([worked(one, 1.2) for one in range(8)], 0),
+        ([worked(one, 5.0, RunEnd.ANSWERED) for one in range(8)], 8),  # the incident
+        ([worked(one, 5.0) for one in range(3)] + [worked(one, 1.2) for one in range(3, 8)], 0),  # a few may
+        ([worked(one, 5.0) for one in range(4)] + [worked(one, 1.2) for one in range(4, 8)], 4),
+        ([worked(one, 1.4, RunEnd.ANSWERED, takes=1.3) for one in range(8)], 0),  # it would not have lasted
+        ([worked(one, 1.8, began=1.6) for one in range(8)], 8),  # reached a worker after its client had left
+    ],
+)
+def test_the_judge_knows_what_goes_on_without_its_client(runs, found):
+    broken = judge([left(number) for number in range(8)], runs, [], GRACE)
+    assert [one.rule for one in broken] == ["GONE"] * found
+
+
+def test_what_may_not_be_repeated_goes_on_without_its_client_and_is_cut_by_the_end_of_a_grace_only():
+    cut, stop = worked(0, 7.5), Stop("g1", 2 * SECOND, 8 * SECOND)
+    assert [one.rule for one in judge([left(0, False)], [cut], [], GRACE)] == ["CUT"]
+    assert judge([left(0, False)], [cut], [stop], GRACE) == []
+    assert judge([left(0, False)], [worked(0, 5.0, RunEnd.ANSWERED)], [], GRACE) == []
+
+
 def test_a_run_that_nobody_sent_is_found():
     (found,) = judge([], [run()], [], GRACE)
     assert found.rule == "UNASKED" and "w1" in found.text
@@ -70,3 +104,4 @@
     report = json.loads((tmp_path / "report.json").read_text())
     assert (code, report["findings"]) == (0, []), capsys.readouterr().out
     assert report["planned"]["SIGTERM"] >= 2 and report["by_status"]["200"] > 50
+    assert sum(report["left"].values()) > 5
