A half-closed connection that is not read is told of once more when it breaks

Cause: a watch fires once; an unsafe upload whose client had half-closed its side was then deaf to a reset. Change: the watch is armed again for breaks alone.

--- a/pepperrun/gatekeeper.py
+++ b/pepperrun/gatekeeper.py
@@ -122,9 +122,8 @@
         self.on_answered_over: Callable[[AnyExchange, End], None] = lambda exchange, end: None
         # Told of a client that has left while an attempt of its request is out.
         self.on_client_left: Callable[[AnyExchange], None] = lambda exchange: None
-        self.on_over: Callable[[], None] = lambda: (
-            None
-        )  # told when a request has its end and no attempt is out
+        # Told when a request has its end and no attempt of it is out.
+        self.on_over: Callable[[], None] = lambda: None
         self.by_class = [dict.fromkeys(End, 0) for _ in settings.classes]
         self.outcomes = {outcome: 0 for outcome in Outcome}
 
--- a/pepperrun/net/hangup.py
+++ b/pepperrun/net/hangup.py
@@ -18,7 +18,7 @@
 
 
 class HangupWatch:
-    """Tells once of each watched connection whose peer closes or resets it.
+    """Tells of each watched connection whose peer closes its side, and of one that breaks, then or later.
 
     Costs nothing until the first connection is watched. All descriptors have to be forgotten before they are
     closed.
@@ -30,9 +30,9 @@
         self._watched: dict[int, OnHangup] = {}
 
     def watch(self, descriptor: int, on_hangup: OnHangup) -> None:
-        """Call `on_hangup` once the peer is gone: with True where the connection is broken both ways.
+        """Call `on_hangup` when the peer is gone: with True where the connection is broken both ways.
 
-        False says that the peer will send no more; what it sent before may still be read.
+        False, told once, says that the peer will send no more; what it sent before may still be read.
         """
         if self._epoll is None:
             self._epoll = select.epoll()
@@ -49,9 +49,10 @@
     def _look(self) -> None:
         assert self._epoll is not None
         for descriptor, mask in self._epoll.poll(0, MOST_EVENTS):
-            on_hangup = self._watched.get(descriptor)
-            if on_hangup is not None:
-                on_hangup(bool(mask & BROKEN))
+            is_broken = bool(mask & BROKEN)
+            if not is_broken:
+                self._epoll.modify(descriptor, select.EPOLLONESHOT)  # a break is told of all the same
+            self._watched[descriptor](is_broken)
 
     def close(self) -> None:
         """Let go of everything."""
--- a/tests/test_client_leaves.py
+++ b/tests/test_client_leaves.py
@@ -39,6 +39,7 @@
 from pepperrun.fronts.http_client import AHEAD
 from pepperrun.fronts.kept import KeptClient
 from pepperrun.net.connection import AbandonReason, Attempt
+from pepperrun.net.hangup import HangupWatch
 from pepperrun.net.http1 import LAST_CHUNK, chunk
 from pepperrun.net.http1 import Request as HttpRequest
 
@@ -339,6 +340,23 @@
     going(test)
 
 
+def test_a_connection_that_is_half_closed_and_breaks_later_is_told_of_twice() -> None:
+    async def test() -> None:
+        loop, told = asyncio.get_running_loop(), list[bool]()
+        watch, (ours, peers) = HangupWatch(loop), socket.socketpair()
+        peers.send(b"unread")
+        watch.watch(ours.fileno(), told.append)
+        peers.shutdown(socket.SHUT_WR)
+        await until(lambda: told == [False])
+        peers.close()
+        await until(lambda: told == [False, True])
+        watch.forget(ours.fileno())
+        watch.close()
+        ours.close()
+
+    going(test)
+
+
 class DeafWorker(asyncio.Protocol):
     """A worker that reads the head of a request, and its body only once it is told to."""
 
