Soak: control nodes are killed one at a time, and the configuration is read back

Cause: the soak had planned work only; three control nodes bear the loss of one, so that kills of them excuse nothing. Change: a series of SIGKILLs of control nodes, overlapping with rolls, SIGHUPs, changes and leavers; the edition that is read back at the end is judged.

--- a/pepperrun/soak/run.py
+++ b/pepperrun/soak/run.py
@@ -129,7 +129,12 @@
         no_series.set()
         await working  # clients go on until the last roll has ended
         no_clients.set()
-    return _judged(options, series, sent, records, began)
+    read_back = await series.read_back()
+    report = _judged(options, series, sent, records, began)
+    if read_back < series.edition:
+        text = f"{series.edition} was acknowledged, {read_back} is read back"
+        report.findings.append(Finding("CONFIG", str(series.edition), text))
+    return report
 
 
 def _judged(options: Options, series: Series, sent: list[Sent], records: Path, began: int) -> Report:
--- a/pepperrun/soak/series.py
+++ b/pepperrun/soak/series.py
@@ -20,6 +20,8 @@
 HUP_S = 0.7  # between two SIGHUPs
 CHANGE_S = 0.3  # between two changes
 CALL_S = 10.0  # for one change
+DARK_S = 0.5  # a killed control node is down for so long
+BETWEEN_KILLS_S = 2.0
 
 
 class Series:
@@ -28,6 +30,7 @@
     def __init__(self, cluster: LocalCluster, rng: random.Random, at_once: int, gap_s: float) -> None:
         self.cluster, self.rng, self.at_once, self.gap_s = cluster, rng, at_once, gap_s
         self.gateways = [one for one in cluster.children if one.role == "gateway_node"]
+        self.cores = [one for one in cluster.children if one.role == "control_node"]
         self.stops: list[Stop] = []
         self.late: list[str] = []
         self.counts: Counter[str] = Counter()
@@ -38,6 +41,8 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._rolls(until))
             group.create_task(self._hups(until))
+            if len(self.cores) > 2:
+                group.create_task(self._kills(until))
             group.create_task(self._changes(until, routes))
 
     async def _rolls(self, until: asyncio.Event) -> None:
@@ -74,6 +79,28 @@
                 self.counts["SIGHUP"] += 1
             await _pause(until, self.rng.expovariate(1 / HUP_S))
 
+    async def _kills(self, until: asyncio.Event) -> None:
+        """Control nodes are killed one at a time: the others are a quorum, and nobody is to notice."""
+        while not until.is_set():
+            await _pause(until, self.rng.uniform(BETWEEN_KILLS_S / 2, BETWEEN_KILLS_S * 2))
+            child = self.rng.choice(self.cores)
+            process = child.process
+            if process is None or until.is_set():
+                continue
+            process.kill()
+            self.counts["SIGKILL of a control node"] += 1
+            await asyncio.to_thread(process.wait)
+            await asyncio.sleep(DARK_S)
+            self.cluster.launch(child)
+
+    async def read_back(self) -> int:
+        """Return the edition that the control plane holds; 0 where none says so."""
+        try:
+            told = await asyncio.to_thread(self.caller.call, "GET", "/timetable/read")
+        except PepperrunError:
+            return 0
+        return int(json.loads(told.body)["edition"]) if told.status == 200 else 0
+
     async def _changes(self, until: asyncio.Event, routes: Callable[[int], dict[str, object]]) -> None:
         while not until.is_set():
             await self.change(routes)
