A toy worker begins nothing for a caller who left while it waited for a slot

Traced: each attempt had been written 17 to 337 ms before its client left and was cancelled 150 ms after (client-left, attempt-abandoned reason=client-left); the toy worker held it in line for a slot and began it later, on a connection closed long before, ending it at once. So the fault was the stand-in's, which most workers don't have. Change: it looks at its connection once it has the slot.

--- a/pepperrun/operator/toy_workers.py
+++ b/pepperrun/operator/toy_workers.py
@@ -97,6 +97,8 @@
                     head = read_head(await reader.readuntil(b"\r\n\r\n"))
                     body = await read_body(reader, head[2])
                 async with self.slots:
+                    if reader.at_eof() or reader.exception() is not None:
+                        break  # whoever asked has gone while it waited for a slot
                     answer = self.answer(head, body)
                     if self.runs(head) and not await self._work(head[2]["attempt-id"], reader):
                         break
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+import io
 import json
 
 import pytest
+from standins import HOST, Client, going
 
 from pepperrun import operatorctl
+from pepperrun.operator.toy_workers import Worker
 from pepperrun.soak.judge import judge
 from pepperrun.soak.records import Run, RunEnd, Sent, Stop, read_runs
 
@@ -97,6 +101,32 @@
     assert read_runs([file]) == [Run("a", "w1", 1, 2, RunEnd.CUT), Run("b", "w1", 3, 0, RunEnd.WORKING)]
 
 
+def test_a_toy_worker_begins_nothing_for_a_caller_who_left_while_it_waited_for_a_slot():
+    """Found by seed 135 of the soak: begun long after its client had left, on a connection closed before."""
+
+    async def test():
+        record = io.StringIO()
+        worker = Worker("history", "a", (HOST, 0), 1, [], work_ms=1e6, record=record)
+        server = await asyncio.start_server(worker.serve, HOST, 0)
+        clients = []
+        for id in ("first", "second", "third"):
+            client = await Client.to(server.sockets[0].getsockname()[1])
+            client.writer.write(f"GET /history/x HTTP/1.1\r\nAttempt-Id: {id}\r\n\r\n".encode())
+            clients.append(client)
+            while id == "first" and not record.getvalue():
+                await asyncio.sleep(0)
+        clients[1].writer.close()
+        clients[0].writer.close()
+        while "third" not in record.getvalue():
+            await asyncio.sleep(0)
+        ids = [json.loads(line)["id"] for line in record.getvalue().splitlines()]
+        assert ids == ["first", "first", "third"]
+        clients[2].writer.close()
+        server.close()
+
+    going(test)
+
+
 def test_a_short_soak_of_planned_work_breaks_no_rule(tmp_path, capsys):
     """Real processes: gatekeepers rolled, settings read again and time-outs changed while clients ask."""
     words = ["soak", "--seed", "5", "--seconds", "12", "--gateways", "3", "--workers", "2", "--clients", "12"]
