Bodies: a complete body that no attempt took gives its memory back; one end each

Cause: BodyStream closes itself towards a sink only, and no owner of the request's end abandoned a body without one.

Change: the request's end abandons a complete body without a sink; a broken one closes at once; a closed stream rejects a sink once; an attempt whose body is gone ends as never sent before a byte is written (before: its beginning went out, and counted as complete where the first attempt had all of it; reached by the test only).

--- a/pepperrun/fronts/http_connection.py
+++ b/pepperrun/fronts/http_connection.py
@@ -181,6 +181,7 @@
         if self.download is not None:
             self.download.abandon()
             self._end_streaming(End.CLIENT_LEFT)
+        self._abandon_untaken_body()
         submission, self.pending = self.pending, None
         if submission is not None:
             submission[0].client_left(submission[1])
@@ -305,6 +306,11 @@
         if self.upload is not None:
             self._pause_upload(False)
 
+    def _abandon_untaken_body(self) -> None:
+        """Closes a request body that has arrived completely and that no attempt has taken."""
+        if self.upload is None and self.request is not None and self.request.stream is not None:
+            self.request.stream.abandon()
+
     def _abort_upload(self, status: int, text: bytes) -> None:
         """Ends the exchange of a body that won't be complete, and rejects the request with the reason."""
         upload, self.upload = self.upload, None
@@ -362,6 +368,8 @@
             self.deadline_timer = None
         self.answering, self.pending = self.pending, None
         result = self.handle_final(final)
+        if len(result) != 2:
+            self._abandon_untaken_body()
         upload = self.upload
         if upload is not None and len(result) != 2:
             # The response precedes the end of the request. The rest of the request is read and discarded, as
--- a/pepperrun/net/connection.py
+++ b/pepperrun/net/connection.py
@@ -244,6 +244,8 @@
         """Writes the attempt's request; returns False where it may no longer be sent."""
         assert self.transport is not None
         request = attempt.exchange.request
+        if request.stream is not None and not request.stream.available:
+            return False
         data = self.owner.wire.encode(
             attempt, attempt.deadline - now if request.complete else attempt.exchange.wait_after_body_ns
         )
--- a/pepperrun/net/stream.py
+++ b/pepperrun/net/stream.py
@@ -53,6 +53,10 @@
     The sink attaches itself, pauses the stream while it can't write, or abandons it. `on_pause` is called
     with True when the reader must stop reading and with False when reading may go on; `on_abandoned` is
     called when no sink takes the rest.
+
+    A stream closes, and stops counting for the budget, when its sink has been notified of the end, when the
+    reader fails, or when it is abandoned. A complete body that has no sink yet stays open for one: whoever
+    ends its request abandons it.
     """
 
     __slots__ = (
@@ -72,7 +76,7 @@
         self.budget, self._on_pause, self._on_abandoned = budget, on_pause, on_abandoned
         self._buffered: list[bytes] = []  # fed before a sink was attached
         self.sink: BodySink | None = None
-        self.attached = False
+        self.attached = False  # a sink has been given the body, or was rejected because it was closed
         self.ended_complete: bool | None = None  # True: the body is complete; False: the reader failed
         self.closed = False  # no more bytes pass
         budget.bodies += 1
@@ -96,6 +100,11 @@
         else:
             self.sink.write_body(data)
 
+    @property
+    def available(self) -> bool:
+        """Whether a sink can take the body. A body is not kept, so only the first sink gets it."""
+        return not self.attached and not self.closed
+
     def finish(self) -> None:
         """Ends the body: all of it has been fed."""
         self._end(True)
@@ -109,15 +118,18 @@
             return
         self.ended_complete = complete
         sink = self.sink
+        if sink is None and complete:
+            return
+        self._close()
         if sink is not None:
-            self._close()
             (sink.finish_body if complete else sink.abort_body)()
 
     # For the sink.
 
     def attach(self, sink: BodySink) -> None:
         """Writes the body to `sink` from here on. Aborts any sink but the first."""
-        if self.attached or self.closed:
+        if not self.available:
+            self.attached = True
             sink.abort_body()
             return
         self.attached, self.sink = True, sink
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -16,7 +16,7 @@
 from pepperrun.net.directory import Directory
 from pepperrun.net.http1 import Request
 from pepperrun.net.listener import Listener
-from pepperrun.net.stream import MemoryBudget
+from pepperrun.net.stream import BodyStream, MemoryBudget
 from pepperrun.net.upstream import UpstreamClient, platform_classifier
 
 MS = 1_000_000
@@ -178,11 +178,17 @@
         self.side.on_endpoints_changed()
 
     def send(
-        self, name: str = "w", timeout_ns: int = 10 * SECOND, body: bytes = b"", method: bytes = b"GET"
+        self,
+        name: str = "w",
+        timeout_ns: int = 10 * SECOND,
+        body: bytes = b"",
+        method: bytes = b"GET",
+        stream: BodyStream | None = None,
     ) -> Any:
         asked = Request(
             [(b"Host", b"h"), (b"X-Call-Id", b"1")], {}, True, body, method=method, target=b"/search?c"
         )
+        asked.stream, asked.complete = stream, stream is None or bool(stream.ended_complete)
         exchange: Any = Exchange(asked, print, cls=0, plan=0, customer=1, started=0, deadline=0)
         self.sent += 1
         exchange.id = self.sent
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -14,13 +14,15 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from standins import HOST, SECOND, Client, Front, StandIn, answer, going, line, ok
+from standins import HOST, SECOND, Backends, Client, Front, StandIn, answer, going, line, ok
 from test_http1 import CUTS, chunked
 from test_main import SETTINGS, built, start
 
+from pepperrun.core.interface import Outcome
 from pepperrun.exchange import End
 from pepperrun.net import connection, upstream
 from pepperrun.net.buffer import Buffer
+from pepperrun.net.connection import Pool
 from pepperrun.net.http1 import (
     REQUEST_BUFFER_SIZE,
     HttpError,
@@ -391,6 +393,63 @@
     going(test)
 
 
+@pytest.mark.parametrize("ending", ["deadline", "client leaves"])
+def test_complete_body_that_no_attempt_took_gives_its_memory_back(ending):
+    # Guards against bodies that count for the memory limit for ever: each makes all later ones slower.
+    async def test():
+        front, worker = long_front(), await StandIn(ok()).start()
+        front.list(line("w", worker.port))
+        budget, connecting = front.side.budget, asyncio.Event()
+        assert budget is not None
+
+        async def never_connects(pool: Pool) -> None:
+            connecting.set()
+            await asyncio.Future()
+
+        front.side._connect = never_connects  # type: ignore[method-assign]
+        client = await front.client()
+        head = HEAD + b"X-Budget: 50m\r\n" if ending == "deadline" else HEAD
+        client.writer.write(head + b"Content-Length: 100000\r\n\r\n" + bytes(100_000))
+        await connecting.wait()
+        if ending == "deadline":
+            assert (await client.answer())[0] in (429, 504)
+        else:
+            client.writer.transport.abort()
+        while front.gatekeeper.pending_count():
+            await asyncio.sleep(0)
+        assert budget.bodies == 0 and not worker.heads
+
+    going(test)
+
+
+@pytest.mark.parametrize("state", ["taken", "abandoned", "broken off"])
+def test_body_that_can_not_be_sent_reaches_no_worker(state):
+    # Guards against a request whose body was taken or given up going out in part, or as if it were complete.
+    async def test():
+        backends, worker = Backends(), await StandIn(ok()).start()
+        backends.list(line("w", worker.port))
+        budget, first = MemoryBudget(MB), Sink()
+        stream = BodyStream(budget, lambda on: None, lambda: None)
+        stream.feed(b"x" * 70_000)
+        if state == "taken":
+            stream.attach(first)
+            stream.finish()
+        elif state == "abandoned":
+            stream.abandon()
+        else:
+            stream.fail()
+        for reused in (False, True):  # on a new connection, then on an idle one
+            if reused:
+                backends.send()
+                assert await backends.outcome() is Outcome.OK
+            backends.send(stream=stream)
+            assert await backends.outcome() is Outcome.MOOT
+        assert len(worker.heads) == 1 and budget.bodies == 0
+        assert first.end == ("complete" if state == "taken" else "")
+
+    going(test)
+
+
 def test_rejection_neither_waits_for_a_long_request_nor_closes_the_connection():
     async def test():
         front, worker = long_front(), await StandIn(ok(b"fine")).start()
