Upstream: an attempt that has ended isn't sent on a connection made late

Callers saw: a request reported as never sent (so tried elsewhere or refused as harmless to repeat) and then sent all the same. Needs a backend whose address changes and changes back within the connect time-out.

Cause: a replaced pool keeps its ended attempts in its queue, and on_connection_free compared addresses only.

Evidence: the new test wrote three requests in place of two before. Ruled out by reading: on_endpoints_changed (empties the queue), withdraw and time-outs while the pool is the same.

Change: attempts that are no longer in flight are passed over.

--- a/pepperrun/net/upstream.py
+++ b/pepperrun/net/upstream.py
@@ -185,7 +185,7 @@
         self, attempt: Attempt, outcome: Outcome, response: object = None, units: float = 0.0
     ) -> None:
         """Reports the end of an attempt; only the first report counts."""
-        if self.attempts.get((attempt.exchange.id, attempt.number)) is not attempt:
+        if not self._is_in_flight(attempt):
             return
         del self.attempts[attempt.exchange.id, attempt.number]
         if attempt.timer is not None:
@@ -195,6 +195,9 @@
             pool.waiting.remove(attempt)
         self.on_attempt_ended(attempt.exchange, attempt.number, attempt.backend, outcome, response, units)
 
+    def _is_in_flight(self, attempt: Attempt) -> bool:
+        return self.attempts.get((attempt.exchange.id, attempt.number)) is attempt
+
     def on_request_sent(self, attempt: Attempt) -> None:
         """Restarts the attempt's time at the last byte of a streamed request, with the client's patience."""
         now, exchange = self.clock(), attempt.exchange
@@ -264,6 +267,8 @@
                 connection.close()
                 return  # its end opens another one
             pool.waiting.popleft()
+            if not self._is_in_flight(attempt):
+                continue  # it ended while the pool of another address had taken this one's place
             # The backend may have begun to drain, or gone, while the attempt waited for this connection.
             if self.directory.address(pool.backend) != pool.address:
                 self.finish_attempt(attempt, Outcome.CONNECT_FAILED)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -22,6 +22,7 @@
 
 from pepperrun.core.interface import Outcome
 from pepperrun.net.buffer import MAX_IDLE_SIZE, has_unread_input
+from pepperrun.net.connection import Pool
 from pepperrun.net.stale_rates import StaleRates
 
 
@@ -422,3 +423,36 @@
         assert worker.connections == 3
 
     going(test)
+
+
+def test_attempt_that_has_ended_is_not_sent_once_its_connection_is_made():
+    # Guards against a request that runs twice: reported as never sent, then sent on a late connection.
+    async def test():
+        backends = Backends()
+        old, new = await StandIn(ok()).start(), await StandIn(ok()).start()
+        backends.list(line("w", old.port))
+        connect, connecting, go = backends.side._connect, asyncio.Event(), asyncio.Event()
+
+        async def connect_late(pool: Pool) -> None:
+            connecting.set()
+            await go.wait()
+            await connect(pool)
+
+        backends.side._connect = connect_late  # type: ignore[method-assign]
+        first = backends.send()
+        await connecting.wait()
+        backends.list(line("w", new.port))  # the backend moves while its connection is being made
+        backends.side._connect = connect  # type: ignore[method-assign]
+        second = backends.send()
+        ended = [await backends.outcomes.get() for _ in range(2)]
+        outcomes = {exchange_id: outcome for exchange_id, outcome, _, _ in ended}
+        assert outcomes == {first.id: Outcome.CONNECT_FAILED, second.id: Outcome.OK}
+        backends.list(line("w", old.port))  # and back
+        go.set()
+        backends.send()
+        assert await backends.outcome() is Outcome.OK
+        while backends.side.connecting:
+            await asyncio.sleep(0)
+        assert backends.side.requests_written == 2
+
+    going(test)
