Gossip: one garbled datagram no longer makes a gateway deaf to its sender

Callers saw: tenants within their quota refused, as a gateway dropped all messages of a peer after one datagram with numbers far ahead and took the peer for unreachable. Cause: Inbox takes any number ahead as the new state; sequence numbers too. Change: a jump is accepted at once but stays unconfirmed until a second message continues it; else the former numbers count again after 1 s.

--- a/pepperrun/core/gossip.py
+++ b/pepperrun/core/gossip.py
@@ -58,6 +58,8 @@
 AGE_STEP_NS = 50_000_000
 # Incarnations are start times in these ticks. They wrap after 13 years, and a start takes longer than a tick.
 INCARNATION_TICK_NS = 100_000_000
+MAX_SEQUENCE_STEP = 1024  # messages between two that arrive; a larger step is a jump
+JUMP_REVERT_NS = SECOND
 MAX_ENTRY_BYTES = _ENTRY.size + _HARD_LIMIT.size + 1
 MAX_ENTRIES = (
     MAX_BYTES - _HEADER.size - _RECEIVER.size - MAX_BACKEND_REPORTS * _BACKEND_REPORT.size
@@ -432,11 +434,34 @@
         return [BackendReport(*key, now - self.known[key][1], self.known[key][0]) for key in keys]
 
 
+def _is_newer(message: Message, incarnation: int, sequence: int) -> bool:
+    newer = _wrapped_difference(message.incarnation, incarnation)
+    return newer > 0 or newer == 0 and _wrapped_difference(message.sequence, sequence) > 0
+
+
+@dataclass(slots=True)
+class NumberJump:
+    """A message with numbers far ahead of the peer's last one: the peer has restarted, or it was garbled.
+
+    `incarnation` and `sequence` are those before the jump, None before the peer's first message.
+    """
+
+    incarnation: int | None
+    sequence: int
+    received_at: int
+
+
 class Inbox:
-    """Accepts each peer's messages in order; malformed, repeated and outdated messages are dropped."""
+    """Accepts each peer's messages in order; malformed, repeated and outdated messages are dropped.
+
+    A jump of the numbers is accepted at once. If no second message confirms it, messages that continue the
+    numbers before the jump are accepted again after JUMP_REVERT_NS. Until then they may be late ones of a
+    process that has restarted.
+    """
 
     def __init__(self) -> None:
         self.peers: dict[int, tuple[int, int, int]] = {}  # peer: incarnation, last sequence, received at
+        self.unconfirmed: dict[int, NumberJump] = {}  # by peer
         self.malformed = 0  # messages that could not be unpacked
 
     def accept(self, peer: int, data: bytes, now: int) -> Message | None:
@@ -445,14 +470,37 @@
         if message is None:
             self.malformed += 1
             return None
-        if peer in self.peers:
-            incarnation, sequence, _ = self.peers[peer]
-            newer = _wrapped_difference(message.incarnation, incarnation)
-            if newer < 0 or newer == 0 and _wrapped_difference(message.sequence, sequence) <= 0:
-                return None
+        known = self.peers.get(peer)
+        if known is None:
+            self.unconfirmed[peer] = NumberJump(None, 0, now)
+        elif _is_newer(message, known[0], known[1]):
+            self._note_jump(peer, message, known, now)
+        elif self._shows_garbled_jump(peer, message, now):
+            jump = self.unconfirmed.pop(peer)
+            if jump.incarnation is None:
+                self.unconfirmed[peer] = NumberJump(None, 0, now)
+        else:
+            return None
         self.peers[peer] = (message.incarnation, message.sequence, now)
         return message
 
+    def _note_jump(self, peer: int, message: Message, known: tuple[int, int, int], now: int) -> None:
+        incarnation, sequence, _ = known
+        step = _wrapped_difference(message.sequence, sequence)
+        if message.incarnation == incarnation and step <= MAX_SEQUENCE_STEP:
+            self.unconfirmed.pop(peer, None)
+        elif peer not in self.unconfirmed:
+            self.unconfirmed[peer] = NumberJump(incarnation, sequence, now)
+        else:
+            self.unconfirmed[peer].received_at = now
+
+    def _shows_garbled_jump(self, peer: int, message: Message, now: int) -> bool:
+        """Whether the peer still sends the numbers from before an unconfirmed jump."""
+        jump = self.unconfirmed.get(peer)
+        if jump is None or now - jump.received_at < JUMP_REVERT_NS:
+            return False
+        return jump.incarnation is None or _is_newer(message, jump.incarnation, jump.sequence)
+
     def incarnation_of(self, peer: int) -> int:
         """Return the peer's incarnation as last received, 0 if none was received."""
         return self.peers[peer][0] if peer in self.peers else 0
--- a/tests/test_long_running.py
+++ b/tests/test_long_running.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from helpers import MS, RATE, SECOND, START, Driver, make_settings, only
 from standins import line, listing
 
@@ -74,6 +75,43 @@
     assert first.sequence == 0 and gossip.unpack(gossip.pack(first)) is not None
 
 
+@pytest.mark.parametrize(
+    ("incarnation", "sequence"), [(9 + 2**30, 21), (9, 20 + 2**30), (9 + 2**30, 20 + 2**30)]
+)
+@pytest.mark.parametrize("heard_before", [True, False])
+def test_a_garbled_message_makes_no_gateway_deaf_to_its_sender(incarnation, sequence, heard_before):
+    # Guards against one garbled datagram with numbers far ahead, after which all later ones were dropped.
+    inbox, now = gossip.Inbox(), START
+
+    def accepts(incarnation: int, sequence: int) -> bool:
+        data = gossip.pack(gossip.Message(incarnation, sequence, 0))
+        return inbox.accept(1, data, now) is not None
+
+    if heard_before:
+        assert accepts(9, 19) and accepts(9, 20)
+    assert accepts(incarnation, sequence)
+    assert not accepts(9, 22)  # it may be a late one of the process before a restart
+    now += 2 * SECOND
+    assert accepts(9, 23) and inbox.incarnation_of(1) == 9
+    assert not heard_before or not accepts(9, 20)
+    assert accepts(9, 24)
+
+
+def test_a_restarted_peer_is_not_confused_with_its_former_process():
+    inbox, now = gossip.Inbox(), START
+
+    def accepts(incarnation: int, sequence: int) -> bool:
+        data = gossip.pack(gossip.Message(incarnation, sequence, 0))
+        return inbox.accept(1, data, now) is not None
+
+    assert accepts(9, 4000) and accepts(9, 4001)
+    assert accepts(50, 1)
+    assert not accepts(9, 4002)
+    assert accepts(50, 2)  # the new process has been heard twice
+    now += 5 * SECOND
+    assert not accepts(9, 4003) and accepts(50, 3)
+
+
 def test_a_customers_total_continues_when_it_wraps():
     received, top = gossip.PeerReports(), gossip.TOTAL_WRAP / gossip.STEPS_PER_UNIT
 
