Control: text and numbers that no message can carry are refused with their call

Callers saw: an order with half a surrogate pair got 503 at each try and cut the proposing control node off from all others for 0.3 s each time (workers there 503); a heartbeat with it was reset without an answer; 1e400 read back as Infinity. Cause: parse_body took what can't be encoded; it failed in the midst of consensus. Change: parse_body refuses it with 400.

--- a/pepperrun/control/table_codec.py
+++ b/pepperrun/control/table_codec.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import Any
 
 from pepperrun.control.item_conversion import ITEM_NAMES, Item, Items
@@ -17,16 +18,30 @@
     raise ValueError(f"{text} is no JSON")
 
 
+def _parse_float(text: str) -> float:
+    number = float(text)
+    if math.isinf(number):
+        raise ValueError(f"{text} is out of range")
+    return number
+
+
+def _check_encodable(data: bytes, body: Any) -> None:
+    """Raise UnicodeEncodeError for half a surrogate pair: no message, which is UTF-8, can carry it."""
+    if not data.isascii() or b"\\u" in data:
+        json.dumps(body, ensure_ascii=False).encode()
+
+
 def parse_body(data: bytes) -> dict[str, Any]:
     """Return the JSON object in the body of a call.
 
     Raises
     ------
     PepperrunError
-        `cut-short`: the body is incomplete, or not a JSON object.
+        `cut-short`: the body is incomplete, not a JSON object, or holds what can't be sent as JSON in UTF-8.
     """
     try:
-        body = json.loads(data, parse_constant=_reject_constant)
+        body = json.loads(data, parse_constant=_reject_constant, parse_float=_parse_float)
+        _check_encodable(data, body)
     except (ValueError, RecursionError) as error:
         raise configuration_error("cut-short", f"The body can't be read whole: {error}.") from None
     if not isinstance(body, dict):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -29,7 +29,7 @@
 from pepperrun.control.endpoint_registry import BATCH_NS, ROUND_NS, EndpointRegistry
 from pepperrun.control.handlers import ControlApi, read_heartbeat
 from pepperrun.control.item_conversion import ITEM_TYPES
-from pepperrun.control.matchers import Answer, Call, dispatch, parse_target
+from pepperrun.control.matchers import Answer, Call, any_of, dispatch, endpoint, parse_target, segment
 from pepperrun.control.node import tolerated_losses
 from pepperrun.control.order_codec import read_replace
 from pepperrun.control.peer_links import FORGET_NS, PeerLinks
@@ -307,6 +307,36 @@
             read_heartbeat("i-7", json.dumps(HEARTBEAT | {field: value}).encode())
 
 
+@pytest.mark.parametrize("unsendable", ["v\ud800", "\udfffv"])
+@pytest.mark.parametrize("raw", [False, True])
+def test_text_that_no_message_can_carry_is_refused_with_its_call(unsendable: str, raw: bool) -> None:
+    # Guards against an order with half a surrogate pair, which cut the proposing node off from all others.
+    def encode(body: dict[str, Any]) -> bytes:
+        return json.dumps(body, ensure_ascii=not raw).encode("utf-8", "surrogatepass")
+
+    tenants = {"columns": ["name", "stamps", "rate_per_s"], "rows": [[unsendable, ["k9"], 5]]}
+    orders = {
+        "replace": configuration(senders=tenants),
+        "amend": {"edition": 4, "upsert": {"senders": tenants}},
+    }
+    for kind, order in orders.items():
+        node = FakeNode()
+        answer = call(node, "POST", f"/timetable/{kind}", encode(order), **{"based-on": "3"})
+        assert answer.status == 400 and not node.orders
+    beat = HEARTBEAT | {"notice": {"line": "x", "edition": unsendable, "zone": "z0", "berths": 2}}
+    assert call(FakeNode(), "POST", "/crew/i-7/beat", encode(beat)).status == 400
+
+
+@pytest.mark.parametrize("number", [b"1e400", b"-1e400"])
+def test_a_number_beyond_all_floats_is_refused(number: bytes) -> None:
+    # Guards against a configuration that reads back as `Infinity`, which is no JSON.
+    body = json.dumps(configuration()).encode().replace(b"null, 7]", b"null, %b]" % number)  # a later column
+    assert number in body
+    node = FakeNode()
+    assert call(node, "POST", "/timetable/replace", body, **{"based-on": "0"}).status == 400
+    assert not node.orders
+
+
 class RecordingTransport(asyncio.Transport):
     """A transport that records the written bytes."""
 
@@ -359,6 +389,40 @@
         assert transport.out.startswith(b"HTTP/1.1 " + status) and transport.closed
 
 
+@pytest.mark.parametrize("first", [b"/early", b"/late"])
+def test_a_call_whose_handler_fails_is_answered_and_so_is_the_next(first: bytes) -> None:
+    # Guards against a handler's exception that reached asyncio: the caller got a reset, or waited in vain.
+    async def fail_late() -> Answer:
+        raise ZeroDivisionError
+
+    def fail(call: Call) -> Answer:
+        raise ZeroDivisionError
+
+    tree = any_of(
+        segment("early", endpoint(fail)),
+        segment("late", endpoint(lambda call: fail_late())),
+        segment("good", endpoint(lambda call: Answer(200))),
+    )
+
+    async def play() -> RecordingTransport:
+        connection, transport = ClientConnection(Server(tree)), RecordingTransport()
+        connection.connection_made(transport)
+        for target in (first, b"/early", b"/good"):
+            data = b"GET %b HTTP/1.1\r\nHost: h\r\n\r\n" % target
+            connection.get_buffer(-1)[: len(data)] = data
+            connection.buffer_updated(len(data))
+        for _ in range(9):
+            await asyncio.sleep(0)
+        return transport
+
+    transport = asyncio.run(play())
+    assert [line[9:12] for line in transport.out.split(b"\r\n") if line.startswith(b"HTTP")] == [
+        b"503",
+        b"503",
+        b"200",
+    ]
+
+
 class FakeDialer:
     """A dialer that does nothing."""
 
