--- a/pepperrun/control/server.py
+++ b/pepperrun/control/server.py
@@ -23,9 +23,18 @@
 MAX_CONNECTIONS = 1500  # beyond these the connection that is idle for longest is closed
 IDLE_NS = 30 * SECOND  # between calls
 SLOW_NS = 10 * SECOND  # to receive a complete call, or to send a response
+RETRY_AFTER_S = "0.5"  # sent with the 503 of a handler that failed
 SWEEP_S = 2.0  # between two checks for timed-out connections
 
 
+def failed_call(error: BaseException) -> Answer:
+    """Log the exception of a handler; return the 503 for its caller, as the call may have had an effect."""
+    if not isinstance(error, PepperrunError):
+        error = PepperrunError("fault", "answering a call", repr(error))
+    log_error(error)
+    return Answer(503, headers=(("Retry-After", RETRY_AFTER_S),))
+
+
 class ClientConnection(asyncio.BufferedProtocol):
     """A client's connection; its calls are handled one after another."""
 
@@ -106,9 +115,8 @@
             }
             call = Call(request.method.decode("latin-1"), path, query, headers, request.body)
             answer = dispatch(self.server.tree, call)
-        except PepperrunError as error:
-            log_error(error)
-            answer = Answer(503, headers=(("Retry-After", "0.5"),))
+        except Exception as error:  # noqa: BLE001 (whatever failed, the caller gets an answer)
+            answer = failed_call(error)
         if isinstance(answer, Answer):
             self.respond(answer, request.closes_connection())
             return
@@ -122,13 +130,8 @@
         if done.cancelled() or self.transport is None:
             return
         error = done.exception()
-        if error is not None:
-            step = "answering a call"
-            log_error(
-                error if isinstance(error, PepperrunError) else PepperrunError("fault", step, repr(error))
-            )
         assert self.request is not None
-        answer = done.result() if error is None else Answer(503, headers=(("Retry-After", "0.5"),))
+        answer = done.result() if error is None else failed_call(error)
         self.respond(answer, self.request.closes_connection())
         if self.transport is not None and not self.is_ending:
             self.transport.resume_reading()
