operatorctl state: files with tenants' keys are created for their owner only

Operators saw: a restored configuration that others could read for a moment. Cause: the mode was narrowed after the file existed. Evidence: the test failed before (mode 0666 under umask 0). Change: open_private.

--- a/pepperrun/operator/state.py
+++ b/pepperrun/operator/state.py
@@ -20,7 +20,7 @@
 import sys
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 import lmdb
 
@@ -127,6 +127,12 @@
     return hashlib.blake2b(encoded.encode(), digest_size=16).hexdigest()
 
 
+def open_private(path: Path) -> IO[str]:
+    """Creates a file that holds tenants' keys, in place of any other; only its owner may read it."""
+    path.unlink(missing_ok=True)  # an existing file would keep its mode
+    return os.fdopen(os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600), "w")
+
+
 def write_export(path: Path, state: DurableState, owner: str, final: bool) -> None:
     """Writes and syncs the export, and replaces the previous file atomically.
 
@@ -136,8 +142,7 @@
     content = {"kind": KIND, "final": final, "records": records, "bodies": bodies}
     content = json.loads(json.dumps(content))
     temporary = path.with_name(path.name + ".new")
-    with temporary.open("w") as file:
-        os.fchmod(file.fileno(), 0o600)  # the export contains tenants' keys
+    with open_private(temporary) as file:
         json.dump(content | {"checksum": _checksum(content)}, file, ensure_ascii=False)
         file.flush()
         os.fsync(file.fileno())
@@ -229,8 +234,8 @@
     if state.chosen is None or "edition" not in state.chosen.body:
         return text
     configuration_file = folder / f"timetable-{state.chosen.body['edition']}.json"
-    configuration_file.write_text(json.dumps(encode_configuration(state.chosen.body), ensure_ascii=False))
-    configuration_file.chmod(0o600)
+    with open_private(configuration_file) as file:
+        json.dump(encode_configuration(state.chosen.body), file, ensure_ascii=False)
     return f"{text}; the configuration is in {configuration_file.name}, for reading or for `put`"
 
 
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import random
 from dataclasses import replace
 from pathlib import Path
@@ -10,10 +11,13 @@
 
 import lmdb
 import pytest
+from clusters import configuration, replace_op
 
 from pepperrun.consensus.canonical_json import CachedJsonEncoder
 from pepperrun.consensus.state import FIRST_DISK_ID, Ballot, DurableState, Proposal, digest_of
+from pepperrun.control.changes import apply
 from pepperrun.foundation.errors import PepperrunError
+from pepperrun.operator.state import restore, write_export
 from pepperrun.storage.store import DiskStore
 
 ME, CONTACTS = "10.0.0.1", ["10.0.0.1", "10.0.0.2", "10.0.0.3"]
@@ -152,3 +156,30 @@
         rows[f"r{rng.randrange(500)}"] = {"name": "other", "b": step}
         rows[f"m{step}"] = rows.pop(f"r{400 + step}", {})  # the same object under another name
         body = body | {"routes": rows, "edition": step + 2}
+
+
+def test_a_restored_configuration_is_never_readable_for_others(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against tenants' keys in a file that its creation leaves open to all until its mode is narrowed.
+    body, _ = apply(None, replace_op(configuration()))
+    assert body is not None
+    state = disk_with_accepted_value(tmp_path / "first")
+    assert state.chosen is not None
+    chosen = Proposal(Ballot(3, "x"), replace(state.chosen.value, version=1, digest=digest_of(body)), body)
+    write_export(tmp_path / "export", DurableState("d", 1, chosen=chosen), ME, False)
+
+    def narrow_nothing(*arguments: Any, **named: Any) -> None:
+        """Stands in for a change of mode that comes late."""
+
+    for name in ("chmod", "fchmod"):
+        monkeypatch.setattr(os, name, narrow_nothing)
+    monkeypatch.setattr(Path, "chmod", narrow_nothing)
+    old = os.umask(0)
+    try:
+        restore(tmp_path / "disk", tmp_path / "export", False)
+        write_export(tmp_path / "again", DurableState("d", 1, chosen=chosen), ME, False)
+    finally:
+        os.umask(old)
+    for path in (tmp_path / "disk" / "timetable-3.json", tmp_path / "again"):
+        assert path.stat().st_mode & 0o777 == 0o600 and "k1" in path.read_text()
