operatorctl: no address is tried after the deadline

Operators saw: a command that went on for a time-out of each address after its own deadline (45 s in place of 5 with 30 addresses, in the test). Cause: the deadline was looked at after each pass. Change: before each attempt; the first is always made.

--- a/pepperrun/operator/control_client.py
+++ b/pepperrun/operator/control_client.py
@@ -52,11 +52,14 @@
         """Repeats a call until a node gives a final response: 2xx, or 4xx except 408 and 429.
 
         Each attempt sends the same bytes. If a change was applied but its response was lost, the repeated
-        call therefore still reports that the change was applied. Raises `no-answer` after `timeout_s`.
+        call therefore still reports that the change was applied. Raises `no-answer` once `timeout_s` have
+        passed: one attempt may still be in flight then, and no other begins.
         """
-        deadline, pause, last = self.clock() + self.timeout_s, RETRY_PAUSE_S[0], "no address was tried"
+        deadline, pause, last = self.clock() + self.timeout_s, RETRY_PAUSE_S[0], ""
         while True:
             for step in range(len(self.addresses)):
+                if last and self.clock() >= deadline:
+                    break
                 index = (self.preferred + step) % len(self.addresses)
                 try:
                     response = self._call_with_redirects(
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -77,6 +77,25 @@
     assert error.value.code == "no-answer"
 
 
+def test_no_address_is_tried_after_the_deadline_however_many_there_are(monkeypatch):
+    # Guards against a command that goes on for a time-out of each address after its own deadline.
+    now = [0.0]
+
+    def time_out(self: ControlClient, address: tuple[str, int], *call: Any) -> None:
+        now[0] += 1.5
+        raise TimeoutError
+
+    monkeypatch.setattr(ControlClient, "_call_with_redirects", time_out)
+    addresses = [("127.0.0.1", port) for port in range(1, 31)]
+    tool = ControlClient(addresses, 5, lambda: now[0], lambda seconds: None)
+    with pytest.raises(PepperrunError, match="nothing is certain"):
+        tool.call("GET", "/x")
+    assert now[0] <= 5 + 1.5
+    impatient = ControlClient(addresses, 0, lambda: now[0], lambda seconds: None)
+    with pytest.raises(PepperrunError, match="TimeoutError"):  # one address is tried all the same
+        impatient.call("GET", "/x")
+
+
 def test_redirects_are_followed_twice():
     with core((200, {"detail": "here"}, "")) as (last, requests):
         redirect = f"http://127.0.0.1:{last[1]}/y"
