Sidecar: a reload whose member keys can't be read changes nothing

Operators saw: a SIGHUP during the replacement of a key file applied in part, without a line; the process did not end. Cause: the keys were read again after the rest was applied, outside the guard. Evidence: the test failed before with FileNotFoundError after the move. Change: read within the guard.

--- a/pepperrun/serve.py
+++ b/pepperrun/serve.py
@@ -95,6 +95,7 @@
     """
     try:
         new, new_auth, _, clients = files.read(metrics=False)
+        membership = files.membership(config) if config is not None else None
     except (OSError, ValueError) as error:
         log_message("bad reload", f"the new configuration is invalid, the old one stays in force: {error}")
         return config, auth_config
@@ -115,10 +116,8 @@
         if new_auth.servers != auth_config.servers:
             parts_by_front["auth"][0].apply_endpoint_list(new_auth.servers, ListKind.FULL)
         auth_config = replace(auth_config, servers=new_auth.servers)
-    if config is not None and (service := parts_by_front["platform"][0].membership) is not None:
-        membership = files.membership(config)
-        if membership is not None:
-            service.reload(membership)
+    if membership is not None and (service := parts_by_front["platform"][0].membership) is not None:
+        service.reload(membership)
     if parking is not None and clients is not None:
         deferred += [f"clients {key}" for key in parking.apply_config(clients)]
     deferred_note = f"; at the next start: {', '.join(deferred)}" if deferred else ""
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -10,11 +10,14 @@
 import sys
 import tomllib
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 from standins import HOST, Client, StandIn, going, line, ok, stall, wait_then
 
-from pepperrun.config import read_auth, read_config
+from pepperrun.config import Config, read_auth, read_config
+from pepperrun.net.directory import Directory
+from pepperrun.serve import reload_config
 
 ROOT = Path(__file__).parent.parent
 SETTINGS = {
@@ -244,6 +247,24 @@
     going(test)
 
 
+def test_reload_whose_member_keys_can_not_be_read_changes_nothing():
+    # Guards against a reload that is applied in part: the keys were read once more after the rest.
+    old, new = (read_config(json.dumps(config(discovery=f"{HOST}:{port}")), {}) for port in (1, 2))
+
+    def keys_vanish(config: Config) -> None:
+        raise FileNotFoundError("the key file is being replaced")
+
+    moves: list[object] = []
+    files = SimpleNamespace(read=lambda metrics: (new, None, None, None), membership=keys_vanish)
+    watch = SimpleNamespace(move=lambda *where, **how: moves.append(where))
+    platform = SimpleNamespace(
+        membership=object(), apply_endpoint_list=print, directory=Directory(("a",), int)
+    )
+    parts = {"platform": (platform, None)}
+    assert reload_config(files, old, None, parts, watch) == (old, None)  # type: ignore[arg-type]
+    assert not moves
+
+
 def test_sighup_applies_other_authentication_servers(tmp_path):
     async def test():
         servers = [await StandIn(ok(b"", b"X-Auth-User: %d" % number)).start() for number in (1, 2)]
