--- a/benchmarks/hollow_gateways.py
+++ b/benchmarks/hollow_gateways.py
@@ -24,13 +24,14 @@
 from typing import Any
 
 from capacity_common import process_cpu, resident, routes, services, tenants
-from capacity_process import BEAT_S, SIDING, beats, call, machine_settings, process_mb, started_core
+from capacity_process import BEAT_S, CORE, SIDING, beats, call, machine_settings, process_mb, started_core
 
 from pepperrun.control.records import GatewayRecord, GatewayState
 from pepperrun.control.table_codec import encode_table
 from pepperrun.distribution.service import DistributionService
 from pepperrun.foundation.link import Link
 from pepperrun.foundation.settings import parse
+from pepperrun.operator.local_cluster import free_ports
 
 RAMP, RAMP_S = 25, 0.1  # gatekeepers that start together, and the pause before the next
 CHANGE_GAP_S = 0.6
@@ -218,8 +219,11 @@
     parser.add_argument("--tenants", type=int, default=0)
     parser.add_argument("--changes", type=int, default=10)
     parser.add_argument("--seconds", type=float, default=8.0, help="at rest")
-    parser.add_argument("--port", type=int, default=23400, help="the first of three free ports")
+    parser.add_argument(
+        "--port", type=int, help="the first of three free ports; without it they are searched"
+    )
     given = parser.parse_args()
+    given.port = given.port or min(free_ports([CORE]).values())
     most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
     resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
     traffic = Traffic()
