--- a/pepperrun/bench/replay.py
+++ b/pepperrun/bench/replay.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import json
 import os
 import signal
@@ -24,6 +23,7 @@
 from pepperrun.model.fleet import Fleet, draw_speeds
 from pepperrun.model.service_level import RequestResult, service_level
 
+START_TIMEOUT_S = 20.0  # for a gatekeeper to listen
 LEAD_S = 1.0  # between the last process's start and the day's
 BUSY_MS = 250.0  # the players were so late at worst: the machine was too busy, and the day says little
 CPU_SETS = ((0, 1, 2, 3), (4, 5, 6, 7))
@@ -234,14 +234,21 @@
     }
 
 
-def listening_port(log: Path, process: subprocess.Popen[bytes]) -> int:
-    """Where a gatekeeper listens, from its log."""
-    limit = time.monotonic() + 20
-    while time.monotonic() < limit and process.poll() is None:
+def listening_port(log: Path, process: subprocess.Popen[bytes], timeout_s: float = START_TIMEOUT_S) -> int:
+    """Returns the port on which a gatekeeper listens, from its log.
+
+    Raises RigError that says whether the process ended, with which code, or how long it did not listen.
+    """
+    limit = time.monotonic() + timeout_s
+    while True:
+        code = process.poll()  # before the log is read: what it wrote before its end is in there
         for line in log.read_text().splitlines():
             if "listens at" in line:
                 return int(line.rsplit(":", 1)[1])
+        if code is not None or time.monotonic() >= limit:
+            how = (
+                f"it did not listen within {timeout_s:g} s" if code is None else f"it ended with code {code}"
+            )
+            end_of_log = log.read_text().strip()[-300:] or "nothing"
+            raise RigError(f"a gatekeeper did not start: it {how}; its log: {end_of_log}")
         time.sleep(0.01)
-    with contextlib.suppress(OSError):
-        raise RigError(f"a gatekeeper did not start: {log.read_text().strip()[-300:]}")
-    raise RigError("a gatekeeper did not start")
--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -8,6 +8,9 @@
 
 import pytest
 
+from pepperrun.bench.replay import listening_port
+from pepperrun.bench.rig import RigError
+
 ROOT = Path(__file__).resolve().parent.parent
 TIMEOUT_S = 200
 SMALLEST = {
@@ -45,3 +48,23 @@
     result = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=TIMEOUT_S, check=False)
     assert result.returncode == 0, result.stderr[-2000:]
     assert result.stdout.strip()
+
+
+@pytest.mark.parametrize(
+    ("code", "sentence"),
+    [
+        ("raise SystemExit(3)", "it ended with code 3; its log: nothing"),
+        ("print('no disk', file=__import__('sys').stderr); raise SystemExit(2)", "code 2; its log: no disk"),
+        ("input()", "it did not listen within 0 s; its log: nothing"),
+    ],
+)
+def test_a_gatekeeper_that_does_not_start_is_reported_with_its_end(tmp_path: Path, code: str, sentence: str):
+    # Guards against an error that does not say whether the process ended or only took too long.
+    log = tmp_path / "log"
+    with log.open("wb") as stream:
+        process = subprocess.Popen([sys.executable, "-c", code], stdin=subprocess.PIPE, stderr=stream)
+    if "input" not in code:
+        process.wait()
+    with pytest.raises(RigError, match=sentence):
+        listening_port(log, process, timeout_s=0.0)
+    process.communicate(b"\n")
