Sidecar: requests of a class that may not repeat need no key

Cause: Platform.parse wanted a key of each POST. Evidence: four cases of the new test failed with 400. Change: only keyed classes need one.

--- a/pepperrun/fronts/platform.py
+++ b/pepperrun/fronts/platform.py
@@ -73,7 +73,8 @@
         plan = self.plans.get(headers.get(b"x-plan", b""))
         if plan is None:
             return "X-Plan: no such plan"
-        if self.methods[cls] == b"POST" and b"idempotency-key" not in headers:
+        keyed = self.settings.classes[cls].repeat is Repeat.KEYED
+        if keyed and b"idempotency-key" not in headers:
             return "Idempotency-Key: missing"
         left_ns = deadline_ns = self.settings.classes[cls].deadline_ns
         if b"x-budget" in headers:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -22,7 +22,7 @@
     wait_then,
 )
 
-from pepperrun.core.interface import Request
+from pepperrun.core.interface import Repeat, Request
 from pepperrun.exchange import End
 from pepperrun.fronts import client_connection
 from pepperrun.fronts.http_connection import HttpConnection
@@ -53,6 +53,31 @@
     going(test)
 
 
+@pytest.mark.parametrize(
+    ("step", "status"),
+    [
+        (ok(b"done"), 200),
+        (reset, 502),  # it may have run
+        (answer(500), 502),
+        (answer(503, b"", b"X-Rejected: 1"), 429),  # it has not
+    ],
+)
+def test_request_of_a_class_that_may_not_repeat_needs_no_key_and_runs_once(step, status):
+    # Guards against a class that was answered 400 throughout: its requests come as POST without a key.
+    async def test():
+        unsafe = dataclasses.replace(SETTINGS.classes[1], repeat=Repeat.UNSAFE)
+        front = Front(dataclasses.replace(SETTINGS, classes=(SETTINGS.classes[0], unsafe)))
+        worker = await StandIn(step).start()
+        front.list(line("w", worker.port))
+        client = await front.client()
+        head = b"POST /confirm?customer=7 HTTP/1.1\r\nHost: h\r\nX-Call-Id: 1\r\nX-Plan: wide\r\n"
+        client.writer.write(head + b"Content-Length: 2\r\n\r\nhi")
+        assert (await client.answer())[0] == status
+        assert len(worker.heads) == 1
+
+    going(test)
+
+
 def test_rejection_over_quota_is_immediate_with_retry_after():
     async def test():
         front, worker = (
