--- a/tests/test_client_disconnects.py
+++ b/tests/test_client_disconnects.py
@@ -33,7 +33,13 @@
     Send,
 )
 from pepperrun.dataplane.answer_times import AnswerTime
-from pepperrun.dataplane.attempt_reports import ABANDONED, CLIENT_LEFT, OUTLIVED, AttemptReports
+from pepperrun.dataplane.attempt_reports import (
+    ABANDONED,
+    CLIENT_LEFT,
+    OUTLIVED,
+    OUTLIVED_NS,
+    AttemptReports,
+)
 from pepperrun.dataplane.draining import drain
 from pepperrun.exchange import End, Exchange
 from pepperrun.fronts.client_connection import ClientConnection
@@ -182,6 +188,53 @@
     going(test)
 
 
+def test_shutdown_expires_requests_and_does_not_take_their_clients_for_gone() -> None:
+    """Guards against a planned stop that cancels what runs: the gateway gets the wrong event then."""
+
+    async def test() -> None:
+        cluster, worker = DisconnectCluster(), await StandIn(wait_then(ok())).start()
+        cluster.add_worker("w1", worker.port)
+        client = await cluster.ask_with_long_deadline()
+        await request_reached(worker)
+        gateway, events = cluster.gatekeeper.gateway, list[Any]()
+        handle = gateway.handle
+
+        def record(now: int, batch: Any) -> Any:
+            events.extend(batch)
+            return handle(now, batch)
+
+        gateway.handle = record  # type: ignore[method-assign]
+        cluster.plane.expire_all()
+        assert (await client.answer())[0] == 504
+        await until(lambda: events)
+        assert [type(event) for event in events if isinstance(event, (ClientLeft, RequestExpired))] == [
+            RequestExpired
+        ]
+        worker.go.set()
+
+    going(test)
+
+
+def test_end_of_an_attempt_that_outlived_its_client_reaches_the_reports() -> None:
+    """Guards against a count that stays at zero: the data plane has to pass on the end of each attempt."""
+
+    async def test() -> None:
+        cluster, worker = DisconnectCluster("unsafe"), await StandIn(wait_then(ok())).start()
+        cluster.add_worker("w1", worker.port)
+        client = await cluster.ask_with_long_deadline()
+        await request_reached(worker)
+        client.writer.close()
+        await until(cluster.has_noticed_disconnects)
+        reports = cluster.plane.outcome_sharing.reports
+        clock = reports.clock
+        reports.clock = lambda: clock() + OUTLIVED_NS + MS
+        worker.go.set()
+        await until(cluster.is_idle)
+        assert reports.counts[CLIENT_LEFT] == 1 and reports.counts[OUTLIVED] == 1
+
+    going(test)
+
+
 def test_client_that_reconnects_at_once_is_served() -> None:
     async def test() -> None:
         cluster, worker = DisconnectCluster(), await StandIn(stall, ok()).start()
