--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -422,6 +422,23 @@
     going(test)
 
 
+def test_upload_that_is_rejected_at_its_head_gives_its_memory_back():
+    # Guards against the same for each long request of an unknown class or with a field that can't be read.
+    async def test():
+        front = long_front()
+        assert front.side.budget is not None
+        client = await front.client()
+        head = HEAD.replace(b"/confirm", b"/nosuch")
+        client.writer.write(head + b"Content-Length: 200000\r\n\r\n" + bytes(100_000))
+        assert (await client.answer())[0] == 404
+        client.writer.transport.abort()
+        while front.listener.clients:
+            await asyncio.sleep(0)
+        assert front.side.budget.bodies == 0
+
+    going(test)
+
+
 @pytest.mark.parametrize("state", ["taken", "abandoned", "broken off"])
 def test_body_that_can_not_be_sent_reaches_no_worker(state):
     # Guards against a request whose body was taken or given up going out in part, or as if it were complete.
