Lab test of six processes: its cut outlasts a busy machine, and its end waits for one view

Cause by its trace: n4, killed at 20 s, took 1.4 s to start again and was in all views but n1's at 25.3 s, the run ended at 25.6 s. Change: the cut lasts 10 s, the end waits for one view for up to 30 s; the same steps are asserted in the same order.

--- a/pepperrun/lab/run.py
+++ b/pepperrun/lab/run.py
@@ -89,7 +89,10 @@
         keep: Path | None = None,
         shared: bool = False,
         stopped: threading.Event | None = None,
+        settle_s: float = 0.0,
     ) -> None:
+        """`settle_s`: how long to wait at the end until all that are up hold one view, on a busy machine."""
+        self.settle_s = settle_s
         self.stopped = stopped or threading.Event()  # of all runs: who interrupts the lab sets it
         self.scenario, self.seed, self.say = scenario, seed, say
         self.random = random.Random(seed)
@@ -109,7 +112,7 @@
             self.say("starting")
             watcher = Watcher(processes)
             if scenario.fleet.members:
-                self._gather()
+                self._gather(START_S)
                 watcher.start()
             clients = processes.clients(load_of(scenario, self.seed))
             self.start = time.monotonic_ns() + int(LEAD_S * 1e9)
@@ -126,6 +129,8 @@
             time.sleep(TAIL_S)
             for thread in self.threads:
                 thread.join(30)
+            if scenario.fleet.members:
+                self._gather(self.settle_s)
             final = {one.name: one.ask("members") for one in processes.gatekeepers}
             watcher.stopped.set()
             if scenario.fleet.members:
@@ -183,10 +188,10 @@
             ends_at - start,
         )
 
-    def _gather(self) -> None:
-        """Until all that have been started hold one view of themselves."""
+    def _gather(self, timeout_s: float) -> None:
+        """Waits until all that have been started hold one view of themselves, at most for the time-out."""
         wanted = {one.number for one in self.processes.gatekeepers if one.up()}
-        limit = time.monotonic() + START_S
+        limit = time.monotonic() + timeout_s
         while time.monotonic() < limit:
             tables = [one.ask("members") for one in self.processes.gatekeepers if one.up()]
             good = [t for t in tables if t is not None and set(t["view"]["members"]) == wanted]
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -258,24 +258,31 @@
 # Real processes.
 
 
+SETTLE_S = 30.0  # for a killed process to be back in all views, however busy the machine is
+
+
 def broken_on_purpose() -> Scenario:
-    """Six gatekeepers: a two-way and a one-way cut, a pause and a kill, one after the other's end."""
+    """Six gatekeepers: a two-way and a one-way cut, a pause and a kill, one after the other's end.
+
+    The one-way cut lasts several times as long as it takes to be found at rest: at a load of 30 on 8 cores n2
+    doubted itself after 1.1 to 2.5 s.
+    """
     faults = [
         Fault("cut", 0.5, None, 4.0, from_=["n0", "n1"], to=["rest"]),
-        Fault("cut", 7.5, None, 4.0, from_=["n2"], to=["rest"], both=False),
-        Fault("pause", 14.5, None, 3.0, names=["n3"]),
-        Fault("kill", 20.0, None, 3.0, names=["n4"]),
+        Fault("cut", 7.5, None, 10.0, from_=["n2"], to=["rest"], both=False),
+        Fault("pause", 20.5, None, 3.0, names=["n3"]),
+        Fault("kill", 26.0, None, 3.0, names=["n4"]),
     ]
     plans = [Plan("plain", 20.0, 60.0), Plan("capped", 20.0, 60.0, 40.0, 90.0, 0.0)]
     load = Load(customers=4, calm=0.2, heavy=0.0, work_ms=5.0, deadline_s=4.0, wanted_s=4.0)
     must = Must(false_burials=0, quota_error=False)
     return Scenario(
-        "ci", "What CI breaks with real processes.", 25.0, Fleet(gatekeepers=6), load, plans, faults, must
+        "ci", "What CI breaks with real processes.", 31.0, Fleet(gatekeepers=6), load, plans, faults, must
     )
 
 
 def test_six_real_processes_through_kill_pause_and_cuts(tmp_path: Path) -> None:
-    seen = Run(broken_on_purpose(), 1, keep=tmp_path).run()
+    seen = Run(broken_on_purpose(), 1, keep=tmp_path, settle_s=SETTLE_S).run()
     assert verdict(seen, figures(seen)) == []
     at = {fault["what"]: fault["at"] for fault in seen.faults if fault["on"]}
     two_way = next(fault["at"] for fault in seen.faults if fault["what"] == "cut")
