--- a/pepperrun/lab/lanes.py
+++ b/pepperrun/lab/lanes.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 from typing import Any
 
-from pepperrun.lab.run import Run, Say, Seen
+from pepperrun.lab.fault_injection import Say
+from pepperrun.lab.run import Run, Seen
 from pepperrun.lab.scenario import Scenario
 
 
