Gossip: numbers that jump at each message keep no old fallback

Change: a message of the same incarnation confirms the one before. The time of the jump was a copy of the time in peers, and is gone; Numbers compares, Inbox decides.

--- a/pepperrun/core/gossip.py
+++ b/pepperrun/core/gossip.py
@@ -32,6 +32,7 @@
 import struct
 from collections.abc import Container
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from pepperrun.core.clock import SECOND, DecayingSum
 from pepperrun.core.interface import MAX_PLANS
@@ -434,21 +435,21 @@
         return [BackendReport(*key, now - self.known[key][1], self.known[key][0]) for key in keys]
 
 
-def _is_newer(message: Message, incarnation: int, sequence: int) -> bool:
-    newer = _wrapped_difference(message.incarnation, incarnation)
-    return newer > 0 or newer == 0 and _wrapped_difference(message.sequence, sequence) > 0
+class Numbers(NamedTuple):
+    """What orders a peer's messages: its incarnation, and the sequence number within that."""
 
+    incarnation: int
+    sequence: int
 
-@dataclass(slots=True)
-class NumberJump:
-    """A message with numbers far ahead of the peer's last one: the peer has restarted, or it was garbled.
+    def precede(self, message: Message) -> bool:
+        """Whether the message is newer."""
+        newer = _wrapped_difference(message.incarnation, self.incarnation)
+        return newer > 0 or newer == 0 and _wrapped_difference(message.sequence, self.sequence) > 0
 
-    `incarnation` and `sequence` are those before the jump, None before the peer's first message.
-    """
-
-    incarnation: int | None
-    sequence: int
-    received_at: int
+    def is_far_behind(self, message: Message) -> bool:
+        """Whether a newer message is so far ahead that it is garbled or its sender has restarted."""
+        step = _wrapped_difference(message.sequence, self.sequence)
+        return message.incarnation != self.incarnation or step > MAX_SEQUENCE_STEP
 
 
 class Inbox:
@@ -461,7 +462,8 @@
 
     def __init__(self) -> None:
         self.peers: dict[int, tuple[int, int, int]] = {}  # peer: incarnation, last sequence, received at
-        self.unconfirmed: dict[int, NumberJump] = {}  # by peer
+        # The numbers before a peer's unconfirmed jump; None before its first message.
+        self.before_jump: dict[int, Numbers | None] = {}
         self.malformed = 0  # messages that could not be unpacked
 
     def accept(self, peer: int, data: bytes, now: int) -> Message | None:
@@ -470,36 +472,32 @@
         if message is None:
             self.malformed += 1
             return None
-        known = self.peers.get(peer)
-        if known is None:
-            self.unconfirmed[peer] = NumberJump(None, 0, now)
-        elif _is_newer(message, known[0], known[1]):
-            self._note_jump(peer, message, known, now)
-        elif self._shows_garbled_jump(peer, message, now):
-            jump = self.unconfirmed.pop(peer)
-            if jump.incarnation is None:
-                self.unconfirmed[peer] = NumberJump(None, 0, now)
+        if peer not in self.peers:
+            self.before_jump[peer] = None
         else:
-            return None
+            *last, received_at = self.peers[peer]
+            if not self._accepts(peer, message, Numbers(*last), now - received_at):
+                return None
         self.peers[peer] = (message.incarnation, message.sequence, now)
         return message
 
-    def _note_jump(self, peer: int, message: Message, known: tuple[int, int, int], now: int) -> None:
-        incarnation, sequence, _ = known
-        step = _wrapped_difference(message.sequence, sequence)
-        if message.incarnation == incarnation and step <= MAX_SEQUENCE_STEP:
-            self.unconfirmed.pop(peer, None)
-        elif peer not in self.unconfirmed:
-            self.unconfirmed[peer] = NumberJump(incarnation, sequence, now)
-        else:
-            self.unconfirmed[peer].received_at = now
-
-    def _shows_garbled_jump(self, peer: int, message: Message, now: int) -> bool:
-        """Whether the peer still sends the numbers from before an unconfirmed jump."""
-        jump = self.unconfirmed.get(peer)
-        if jump is None or now - jump.received_at < JUMP_REVERT_NS:
-            return False
-        return jump.incarnation is None or _is_newer(message, jump.incarnation, jump.sequence)
+    def _accepts(self, peer: int, message: Message, last: Numbers, silent_ns: int) -> bool:
+        """Whether the message is newer than the last one, or shows that the last one was garbled."""
+        if not last.precede(message):
+            if peer not in self.before_jump or silent_ns < JUMP_REVERT_NS:
+                return False
+            before = self.before_jump[peer]
+            if before is None:
+                return True
+            if not before.precede(message):
+                return False
+            del self.before_jump[peer]
+            return True
+        if message.incarnation == last.incarnation:
+            self.before_jump.pop(peer, None)
+        if peer not in self.before_jump and last.is_far_behind(message):
+            self.before_jump[peer] = last
+        return True
 
     def incarnation_of(self, peer: int) -> int:
         """Return the peer's incarnation as last received, 0 if none was received."""
--- a/tests/test_long_running.py
+++ b/tests/test_long_running.py
@@ -92,6 +92,7 @@
     assert accepts(incarnation, sequence)
     assert not accepts(9, 22)  # it may be a late one of the process before a restart
     now += 2 * SECOND
+    assert not heard_before or not accepts(9, 20)  # heard before the jump
     assert accepts(9, 23) and inbox.incarnation_of(1) == 9
     assert not heard_before or not accepts(9, 20)
     assert accepts(9, 24)
@@ -112,6 +113,16 @@
     assert not accepts(9, 4003) and accepts(50, 3)
 
 
+def test_messages_of_a_peer_that_sends_thousands_to_others_stay_in_order():
+    # Guards against old messages taken for new ones where the numbers jump between any two to one receiver.
+    inbox, now = gossip.Inbox(), START
+    for sequence in range(0, 50_000, 5000):
+        assert inbox.accept(1, gossip.pack(gossip.Message(9, sequence, 0)), now) is not None
+        now += 2 * SECOND
+    for old in (0, 20_000, 39_999, 40_000):
+        assert inbox.accept(1, gossip.pack(gossip.Message(9, old, 0)), now) is None
+
+
 def test_a_customers_total_continues_when_it_wraps():
     received, top = gossip.PeerReports(), gossip.TOTAL_WRAP / gossip.STEPS_PER_UNIT
 
