Upstream: a replaced pool keeps neither attempts nor connections

Cause: asked each attempt at each free connection whether it was still in flight, where the stale queue was the fault; and the late connection of a replaced pool, whose address is right again, went to the idle ones of a pool that nobody has: never used, swept or evicted. Seen: the test with its new last lines runs into its limit with the address alone compared. Change: the queue is emptied at the replacement, _is_current compares the pool. Measured: 52 tests of the file pass, and those of bodies and the platform.

--- a/pepperrun/net/upstream.py
+++ b/pepperrun/net/upstream.py
@@ -185,7 +185,7 @@
         self, attempt: Attempt, outcome: Outcome, response: object = None, units: float = 0.0
     ) -> None:
         """Reports the end of an attempt; only the first report counts."""
-        if not self._is_in_flight(attempt):
+        if self.attempts.get((attempt.exchange.id, attempt.number)) is not attempt:
             return
         del self.attempts[attempt.exchange.id, attempt.number]
         if attempt.timer is not None:
@@ -195,9 +195,6 @@
             pool.waiting.remove(attempt)
         self.on_attempt_ended(attempt.exchange, attempt.number, attempt.backend, outcome, response, units)
 
-    def _is_in_flight(self, attempt: Attempt) -> bool:
-        return self.attempts.get((attempt.exchange.id, attempt.number)) is attempt
-
     def on_request_sent(self, attempt: Attempt) -> None:
         """Restarts the attempt's time at the last byte of a streamed request, with the client's patience."""
         now, exchange = self.clock(), attempt.exchange
@@ -233,11 +230,16 @@
         if pool is None or pool.address != address:
             if pool is not None:
                 self.close_idle(backend)
-                for attempt in pool.waiting:
-                    self.loop.call_soon(self.finish_attempt, attempt, Outcome.CONNECT_FAILED)
+                while pool.waiting:  # its connections are still being made
+                    self.loop.call_soon(self.finish_attempt, pool.waiting.popleft(), Outcome.CONNECT_FAILED)
             pool = self.pools[backend] = Pool(backend, address)
         return pool
 
+    def _is_current(self, pool: Pool) -> bool:
+        """Whether requests may be sent on the pool's connections: its backend is ready and has not moved."""
+        is_ready = self.directory.address(pool.backend) == pool.address
+        return is_ready and self.pools.get(pool.backend) is pool
+
     def _is_reusable(self, connection: Connection, now: int) -> bool:
         transport = connection.transport
         idle_ns = now - connection.idle_since
@@ -267,16 +269,14 @@
                 connection.close()
                 return  # its end opens another one
             pool.waiting.popleft()
-            if not self._is_in_flight(attempt):
-                continue  # it ended while the pool of another address had taken this one's place
             # The backend may have begun to drain, or gone, while the attempt waited for this connection.
-            if self.directory.address(pool.backend) != pool.address:
+            if not self._is_current(pool):
                 self.finish_attempt(attempt, Outcome.CONNECT_FAILED)
             elif connection.start(attempt, now):
                 return
             else:
                 self.finish_attempt(attempt, Outcome.MOOT)
-        if self.retired or self.directory.address(pool.backend) != pool.address:
+        if self.retired or not self._is_current(pool):
             connection.close()
             return
         pool.idle.append(connection)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -454,6 +454,9 @@
         while backends.side.connecting:
             await asyncio.sleep(0)
         assert backends.side.requests_written == 2
+        pools = backends.side.pools
+        while any(pools[one.pool.backend] is not one.pool for one in backends.side.connections):
+            await asyncio.sleep(0)  # the late connection, which no attempt would ever use, is closed
 
     going(test)
 
