--- a/benchmarks/hollow_gateways.py
+++ b/benchmarks/hollow_gateways.py
@@ -219,9 +219,7 @@
     parser.add_argument("--tenants", type=int, default=0)
     parser.add_argument("--changes", type=int, default=10)
     parser.add_argument("--seconds", type=float, default=8.0, help="at rest")
-    parser.add_argument(
-        "--port", type=int, help="the first of three free ports; without it they are searched"
-    )
+    parser.add_argument("--port", type=int, help="the first of three free ports (default: any)")
     given = parser.parse_args()
     given.port = given.port or min(free_ports([CORE]).values())
     most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
--- a/pepperrun/bench/replay.py
+++ b/pepperrun/bench/replay.py
@@ -246,9 +246,7 @@
             if "listens at" in line:
                 return int(line.rsplit(":", 1)[1])
         if code is not None or time.monotonic() >= limit:
-            how = (
-                f"it did not listen within {timeout_s:g} s" if code is None else f"it ended with code {code}"
-            )
+            how = f"did not listen within {timeout_s:g} s" if code is None else f"ended with code {code}"
             end_of_log = log.read_text().strip()[-300:] or "nothing"
             raise RigError(f"a gatekeeper did not start: it {how}; its log: {end_of_log}")
         time.sleep(0.01)
--- a/pepperrun/lab/fault_injection.py
+++ b/pepperrun/lab/fault_injection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import signal
 import threading
 import time
 from collections.abc import Callable
@@ -17,7 +18,6 @@
 STARVE_PERIOD_S = 0.1  # of which a starved process stands still for a share
 DRAIN_LIMIT_S = 30  # after the load's end, for faults that are still due
 THREAD_LIMIT_S = 30  # for each background task to end
-SIGHUP = 1
 Say = Callable[[str], None]
 
 
@@ -198,7 +198,7 @@
         self.processes.rotate_key(step)
         for one in self.processes.gatekeepers:
             if one.process is not None and one.up():
-                one.process.send_signal(SIGHUP)
+                one.process.send_signal(signal.SIGHUP)
         if step < 2:
             self._schedule(self._now() + ROTATION_STEP_S, lambda: self._rotate(step + 1))
 
--- a/pepperrun/lab/run.py
+++ b/pepperrun/lab/run.py
@@ -95,7 +95,6 @@
         self.scenario, self.seed, self.say = scenario, seed, say
         self.processes = Processes(scenario, seed, root, keep, shared)
         self.injector = FaultInjector(scenario, seed, self.processes, say, self.stopped)
-        self.start = 0  # of the load, monotonic ns
         self.crashed: list[str] = []
 
     def run(self) -> Seen:
@@ -108,9 +107,9 @@
                 self._gather(START_S)
                 watcher.start()
             clients = processes.clients(load_of(scenario, self.seed))
-            self.start = time.monotonic_ns() + int(LEAD_S * 1e9)
-            clients.say(start=self.start)
-            self.injector.run(self.start)
+            start = time.monotonic_ns() + int(LEAD_S * 1e9)
+            clients.say(start=start)
+            self.injector.run(start)
             self.say("waiting for the last answers")
             limit = time.monotonic() + CLIENTS_LIMIT_S
             while not readable(clients, 0.5):
@@ -143,7 +142,7 @@
         relay: dict[str, int],
         ends_at: int,
     ) -> Seen:
-        start = self.start
+        start = self.injector.start
         for row in answer["tries"]:
             row[3], row[4] = row[3] - start, row[4] - start if row[4] else 0
         for row in log["arrivals"]:
@@ -191,12 +190,9 @@
 
     def _note_crashes(self) -> None:
         for one in self.processes.gatekeepers:
-            if (
-                one.process is not None
-                and one.process.poll() is not None
-                and not self.injector.is_down(one.name)
-            ):
-                self.crashed.append(f"{one.name} ended with {one.process.returncode}")
+            code = one.process.poll() if one.process is not None else None
+            if code is not None and not self.injector.is_down(one.name):
+                self.crashed.append(f"{one.name} ended with {code}")
 
 
 def save(seen: Seen, path: Path) -> None:
--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -54,7 +54,10 @@
     ("code", "sentence"),
     [
         ("raise SystemExit(3)", "it ended with code 3; its log: nothing"),
-        ("print('no disk', file=__import__('sys').stderr); raise SystemExit(2)", "code 2; its log: no disk"),
+        (
+            "import sys; print('no disk', file=sys.stderr); sys.exit(2)",
+            "it ended with code 2; its log: no disk",
+        ),
         ("input()", "it did not listen within 0 s; its log: nothing"),
     ],
 )
@@ -65,6 +68,7 @@
         process = subprocess.Popen([sys.executable, "-c", code], stdin=subprocess.PIPE, stderr=stream)
     if "input" not in code:
         process.wait()
-    with pytest.raises(RigError, match=sentence):
+    with pytest.raises(RigError) as error:
         listening_port(log, process, timeout_s=0.0)
+    assert str(error.value) == f"a gatekeeper did not start: {sentence}"
     process.communicate(b"\n")
--- a/tests/test_client_disconnects.py
+++ b/tests/test_client_disconnects.py
@@ -115,6 +115,19 @@
     return worker.arrived.get()
 
 
+async def unsafe_request_without_client(
+    disconnect: Callable[[Client], None] = close,
+) -> tuple[DisconnectCluster, StandIn]:
+    """Returns a cluster and its worker, at work until `go` is set on a request whose client has left."""
+    cluster, worker = DisconnectCluster("unsafe"), await StandIn(wait_then(ok())).start()
+    cluster.add_worker("w1", worker.port)
+    client = await cluster.ask_with_long_deadline()
+    await request_reached(worker)
+    disconnect(client)
+    await until(cluster.has_noticed_disconnects)
+    return cluster, worker
+
+
 # Requests that run at a worker.
 
 
@@ -149,12 +162,7 @@
     """An unsafe request may have run in part: after a cancel its result would be unknown."""
 
     async def test() -> None:
-        cluster, worker = DisconnectCluster("unsafe"), await StandIn(wait_then(ok())).start()
-        cluster.add_worker("w1", worker.port)
-        client = await cluster.ask_with_long_deadline()
-        await request_reached(worker)
-        disconnect(client)
-        await until(cluster.has_noticed_disconnects)
+        cluster, worker = await unsafe_request_without_client(disconnect)
         worker.go.set()
         await until(cluster.is_idle)
         assert cluster.gatekeeper.outcomes[Outcome.OK] == 1 and cluster.blames_no_worker()
@@ -167,12 +175,7 @@
     """Without clients nothing else keeps the process running; its exit would abort the unsafe request."""
 
     async def test() -> None:
-        cluster, worker = DisconnectCluster("unsafe"), await StandIn(wait_then(ok())).start()
-        cluster.add_worker("w1", worker.port)
-        client = await cluster.ask_with_long_deadline()
-        await request_reached(worker)
-        client.writer.close()
-        await until(cluster.has_noticed_disconnects)
+        cluster, worker = await unsafe_request_without_client()
         plane = cluster.plane
         stop = asyncio.ensure_future(
             drain(plane.listener, 100.0, plane.has_pending_requests, plane.expire_all)
@@ -219,12 +222,7 @@
     """Guards against a count that stays at zero: the data plane has to pass on the end of each attempt."""
 
     async def test() -> None:
-        cluster, worker = DisconnectCluster("unsafe"), await StandIn(wait_then(ok())).start()
-        cluster.add_worker("w1", worker.port)
-        client = await cluster.ask_with_long_deadline()
-        await request_reached(worker)
-        client.writer.close()
-        await until(cluster.has_noticed_disconnects)
+        cluster, worker = await unsafe_request_without_client()
         reports = cluster.plane.outcome_sharing.reports
         clock = reports.clock
         reports.clock = lambda: clock() + OUTLIVED_NS + MS
