Discovery: the late call of a local agent needs no special case in the hedging loop

Cause: told by a zero time-out whether a call was to be added. Change: the loop waits for the calls there are, then adds one; what it does is as before.

--- a/pepperrun/net/discovery.py
+++ b/pepperrun/net/discovery.py
@@ -108,6 +108,16 @@
     call.cancel()
 
 
+async def _any_of(
+    calls: list[asyncio.Task[FirstResponse]], timeout_s: float
+) -> asyncio.Task[FirstResponse] | None:
+    """Returns a call that has ended; None if none has within the time-out, or there are none."""
+    if not calls:
+        return None
+    done, _ = await asyncio.wait(calls, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
+    return next(iter(done), None)
+
+
 class Discovery:
     """Calls `on_list` with each list; one that is `full` replaces all.
 
@@ -153,7 +163,7 @@
     async def _watch(self) -> AsyncIterator[EndpointList]:
         """Polls on one connection, for the complete list first where there is none; yields each list."""
         connection, held_version, response = await (
-            self._begin(LONG_POLL_MS) if self.backoff.retry_interval_s is None else self._hedge([])
+            self._begin(LONG_POLL_MS) if self.backoff.retry_interval_s is None else self._hedge()
         )
         try:
             while True:
@@ -174,9 +184,9 @@
         interval_s = self.backoff.retry_interval_s
         if interval_s is None:
             return await self._long_poll(connection, LONG_POLL_MS)
-        wait_ms = max(MIN_LONG_POLL_MS, int(1000 * interval_s * LOCAL_LONG_POLL_INTERVALS))
-        call = asyncio.get_running_loop().create_task(self._long_poll(connection, min(wait_ms, LONG_POLL_MS)))
-        first = await self._hedge([call], wait_ms / 1000)
+        wait_ms = min(LONG_POLL_MS, max(MIN_LONG_POLL_MS, int(1000 * interval_s * LOCAL_LONG_POLL_INTERVALS)))
+        call = asyncio.get_running_loop().create_task(self._long_poll(connection, wait_ms))
+        first = await self._hedge(call, wait_ms / 1000 + interval_s)
         if first[0] is not connection:
             connection.abort()
         return first
@@ -212,29 +222,29 @@
             connection.abort()
             raise
 
-    async def _hedge(self, calls: list[asyncio.Task[FirstResponse]], wait_s: float = 0.0) -> FirstResponse:
+    async def _hedge(
+        self, begun: asyncio.Task[FirstResponse] | None = None, late_after_s: float = 0.0
+    ) -> FirstResponse:
         """Returns the first of several hedged calls to be answered, each on a connection of its own.
 
         A local agent that does not answer at once is down, and what it sends on its return counts as received
         at that moment. Calls are therefore a part of the drain grace apart, each with a minimal long poll.
-        Earlier calls stay open beside later ones: a slow call has not failed. `calls` holds a call that is in
-        flight already and whose response may take `wait_s`.
+        Earlier calls stay open beside later ones: a slow call has not failed. `begun` is a call in flight,
+        which is late after `late_after_s`.
         """
-        interval_s = self.backoff.retry_interval_s or 0.0
+        calls = [] if begun is None else [begun]
+        timeout_s = late_after_s
         try:
             while True:
+                done = await _any_of(calls, timeout_s)
+                if done is not None:
+                    calls.remove(done)
+                    return done.result()
                 if len(calls) == MAX_PARALLEL_CALLS:
                     _abandon_call(calls.pop(0))
                     log_message("discovery", "discovery: the agent does not answer; keeping the last list")
-                if not wait_s:
-                    calls.append(asyncio.get_running_loop().create_task(self._begin(MIN_LONG_POLL_MS)))
-                done, _ = await asyncio.wait(
-                    calls, timeout=wait_s + interval_s, return_when=asyncio.FIRST_COMPLETED
-                )
-                wait_s = 0.0
-                for call in done:
-                    calls.remove(call)
-                    return call.result()
+                calls.append(asyncio.get_running_loop().create_task(self._begin(MIN_LONG_POLL_MS)))
+                timeout_s = self.backoff.retry_interval_s or 0.0
         finally:
             for call in calls:
                 _abandon_call(call)
