Control: a heartbeat's address is read by parse_address, which refuses what can't be looked up

Cause: the heartbeat had a reading of addresses of its own, and neither looked at the host. Elsewhere: the datagram socket between gatekeepers would close for good on such an address; it passes parse_address too. Evidence: three of the six new cases were admitted before.

--- a/pepperrun/control/handlers.py
+++ b/pepperrun/control/handlers.py
@@ -28,7 +28,7 @@
 from pepperrun.control.verdict import Verdict, configuration_error
 from pepperrun.foundation.errors import PepperrunError
 from pepperrun.foundation.logs import event
-from pepperrun.foundation.settings import Settings
+from pepperrun.foundation.settings import Settings, parse_address
 
 MS = 1_000_000  # ns
 REPLICATION_TIMEOUT_S = 0.3  # for other nodes to store a record, before it is acknowledged to a worker
@@ -39,7 +39,6 @@
 FALLBACK_TTL_S = 0.5  # the same for an answer with gatekeepers outside of the allowed regions
 RETRY_AFTER_S = 0.2  # sent with a 503
 MAX_EDITION_DIGITS = 18
-MAX_PORT = 65535
 
 AwaitedAnswer = Awaitable[Answer]
 
@@ -321,7 +320,7 @@
     Raises
     ------
     PepperrunError
-        `bad-beat`: a field is missing or of the wrong type.
+        `bad-beat`: a field is missing or of the wrong type. `bad-address`: the address is none.
     """
     data = parse_body(body)
     try:
@@ -341,9 +340,7 @@
         raise ValueError("a field is no text")
     if state not in (WorkerState.SERVING, WorkerState.DRAINING):
         raise ValueError("the state is not known")
-    host, _, port = str(address).rpartition(":")
-    if not host or not 0 < int(port) <= MAX_PORT:
-        raise ValueError("no address")
+    parse_address(str(address))
     return WorkerHeartbeat(
         id=worker_id,
         service=service,
--- a/pepperrun/foundation/settings.py
+++ b/pepperrun/foundation/settings.py
@@ -197,14 +197,22 @@
     Raises
     ------
     PepperrunError
-        The text is not `host:port` with a port from 1 to 65535.
+        The text is not `host:port` with a port from 1 to 65535 and a host that can be looked up.
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if not _may_be_host(host) or not port.isdigit() or not 0 < int(port) < 65536:
         raise PepperrunError("bad-address", "settings", f"{text!r} is not an address of the form host:port")
     return host, int(port)
 
 
+def _may_be_host(text: str) -> bool:
+    """Whether a look-up takes the text; for other texts it raises errors that are no OSError."""
+    try:
+        return bool(text.encode("idna")) and "\0" not in text
+    except UnicodeError:
+        return False
+
+
 def parse(data: Any) -> Settings:
     """Return the settings in the tables of a file.
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -337,6 +337,16 @@
     assert not node.orders
 
 
+@pytest.mark.parametrize(
+    "address", ["a..b:80", "\0:80", "x" * 300 + ":80", ":80", "10.9.0.1:0", "10.9.0.1:65536"]
+)
+def test_a_heartbeat_whose_address_nobody_can_connect_to_is_refused(address: str) -> None:
+    # Guards against a worker that is admitted, and whose requests wait for their whole deadline.
+    node = FakeNode()
+    answer = call(node, "POST", "/crew/i-7/beat", HEARTBEAT | {"address": address})
+    assert answer.status == 400 and not node.registry.workers
+
+
 class RecordingTransport(asyncio.Transport):
     """A transport that records the written bytes."""
 
