--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -5,7 +5,7 @@
 import asyncio
 import copy
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import pytest
@@ -39,6 +39,7 @@
 from pepperrun.dataplane.numbering import Numbering
 from pepperrun.dataplane.routes import RoutingTable
 from pepperrun.foundation.errors import PepperrunError
+from pepperrun.foundation.netstring import encode
 from pepperrun.foundation.settings import Bounds, parse
 
 MS = 1_000_000
@@ -347,6 +348,62 @@
     assert answer.status == 400 and not node.registry.workers
 
 
+DAMAGE = [
+    *(None, True, 0, -1, 1.5, 1e308, 10**400, "", "x", "v\ud800", "\udfff", "\0", "a" * 300, "10.0.0.1:80"),
+    *([], {}, [[]], [None], {"a": 1}, "a..b:80"),
+]
+TRUNCATED = [
+    b"",
+    b"{",
+    b"[" * 100_000,
+    b'{"a":' * 100_000,
+    b"\xff\xfe",
+    b"9" * 5000,
+    b"null",
+    b'{"edition":1e400}',
+]
+DAMAGED_CALLS: dict[str, Any] = {
+    "/timetable/replace": configuration(),
+    "/timetable/amend": {"edition": 4, "upsert": {"routes": ROUTES, "senders": TENANTS}, "withdraw": {}},
+    "/crew/i-7/beat": HEARTBEAT,
+    "/crew/i-7/leave": {},
+}
+
+
+def places(value: Any) -> list[tuple[Any, Any]]:
+    """Returns each container with each of its keys or indices, at any depth."""
+    inner = value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ()
+    return [place for key, one in inner for place in [(value, key), *places(one)]]
+
+
+def damaged(body: Any) -> Iterator[bytes]:
+    """Yields the body with each value at any depth replaced by each kind of damage, and bodies cut short."""
+    yield from TRUNCATED
+    for at in range(len(places(body))):
+        for value in DAMAGE:
+            copied = copy.deepcopy(body)
+            container, key = places(copied)[at]
+            container[key] = value
+            yield json.dumps(copied).encode()
+
+
+@pytest.mark.parametrize("target", DAMAGED_CALLS)
+def test_damaged_calls_are_answered_and_what_is_taken_can_be_sent_on(target: str) -> None:
+    # Guards against text, numbers or nesting of a call that fail only where a message is made of them.
+    async def play() -> None:
+        for body in damaged(DAMAGED_CALLS[target]):
+            node = FakeNode()
+            path, query = parse_target(target.encode())
+            damaged_call = Call("POST", path, query, {"based-on": "3"}, body)
+            answer = dispatch(ControlApi(node).control_tree(), damaged_call)
+            status = (answer if isinstance(answer, Answer) else await answer).status
+            assert status in (200, 400), body
+            workers = [worker.to_row(SECOND) for worker in node.registry.workers.values()]
+            assert encode({"orders": node.orders, "workers": workers}), body
+
+    asyncio.run(play())
+
+
 class RecordingTransport(asyncio.Transport):
     """A transport that records the written bytes."""
 
