--- a/tests/test_parking.py
+++ b/tests/test_parking.py
@@ -7,12 +7,15 @@
 import errno
 import json
 import os
+import random
 import resource
 import signal
 import socket
 import struct
+from collections import Counter
 from collections.abc import AsyncIterator
 
+import pytest
 from standins import HOST, MS, SECOND, Client, Front, StandIn, going, line, ok, wait_then
 from test_main import config as main_config
 from test_main import line_with
@@ -483,3 +486,66 @@
         b"",
         0,
     )
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_connections_that_end_from_several_sides_at_once_end_once(seed, monkeypatch):
+    # Guards against a descriptor that is closed twice: the second close may hit another connection's.
+    closed: list[int] = []
+    close = os.close
+
+    def close_open_one(fd: int) -> None:
+        os.fstat(fd)  # OSError where it has been closed
+        closed.append(fd)
+        close(fd)
+
+    monkeypatch.setattr(os, "close", close_open_one)
+    rng = random.Random(seed)
+    answers = Counter[str]()
+
+    async def play(front: ParkingFront) -> None:
+        client = await front.client()
+        try:
+            for _ in range(rng.randrange(1, 6)):
+                match rng.randrange(8):
+                    case 0:
+                        client.writer.close()
+                        return
+                    case 1:
+                        reset(client)
+                        return
+                    case 2:
+                        client.writer.write_eof()
+                        return
+                    case 3:
+                        client.writer.write(HEALTH[: rng.randrange(len(HEALTH))])
+                        reset(client)
+                        return
+                    case 4:
+                        front.advance(rng.randrange(200) * MS)
+                    case _:
+                        client.writer.write(HEALTH)
+                        if rng.random() < 0.3:
+                            reset(client)  # while it is resumed
+                            return
+                        assert (await client.answer())[::2] == (200, b"ready\n")
+                        answers["ready"] += 1
+                for _ in range(rng.randrange(30)):
+                    await asyncio.sleep(0)
+        except (OSError, asyncio.IncompleteReadError):
+            answers["ended"] += 1  # given up in favour of another, or timed out
+        finally:
+            client.writer.close()
+
+    async def test():
+        async with parking_front(park_after_s=0, most=40, idle_s=1) as front:
+            before = len(os.listdir("/proc/self/fd"))
+            for _ in range(4):
+                await asyncio.gather(*(play(front) for _ in range(60)))
+            await front.until(total=0)
+            assert not front.parking.clients and not front.parking.table.parked_count
+            while len(os.listdir("/proc/self/fd")) > before:
+                await asyncio.sleep(0)
+
+    going(test)
+    assert closed and answers["ready"]
