--- a/pepperrun/net/discovery.py
+++ b/pepperrun/net/discovery.py
@@ -192,6 +192,7 @@
         return first
 
     async def _long_poll(self, connection: _AgentConnection, wait_ms: int) -> FirstResponse:
+        """Makes a call; returns the connection, the version of the list at the call, and the response."""
         held_version = self.version
         return connection, held_version, await self._call(connection, held_version, wait_ms)
 
@@ -207,17 +208,13 @@
             return await connection.request(f"/v1/endpoints{query}", f"{self.address[0]}:{self.address[1]}")
 
     async def _begin(self, wait_ms: int) -> FirstResponse:
-        """Connects and makes the first call.
-
-        Returns the connection, the version of the list at the time of the call, and the response.
-        """
+        """Connects and makes the first call."""
         async with asyncio.timeout(RESPONSE_GRACE_S):
             _, connection = await asyncio.get_running_loop().create_connection(
                 _AgentConnection, *self.address
             )
         try:
-            held_version = self.version
-            return connection, held_version, await self._call(connection, held_version, wait_ms)
+            return await self._long_poll(connection, wait_ms)
         except BaseException:
             connection.abort()
             raise
