--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -83,6 +83,11 @@
         print(f"{self.now():9.3f} {text}", flush=True)
 
 
+def end_in_order() -> None:
+    """Let SIGTERM end the script as an error does, so that the processes that it started end too."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
+
 def free_ports(hosts: list[str]) -> dict[str, int]:
     """Return a block of ports that are free on all hosts."""
     for start in random.sample(range(20000, 32000, 10), 200):
@@ -306,7 +311,7 @@
                     return status, data, address
             self.preferred = None
             await asyncio.sleep(pause)
-            pause = min(1.0, pause * 2)
+            pause = min(0.5, pause * 2)
         raise CannotRunError(f"{self.name}: no answer to {method} {path}")
 
 
