--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -583,13 +583,15 @@
         await asyncio.gather(*self.tasks)
 
 
-async def open_deployment(deployment: Deployment, record: Record, service: str, count: int) -> list[Worker]:
+async def open_deployment(
+    deployment: Deployment, record: Record, service: str, count: int, kind: type[Worker] = Worker
+) -> list[Worker]:
     """Start all machines, one configuration and the workers of one service; return once all is served."""
     for machine in (*deployment.cores, *deployment.gateways):
         deployment.start(machine)
     zones = list(ZONES)
     workers = [
-        Worker(deployment, record, service, deployment.worker_hosts[number], zones[number % len(zones)])
+        kind(deployment, record, service, deployment.worker_hosts[number], zones[number % len(zones)])
         for number in range(count)
     ]
     if await put_configuration(deployment, record, configuration(3, [service]), 0) != 200:
