Review 2, case 7: the directory leaves a route's homes during a roll

Tried: the one gatekeeper of each of three regions gets SIGTERM, one after the other, while clients ask the directory for routes whose home is their region.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,100 +1,142 @@
-"""A worker's `leave` is acknowledged by a machine that does not know it, just after the core was killed."""
+"""While the one gatekeeper of a region is rolled, the directory names machines outside of a route's homes."""
 
 from __future__ import annotations
 
 import asyncio
+import json
 import random
+import secrets
 import signal
+import subprocess
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from support_2 import standins
-from support_2.deployment import Deployment, Record
+from support_2.deployment import Address, Deployment, Machine, Record
 
 ZONES = {"north-a": "north", "south-a": "south", "east-a": "east"}
-DOWN_S = 0.6  # "They may then be back within a second."
-WORKERS, LEAVING = 20, 3  # 0.15 of them, as `scale_in` has it
-LEAVES_AFTER_S = (0.3, 0.9)  # after the kill: each on its own
-WORK_S = 0.15  # of a request
-SERVES_ON_S = 8.0  # after its acknowledgement: `drain_ms` "and a little longer (at times many seconds)"
+DAY_S, ROLL_AT_S, GAP_S = 32.0, 5.0, 1.0  # the site's length of a day; `roll_term`: one at a time, each gap_s
+RESTART_S = 0.5  # "it starts again after a short delay"
+CLIENTS, PAUSE_S = 12, 0.5  # of each zone, and between two requests of one
+ALLOWED_SHARE = 1 / 20
+
+
+class Client:
+    """A client that asks the directory where to go, as the users' page says, for a route with a home."""
+
+    def __init__(self, record: Record, system: Deployment, zone: str) -> None:
+        self.record, self.system, self.zone, self.region = record, system, zone, ZONES[zone]
+        self.host = host_of(self.region)
+        self.addresses: list[str] = []
+        self.valid_until = 0.0
+        self.sent: list[tuple[float, str, int]] = []  # when, region of the gatekeeper, status
+        self.regions = {f"{one.ip}:{system.ports['counter']}": ZONES[one.zone] for one in system.gateways}
+
+    async def run(self, until: float) -> None:
+        """Send requests until then."""
+        await asyncio.sleep(random.uniform(0, PAUSE_S))
+        while self.record.now() < until:
+            await self._ask()
+            await asyncio.sleep(PAUSE_S * random.uniform(0.7, 1.3))
+
+    async def _resolve(self) -> None:
+        path = f"/resolve?name={self.host}&region={self.region}&zone={self.zone}"
+        places = [(one.ip, self.system.ports["directory_port"]) for one in self.system.control]
+        random.shuffle(places)
+        for place in places[:3]:
+            reply = await standins.call(place, "GET", path, {}, b"", standins.SILENCE_S)
+            told = json.loads(reply.body) if reply is not None and reply.status == 200 else {}
+            if told.get("addresses") and "ttl_s" in told:
+                self.addresses = told["addresses"]
+                self.valid_until = self.record.now() + min(told["ttl_s"], 5)
+                return
+
+    async def _ask(self) -> None:
+        if self.record.now() >= self.valid_until:
+            await self._resolve()
+        failed: set[str] = set()
+        while left := [one for one in self.addresses if one not in failed]:
+            address = random.choice(left)
+            if await self._send(address):
+                return
+            failed.add(address)
+
+    async def _send(self, address: str) -> bool:
+        id_ = secrets.token_hex(8)
+        host, _, port = address.rpartition(":")
+        at = self.record.write("send", id=id_, client=self.zone, gatekeeper=self.regions[address])
+        fields = {"Host": self.host, "Attempt-Id": id_, "Deadline-Ms": "2000"}
+        fields["Authorization"] = f"Token {standins.KEY}"
+        where: Address = host, int(port)
+        reply = await standins.call(where, "POST", "/home/1", fields, b"patient", 3.0)
+        status = reply.status if reply is not None else 0
+        self.record.write("answer", id=id_, status=status)
+        if status:
+            self.sent.append((at, self.regions[address], status))
+        return status != 0
+
+
+def host_of(region: str) -> str:
+    """Return the host of the routes whose home is this region."""
+    return f"{region}.review.example"
 
 
 async def case(record: Record, trouble: bool) -> list[str]:
     """Play the case; return what broke the rule."""
-    system = Deployment(record, ZONES, list(ZONES), list(ZONES), workers=WORKERS)
-    places = [list(ZONES)[number % len(ZONES)] for number in range(WORKERS)]
+    system = Deployment(record, ZONES, list(ZONES), list(ZONES), workers=len(ZONES))
     workers = [
-        standins.Worker(record, system, f"w-{number}", "atlas", zone, host)
-        for number, (zone, host) in enumerate(zip(places, system.worker_hosts, strict=True))
+        standins.Worker(record, system, f"w-{zone}", "atlas", zone, host)
+        for zone, host in zip(ZONES, system.worker_hosts, strict=True)
+    ]
+    routes = [
+        [f"h-{one}", host_of(one), "/home/", "unsafe", 2000, 800, 1, None, 2, False, [one], "atlas"]
+        for one in ZONES.values()
     ]
-    clients = standins.Clients(record, system, "atlas", per_s=40)
     try:
         system.launch_all()
         for worker in workers:
-            worker.work_s = WORK_S
             await worker.start()
-        await standins.wait_until_serving(record, system, "atlas", workers)
-        clients.start()
+        await standins.wait_until_serving(record, system, "atlas", workers, more_routes=routes)
         async with asyncio.timeout(80):
-            return await _play(record, system, workers[:LEAVING], clients, trouble)
+            return await _play(record, system, trouble)
     finally:
-        await clients.stop()
         for worker in workers:
             await worker.stop()
         system.stop()
 
 
-async def _play(
-    record: Record,
-    system: Deployment,
-    workers: list[standins.Worker],
-    clients: standins.Clients,
-    trouble: bool,
-) -> list[str]:
-    await asyncio.sleep(6)
+async def _play(record: Record, system: Deployment, trouble: bool) -> list[str]:
+    await asyncio.sleep(5)
+    ends_at = record.now() + DAY_S
+    clients = [Client(record, system, zone) for zone in ZONES for _ in range(CLIENTS)]
+    asking = [asyncio.create_task(client.run(ends_at)) for client in clients]
+    await asyncio.sleep(ROLL_AT_S)
     if trouble:
-        for machine in system.control:
-            system.signal(machine, signal.SIGKILL)
-    leaving = [asyncio.create_task(_leave(record, worker)) for worker in workers]
-    await asyncio.sleep(DOWN_S)
-    if trouble:
-        for machine in system.control:
-            system.launch(machine)
-    started_at = record.now()
-    in_touch_at = started_at + system.bounds["contact_ms"] / 1000
-    ends = await asyncio.gather(*leaving)
-    ends_at = max(acknowledged_at for acknowledged_at, _ in ends)
-    served = clients.served(in_touch_at, ends_at + SERVES_ON_S)
-    broken = []
-    for worker, (acknowledged_at, ended_at) in zip(workers, ends, strict=True):
-        bound_at = acknowledged_at + system.bounds["drain_ms"] / 1000
-        late = standins.count_between(worker.runs, max(bound_at, in_touch_at), ended_at)
-        record.write("sum", worker=worker.name, acknowledged=f"{acknowledged_at:.3f}", late=len(late))
-        if late:
-            broken.append(
-                f"DRAIN: {len(late)} requests reached {worker.name} up to"
-                f" {late[-1][0] - acknowledged_at:.1f} s after its leave was acknowledged"
-                f" (bound {system.bounds['drain_ms'] / 1000:.0f} s), counted"
-                f" from {in_touch_at - started_at:.0f} s after the core was back"
-            )
-    record.write("served", of=served)
-    return broken
-
-
-async def _leave(record: Record, worker: standins.Worker) -> tuple[float, float]:
-    """Say `leave`, serve on, and end; return when it was acknowledged and when the worker ended."""
-    worker.stop_beating()  # it has nothing more to say
-    await asyncio.sleep(random.uniform(*LEAVES_AFTER_S))
-    reply, acknowledged_at = await standins.call_until_taken(
-        record, worker.control, f"/crew/{worker.id}/leave", b"", None, 20.0
-    )
-    if reply.status // 100 != 2:
-        raise standins.CannotRunError(f"leave got {reply.status}")
-    await asyncio.sleep(SERVES_ON_S)
-    await worker.stop()
-    return acknowledged_at, record.now()
+        for machine in system.gateways:
+            await _restart(system, machine)
+            await asyncio.sleep(GAP_S)
+    await asyncio.gather(*asking)
+    sent = [(client.region, region) for client in clients for _, region, _ in client.sent]
+    outside = sum(region != home for home, region in sent)
+    record.write("sum", sent=len(sent), outside=outside)
+    if outside > ALLOWED_SHARE * len(sent):
+        return [
+            f"HOME: {outside} of {len(sent)} requests on routes with homes ({outside / len(sent):.1%}) went"
+            f" to machines of another region, which the directory had named (bound {ALLOWED_SHARE:.0%})"
+        ]
+    return []
+
+
+async def _restart(system: Deployment, machine: Machine) -> None:
+    """Stop a process with SIGTERM, and start it again once it has ended."""
+    system.signal(machine, signal.SIGTERM)
+    process = machine.process
+    assert isinstance(process, subprocess.Popen)
+    await asyncio.to_thread(process.wait, system.bounds["grace_s"] + 1)
+    await asyncio.sleep(RESTART_S)
+    system.launch(machine)
 
 
 if __name__ == "__main__":
--- a/review/support_2/standins.py
+++ b/review/support_2/standins.py
@@ -7,6 +7,8 @@
 import os
 import random
 import secrets
+import signal
+import sys
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -268,10 +270,16 @@
     workers: Sequence[Worker],
     timeout_s: float = 25.0,
     unsafe_ms: tuple[int, int] = (4000, 1500),
+    more_routes: Sequence[list[Any]] = (),
 ) -> None:
-    """Send the first configuration, and wait until each gatekeeper serves and each worker is known."""
+    """Send the first configuration, and wait until each gatekeeper serves and each worker is known.
+
+    `more_routes`: further rows of the table of routes.
+    """
     services = sorted({worker.service for worker in workers})
-    body = json.dumps(configuration(services, unsafe_ms=unsafe_ms)).encode()
+    first = configuration(services, unsafe_ms=unsafe_ms)
+    first["routes"]["rows"] += more_routes
+    body = json.dumps(first).encode()
     reply, _ = await call_until_taken(
         record, system.control_addresses(), "/timetable/replace", body, {"Based-On": "0"}, timeout_s
     )
@@ -300,6 +308,7 @@
 def play(case: Callable[[Record, bool], Any], folder: str) -> int:
     """Play a case, `case(record, trouble)`, and return the exit code of its script."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # so that the processes end as after an error
     with (Path(folder) / "record.txt").open("w") as file:
         record = Record(file)
         record.write("case", trouble=int(trouble))
