--- a/review/7/case.py
+++ b/review/7/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import random
 import secrets
 import signal
@@ -16,6 +17,7 @@
 from support_2 import standins
 from support_2.deployment import Address, Deployment, Machine, Record
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"  # 0: the same without the disruption
 ZONES = {"north-a": "north", "south-a": "south", "east-a": "east"}
 DAY_S, ROLL_AT_S, GAP_S = 32.0, 5.0, 1.0  # the site's length of a day; `roll_term`: one at a time, each gap_s
 RESTART_S = 0.5  # "it starts again after a short delay"
@@ -104,7 +106,6 @@
     finally:
         for worker in workers:
             await worker.stop()
-        system.stop()
 
 
 async def _play(record: Record, system: Deployment, trouble: bool) -> list[str]:
@@ -120,12 +121,14 @@
     await asyncio.gather(*asking)
     sent = [(client.region, region) for client in clients for _, region, _ in client.sent]
     outside = sum(region != home for home, region in sent)
-    record.write("sum", sent=len(sent), outside=outside)
+    served = sum(status == 200 for client in clients for _, _, status in client.sent)
+    record.write("sum", sent=len(sent), served=served, outside=outside)
     if outside > ALLOWED_SHARE * len(sent):
         return [
             f"HOME: {outside} of {len(sent)} requests on routes with homes ({outside / len(sent):.1%}) went"
             f" to machines of another region, which the directory had named (bound {ALLOWED_SHARE:.0%})"
         ]
+    standins.require_served(served, len(sent))
     return []
 
 
@@ -140,4 +143,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(standins.play(case, str(Path(__file__).parent)))
+    sys.exit(standins.play(case, TROUBLE, str(Path(__file__).parent)))
--- a/review/support_2/deployment.py
+++ b/review/support_2/deployment.py
@@ -19,7 +19,7 @@
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any, TextIO
+from typing import Any, ClassVar, TextIO
 
 ROOT = Path(__file__).resolve().parents[2]
 PORT_NAMES = (
@@ -109,9 +109,12 @@
 class Deployment:
     """The control nodes and gatekeepers of one small system, in a temporary folder.
 
+    `opened` has those of this process: whoever plays a case stops them, also after an error.
     `zones` maps each zone to its region. `control` and `gateways` name the zones of the machines.
     """
 
+    opened: ClassVar[list[Deployment]] = []
+
     def __init__(
         self,
         record: Record,
@@ -125,10 +128,13 @@
         self.record, self.zones = record, zones
         self.withstand = withstand or {"vehicles": 1, "zones": 1, "regions": 1}
         self.bounds = BOUNDS | (bounds or {})
-        self.folder = Path(tempfile.mkdtemp(prefix="pepperrun-review-"))
         net = f"127.{random.randint(16, 200)}.{random.randint(1, 200)}"
         hosts = [f"{net}.{number + 2}" for number in range(len(control) + len(gateways) + workers)]
         self.ports = _free_ports(hosts)
+        self.folder = Path(tempfile.mkdtemp(prefix="pepperrun-review-"))
+        self.control: list[Machine] = []
+        self.gateways: list[Machine] = []
+        self.opened.append(self)
         self.control = [
             Machine(f"sorting-{zone}-{number + 1}", "control_node", hosts[number], zone)
             for number, zone in enumerate(control)
--- a/review/support_2/early.py
+++ b/review/support_2/early.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 
 from support_2.deployment import Address, Record
-from support_2.standins import CUT, KEY, Worker, call, encode
+from support_2.standins import CUT, KEY, Worker, call, encode, require_served
 
 SEGMENT = 1400  # bytes, as on a network of Ethernet
 RECEIVE_BYTES = 2048  # of a worker's socket
@@ -20,6 +20,7 @@
     """A worker that works and answers once the first part of a body is there, and reads on later."""
 
     listening: socket.socket | None = None
+    tasks: Sequence[asyncio.Task[None]] = ()
 
     async def start(self) -> None:
         """Listen, and begin to beat."""
@@ -30,7 +31,9 @@
         self.listening.bind(self.address)
         self.listening.listen(256)
         self.listening.setblocking(False)
-        self.tasks = [asyncio.create_task(self._accept(self.listening))]
+        self.serving: list[asyncio.Task[None]] = []
+        self.tasks = self.serving
+        self.serving.append(asyncio.create_task(self._accept(self.listening)))
         self._beating = asyncio.create_task(self._beat_for_ever())
 
     def work_time_s(self) -> float:
@@ -50,7 +53,7 @@
         while True:
             accepted, _ = await loop.sock_accept(listening)
             accepted.setblocking(False)
-            self.tasks.append(asyncio.create_task(self._serve_socket(accepted)))
+            self.serving.append(asyncio.create_task(self._serve_socket(accepted)))
 
     async def _serve_socket(self, accepted: socket.socket) -> None:
         try:
@@ -112,18 +115,15 @@
 
 
 def judge(record: Record, workers: Sequence[Worker], statuses: dict[str, int]) -> list[str]:
-    """Return what broke the rules TWICE and REFUSED; all requests were unsafe."""
+    """Return what broke the rule TWICE; all requests were unsafe. What broke REFUSED is only recorded."""
     runs = collections.Counter(id_ for worker in workers for _, id_ in worker.runs if id_ in statuses)
     twice = [id_ for id_, count in runs.items() if count > 1]
     refused = [id_ for id_, status in statuses.items() if status in PROMISES and runs[id_]]
     kinds = dict(collections.Counter(statuses.values()))
     record.write("sum", sent=len(statuses), statuses=kinds, twice=len(twice), refused=len(refused))
-    broken = []
-    if twice:
-        broken.append(f"TWICE: {len(twice)} unsafe requests ran at two workers, such as {twice[0]}")
     if refused:
-        broken.append(
-            f"REFUSED: {len(refused)} unsafe requests that had run were answered with a status that promises"
-            f" that they have not, such as {refused[0]} ({statuses[refused[0]]})"
-        )
-    return broken
+        print(f"beside it, REFUSED: {len(refused)} requests that had run got {statuses[refused[0]]}")
+    if twice:
+        return [f"TWICE: {len(twice)} unsafe requests ran at two workers, such as {twice[0]}"]
+    require_served(kinds.get(200, 0), len(statuses))
+    return []
