--- a/pepperrun/control/evacuation_codec.py
+++ b/pepperrun/control/evacuation_codec.py
@@ -4,7 +4,7 @@
 | --- | --- |
 | `evacuated` of the state: a zone once for each active order | `ZoneOrders.active` |
 | `evacuations` of the state: `begun`, `finished`, `doubted`, `calls` by zone | the rest of `ZoneOrders` |
-| operation with `call`, `sure`, `seen`, `count` | `OrderCall` |
+| operation with `call`, `sure`, `seen`, `seen_opposite`, `count` | `OrderCall` |
 | operation with `call`, `lapse`, `count` | `Expiry` |
 | operation without `call` | `CountedOrder`, from a version of the program without deduplication |
 
@@ -61,6 +61,9 @@
         Whether the call can't be a repeat of an applied order, by the clock of the node that received it.
     seen_serial : int
         The serial of this kind of order that the node knew when it determined `is_new`.
+    seen_opposite_serial : int or None
+        The serial of the other kind of order that the node knew while the caller was waiting; None in a
+        proposal of a version that does not send it.
     """
 
     zone: str
@@ -68,6 +71,7 @@
     call_id: str
     is_new: bool
     seen_serial: int
+    seen_opposite_serial: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,7 +154,7 @@
     if "lapse" in op:
         begin_serial, end_serial = op["lapse"]
         return Expiry(zone, op["call"], begin_serial, end_serial)
-    return OrderCall(zone, begins, op["call"], op["sure"], op["seen"])
+    return OrderCall(zone, begins, op["call"], op["sure"], op["seen"], op.get("seen_opposite"))
 
 
 def encode_call(call: OrderCall, active_after: int) -> Operation:
@@ -163,6 +167,7 @@
         "call": call.call_id,
         "sure": call.is_new,
         "seen": call.seen_serial,
+        "seen_opposite": call.seen_opposite_serial,
     }
 
 
--- a/pepperrun/control/evacuation_orders.py
+++ b/pepperrun/control/evacuation_orders.py
@@ -25,6 +25,7 @@
 
 MAX_ACTIVE_ORDERS = 8  # for one zone; more come from a faulty script
 MAX_CALL_IDS = 16  # kept for one zone; eight orders may be in flight at once
+OVERTAKEN = "overtaken"  # code of an order that may be older than the zone's last opposite order
 
 
 def apply_order(state: State, op: Operation) -> Evaluation:
@@ -37,12 +38,25 @@
         return _unchanged_already(operation.zone, orders)
     if isinstance(operation, Expiry):
         return _expire(state, operation, orders)
+    if _is_overtaken(operation, orders):
+        detail = f"Zone {operation.zone} has had an opposite order meanwhile: ask again."
+        return Evaluation(None, Verdict(503, detail, OVERTAKEN))
     is_new = operation.is_new and operation.seen_serial == orders.serial(begins=operation.begins)
     if operation.begins:
         return _begin(state, operation, orders, is_new)
     return _end(state, operation, orders, is_new)
 
 
+def _is_overtaken(call: OrderCall, orders: ZoneOrders) -> bool:
+    """Whether an opposite order was applied that was unknown when the caller was last seen waiting.
+
+    Such a call may be older than that order: its caller may have given it up before, repeated it elsewhere,
+    and given the opposite order since.
+    """
+    seen = call.seen_opposite_serial
+    return seen is not None and seen != orders.serial(begins=not call.begins)
+
+
 def _expire(state: State, expiry: Expiry, orders: ZoneOrders) -> Evaluation:
     serials = (expiry.begin_serial, expiry.end_serial)
     all_uncertain = 0 < orders.active <= orders.uncertain
--- a/pepperrun/control/evacuations.py
+++ b/pepperrun/control/evacuations.py
@@ -99,7 +99,7 @@
         receipt_ms: float,
         now: int,
     ) -> Operation:
-        """Return the operation for an operator's call.
+        """Return the operation for an operator's call, whose caller is still waiting at this moment.
 
         Parameters
         ----------
@@ -111,7 +111,14 @@
         orders = decode_orders(state, zone)
         learned_at = self.learned_at.get((zone, begins))
         is_new = learned_at is None or now - learned_at > _repeated_for_ns(receipt_ms)
-        call = OrderCall(zone, begins, next_call_id(), is_new, orders.serial(begins=begins))
+        call = OrderCall(
+            zone,
+            begins,
+            next_call_id(),
+            is_new,
+            seen_serial=orders.serial(begins=begins),
+            seen_opposite_serial=orders.serial(begins=not begins),
+        )
         return encode_call(call, _active_after(call, orders))
 
     def next_expiry(
--- a/pepperrun/control/handlers.py
+++ b/pepperrun/control/handlers.py
@@ -11,6 +11,7 @@
 from pepperrun.control.changes import encode_configuration, evacuation_operation
 from pepperrun.control.directory import HostHomeRegions, choose_gateways
 from pepperrun.control.endpoint_registry import EndpointRegistry, WorkerHeartbeat
+from pepperrun.control.evacuation_orders import OVERTAKEN
 from pepperrun.control.matchers import (
     Answer,
     Call,
@@ -117,6 +118,10 @@
     return unavailable("not-fresh", "It is not known whether what is held is the newest.")
 
 
+def _uncertain() -> Answer:
+    return unavailable("uncertain", "It may be taken or not: ask again.")
+
+
 class ControlApi:
     """Handlers of the calls on the control port and on the directory port."""
 
@@ -235,10 +240,15 @@
         evacuated_before = (self.node.state or {}).get("evacuations", {})
         if zone not in self.node.settings.network.zones and zone not in evacuated_before:
             return detail_answer(404, "unknown-zone", f"There is no zone {zone}.")
-        return self.order(call, evacuation_operation(zone, begin), ORDER_TIMEOUT_NS)
+        op = evacuation_operation(zone, begin)
+        return self._answer_without_proposal(call) or self._propose_while_awaited(call, op)
 
     def order(self, call: Call, op: Operation, timeout_ns: int) -> Answer | AwaitedAnswer:
         """Propose an order; a node that shuts down or lacks a quorum redirects or refuses it at once."""
+        return self._answer_without_proposal(call) or self._propose(op, timeout_ns)
+
+    def _answer_without_proposal(self, call: Call) -> Answer | None:
+        """Return the answer to an order if this node shuts down or lacks a quorum, else None."""
         node = self.node
         other = node.linked_node() if node.is_stopping else None
         if other is not None:
@@ -246,13 +256,36 @@
             return Answer(307, headers=(("Location", f"http://{other}{path}"),))
         if node.lacks_quorum or node.is_stopping:
             return _no_quorum()
-        return self._propose(op, timeout_ns)
+        return None
 
     async def _propose(self, op: Operation, timeout_ns: int) -> Answer:
         started_at = self.node.now()
         verdict = await self.node.order(op, timeout_ns)
+        return self._answer_of(op, verdict, started_at)
+
+    async def _propose_while_awaited(self, call: Call, op: Operation) -> Answer:
+        """Propose an evacuation order only on a state that was known while its caller was waiting.
+
+        A caller gives up after a second, repeats the order elsewhere, and may give the opposite order once
+        it was acknowledged. So an order whose caller has left is dropped. One that was overtaken by an
+        opposite order is proposed again if its caller is waiting even now: it is then the later one.
+        """
+        node = self.node
+        started_at = node.now()
+        while (remaining_ns := started_at + ORDER_TIMEOUT_NS - node.now()) > 0:
+            if not await call.caller.is_waiting():
+                event("order-dropped", zone=op["zone"], begin=op["begin"], why="caller-left")
+                break
+            verdict = await node.order(op, remaining_ns)
+            if verdict is None or verdict.code != OVERTAKEN:
+                return self._answer_of(op, verdict, started_at)
+            event("order-overtaken", zone=op["zone"], begin=op["begin"])
+        return _uncertain()
+
+    def _answer_of(self, op: Operation, verdict: Verdict | None, started_at: int) -> Answer:
+        """Return the answer to an order that was proposed; its verdict is None if its result is unknown."""
         if verdict is None:
-            return unavailable("uncertain", "It may be taken or not: ask again.")
+            return _uncertain()
         _log_order(op, verdict, (self.node.now() - started_at) // MS)
         if verdict.status == 503:
             return unavailable(verdict.code, verdict.detail)
--- a/pepperrun/control/matchers.py
+++ b/pepperrun/control/matchers.py
@@ -14,10 +14,26 @@
 import enum
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 from urllib.parse import parse_qsl, unquote
 
 
+class Caller(Protocol):
+    """The other end of the connection on which a call came."""
+
+    async def is_waiting(self) -> bool:
+        """Whether the caller still waits for its answer, by all that has arrived until now."""
+        ...
+
+
+class WaitingCaller:
+    """A caller that waits until it is answered, for calls that come without a connection."""
+
+    async def is_waiting(self) -> bool:
+        """Return True."""
+        return True
+
+
 @dataclass(slots=True)
 class Call:
     """A request: decoded path segments, header names in lower case; `values` of variables and headers."""
@@ -28,6 +44,7 @@
     headers: Mapping[str, str] = field(default_factory=dict)
     body: bytes = b""
     values: dict[str, str] = field(default_factory=dict)
+    caller: Caller = field(default_factory=WaitingCaller)
 
 
 class Answer(NamedTuple):
--- a/pepperrun/control/server.py
+++ b/pepperrun/control/server.py
@@ -25,6 +25,7 @@
 SLOW_NS = 10 * SECOND  # to receive a complete call, or to send a response
 RETRY_AFTER_S = "0.5"  # sent with the 503 of a handler that failed
 SWEEP_S = 2.0  # between two checks for timed-out connections
+EVENT_LOOP_TURNS = 2  # after these all that had arrived before on a connection was handled
 
 
 def failed_call(error: BaseException) -> Answer:
@@ -113,7 +114,7 @@
             headers = {
                 name.decode("latin-1"): text.decode("latin-1") for name, text in request.headers.items()
             }
-            call = Call(request.method.decode("latin-1"), path, query, headers, request.body)
+            call = Call(request.method.decode("latin-1"), path, query, headers, request.body, caller=self)
             answer = dispatch(self.server.tree, call)
         except Exception as error:  # noqa: BLE001 (whatever failed, the caller gets an answer)
             answer = failed_call(error)
@@ -124,6 +125,15 @@
         self.pending_answer = asyncio.ensure_future(answer)
         self.pending_answer.add_done_callback(self.on_answer_done)
 
+    async def is_waiting(self) -> bool:
+        """Whether the caller of the call in progress has not closed the connection, by all that has arrived.
+
+        If this process was suspended, a call and the end of its connection may have arrived together.
+        """
+        for _ in range(EVENT_LOOP_TURNS):
+            await asyncio.sleep(0)
+        return self.transport is not None and not self.is_ending
+
     def on_answer_done(self, done: asyncio.Future[Answer]) -> None:
         """Send the pending answer, and go on with the next call."""
         self.pending_answer = None
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -5,15 +5,25 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
+import socket
+from collections.abc import Callable
 from typing import Any
 
 import pytest
 from clusters import configuration, replace_op
+from standins import HOST, going
+from test_control import FakeNode
 
+from pepperrun.consensus.state import Operation
 from pepperrun.control import changes, evacuation_orders, evacuations
 from pepperrun.control.changes import apply
+from pepperrun.control.evacuation_orders import OVERTAKEN
 from pepperrun.control.evacuations import Evacuations
+from pepperrun.control.handlers import ControlApi
+from pepperrun.control.server import Server
+from pepperrun.control.verdict import Verdict
 
 MS = 1_000_000
 SECOND = 1000 * MS
@@ -245,3 +255,93 @@
     state = expired
     node.on_state(state, now + 200 * SECOND, is_one_operation=True)
     assert [active_after(True, 220), active_after(False, 240)] == [1, 0]  # a new order, which is certain
+
+
+# Late orders: their callers have given them up, repeated them elsewhere, and given the opposite order since.
+
+
+def new_order(node: Evacuations, begins: bool, state: State, call_id: str, now: int) -> dict[str, Any]:
+    return node.operation_for_call("z1", begins, state, lambda: call_id, RECEIPT_MS, now)
+
+
+@pytest.mark.parametrize("late", [False, True])
+def test_an_order_that_waited_while_the_opposite_one_came_does_not_act(late: bool) -> None:
+    """Guards against a `finish` that waited in a suspended node and ended a later evacuation (review 1)."""
+    state, now = first_state(), 100 * SECOND
+    node, ids = Evacuations(state, now), iter("abcdef")
+
+    def take(begins: bool, at: int, known: State) -> tuple[State, int]:
+        op = new_order(node, begins, known, next(ids), now + at * SECOND)
+        after, verdict = apply(state, op)
+        node.on_state(after or state, now + at * SECOND, is_one_operation=True)
+        return after or state, verdict.status
+
+    state, _ = take(True, 0, state)
+    if late:  # a late `begin` after its own evacuation was ended
+        state, _ = take(False, 9, state)
+    waited_since = state
+    state, _ = take(late, 18, state)  # the order is repeated elsewhere, and acknowledged
+    state, _ = take(not late, 27, state)  # then the opposite one
+    before = state
+    state, status = take(late, 28, waited_since)
+    assert status == 503 and state is before
+    # It acts if its caller was still waiting when the opposite order was known.
+    state, status = take(late, 29, before)
+    assert status == 200 and state is not before
+
+
+class OvertakenNode(FakeNode):
+    """Records the proposed orders; the first one is overtaken by an opposite one if `overtaken` is set."""
+
+    def __init__(self, *, overtaken: bool = False) -> None:
+        super().__init__()
+        self.overtaken = overtaken
+        self.on_order: Callable[[], None] = lambda: None
+
+    def order(self, op: Operation, timeout_ns: int) -> asyncio.Future[Any]:
+        self.verdict = Verdict(503, "", OVERTAKEN) if self.overtaken and not self.orders else Verdict(200, "")
+        self.on_order()
+        return super().order(op, timeout_ns)
+
+
+async def send_finish(node: OvertakenNode, *, leaves: bool) -> bytes:
+    """Send a `finish` that the server reads after its caller has left, or not; return its answer."""
+    server = Server(ControlApi(node).control_tree())
+    await server.open((HOST, 0))
+    assert server.listener is not None
+    caller = socket.create_connection(server.listener.sockets[0].getsockname())
+    caller.sendall(b"POST /evacuate/z1/finish HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+    node.on_order = caller.close if node.overtaken and leaves else node.on_order
+    if leaves and not node.overtaken:
+        caller.close()  # the server has not run since the call was sent, as if it had been suspended
+    if not leaves:
+        reader, writer = await asyncio.open_connection(sock=caller)
+        answer = await reader.read()
+        writer.close()
+    else:
+        answer = b""
+        while not server.connections:
+            await asyncio.sleep(0)
+        connection = next(iter(server.connections))
+        while connection.request is None or connection.pending_answer is not None:
+            await asyncio.sleep(0)
+    await server.close(0)
+    return answer
+
+
+@pytest.mark.parametrize(
+    ("overtaken", "leaves", "proposed"),
+    [(False, False, 1), (False, True, 0), (True, False, 2), (True, True, 1)],
+)
+def test_an_order_is_proposed_only_while_its_caller_waits(
+    overtaken: bool, leaves: bool, proposed: int
+) -> None:
+    """Guards against a `finish` that was read and proposed after its caller had left (review 1)."""
+    node, answers = OvertakenNode(overtaken=overtaken), []
+
+    async def test() -> None:
+        answers.append(await send_finish(node, leaves=leaves))
+
+    going(test)
+    assert len(node.orders) == proposed
+    assert leaves or answers[0].startswith(b"HTTP/1.1 200")
