Control: an acknowledged evacuation is counted after many short ones too

Cause: an end that may be a repeat leaves an uncertain order, and each `begin` adds one. Eight orders are counted; beyond them a `begin` got 200 and changed nothing, so the eight uncertain ones expired and the new one with them. The logs have the 200 without an `agreed` line, and later an `agreed` end that nobody sent.

Change: where no more orders are counted, a new one makes an uncertain one certain, with a serial of its own, so that no expiry of before applies.

--- a/pepperrun/control/evacuation_orders.py
+++ b/pepperrun/control/evacuation_orders.py
@@ -70,6 +70,8 @@
     # One uncertain order covers all repeats. If all active orders are uncertain, one more order is added,
     # which keeps them from expiring.
     adds_order = is_new or orders.uncertain in (0, orders.active)
+    if adds_order and orders.active >= MAX_ACTIVE_ORDERS and orders.uncertain:
+        return _begin_in_place_of_uncertain(state, call, orders)
     if orders.active >= MAX_ACTIVE_ORDERS or not adds_order:
         return _unchanged(f"Zone {call.zone} is evacuated already.")
     is_uncertain = not is_new and orders.active > 0 and not orders.uncertain
@@ -82,6 +84,12 @@
     return _changed(state, call.zone, begun, f"Zone {call.zone} is evacuated{already}.")
 
 
+def _begin_in_place_of_uncertain(state: State, call: OrderCall, orders: ZoneOrders) -> Evaluation:
+    """Make one uncertain order a certain one: the new order is kept though no more orders are counted."""
+    begun = replace(_after_begin(orders, call.call_id), uncertain=orders.uncertain - 1)
+    return _changed(state, call.zone, begun, f"Zone {call.zone} is evacuated already.")
+
+
 def _end(state: State, call: OrderCall, orders: ZoneOrders, is_new: bool) -> Evaluation:
     if not orders.active:
         return _unchanged(f"Zone {call.zone} is in use already.")
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -257,6 +257,35 @@
     assert [active_after(True, 220), active_after(False, 240)] == [1, 0]  # a new order, which is certain
 
 
+@pytest.mark.parametrize("gap_s", [1, 3, 6])
+def test_an_order_after_many_short_evacuations_lasts_until_its_end(gap_s: int) -> None:
+    """Guards against a `begin` that was acknowledged but not counted, so that the zone was in use again."""
+    state, now = first_state(), 100 * SECOND
+    node, ids = Evacuations(state, now), iter(range(99))
+
+    def take(begins: bool, at: int) -> None:
+        nonlocal state
+        when = now + at * SECOND
+        after, verdict = apply(state, new_order(node, begins, state, str(next(ids)), when))
+        assert verdict.status == 200
+        state = after or state
+        node.on_state(state, when, is_one_operation=True)
+
+    def expires(at: int) -> bool:
+        return node.next_expiry(state, lambda: "x", RECEIPT_MS, now + at * SECOND) is not None
+
+    turns = 2 * evacuation_orders.MAX_ACTIVE_ORDERS
+    for turn in range(turns):
+        take(True, 2 * turn * gap_s)
+        take(False, (2 * turn + 1) * gap_s)
+    begun_at = 2 * turns * gap_s
+    take(True, begun_at)
+    assert not any(expires(at) for at in range(begun_at, begun_at + 1000, 3))
+    ended_at = begun_at + 1000
+    take(False, ended_at)
+    assert not state["evacuated"] or any(expires(at) for at in range(ended_at, ended_at + 70))
+
+
 # Late orders: their callers have given them up, repeated them elsewhere, and given the opposite order since.
 
 
