Control: an acknowledged evacuation is kept until it is ended, beside others too

Cause: a `begin` that may be a repeat, and an order that may have been ended by a repeated `finish`, were uncertain, and all uncertain orders expired `receipt_ms` + 1 s and the duration of the evacuation after a `finish`. Each of them had been acknowledged. The expiry's length can't tell a repeat from another operator's order.

Change: an order expires soon only if its end came after a begin that came after the end before (an operator that evacuates a zone twice in short order); all others that are uncertain are kept for an hour, or until the next certain `finish`.

--- a/pepperrun/control/evacuation_codec.py
+++ b/pepperrun/control/evacuation_codec.py
@@ -3,7 +3,7 @@
 | stored or sent | typed |
 | --- | --- |
 | `evacuated` of the state: a zone once for each active order | `ZoneOrders.active` |
-| `evacuations` of the state: `begun`, `finished`, `doubted`, `calls` by zone | the rest of `ZoneOrders` |
+| `evacuations` of the state, by zone: the keys of `encode_orders` | the rest of `ZoneOrders` |
 | operation with `call`, `sure`, `seen`, `seen_opposite`, `count` | `OrderCall` |
 | operation with `call`, `lapse`, `count` | `Expiry` |
 | operation without `call` | `CountedOrder`, from a version of the program without deduplication |
@@ -31,19 +31,38 @@
     active : int
         Number of orders that have not ended, including the uncertain ones.
     uncertain : int
-        Number of active orders that may be repeats of others: they expire once no other order is active.
+        Number of active orders that may be repeats of others, or may have been ended by another operator.
+        They expire once no other order is active, after a long time: they were acknowledged.
+    probably_ended : int
+        Number of other active orders, which were ended by calls that came soon after another end, with a
+        begin in between. They expire sooner.
     begin_serial, end_serial : int
         Incremented by each order that begins or ends an evacuation.
+    begin_serial_at_end : int or None
+        The `begin_serial` when the last order ended an evacuation; None if no order did, or a version of the
+        program that does not record it.
     call_ids : tuple of str
         Ids of the last calls that changed the orders.
     """
 
     active: int = 0
     uncertain: int = 0
+    probably_ended: int = 0
     begin_serial: int = 0
     end_serial: int = 0
+    begin_serial_at_end: int | None = None
     call_ids: tuple[str, ...] = ()
 
+    @property
+    def expiring(self) -> int:
+        """Number of active orders that expire once no other order is active."""
+        return self.uncertain + self.probably_ended
+
+    @property
+    def has_begun_since_end(self) -> bool:
+        """Whether an order has begun since the last one that ended an evacuation."""
+        return self.begin_serial != self.begin_serial_at_end
+
     def serial(self, *, begins: bool) -> int:
         """Return the serial of one kind of order."""
         return self.begin_serial if begins else self.end_serial
@@ -114,12 +133,16 @@
     """Return the orders for a zone; fields of later versions are ignored."""
     known = state.get("evacuations", {}).get(zone, {})
     active = state.get("evacuated", []).count(zone)
+    # A version that does not know uncertain orders may have ended some of them.
+    expiring = min(known.get("doubted", 0), active)
+    probably_ended = min(known.get("probably_ended", expiring), expiring)
     return ZoneOrders(
         active=active,
-        # A version that does not know uncertain orders may have ended some of them.
-        uncertain=min(known.get("doubted", 0), active),
+        uncertain=expiring - probably_ended,
+        probably_ended=probably_ended,
         begin_serial=known.get("begun", 0),
         end_serial=known.get("finished", 0),
+        begin_serial_at_end=known.get("finished_at"),
         call_ids=tuple(known.get("calls", ())),
     )
 
@@ -129,7 +152,9 @@
     entry = {
         "begun": orders.begin_serial,
         "finished": orders.end_serial,
-        "doubted": orders.uncertain,
+        "finished_at": orders.begin_serial_at_end,
+        "doubted": orders.expiring,
+        "probably_ended": orders.probably_ended,
         "calls": list(orders.call_ids),
     }
     other_zones = [other for other in state["evacuated"] if other != zone]
--- a/pepperrun/control/evacuation_orders.py
+++ b/pepperrun/control/evacuation_orders.py
@@ -3,7 +3,12 @@
 Two operators may evacuate one zone; it is in use again once both have ended their orders. An operator repeats
 a call that got no definite answer, and nothing in a call identifies its sender. A call that may be a repeat
 is not assumed to be one: the zone stays evacuated as if there were another order, and one order is uncertain
-from then on. Uncertain orders expire once no other order is active (`control.evacuations`).
+from then on. Once no other order is active uncertain ones expire (`control.evacuations`), but only after a
+long time, as each may be an order that was acknowledged to another operator.
+
+An operator that evacuates a zone twice in short order ends the second evacuation soon after the first. Such
+an end comes after a begin that came after the end before, so it is probably no repeat of that: its order
+expires sooner.
 """
 
 from __future__ import annotations
@@ -59,22 +64,21 @@
 
 def _expire(state: State, expiry: Expiry, orders: ZoneOrders) -> Evaluation:
     serials = (expiry.begin_serial, expiry.end_serial)
-    all_uncertain = 0 < orders.active <= orders.uncertain
+    all_uncertain = 0 < orders.active <= orders.expiring
     if serials != (orders.begin_serial, orders.end_serial) or not all_uncertain:
         return Evaluation(None, Verdict(412, f"Orders for zone {expiry.zone} have come meanwhile."))
-    ended = replace(_after_end(orders, expiry.call_id), active=0, uncertain=0)
+    ended = _limited(replace(_after_end(orders, expiry.call_id), active=0))
     return _changed(state, expiry.zone, ended, f"Zone {expiry.zone} is in use again.")
 
 
 def _begin(state: State, call: OrderCall, orders: ZoneOrders, is_new: bool) -> Evaluation:
-    # One uncertain order covers all repeats. If all active orders are uncertain, one more order is added,
-    # which keeps them from expiring.
-    adds_order = is_new or orders.uncertain in (0, orders.active)
-    if adds_order and orders.active >= MAX_ACTIVE_ORDERS and orders.uncertain:
-        return _begin_in_place_of_uncertain(state, call, orders)
-    if orders.active >= MAX_ACTIVE_ORDERS or not adds_order:
+    all_ended = orders.active == orders.probably_ended
+    is_covered = orders.uncertain > 0 and orders.has_begun_since_end  # one uncertain order covers all repeats
+    if is_covered and not (is_new or all_ended):
         return _unchanged(f"Zone {call.zone} is evacuated already.")
-    is_uncertain = not is_new and orders.active > 0 and not orders.uncertain
+    if orders.active >= MAX_ACTIVE_ORDERS:
+        return _begin_in_place_of_uncertain(state, call, orders)
+    is_uncertain = not (is_new or all_ended)
     begun = replace(
         _after_begin(orders, call.call_id),
         active=orders.active + 1,
@@ -85,28 +89,46 @@
 
 
 def _begin_in_place_of_uncertain(state: State, call: OrderCall, orders: ZoneOrders) -> Evaluation:
-    """Make one uncertain order a certain one: the new order is kept though no more orders are counted."""
-    begun = replace(_after_begin(orders, call.call_id), uncertain=orders.uncertain - 1)
-    return _changed(state, call.zone, begun, f"Zone {call.zone} is evacuated already.")
+    """Make an uncertain order a certain one: the new order is kept though no more orders are counted."""
+    sentence = f"Zone {call.zone} is evacuated already."
+    if orders.probably_ended:
+        begun = replace(orders, probably_ended=orders.probably_ended - 1)
+    elif orders.uncertain:
+        begun = replace(orders, uncertain=orders.uncertain - 1)
+    else:
+        return _unchanged(sentence)
+    return _changed(state, call.zone, _after_begin(begun, call.call_id), sentence)
 
 
 def _end(state: State, call: OrderCall, orders: ZoneOrders, is_new: bool) -> Evaluation:
     if not orders.active:
         return _unchanged(f"Zone {call.zone} is in use already.")
-    active = orders.active - 1 if is_new else orders.active
-    uncertain = min(active, orders.uncertain if is_new else orders.uncertain + 1)
-    sentence = f"Zone {call.zone} is {_after_one_end(active, uncertain)}."
-    if not is_new and uncertain == orders.uncertain:
+    if is_new:
+        after = _limited(replace(orders, active=orders.active - 1))
+    elif orders.has_begun_since_end:
+        after = _limited(replace(orders, probably_ended=orders.probably_ended + 1))
+    else:
+        after = _limited(replace(orders, uncertain=orders.uncertain + 1))
+    sentence = f"Zone {call.zone} is {_after_one_end(after)}."
+    if after == orders:
         return _unchanged(sentence)
-    ended = replace(_after_end(orders, call.call_id), active=active, uncertain=uncertain)
-    return _changed(state, call.zone, ended, sentence)
+    return _changed(state, call.zone, _after_end(after, call.call_id), sentence)
 
 
-def _after_one_end(active: int, uncertain: int) -> str:
-    if not active:
+def _limited(orders: ZoneOrders) -> ZoneOrders:
+    """Return the orders with no more uncertain and probably ended ones than active ones."""
+    probably_ended = min(orders.active, orders.probably_ended)
+    uncertain = min(orders.active - probably_ended, orders.uncertain)
+    return replace(orders, uncertain=uncertain, probably_ended=probably_ended)
+
+
+def _after_one_end(orders: ZoneOrders) -> str:
+    if not orders.active:
         return "in use again"
-    if uncertain == active:
+    if orders.active == orders.probably_ended:
         return "still evacuated by another order, or in use soon"
+    if orders.active == orders.expiring:
+        return "still evacuated by another order, or by a repeat that needs an end of its own"
     return "still evacuated by another order"
 
 
@@ -130,7 +152,7 @@
     if orders.active <= count:
         return _unchanged_already(order.zone, orders)
     active = orders.active - 1
-    ended = replace(_after_end(orders), active=active, uncertain=min(active, orders.uncertain))
+    ended = _limited(replace(_after_end(orders), active=active))
     condition = "still evacuated by another order" if active else "in use again"
     return _changed(state, order.zone, ended, f"Zone {order.zone} is {condition}.")
 
@@ -147,9 +169,14 @@
 
 
 def _after_end(orders: ZoneOrders, *call_ids: str) -> ZoneOrders:
-    """Return the orders with the serial and the call ids after an order that ends."""
+    """Return the orders with the serials and the call ids after an order that ends."""
     recent_ids = (*orders.call_ids, *call_ids)[-MAX_CALL_IDS:]
-    return replace(orders, end_serial=orders.end_serial + 1, call_ids=recent_ids)
+    return replace(
+        orders,
+        end_serial=orders.end_serial + 1,
+        begin_serial_at_end=orders.begin_serial,
+        call_ids=recent_ids,
+    )
 
 
 def _unchanged(sentence: str) -> Evaluation:
--- a/pepperrun/control/evacuations.py
+++ b/pepperrun/control/evacuations.py
@@ -33,7 +33,8 @@
 SECOND = 1000 * MS
 MAX_DELAY_NS = SECOND  # a repeat that was sent in time may arrive so much later
 RETRY_NS = 2 * SECOND  # between two proposals to end uncertain orders
-MAX_HOLD_NS = 60 * SECOND  # an uncertain order may be kept for so much longer than the first one
+MAX_HOLD_NS = 60 * SECOND  # of the duration of an evacuation, for which it is kept after an uncertain end
+ACKNOWLEDGED_HOLD_NS = 3600 * SECOND  # of an order that was acknowledged and that no call has ended
 NO_ORDERS = ZoneOrders()
 
 
@@ -129,21 +130,24 @@
             return None
         for zone in sorted(evacuated_zones(state)):
             orders = decode_orders(state, zone)
-            if orders.active <= orders.uncertain and now > self._expires_at(zone, receipt_ms):
+            if orders.active <= orders.expiring and now > self._expires_at(zone, orders, receipt_ms):
                 self.proposed_at = now
                 expiry = Expiry(zone, next_call_id(), orders.begin_serial, orders.end_serial)
                 return encode_expiry(expiry)
         return None
 
-    def _expires_at(self, zone: str, receipt_ms: float) -> int:
-        """Return when the uncertain orders of a zone expire (monotonic ns).
+    def _expires_at(self, zone: str, orders: ZoneOrders, receipt_ms: float) -> int:
+        """Return when the orders of a zone expire, all of which are uncertain (monotonic ns).
 
-        An order that begins within `receipt_ms` after another and lasts as long ends within `receipt_ms`
-        after the other ends. An order that lasts twice as long ends later by the duration of the first one.
-        So the expiry waits for `receipt_ms` and this duration, of which at most `MAX_HOLD_NS` counts. If this
-        node did not see the start of the first order, all of `MAX_HOLD_NS` counts.
+        An order that was acknowledged, and is a repeat or that of another operator, is kept for
+        `ACKNOWLEDGED_HOLD_NS` unless it is ended: its operator may need the zone evacuated for any time. If
+        each order was ended by a call, which may be a repeat, they expire after the time in which repeats
+        arrive and the duration of the evacuation, of which at most `MAX_HOLD_NS` counts. If this node did not
+        see the start of the first order, all of `MAX_HOLD_NS` counts.
         """
         ended_at = self.learned_at.get((zone, False), self.started_at)
+        if orders.active > orders.probably_ended:
+            return ended_at + ACKNOWLEDGED_HOLD_NS
         duration_ns = ended_at - self.emptied_at.get(zone, ended_at - MAX_HOLD_NS)
         return ended_at + _repeated_for_ns(receipt_ms) + min(MAX_HOLD_NS, duration_ns)
 
