Control: a probably ended evacuation expires receipt_ms and 1 s after its end

What operators saw: after twelve short evacuations in series (real processes) the zone got nothing for over 27 s after the last `finish`; it was 16 s before the ends beyond the eighth were counted.

Cause: the expiry waited for the duration of the whole series too, the guess of how long another operator's order lasts. Such orders are now kept until they are ended, so the guess has no use left.

Change: only the time in which a repeat of the last end may arrive is waited for; what nodes recorded of the start of an evacuation is gone.

--- a/pepperrun/control/evacuations.py
+++ b/pepperrun/control/evacuations.py
@@ -33,7 +33,6 @@
 SECOND = 1000 * MS
 MAX_DELAY_NS = SECOND  # a repeat that was sent in time may arrive so much later
 RETRY_NS = 2 * SECOND  # between two proposals to end uncertain orders
-MAX_HOLD_NS = 60 * SECOND  # of the duration of an evacuation, for which it is kept after an uncertain end
 ACKNOWLEDGED_HOLD_NS = 3600 * SECOND  # of an order that was acknowledged and that no call has ended
 NO_ORDERS = ZoneOrders()
 
@@ -49,42 +48,27 @@
         Orders by zone after the last change.
     learned_at : dict of (str, bool) to int
         When this node learned of the last order (monotonic ns), by zone and whether the order begins.
-    emptied_at : dict of str to int
-        When the first active order of a zone was applied, if this node saw it (monotonic ns).
     """
 
     def __init__(self, state: Mapping[str, Any], now: int) -> None:
         self.started_at = now
         self.known: dict[str, ZoneOrders] = {}
         self.learned_at: dict[tuple[str, bool], int] = {}
-        self.emptied_at: dict[str, int] = {}
         self.proposed_at = now - RETRY_NS
-        self.on_state(state, now, is_one_operation=False)
+        self.on_state(state, now)
 
     # Changes of the state.
 
-    def on_state(self, state: Mapping[str, Any], now: int, *, is_one_operation: bool) -> None:
-        """Record a change of the agreed state.
-
-        Parameters
-        ----------
-        is_one_operation : bool
-            Whether the change is a single operation, which was applied just now.
-        """
+    def on_state(self, state: Mapping[str, Any], now: int) -> None:
+        """Record a change of the agreed state."""
         for zone in zones_with_orders(state) | self.known.keys():
-            self._on_orders(zone, decode_orders(state, zone), now, is_one_operation)
+            self._on_orders(zone, decode_orders(state, zone), now)
 
-    def _on_orders(self, zone: str, orders: ZoneOrders, now: int, is_one_operation: bool) -> None:
+    def _on_orders(self, zone: str, orders: ZoneOrders, now: int) -> None:
         before = self.known.get(zone, NO_ORDERS)
-        has_new_serial = False
         for begins in (True, False):
             if orders.serial(begins=begins) != before.serial(begins=begins):
                 self.learned_at[zone, begins] = now
-                has_new_serial = True
-        if not orders.active or (has_new_serial and not is_one_operation):
-            self.emptied_at.pop(zone, None)
-        elif not before.active and is_one_operation:
-            self.emptied_at[zone] = now
         if _is_change_without_serial(before, orders):
             self.learned_at[zone, orders.active > before.active] = now
         self.known[zone] = orders
@@ -141,15 +125,12 @@
 
         An order that was acknowledged, and is a repeat or that of another operator, is kept for
         `ACKNOWLEDGED_HOLD_NS` unless it is ended: its operator may need the zone evacuated for any time. If
-        each order was ended by a call, which may be a repeat, they expire after the time in which repeats
-        arrive and the duration of the evacuation, of which at most `MAX_HOLD_NS` counts. If this node did not
-        see the start of the first order, all of `MAX_HOLD_NS` counts.
+        each order has probably ended, they are kept only while repeats of the last end may arrive.
         """
         ended_at = self.learned_at.get((zone, False), self.started_at)
         if orders.active > orders.probably_ended:
             return ended_at + ACKNOWLEDGED_HOLD_NS
-        duration_ns = ended_at - self.emptied_at.get(zone, ended_at - MAX_HOLD_NS)
-        return ended_at + _repeated_for_ns(receipt_ms) + min(MAX_HOLD_NS, duration_ns)
+        return ended_at + _repeated_for_ns(receipt_ms)
 
 
 def _is_change_without_serial(before: ZoneOrders, after: ZoneOrders) -> bool:
--- a/pepperrun/control/node.py
+++ b/pepperrun/control/node.py
@@ -354,7 +354,7 @@
         for zone in self._evacuated_zones - evacuated_zones:
             self.registry.mark_zone_maybe_cold(zone, now)
         self._evacuated_zones = evacuated_zones
-        self.evacuations.on_state(body, now, is_one_operation=change.operation is not None)
+        self.evacuations.on_state(body, now)
         self._log_change(change)
         known = (change.base_version, change.operation) if change.operation is not None else None
         self.publisher.state_changed(known, now)
