Upstream: a connection is read again after a response whose reader was slow at its end

What callers saw: 504 at the deadline for requests that a sound worker had run and answered at once, where an earlier long answer on the worker's connection had a slow reader.

Cause: while a client takes no more of a streamed answer, reading from the worker is paused. If the last bytes filled the client's buffer, the connection was kept with reading paused, and the stream, which had ended, never resumed it.

Change: reading goes on when a streamed answer has ended, before the connection takes the next request.

--- a/pepperrun/net/connection.py
+++ b/pepperrun/net/connection.py
@@ -456,6 +456,8 @@
         """Ends a streamed response that is complete."""
         response, self.streamed_response, self.download = self.streamed_response, None, None
         self.buffer.set_read_size(0)
+        if self.paused:
+            self._pause(False)  # by the client of this response: the next one must be read all the same
         assert response is not None
         self._release(response)
         stream.finish()
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -24,6 +24,7 @@
 from pepperrun.net.buffer import MAX_IDLE_SIZE, has_unread_input
 from pepperrun.net.connection import Pool
 from pepperrun.net.stale_rates import StaleRates
+from pepperrun.net.stream import BodyStream, MemoryBudget
 
 
 @pytest.mark.parametrize(
@@ -471,3 +472,49 @@
         assert await backends.outcome() is Outcome.CONNECT_FAILED
 
     going(test)
+
+
+class SlowReader:
+    """The sink of a long response: can't take more after each piece, and after the last one stays so."""
+
+    def __init__(self, stream: BodyStream, expected: int) -> None:
+        self.stream, self.left = stream, expected
+        self.finished = asyncio.Event()
+
+    def write_body(self, data: bytes) -> None:
+        self.left -= len(data)
+        self.stream.pause(True)
+        if self.left:
+            asyncio.get_running_loop().call_soon(self.stream.pause, False)
+
+    def finish_body(self) -> None:
+        self.finished.set()
+
+    def abort_body(self) -> None:
+        raise AssertionError("the body was whole")
+
+
+def test_connection_is_read_again_after_a_response_whose_reader_was_slow_at_its_end():
+    # Guards against a request that runs and whose answer is never read, so that its client gets a 504.
+    size = 300_000
+    readers = []
+
+    class StreamingBackends(Backends):
+        def _ended(self, exchange, number, backend, outcome, given, units):
+            if given.stream is not None:
+                readers.append(SlowReader(given.stream, size))
+                given.stream.attach(readers[0])
+            super()._ended(exchange, number, backend, outcome, given, units)
+
+    async def test():
+        backends, worker = StreamingBackends(), await StandIn(ok(bytes(size)), ok(b"own")).start()
+        backends.side.budget = MemoryBudget(1 << 24)
+        backends.list(line("w", worker.port))
+        backends.send()
+        assert await backends.outcome() is Outcome.OK
+        await readers[0].finished.wait()
+        backends.send()
+        assert (await backends.outcomes.get())[2].body == b"own"
+        assert worker.connections == 1
+
+    going(test)
