Test: the worker of the 32 MB test serves each request of a kept connection

The test failed with 504 in some runs at once with others (2 of 48, 8 at a time). Cause: its worker served one request on each connection and dropped what came next. On a busy machine an upload begins only after a download has ended, and the gatekeeper sends it on the download's connection, as it may: the worker had received the whole upload there in the failing runs (a trace in the worker; trial on a scratch copy).

The worker now serves one request after the other.

--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -588,23 +588,25 @@
         block = os.urandom(MB)
         want = hashlib.sha256(block * 32).hexdigest()
 
+        async def respond(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            if head.startswith(b"POST"):
+                digest, left = hashlib.sha256(), SIZE
+                while left:
+                    some = await reader.read(min(left, 100_003))
+                    digest.update(some)
+                    left -= len(some)
+                writer.write(ok(digest.hexdigest().encode()))
+            else:
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % SIZE)
+                for _ in range(32):
+                    writer.write(block)
+                    await writer.drain()
+            await writer.drain()
+
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             try:
-                head = await reader.readuntil(b"\r\n\r\n")
-                if head.startswith(b"POST"):
-                    digest, left = hashlib.sha256(), SIZE
-                    while left:
-                        some = await reader.read(min(left, 100_003))
-                        digest.update(some)
-                        left -= len(some)
-                    writer.write(ok(digest.hexdigest().encode()))
-                else:
-                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % SIZE)
-                    for _ in range(32):
-                        writer.write(block)
-                        await writer.drain()
-                await writer.drain()
-                await reader.read()
+                while True:  # a kept connection brings the next request
+                    await respond(await reader.readuntil(b"\r\n\r\n"), reader, writer)
             except (OSError, asyncio.IncompleteReadError):
                 pass
             finally:
