--- a/pepperrun/net/connection.py
+++ b/pepperrun/net/connection.py
@@ -219,6 +219,7 @@
         self.deadline = 0  # of the request whose response is being streamed, ns
         self.paused = False  # reading is paused: the client does not read the response now
         self.request_unsent = False  # the last byte of the request has not been written
+        self.write_failed = False  # the connection had ended before any byte of the request was written
         self.client_aborted = False  # the client has left, so the rest of the request is never written
         self.idle_since = self.last_received_at = self.started_at = 0
         self.responses = 0  # complete responses so far
@@ -255,11 +256,11 @@
         self.started_at = now
         self.previous_request_id, self.request_id = self.request_id, self.owner.wire.request_id(attempt)
         self.pool.unanswered_since = self.pool.unanswered_since or now
-        self.request_unsent = not request.complete
+        self.request_unsent, self.write_failed = not request.complete, False
         self.parser.bodiless = request.method == b"HEAD"
         self.transport.write(data)
         if self.transport.is_closing():
-            self.request_unsent = True  # the write itself failed: nothing has been sent
+            self.request_unsent = self.write_failed = True
         elif request.stream is not None and not request.complete:
             self.upload, self.chunked, self.last_progress_at = request.stream, request.length is None, now
             attempt.exchange.body_consumed = True
@@ -519,10 +520,14 @@
             self.owner.finish_attempt(attempt, self._lost_outcome())
 
     def _lost_outcome(self) -> Outcome:
-        """Returns the outcome of an attempt whose connection ended; a client that left blames no backend."""
+        """Returns the outcome of an attempt whose connection ended; a client that left blames no backend.
+
+        A backend may run a request before it has read the whole body. So only a request of which nothing was
+        written has certainly not run.
+        """
         if self.client_aborted:
             return Outcome.CANCELLED
-        return Outcome.CONNECT_FAILED if self.request_unsent else self._broken_outcome()
+        return Outcome.CONNECT_FAILED if self.write_failed else self._broken_outcome()
 
     def _broken_outcome(self) -> Outcome:
         """Returns the outcome for a connection that broke; a reused one that broke at once was stale."""
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 from standins import (
@@ -384,25 +385,47 @@
     going(test)
 
 
-def test_request_not_written_completely_is_a_connect_failure():
+@pytest.mark.parametrize("begins_response", [False, True])
+def test_request_of_which_a_part_was_written_may_have_run(begins_response):
+    # Guards against an unsafe request that runs twice: a worker may run it before it has read the whole body.
     async def test():
         backends = Backends()
         writers = asyncio.Queue()
 
-        async def never_reads(reader, writer):
+        async def reads_the_head_only(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
             writer.transport.pause_reading()
+            if begins_response:
+                writer.write(HEAD + b"Content-Length: 9\r\n\r\npart")
+                while not next(iter(backends.side.connections)).response_started_at:
+                    await asyncio.sleep(0)
             writers.put_nowait(writer)
 
-        server = await asyncio.start_server(never_reads, "127.0.0.1", 0)
+        server = await asyncio.start_server(reads_the_head_only, "127.0.0.1", 0)
         backends.list(line("w", server.sockets[0].getsockname()[1]))
         backends.send(body=bytes(16 << 20), method=b"POST")  # more than the kernel's buffers hold
         (await writers.get()).transport.abort()
-        assert await backends.outcome() is Outcome.CONNECT_FAILED
+        assert await backends.outcome() is Outcome.RESET
         server.close()
 
     going(test)
 
 
+def test_request_of_which_nothing_was_written_is_a_connect_failure():
+    async def test():
+        backends, worker = Backends(), await StandIn(ok()).start()
+        backends.list(line("w", worker.port))
+        backends.send()
+        assert await backends.outcome() is Outcome.OK
+        (connection,) = backends.side.connections
+        connection.transport.get_extra_info("socket").shutdown(socket.SHUT_WR)  # each write fails from now on
+        backends.send(body=bytes(16 << 20), method=b"POST")
+        assert await backends.outcome() is Outcome.CONNECT_FAILED
+        assert len(worker.heads) == 1
+
+    going(test)
+
+
 def test_unresponsive_backend_gets_a_new_connection():
     # A machine that is cut off sends nothing on any connection, and these may stay silent after its return.
     async def test():
