Test: the benchmark of evacuation orders is played with the others

Change: it is listed, with one short evacuation.

Measured: tests/test_benchmarks.py -k "listed or evacuation" passes; the first failed before.

--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -23,6 +23,7 @@
     "capture_stall": ("--rate", "50", "--seconds", "0.5"),
     "control_cost": ("--routes", "10", "--gates", "3", "--cores", "3", "--workers", "3", "--seconds", "1"),
     "control_scale": ("--gates", "6", "--routes", "10"),
+    "evacuation_orders": ("0:begin:0,0.2:finish:1", "--watch", "1"),
     "fleet_turns": ("0.3",),
     "hollow_gateways": ("--gates", "3", "--routes", "5", "--changes", "1", "--seconds", "0.5"),
     "ill_workers": ("--seeds", "1", "--rate", "2"),
