--- a/benchmarks/capacity_control.py
+++ b/benchmarks/capacity_control.py
@@ -114,7 +114,7 @@
     rows = worker_rows(size)
     for id, line, address, zone, edition, berths, *_ in rows:
         cells.heartbeat(
-            WorkerHeartbeat(id, line, address, zone, edition, berths, WorkerState.SERVING, 0, 1), 0, SECOND
+            WorkerHeartbeat(id, line, address, zone, edition, berths, WorkerState.SERVING, 0, 1), None, SECOND
         )
     cells.take_messages(SECOND), cells.take_changed()
     id, line, address, zone, edition, berths, *_ = rows[0]
@@ -126,7 +126,7 @@
     cells.peers = {f"10.9.0.{at}": f"zone-{at}" for at in range(32)}
 
     def beat() -> None:
-        cells.heartbeat(read_heartbeat(id, body), 0, SECOND)
+        cells.heartbeat(read_heartbeat(id, body), None, SECOND)
         cells.other_preferred_node(id, zone, "zone-0", regions)
 
     now = [SECOND]
--- a/benchmarks/capacity_memory.py
+++ b/benchmarks/capacity_memory.py
@@ -94,7 +94,7 @@
     for at, (id, line, address, zone, edition, berths, *_) in enumerate(through_json(rows)):
         cells.heartbeat(
             WorkerHeartbeat(id, line, address, zone, edition, berths, WorkerState.SERVING, 0, 1),
-            0,
+            None,
             SECOND + at,
         )
         if at % PART == 0:
--- a/features/playing.py
+++ b/features/playing.py
@@ -30,6 +30,7 @@
 from pepperrun.control.node import ControlNode
 from pepperrun.control.order_codec import read_amend, read_replace
 from pepperrun.control.records import GatewayRecord, GatewayState, Worker, WorkerState
+from pepperrun.control.replication_waits import VoterQuorum
 from pepperrun.core.gateway import Gateway
 from pepperrun.core.interface import (
     AttemptEnded,
@@ -60,6 +61,7 @@
 START = 1_000_000 * MS
 ZONES = {"a": "r1", "b": "r2", "c": "r3"}
 CORES = ["10.0.0.1", "10.0.0.2", "10.0.0.3"]
+BOTH = VoterQuorum((frozenset(CORES[:2]),))
 SIDING = 7600
 TENANT = TenantConfig("ann", ["k1"], rate_per_s=5.0, surge=10.0)
 
@@ -211,7 +213,7 @@
     cells = {ip: EndpointRegistry(ip, 1500, START) for ip in CORES[:2]}
     one, two = CORES[:2]
     cells[one].heartbeat(
-        WorkerHeartbeat("w1", "ant", "10.2.0.9:80", "a", "v1", 2, WorkerState.SERVING, 0, 4), 0, START
+        WorkerHeartbeat("w1", "ant", "10.2.0.9:80", "a", "v1", 2, WorkerState.SERVING, 0, 4), None, START
     )
     cells[one].gateway_heartbeat(gateway_record("g1"), START)
     log, now = [], START
@@ -222,10 +224,14 @@
                 cells[ip].connected(other, "b", now)
         if step == 2:
             cells[one].heartbeat(
-                WorkerHeartbeat("w2", "ant", "10.2.0.8:80", "a", "v1", 2, WorkerState.SERVING, 0, 1), 0, now
+                WorkerHeartbeat("w2", "ant", "10.2.0.8:80", "a", "v1", 2, WorkerState.SERVING, 0, 1),
+                None,
+                now,
             )
             cells[one].heartbeat(
-                WorkerHeartbeat("w1", "ant", "10.2.0.9:80", "a", "v1", 2, WorkerState.DRAINING, 0, 5), 1, now
+                WorkerHeartbeat("w1", "ant", "10.2.0.9:80", "a", "v1", 2, WorkerState.DRAINING, 0, 5),
+                BOTH,
+                now,
             )
         for _ in range(12):
             now += 100 * MS
--- a/pepperrun/consensus/replica.py
+++ b/pepperrun/consensus/replica.py
@@ -124,6 +124,13 @@
         """Ips of the machines that vote; this node should keep links to them."""
         return self._known_value.voter_ips if self._known_value else set()
 
+    @property
+    def voter_groups(self) -> tuple[frozenset[str], ...]:
+        """Ips of the machines that vote, by group; empty while unknown."""
+        value = self._known_value
+        groups = value.voter_groups if value is not None else ()
+        return tuple(frozenset(voter.ip for voter in group) for group in groups)
+
     @property
     def is_voter(self) -> bool:
         """Whether this incarnation is a voter of the chosen value."""
--- a/pepperrun/control/endpoint_registry.py
+++ b/pepperrun/control/endpoint_registry.py
@@ -19,7 +19,7 @@
 from pepperrun.control.heartbeat_routing import preferred_node
 from pepperrun.control.liveness_reports import LivenessReports
 from pepperrun.control.records import GatewayRecord, GatewayState, Worker, WorkerState
-from pepperrun.control.replication_waits import ReplicationWaits
+from pepperrun.control.replication_waits import ReplicationWaits, VoterQuorum
 from pepperrun.distribution import repair
 from pepperrun.distribution.digests import (
     RangeDigests,
@@ -91,7 +91,7 @@
         self.last_serials: dict[str, int] = {}
         self.ended_at: dict[str, int] = {}
         self.liveness = LivenessReports(int(REPORT_HEARTBEATS * heartbeat_ms * MS), now)
-        self.waits = ReplicationWaits()
+        self.waits = ReplicationWaits(own_ip)
         self.next_round_at = now + ROUND_NS
         self.rounds = 0
         self._urgent: dict[str, Record] = {}  # pushed at once
@@ -152,18 +152,18 @@
 
     # Workers.
 
-    def heartbeat(self, heartbeat: WorkerHeartbeat, needed: int, now: int) -> int | None:
+    def heartbeat(self, heartbeat: WorkerHeartbeat, quorum: VoterQuorum | None, now: int) -> int | None:
         """Handle a heartbeat.
 
         Parameters
         ----------
-        needed : int
-            Number of other nodes that must store the record of a draining worker before the acknowledgement.
+        quorum : VoterQuorum or None
+            Nodes that must store the record of a draining worker before the acknowledgement.
 
         Returns
         -------
         int or None
-            Token of the wait for these nodes, if there is one.
+            Token of the wait for these nodes; None if the heartbeat may be acknowledged at once.
         """
         known = self.workers.get(heartbeat.id)
         if known is None:
@@ -171,8 +171,8 @@
         elif known.is_gone:
             return None
         self._record_heartbeat(known, heartbeat, now)
-        if heartbeat.state is WorkerState.DRAINING and needed:
-            return self._replicate(heartbeat.id, needed, now)
+        if heartbeat.state is WorkerState.DRAINING and quorum is not None:
+            return self._replicate(heartbeat.id, quorum, now)
         return None
 
     def _record_heartbeat(self, known: Worker | None, heartbeat: WorkerHeartbeat, now: int) -> None:
@@ -230,7 +230,7 @@
     def _last_serial(self, worker: Worker) -> int:
         return max(worker.serial, self.last_serials.get(worker.id, 0))
 
-    def worker_ended(self, worker_id: str, needed: int, now: int) -> int | None:
+    def worker_ended(self, worker_id: str, quorum: VoterQuorum, now: int) -> int | None:
         """Handle a worker's notice that it ends; return the token of a wait as `heartbeat` does."""
         known = self.workers.get(worker_id)
         if known is None:
@@ -238,11 +238,11 @@
         if not known.is_gone:
             gone = replace(known, state=WorkerState.GONE, serial=self._last_serial(known))
             self._update(gone, now, urgent=True)
-        return self._replicate(worker_id, needed, now) if needed else None
+        return self._replicate(worker_id, quorum, now)
 
-    def _replicate(self, worker_id: str, needed: int, now: int) -> int:
+    def _replicate(self, worker_id: str, quorum: VoterQuorum, now: int) -> int:
         """Push a record to all nodes and request acknowledgements that they store it; return the token."""
-        token = self.waits.start(needed)
+        token = self.waits.start(quorum)
         message = repair.encode_records([self.workers[worker_id]], now)
         self._broadcast(repair.with_replication_token(message, token))
         self._urgent.pop(worker_record_id(worker_id), None)
--- a/pepperrun/control/handlers.py
+++ b/pepperrun/control/handlers.py
@@ -25,6 +25,7 @@
 )
 from pepperrun.control.order_codec import read_amend, read_replace
 from pepperrun.control.records import WorkerState
+from pepperrun.control.replication_waits import VoterQuorum
 from pepperrun.control.table_codec import parse_body
 from pepperrun.control.verdict import Verdict, configuration_error
 from pepperrun.foundation.errors import PepperrunError
@@ -65,12 +66,12 @@
         ...
 
     @property
-    def voter_count(self) -> int:
-        """Number of machines that vote."""
+    def voter_quorum(self) -> VoterQuorum:
+        """The majority of the machines that vote."""
         ...
 
     def replicated(self, token: int) -> asyncio.Future[None]:
-        """Return a future that is done once enough nodes store the record that the token stands for."""
+        """Return a future that is done once a quorum stores the record that the token stands for."""
         ...
 
     def order(self, op: Operation, timeout_ns: int) -> asyncio.Future[Verdict | None]:
@@ -167,9 +168,8 @@
             heartbeat = read_heartbeat(call.values["id"], call.body)
         except PepperrunError as error:
             return detail_answer(400, error.code, error.detail)
-        is_draining = heartbeat.state is WorkerState.DRAINING
-        needed = node.voter_count // 2 if is_draining else 0
-        token = node.registry.heartbeat(heartbeat, needed, node.now())
+        quorum = node.voter_quorum if heartbeat.state is WorkerState.DRAINING else None
+        token = node.registry.heartbeat(heartbeat, quorum, node.now())
         node.process_pending()
         body = self._preferred_node_body(heartbeat)
         return Answer(200, body) if token is None else self._once_replicated(token, body)
@@ -186,12 +186,15 @@
         node = self.node
         if node.lacks_quorum:
             return _no_quorum()
-        token = node.registry.worker_ended(call.values["id"], node.voter_count // 2, node.now())
+        token = node.registry.worker_ended(call.values["id"], node.voter_quorum, node.now())
         node.process_pending()
         return Answer(200, b"{}") if token is None else self._once_replicated(token, b"{}")
 
     async def _once_replicated(self, token: int, body: bytes) -> Answer:
-        """Acknowledge a record once a majority stores it, so that the loss of a node does not undo it."""
+        """Acknowledge a record once a majority of the voters stores it.
+
+        Neither the loss of a node undoes it then, nor can the smaller side of a partition acknowledge it.
+        """
         try:
             async with asyncio.timeout(REPLICATION_TIMEOUT_S):
                 await self.node.replicated(token)
--- a/pepperrun/control/node.py
+++ b/pepperrun/control/node.py
@@ -24,6 +24,7 @@
 from pepperrun.control.peer_links import CONTROL_CLASS, PeerLinks
 from pepperrun.control.pending_calls import PendingCalls
 from pepperrun.control.records import GatewayRecord, Worker
+from pepperrun.control.replication_waits import VoterQuorum
 from pepperrun.control.verdict import Verdict
 from pepperrun.distribution.digests import RangeDigests
 from pepperrun.distribution.publisher import Publisher
@@ -239,12 +240,12 @@
         return self.replica.lacks_quorum
 
     @property
-    def voter_count(self) -> int:
-        """Number of machines that vote."""
-        return len(self.replica.voter_ips)
+    def voter_quorum(self) -> VoterQuorum:
+        """The majority of the machines that vote."""
+        return VoterQuorum(self.replica.voter_groups)
 
     def replicated(self, token: int) -> asyncio.Future[None]:
-        """Return a future that is done once enough nodes store the record that the token stands for."""
+        """Return a future that is done once a quorum stores the record that the token stands for."""
         if token in self.registry.waits:
             return self.pending_calls.wait_for_replication(token)
         future: asyncio.Future[None] = self.loop.create_future()
--- a/tests/clusters.py
+++ b/tests/clusters.py
@@ -12,6 +12,7 @@
 from pepperrun.control.endpoint_registry import EndpointRegistry, WorkerHeartbeat
 from pepperrun.control.order_codec import read_amend, read_replace
 from pepperrun.control.records import GatewayRecord, GatewayState, WorkerState
+from pepperrun.control.replication_waits import VoterQuorum
 
 MS = 1_000_000
 SECOND = 1000 * MS
@@ -65,6 +66,11 @@
 A, B, C = "10.0.0.0", "10.0.0.1", "10.0.0.2"
 
 
+def majority_of(*voters: str) -> VoterQuorum:
+    """Return the quorum of these voters."""
+    return VoterQuorum((frozenset(voters),))
+
+
 class World:
     """Endpoint registries of control nodes in virtual time; messages on cut links are lost."""
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -14,11 +14,14 @@
     SERVICES,
     TENANTS,
     A,
+    B,
+    C,
     World,
     amend_op,
     configuration,
     gateway,
     heartbeat,
+    majority_of,
     replace_op,
     with_value,
 )
@@ -33,6 +36,7 @@
 from pepperrun.control.node import tolerated_losses
 from pepperrun.control.order_codec import read_replace
 from pepperrun.control.peer_links import FORGET_NS, PeerLinks
+from pepperrun.control.replication_waits import VoterQuorum
 from pepperrun.control.server import ClientConnection, Server
 from pepperrun.control.table_codec import decode_table
 from pepperrun.control.verdict import Verdict
@@ -195,8 +199,8 @@
         return self.is_partitioned
 
     @property
-    def voter_count(self) -> int:
-        return 3
+    def voter_quorum(self) -> VoterQuorum:
+        return majority_of(A, B, C)
 
     def replicated(self, token: int) -> asyncio.Future[None]:
         return self._future(None) if self.replicates else asyncio.get_running_loop().create_future()
@@ -546,11 +550,11 @@
 def test_non_urgent_changes_are_sent_in_one_batch() -> None:
     world = World(2)
     for n in range(20):
-        world.registries[A].heartbeat(heartbeat(f"w{n}", 1), 0, world.now)
+        world.registries[A].heartbeat(heartbeat(f"w{n}", 1), None, world.now)
     world.deliver()
     world.sent.clear()
     for n in range(20):
-        world.registries[A].heartbeat(heartbeat(f"w{n}", 2, cold=3 * SECOND), 0, world.now)
+        world.registries[A].heartbeat(heartbeat(f"w{n}", 2, cold=3 * SECOND), None, world.now)
         world.deliver()
     assert not world.sent and world.registries[A].next_tick_at() == min(
         world.now + BATCH_NS, world.registries[A].next_round_at
--- a/tests/test_endpoint_registry.py
+++ b/tests/test_endpoint_registry.py
@@ -5,35 +5,41 @@
 import itertools
 from dataclasses import replace
 
-from clusters import A, B, C, World, configuration, gateway, heartbeat, replace_op
+import pytest
+from clusters import A, B, C, World, configuration, gateway, heartbeat, majority_of, replace_op
 
 from pepperrun.control.changes import apply
 from pepperrun.control.directory import DirectoryAnswer, HostHomeRegions, choose_gateways
 from pepperrun.control.endpoint_registry import GATEWAY_GONE_NS, GATEWAY_SILENT_NS
 from pepperrun.control.gateway_count import GatewayCount
 from pepperrun.control.records import GatewayRecord, Worker, WorkerState
+from pepperrun.control.replication_waits import VoterQuorum
 
+D, E = "10.0.0.3", "10.0.0.4"
 MS = 1_000_000
 SECOND = 1000 * MS
 
 
 def test_heartbeats_reach_all_nodes_and_late_ones_change_nothing() -> None:
     world = World(3)
-    world.registries[A].heartbeat(heartbeat("w1", 4, cold=3 * SECOND), 0, world.now)
+    world.registries[A].heartbeat(heartbeat("w1", 4, cold=3 * SECOND), None, world.now)
     world.deliver()  # a new worker is pushed at once
     assert world.registries[C].workers["w1"].warming_until == world.now + 3 * SECOND
     world.run(1.4)
     before = len([one for one in world.sent if one[2]["k"] == "cells"])
-    world.registries[A].heartbeat(heartbeat("w1", 5, cold=1600 * MS), 0, world.now)
+    world.registries[A].heartbeat(heartbeat("w1", 5, cold=1600 * MS), None, world.now)
     world.run(1)
     record = world.registries[A].workers["w1"]
     assert record.serial == 4 and len([one for one in world.sent if one[2]["k"] == "cells"]) == before
-    assert world.registries[B].heartbeat(heartbeat("w1", 6, "unloading"), 1, world.now) is not None
-    world.registries[A].heartbeat(heartbeat("w1", 3), 0, world.now)  # late
+    assert (
+        world.registries[B].heartbeat(heartbeat("w1", 6, "unloading"), majority_of(A, B, C), world.now)
+        is not None
+    )
+    world.registries[A].heartbeat(heartbeat("w1", 3), None, world.now)  # late
     world.deliver()
     assert world.states("w1") == {"unloading"}
-    world.registries[A].worker_ended("w1", 1, world.now)
-    world.registries[B].heartbeat(heartbeat("w1", 9), 0, world.now)
+    world.registries[A].worker_ended("w1", majority_of(A, B, C), world.now)
+    world.registries[B].heartbeat(heartbeat("w1", 9), None, world.now)
     world.deliver()
     assert world.states("w1") == {"gone"}
 
@@ -43,9 +49,9 @@
 
     def send_heartbeats() -> None:
         if world.now // (100 * MS) % 15 == 0:
-            world.registries[B].heartbeat(heartbeat("w1", next(serial)), 0, world.now)
+            world.registries[B].heartbeat(heartbeat("w1", next(serial)), None, world.now)
 
-    world.registries[A].heartbeat(heartbeat("w2", 1), 0, world.now)
+    world.registries[A].heartbeat(heartbeat("w2", 1), None, world.now)
     world.run(5, send_heartbeats)
     assert world.states("w2") == {"boarding"}
     world.partition(C)
@@ -57,10 +63,10 @@
     assert world.states("w2") == {"lost"} and world.states("w1") == {"boarding"}
     world.run(3, send_heartbeats)
     assert world.states("w1") == {"boarding"}
-    world.registries[C].heartbeat(heartbeat("w2", 1), 0, world.now)  # a delayed heartbeat
+    world.registries[C].heartbeat(heartbeat("w2", 1), None, world.now)  # a delayed heartbeat
     world.deliver()
     assert world.states("w2") == {"lost"}
-    world.registries[C].heartbeat(heartbeat("w2", 2), 0, world.now)
+    world.registries[C].heartbeat(heartbeat("w2", 2), None, world.now)
     world.run(1.2)  # nodes that learn of it do not count the silence before
     assert world.states("w2") == {"boarding"}
 
@@ -68,7 +74,7 @@
 def test_the_node_that_receives_a_worker_corrects_a_node_that_marked_it_as_lost() -> None:
     world = World(3)
     for serial in (1, 2, 3):
-        world.registries[A].heartbeat(heartbeat("w1", serial), 0, world.now)
+        world.registries[A].heartbeat(heartbeat("w1", serial), None, world.now)
         world.run(1.5)
     lost = Worker("w1", "x", "10.9.0.1:80", "z0", "v1", 2, 1, WorkerState.LOST)
     world.registries[B].merge([lost], [], world.now)
@@ -79,39 +85,73 @@
 
 def test_draining_and_ending_are_acknowledged_once_enough_nodes_store_it() -> None:
     world = World(3)
-    world.registries[A].heartbeat(heartbeat("w1", 1), 0, world.now)
+    world.registries[A].heartbeat(heartbeat("w1", 1), None, world.now)
     world.deliver()
     world.partition(B)
-    token = world.registries[A].heartbeat(heartbeat("w1", 2, "unloading"), 2, world.now)
+    token = world.registries[A].heartbeat(heartbeat("w1", 2, "unloading"), majority_of(B, C), world.now)
     world.deliver()
     # The record is stored by one of the two nodes that are needed.
     assert token is not None and world.registries[A].waits.take_completed() == []
     world.heal(B)
-    token = world.registries[A].heartbeat(heartbeat("w1", 3, "unloading"), 2, world.now)
+    token = world.registries[A].heartbeat(heartbeat("w1", 3, "unloading"), majority_of(B, C), world.now)
     world.deliver()
     assert world.registries[A].waits.take_completed() == [token]
-    assert world.registries[B].worker_ended("w1", 2, world.now) is not None
+    assert world.registries[B].worker_ended("w1", majority_of(A, C), world.now) is not None
     world.deliver()
     assert len(world.registries[B].waits.take_completed()) == 1 and world.states("w1") == {"gone"}
 
 
+@pytest.mark.parametrize("calls", ["unloading", "leave"])
+def test_the_smaller_side_of_a_partition_does_not_acknowledge_that_a_worker_leaves(calls: str) -> None:
+    """Two of five control nodes are cut off; only three vote, and one of them is among the two."""
+    world, voters = World(5), majority_of(A, B, D)
+    world.registries[D].heartbeat(heartbeat("w1", 1), None, world.now)
+    world.deliver()
+    world.cut_links = {frozenset((one, two)) for one in (A, B, C) for two in (D, E)}  # none has noticed it
+
+    def leave(ip: str) -> int:
+        registry = world.registries[ip]
+        if calls == "leave":
+            token = registry.worker_ended("w1", voters, world.now)
+        else:
+            token = registry.heartbeat(heartbeat("w1", 2, "unloading"), voters, world.now)
+        assert token is not None
+        world.deliver()
+        return token
+
+    for ip in (D, E):
+        token = leave(ip)
+        assert world.registries[ip].waits.take_completed() == [] and token in world.registries[ip].waits
+    token = leave(C)  # it does not vote, but A and B do
+    assert world.registries[C].waits.take_completed() == [token]
+
+
+def test_while_the_voters_are_changed_a_majority_of_both_groups_stores_a_record() -> None:
+    quorum = VoterQuorum((frozenset((A, B, C)), frozenset((C, D, E))))
+    assert quorum.is_reached_by({A, C, D}) and not quorum.is_reached_by({A, B, C})
+    assert not VoterQuorum(()).is_reached_by({A, B, C})  # the voters are unknown
+
+
 def test_a_worker_with_heartbeats_to_both_sides_of_a_partition_ends_in_its_last_state() -> None:
     """Its heartbeats alternate between the sides: neither marks it as lost, and no state is reverted."""
     world = World(3)
-    world.registries[A].heartbeat(heartbeat("w1", 1), 0, world.now)
-    world.registries[A].heartbeat(heartbeat("w2", 1), 0, world.now)
+    world.registries[A].heartbeat(heartbeat("w1", 1), None, world.now)
+    world.registries[A].heartbeat(heartbeat("w2", 1), None, world.now)
     world.deliver()
     world.partition(C)
     for serial in range(2, 10):  # three seconds between two heartbeats on one side
-        world.registries[C if serial % 2 else A].heartbeat(heartbeat("w1", serial), 0, world.now)
-        world.registries[A if serial % 2 else C].heartbeat(heartbeat("w2", serial), 0, world.now)
+        world.registries[C if serial % 2 else A].heartbeat(heartbeat("w1", serial), None, world.now)
+        world.registries[A if serial % 2 else C].heartbeat(heartbeat("w2", serial), None, world.now)
         world.run(1.5)
         assert world.states("w1") == world.states("w2") == {"boarding"}
     # The heartbeat arrives on the side of the majority.
-    assert world.registries[B].heartbeat(heartbeat("w1", 10, "unloading"), 1, world.now) is not None
-    world.registries[C].heartbeat(heartbeat("w2", 10, cold=3 * SECOND), 0, world.now)  # on the other side
+    assert (
+        world.registries[B].heartbeat(heartbeat("w1", 10, "unloading"), majority_of(A, B, C), world.now)
+        is not None
+    )
+    world.registries[C].heartbeat(heartbeat("w2", 10, cold=3 * SECOND), None, world.now)  # on the other side
     world.run(0.3)
-    world.registries[C].heartbeat(heartbeat("w1", 9), 0, world.now)  # late
+    world.registries[C].heartbeat(heartbeat("w1", 9), None, world.now)  # late
     assert world.registries[C].workers["w1"].state == "boarding"
     world.heal(C)
     world.run(1.2)
@@ -151,9 +191,9 @@
 
 def test_an_address_belongs_to_the_newest_worker_that_uses_it() -> None:
     world = World(2)
-    world.registries[A].heartbeat(heartbeat("w1", 7, address="10.9.0.9:80"), 0, world.now)
+    world.registries[A].heartbeat(heartbeat("w1", 7, address="10.9.0.9:80"), None, world.now)
     world.deliver()
-    world.registries[B].heartbeat(heartbeat("w2", 1, address="10.9.0.9:80"), 0, world.now)
+    world.registries[B].heartbeat(heartbeat("w2", 1, address="10.9.0.9:80"), None, world.now)
     world.deliver()
     assert world.states("w1") == {"lost"} and world.states("w2") == {"boarding"}
 
@@ -161,15 +201,15 @@
 def test_after_an_evacuation_workers_count_as_cold_until_their_next_heartbeats() -> None:
     world = World(2)
     for serial in (1, 2, 3):
-        world.registries[A].heartbeat(heartbeat("w1", serial), 0, world.now)
-        world.registries[A].heartbeat(heartbeat("w2", serial, zone="z1"), 0, world.now)
+        world.registries[A].heartbeat(heartbeat("w1", serial), None, world.now)
+        world.registries[A].heartbeat(heartbeat("w2", serial, zone="z1"), None, world.now)
     world.deliver()
     # A receives the worker; B does not know yet that the evacuation has ended.
     world.registries[A].mark_zone_maybe_cold("z0", world.now)
     world.run(1.2)  # and the record of B must not clear the flag
     assert [one.workers["w1"].maybe_cold for one in world.registries.values()] == [True, True]
     assert not world.registries[A].workers["w2"].maybe_cold
-    world.registries[B].heartbeat(heartbeat("w1", 4, cold=2 * SECOND), 0, world.now)
+    world.registries[B].heartbeat(heartbeat("w1", 4, cold=2 * SECOND), None, world.now)
     at = world.now
     world.run(0.1)
     records = [one.workers["w1"] for one in world.registries.values()]
