--- a/pepperrun/control/directory.py
+++ b/pepperrun/control/directory.py
@@ -23,8 +23,9 @@
     addresses : list of str
         Addresses of gatekeepers, the nearest first.
     is_fallback : bool
-        Whether no gatekeeper is ready in the regions allowed for the host: the addresses are outside of
-        these, and the client should ask again soon.
+        Whether no gatekeeper is ready in the regions allowed for the host: the addresses are those of
+        gatekeepers that restart there or, if there are none, outside of these regions. The client should
+        ask again soon.
     """
 
     addresses: list[str]
@@ -57,6 +58,7 @@
     regions: Mapping[str, str],
     seed: int,
     home_regions: Callable[[], frozenset[str]] = frozenset,
+    restarting: Callable[[], Iterable[GatewayRecord]] = tuple,
 ) -> DirectoryAnswer:
     """Return addresses of a client's region, those in its zone first; if these are few, others too.
 
@@ -65,8 +67,8 @@
     of gatekeepers for about the same load: if clients got only the gatekeepers of their zone, the single
     gatekeeper of a small zone would carry half of its region's load, and need more than its share of every
     quota. The zones of a region are near each other. During a rolling restart, a region of two or three
-    gatekeepers may have only one that is ready: a client of a host with home regions is then still not sent
-    outside of these.
+    gatekeepers may have only one that is ready, and a region with a single gatekeeper has none for a moment:
+    a client of a host with home regions is then still not sent outside of these.
 
     Parameters
     ----------
@@ -77,6 +79,9 @@
     home_regions : callable
         Returns the regions in which requests for the client's host may be served; empty for all regions.
         Called only if few gatekeepers are near.
+    restarting : callable
+        Returns the gatekeepers that are shutting down or starting. Called only if none is ready in the
+        regions allowed for the host.
     """
     region = region or regions.get(zone, "")
     in_zone: list[str] = []
@@ -102,4 +107,10 @@
     ]
     if near or far_allowed:
         return DirectoryAnswer((near + far_allowed)[:MAX_ADDRESSES])
-    return DirectoryAnswer([gateway.client_address for gateway in far][:MAX_ADDRESSES], is_fallback=True)
+    back_soon = [
+        gateway.client_address
+        for gateway in restarting()
+        if gateway.region == region or gateway.region in allowed_regions
+    ]
+    fallback = back_soon or [gateway.client_address for gateway in far]
+    return DirectoryAnswer(fallback[:MAX_ADDRESSES], is_fallback=True)
--- a/pepperrun/control/endpoint_registry.py
+++ b/pepperrun/control/endpoint_registry.py
@@ -293,6 +293,15 @@
             if gateway.state is GatewayState.READY and self.gateway_silent_ns(name, now) < GATEWAY_SILENT_NS
         ]
 
+    def restarting_gateways(self, within_ns: int, now: int) -> list[GatewayRecord]:
+        """Return the gatekeepers that began to shut down or to start and were seen within this time."""
+        return [
+            gateway
+            for name, gateway in self.gateways.items()
+            if gateway.state in (GatewayState.DRAINING, GatewayState.STARTING)
+            and self.gateway_silent_ns(name, now) < within_ns
+        ]
+
     def gateway_silent_ns(self, name: str, now: int) -> int:
         """Nanoseconds since any node last received a message of a gatekeeper."""
         return now - self.liveness.last_seen(gateway_record_id(name), now)
--- a/pepperrun/control/handlers.py
+++ b/pepperrun/control/handlers.py
@@ -38,7 +38,7 @@
 ORDER_TIMEOUT_NS_PER_KB = 2 * MS  # for each KB of the body, as long ones take longer to distribute
 READ_TIMEOUT_S = 0.7  # for the confirmation that the state is the newest
 DIRECTORY_TTL_S = 2.0  # how long clients cache an answer of the directory
-FALLBACK_TTL_S = 0.5  # the same for an answer with gatekeepers outside of the allowed regions
+FALLBACK_TTL_S = 0.5  # the same while no gatekeeper is ready in the regions allowed for a host
 RETRY_AFTER_S = 0.2  # sent with a 503
 MAX_EDITION_DIGITS = 18
 
@@ -317,19 +317,21 @@
     def resolve(self, call: Call) -> Answer:
         """GET /resolve: return gatekeepers for a client."""
         node = self.node
+        now, bounds = node.now(), node.settings.tariffs.bounds
         self.directory_calls += 1
         chosen = choose_gateways(
-            node.registry.ready_gateways(node.now()),
+            node.registry.ready_gateways(now),
             zone=call.query.get("zone", ""),
             region=call.query.get("region", ""),
             regions=node.settings.network.zones,
             seed=self.directory_calls,
             home_regions=lambda: self.host_home_regions.of(node.state, call.query.get("name", "")),
+            restarting=lambda: node.registry.restarting_gateways(int(bounds.contact_ms * MS), now),
         )
         if not chosen.addresses:
             return unavailable("no-gateway", "No gatekeeper is ready.")
         ttl_s = FALLBACK_TTL_S if chosen.is_fallback else DIRECTORY_TTL_S
-        ttl_s = min(ttl_s, node.settings.tariffs.bounds.ttl_max_s)
+        ttl_s = min(ttl_s, bounds.ttl_max_s)
         return Answer(200, json.dumps({"addresses": chosen.addresses, "ttl_s": ttl_s}).encode())
 
 
--- a/tests/test_endpoint_registry.py
+++ b/tests/test_endpoint_registry.py
@@ -12,7 +12,7 @@
 from pepperrun.control.directory import DirectoryAnswer, HostHomeRegions, choose_gateways
 from pepperrun.control.endpoint_registry import GATEWAY_GONE_NS, GATEWAY_SILENT_NS, KEEP_GONE_NS
 from pepperrun.control.gateway_count import GatewayCount
-from pepperrun.control.records import GatewayRecord, Worker, WorkerState
+from pepperrun.control.records import GatewayRecord, GatewayState, Worker, WorkerState
 from pepperrun.control.replication_waits import VoterQuorum
 
 D, E = "10.0.0.3", "10.0.0.4"
@@ -341,6 +341,56 @@
     assert set(answer([near, home, far], "other.example").addresses) == {"g0:80", "g1:80", "g2:80"}
 
 
+def test_while_the_only_gatekeeper_of_a_region_restarts_clients_are_not_sent_outside_of_the_homes() -> None:
+    """A planned restart of the only gatekeeper is no reason to send bodies to another region."""
+    regions = {"z0": "r0", "z1": "r1", "z2": "r2"}
+    world, near = World(2), gateway("g0", "z0", "r0")
+    alive = {"g0": near, "g2": gateway("g2", "z2", "r2")}
+
+    def tick() -> None:
+        for row in alive.values():
+            world.registries[A].gateway_heartbeat(row, world.now)
+
+    def answer(home_regions: set[str]) -> DirectoryAnswer:
+        registry = world.registries[B]
+        return choose_gateways(
+            registry.ready_gateways(world.now),
+            "z0",
+            "r0",
+            regions,
+            seed=1,
+            home_regions=lambda: frozenset(home_regions),
+            restarting=lambda: registry.restarting_gateways(4 * SECOND, world.now),
+        )
+
+    world.run(0.5, tick)
+    assert answer({"r0"}) == DirectoryAnswer(["g0:80"])
+    alive["g0"] = replace(near, serial=2, state=GatewayState.DRAINING)
+    world.run(1, tick)
+    assert answer({"r0"}) == DirectoryAnswer(["g0:80"], is_fallback=True)
+    assert answer(set()) == DirectoryAnswer(["g2:80"])
+    assert answer({"r1"}) == DirectoryAnswer(
+        ["g0:80"], is_fallback=True
+    )  # the client's own region is allowed
+    del alive["g0"]
+    world.run(2.5, tick)
+    assert answer({"r0"}) == DirectoryAnswer(["g0:80"], is_fallback=True)
+    alive["g0"] = replace(near, incarnation=2, state=GatewayState.STARTING)
+    world.run(1, tick)
+    assert answer({"r0"}) == DirectoryAnswer(["g0:80"], is_fallback=True)
+    alive["g0"] = replace(near, incarnation=2, serial=2)
+    world.run(0.3, tick)
+    assert answer({"r0"}) == DirectoryAnswer(["g0:80"])
+    del alive["g0"]  # it crashes: no planned restart
+    world.run(3, tick)
+    assert answer({"r0"}) == DirectoryAnswer(["g2:80"], is_fallback=True)
+    alive["g0"] = replace(near, incarnation=3, state=GatewayState.DRAINING)
+    world.run(0.3, tick)
+    del alive["g0"]  # it does not come back
+    world.run(5.5, tick)
+    assert answer({"r0"}) == DirectoryAnswer(["g2:80"], is_fallback=True)
+
+
 def test_workers_are_assigned_evenly_to_linked_nodes_of_the_zone_and_keep_their_node() -> None:
     world, regions = World(4), {"z0": "r0", "z1": "r0", "z2": "r0", "z3": "r1", "z4": "r0"}
     other_preferred_node = world.registries[A].other_preferred_node
