--- a/pepperrun/dataplane/gate.py
+++ b/pepperrun/dataplane/gate.py
@@ -22,6 +22,9 @@
 SAFE_TIMEOUT_NS = 5000 * MS  # a service without a safe request for so long is tried with unsafe ones
 RETRY_NS = 500 * MS  # until the state may be fresh again
 RECORDS_TIMEOUT_MS = 4000  # without updates for so long any worker may be warming up
+# Without updates for so long, which is more than two missed heartbeats of a control node, requests to each
+# worker are limited, as it may have turned cold since.
+RECORDS_UNCONFIRMED_MS = 1000
 
 
 class Gate:
@@ -93,7 +96,11 @@
                 return False
         if not self._is_warming_up(backend, now):
             self.slow_start.on_warm(backend)
-            return True
+            return (
+                not self._is_unconfirmed(now)
+                or self._slow_start_rate(known.service) is None
+                or self.slow_start.may_send_unconfirmed(backend, now)
+            )
         rate = self._slow_start_rate(known.service)
         return rate is None or self.slow_start.may_send(
             backend, known.record.id, known.record.zone, rate, now
@@ -107,10 +114,13 @@
         if self.ejection is not None:
             self.ejection.on_sent(backend, now)
         known = self.workers.by_number.get(backend)
-        if known is not None and self._is_warming_up(backend, now):
-            rate = self._slow_start_rate(known.service)
-            if rate is not None:
-                self.slow_start.on_sent(backend, rate, now)
+        rate = self._slow_start_rate(known.service) if known is not None else None
+        if rate is None:
+            return
+        if self._is_warming_up(backend, now):
+            self.slow_start.on_sent(backend, rate, now)
+        elif self._is_unconfirmed(now):
+            self.slow_start.on_sent_unconfirmed(backend, rate, now)
 
     def may_write(self, context: GateContext, backend: int, now: int) -> bool:
         """Returns whether an attempt at this worker may still be written after waiting for a connection."""
@@ -126,6 +136,9 @@
             return True
         return self.workers.is_warming_up(self.workers.by_number[backend], now)
 
+    def _is_unconfirmed(self, now: int) -> bool:
+        return now - self.records_confirmed_at() > RECORDS_UNCONFIRMED_MS * MS
+
     def _slow_start_rate(self, service: int) -> float | None:
         """Returns the requests per second that a worker takes while it warms up; None without slow start."""
         known = self.table.services.get(service) if self.table is not None else None
--- a/pepperrun/dataplane/slow_start.py
+++ b/pepperrun/dataplane/slow_start.py
@@ -10,6 +10,10 @@
 with cold_per_s 5.3 that is 6 for one view and 12 for two, below B = 12.95. Where two views could exceed B, S
 grows until they do not.
 
+A gatekeeper that has lost contact with the control nodes does not learn that a worker has turned cold. Until
+it treats all workers as warming up it sends none more than B / K requests in any second, so that K
+gatekeepers that are cut off together keep the bound as well.
+
 `core.fleet` has a slow start of its own: a share of load that grows with the time since a backend's start.
 That one is off in the data plane, as `Numbering.settings` leaves `slow_start_ns` at 0. It is for gatekeepers
 without control nodes (`pepperrun.serve`).
@@ -40,6 +44,12 @@
     return int(SECOND / rate) + 1
 
 
+def unconfirmed_interval_ns(cold_per_s: float, excess: float, slack: float) -> int:
+    """Returns the ns between two requests to a worker that may have turned cold without being reported."""
+    most = cold_per_s * excess + slack
+    return SECOND // max(1, int(most / ASSIGNED_GATEWAYS)) + 1
+
+
 def assigned_gateways(
     worker: str, zone: str, gateways: Iterable[GatewayRecord], zones: Mapping[str, str]
 ) -> list[str]:
@@ -65,6 +75,7 @@
         # By worker: the view it was computed for, and whether this gatekeeper is assigned to the worker.
         self.assigned: dict[int, tuple[int, bool]] = {}
         self.next_at: dict[int, int] = {}  # by worker: when the next request may go there
+        self.next_unconfirmed_at: dict[int, int] = {}  # the same while its record is unconfirmed
 
     def update(self, gateways: Iterable[GatewayRecord]) -> None:
         """Applies records of gatekeepers that are new or have changed."""
@@ -97,6 +108,14 @@
         """Notes that a request was sent to a worker that is warming up."""
         self.next_at[number] = now + send_interval_ns(cold_per_s, self.excess, self.slack)
 
+    def may_send_unconfirmed(self, number: int, now: int) -> bool:
+        """Returns whether a request may go to this worker now, whose record has not been confirmed lately."""
+        return now >= self.next_unconfirmed_at.get(number, 0)
+
+    def on_sent_unconfirmed(self, number: int, cold_per_s: float, now: int) -> None:
+        """Notes that a request was sent to a worker whose record has not been confirmed lately."""
+        self.next_unconfirmed_at[number] = now + unconfirmed_interval_ns(cold_per_s, self.excess, self.slack)
+
     def on_warm(self, number: int) -> None:
         """Notes that a worker is not warming up now."""
         self.next_at.pop(number, None)
@@ -106,3 +125,6 @@
         kept = set(known)
         self.assigned = {number: mine for number, mine in self.assigned.items() if number in kept}
         self.next_at = {number: at for number, at in self.next_at.items() if number in kept}
+        self.next_unconfirmed_at = {
+            number: at for number, at in self.next_unconfirmed_at.items() if number in kept
+        }
--- a/tests/test_dataplane.py
+++ b/tests/test_dataplane.py
@@ -476,6 +476,36 @@
     assert send_interval_ns(50.0, 1.0, 0.0) > SECOND // 8  # each of six sends at most 8 a second
 
 
+def test_gatekeepers_that_are_cut_off_keep_the_bound_of_a_worker_that_turns_cold_unheard():
+    """Three gatekeepers without news send one worker as much as they may (review case 3)."""
+
+    async def test():
+        clusters = [Cluster(route("r", "/p/")) for _ in range(3)]
+        start, sent = time.monotonic_ns(), []
+        for cluster in clusters:
+            cluster.add_worker("w1", 1, zone="a")
+            cluster.add_worker("w2", 2, zone="a")
+            cluster.cells = start
+        for now in range(start, start + 3900 * MS, 5 * MS):
+            for cluster in clusters:
+                plane = cluster.plane
+                context, number = context_of(plane.table), plane.workers.number_by_id["w1"]
+                if plane.gate.may_send(context, number, now):
+                    plane.gate.on_sent(context, number, now)
+                    sent.append(now - start)
+        assert sum(at <= SECOND for at in sent) == 3 * 201  # nothing is limited while the news is fresh
+        cold = [at for at in sent if at > SECOND]
+        most = max(sum(at <= other < at + SECOND for other in cold) for at in cold)
+        bounds, service = clusters[0].plane.settings.tariffs.bounds, clusters[0].plane.table.services
+        rate = next(iter(service.values())).cold_per_s
+        assert 3 <= most <= rate * bounds.cold_excess + bounds.cold_slack
+        other = clusters[0].plane.workers.number_by_id["w2"]
+        at = start + 3900 * MS
+        assert clusters[0].plane.gate.may_send(context_of(clusters[0].plane.table), other, at)
+
+    going(test)
+
+
 def test_reopened_zone_and_unknown_worker_count_as_warming_up():
     async def test():
         cluster = Cluster(route("r", "/p/"))
