Features: what they play is named in the field's terms

Ear, News, Trio, Air, Told, cells_talk, undisk and the like are RecordingLink, FollowerExchange, ConsensusCluster, RecordingDatagramTransport, LinkUser, registry_exchange, restore_disk.

--- a/features/playing.py
+++ b/features/playing.py
@@ -102,16 +102,16 @@
     return replace(Worker(name, "ant", "10.2.0.9:80", "a", "v1", 2, serial), **more)
 
 
-class Ear:
-    """A link's sending side that keeps what was said."""
+class RecordingLink:
+    """The sending side of a link; keeps the messages."""
 
     def __init__(self, name=""):
-        self.name, self.said, self.closed = name, [], False
+        self.name, self.messages, self.closed = name, [], False
         self.send = lambda message: self.write(encode(message))  # as a link does
         self.decoder = Decoder()
 
     def write(self, frame):
-        self.said += self.decoder.feed(frame)
+        self.messages += self.decoder.feed(frame)
 
     def close(self):
         self.closed = True
@@ -120,12 +120,12 @@
         return 0
 
     def take(self):
-        said, self.said = self.said, []
-        return said
+        messages, self.messages = self.messages, []
+        return messages
 
 
-class Core:
-    """A core machine as publishers see it: holds a configuration and records."""
+class ControlNodeSource:
+    """A control node as publishers see it: has a configuration and records."""
 
     def __init__(self):
         self.replicated = ReplicatedState()
@@ -177,12 +177,12 @@
     )
 
 
-class News:
-    """A gatekeeper that follows a core machine. `over(message)`: what the wire makes of each message."""
+class FollowerExchange:
+    """A gatekeeper that follows a control node. `transform` returns what arrives of a message."""
 
-    def __init__(self, over=lambda message: message):
-        self.core, self.follower, self.over = Core(), follower(), over
-        self.up, self.down, self.log = Ear("core"), Ear("g1"), []
+    def __init__(self, transform=lambda message: message):
+        self.core, self.follower, self.transform = ControlNodeSource(), follower(), transform
+        self.up, self.down, self.log = RecordingLink("core"), RecordingLink("g1"), []
         hello = {"station": "g1", "ip": "10.1.0.1", "zone": "a", "class": "counter", "life": 7}
         self.core.publisher.opened(self.down, hello, START)
         hello = {"station": "s1", "ip": CORES[0], "zone": "a", "class": "sorting", "life": 1}
@@ -202,33 +202,33 @@
                 return
             self.log += [["up", one] for one in ups] + [["down", one] for one in downs]
             for one in ups:
-                self.core.publisher.received(self.down, self.over(one), START)
+                self.core.publisher.received(self.down, self.transform(one), START)
             for one in downs:
-                self.follower.received(self.up, self.over(one), START + 30 * MS)
-        raise AssertionError("they talk without end")
+                self.follower.received(self.up, self.transform(one), START + 30 * MS)
+        raise AssertionError("the exchange does not end")
 
 
-def cells_talk():
-    """Two core machines' cells: links, beats, a leave that waits, two comparisons; who said what."""
-    cells = {ip: EndpointRegistry(ip, 1500, START) for ip in CORES[:2]}
+def registry_exchange():
+    """Two control nodes' registries: links, heartbeats, a drain that waits, two comparisons."""
+    registries = {ip: EndpointRegistry(ip, 1500, START) for ip in CORES[:2]}
     one, two = CORES[:2]
-    cells[one].heartbeat(
+    registries[one].heartbeat(
         WorkerHeartbeat("w1", "ant", "10.2.0.9:80", "a", "v1", 2, WorkerState.SERVING, 0, 4), None, START
     )
-    cells[one].gateway_heartbeat(gateway_record("g1"), START)
+    registries[one].gateway_heartbeat(gateway_record("g1"), START)
     log, now = [], START
     for step in range(4):
         if step == 1:
             for ip, other in ((one, two), (two, one)):
-                cells[ip].quorum_changed(has_quorum=True, now=now)
-                cells[ip].connected(other, "b", now)
+                registries[ip].quorum_changed(has_quorum=True, now=now)
+                registries[ip].connected(other, "b", now)
         if step == 2:
-            cells[one].heartbeat(
+            registries[one].heartbeat(
                 WorkerHeartbeat("w2", "ant", "10.2.0.8:80", "a", "v1", 2, WorkerState.SERVING, 0, 1),
                 None,
                 now,
             )
-            cells[one].heartbeat(
+            registries[one].heartbeat(
                 WorkerHeartbeat("w1", "ant", "10.2.0.9:80", "a", "v1", 2, WorkerState.DRAINING, 0, 5),
                 BOTH,
                 now,
@@ -236,19 +236,19 @@
         for _ in range(12):
             now += 100 * MS
             for ip in (one, two):
-                cells[ip].tick(now)
-                for to, message in cells[ip].take_messages(now):
+                registries[ip].tick(now)
+                for to, message in registries[ip].take_messages(now):
                     log.append([ip, message])
-                    cells[to].receive(ip, json.loads(json.dumps(message)), now)
-    return cells, log
+                    registries[to].receive(ip, json.loads(json.dumps(message)), now)
+    return registries, log
 
 
-class Trio:
-    """Three core machines that agree, each message 5 ms on its way. `over`: what the wire makes of it."""
+class ConsensusCluster:
+    """Three voters; each message takes 5 ms. `transform` returns what arrives of a message."""
 
-    def __init__(self, over=lambda sender, message: message):
-        self.now, self.events, self.turn, self.over, self.log = START, [], count(), over, []
-        self.replicas, self.told = {}, {}
+    def __init__(self, transform=lambda sender, message: message):
+        self.now, self.events, self.turn, self.transform, self.log = START, [], count(), transform, []
+        self.replicas, self.verdicts = {}, {}
         for at, (ip, zone) in enumerate(zip(CORES, ZONES, strict=True)):
             memory = DurableState(FIRST_DISK_ID)
             memory.accepted = memory.chosen = initial_proposal(CORES)
@@ -263,20 +263,20 @@
     def propose(self, ip, op):
         return ip, self.replicas[ip].propose(op, self.now)
 
-    def pump(self):
+    def flush(self):
         for ip, replica in self.replicas.items():
             for to, message in replica.take_messages():
                 self.log.append(message)
                 wire = json.loads(json.dumps(message))
                 heapq.heappush(self.events, (self.now + 5 * MS, next(self.turn), ip, to, wire))
             for result in replica.take_results():
-                self.told[ip, result.token] = result.verdict
+                self.verdicts[ip, result.token] = result.verdict
             replica.take_changes()
 
     def run(self, ms):
         end = self.now + int(ms * MS)
         while True:
-            self.pump()
+            self.flush()
             due = min(replica.next_tick_at() for replica in self.replicas.values())
             at = min(due, self.events[0][0]) if self.events else due
             if at > end:
@@ -285,14 +285,14 @@
             self.now = max(self.now, at)
             if self.events and self.events[0][0] <= self.now:
                 _, _, sender, to, message = heapq.heappop(self.events)
-                self.replicas[to].receive(sender, self.over(sender, message), self.now)
+                self.replicas[to].receive(sender, self.transform(sender, message), self.now)
             for replica in self.replicas.values():
                 if replica.next_tick_at() <= self.now:
                     replica.tick(self.now)
 
 
-def probes_talk(hear=None):
-    """Two probes for three seconds. With `hear` the first one's datagrams are these, not what it says now."""
+def probe_exchange(recorded=None):
+    """Two probers for three seconds. With `recorded` the first one's datagrams are these, not its own."""
     addresses = {name: (f"10.1.0.{name[-1]}", SIDING) for name in ("g1", "g2")}
     probes = {name: GatewayProber(name, "r1", 5000, at, START) for at, name in enumerate(addresses)}
     for prober in probes.values():
@@ -302,16 +302,18 @@
         now = START + step * 10 * MS
         for name, prober in probes.items():
             prober.tick(now)
-            said = [data for _, data in prober.take_outgoing()]
-            if name == "g1" and hear is not None:
-                said = [bytes.fromhex(data) for at, speaker, data in hear if (at, speaker) == (step, "g1")]
-            log += [[step, name, data.hex()] for data in said]
-            for data in said:
+            datagrams = [data for _, data in prober.take_outgoing()]
+            if name == "g1" and recorded is not None:
+                datagrams = [
+                    bytes.fromhex(data) for at, speaker, data in recorded if (at, speaker) == (step, "g1")
+                ]
+            log += [[step, name, data.hex()] for data in datagrams]
+            for data in datagrams:
                 probes["g2" if name == "g1" else "g1"].receive(data, addresses[name], now)
     return probes, log
 
 
-class Air(asyncio.DatagramTransport):
+class RecordingDatagramTransport(asyncio.DatagramTransport):
     """A datagram socket that keeps what is sent."""
 
     def __init__(self):
@@ -325,11 +327,12 @@
 class PeerMessagesPair:
     """Two gatekeepers tell each other of a tenant's requests, three seconds long; most come to the first.
 
-    With `hear` the datagrams of the first one are these, not what it says now; `deaf`: nobody hears anything.
+    With `recorded` the datagrams of the first one are these, not what it says now. With `receives_nothing`
+    no datagram arrives.
     """
 
-    def __init__(self, hear=None, deaf=False):
-        self.gateways, self.hums, self.log, self.least = {}, {}, [], TENANT.surge
+    def __init__(self, recorded=None, receives_nothing=False):
+        self.gateways, self.peer_messages, self.log, self.least_available = {}, {}, [], TENANT.surge
         for name in ("g1", "g2"):
             numbering = Numbering(Bounds())
             self.plan, self.line = numbering.plan_number(TENANT), numbering.service_number("ant")
@@ -339,10 +342,10 @@
             peers.update([gateway_record("g1"), gateway_record("g2")])
             gateway.quotas.members = peers.members
             peer_messages = PeerMessages(
-                peers, lambda: 7, lambda number, data, name=name: self.heard(name, number, data)
+                peers, lambda: 7, lambda number, data, name=name: self.on_peer_message(name, number, data)
             )
-            peer_messages.connection_made(Air())
-            self.gateways[name], self.hums[name] = gateway, peer_messages
+            peer_messages.connection_made(RecordingDatagramTransport())
+            self.gateways[name], self.peer_messages[name] = gateway, peer_messages
             gateway.handle(START, [BackendList(ListKind.DELTA, (Backend(7, 0, service=self.line),))])
         self.now, number = START, 0
         for step in range(300):
@@ -352,28 +355,28 @@
                 if step % (5 if name == "g1" else 1000) == 0:
                     number += 1
                     events.append(Request(number, name_hash(TENANT.name), self.plan, self.kind, 1500 * MS))
-                self.does(name, events)
-                said = [data.hex() for data in self.hums[name].transport.sent]
-                self.hums[name].transport.sent.clear()
-                if name == "g1" and hear is not None:
-                    said = [data for at, speaker, data in hear if (at, speaker) == (step, "g1")]
-                self.log += [[step, name, data] for data in said]
-                for data in said if not deaf else ():
+                self.handle(name, events)
+                datagrams = [data.hex() for data in self.peer_messages[name].transport.sent]
+                self.peer_messages[name].transport.sent.clear()
+                if name == "g1" and recorded is not None:
+                    datagrams = [data for at, speaker, data in recorded if (at, speaker) == (step, "g1")]
+                self.log += [[step, name, data] for data in datagrams]
+                for data in datagrams if not receives_nothing else ():
                     other = "g2" if name == "g1" else "g1"
-                    self.hums[other].datagram_received(bytes.fromhex(data), ("10.1.0.9", SIDING))
+                    self.peer_messages[other].datagram_received(bytes.fromhex(data), ("10.1.0.9", SIDING))
             if step > 100:  # what the second one would let through of the tenant's quota, at the least
                 account = self.gateways["g2"].quotas.accounts[name_hash(TENANT.name)]
-                self.least = min(self.least, account.available_units(self.now))
+                self.least_available = min(self.least_available, account.available_units(self.now))
 
-    def does(self, name, events):
+    def handle(self, name, events):
         for action in self.gateways[name].handle(self.now, events):
             if isinstance(action, SendPeerMessage):
-                self.hums[name].send_to_peer(action.peer, action.data)
+                self.peer_messages[name].send_to_peer(action.peer, action.data)
             elif isinstance(action, Send):  # served at once
-                self.does(name, [AttemptEnded(action.request, 0, 7, Outcome.OK, MS, True)])
+                self.handle(name, [AttemptEnded(action.request, 0, 7, Outcome.OK, MS, True)])
 
-    def heard(self, name, number, data):
-        self.does(name, [PeerMessage(number, data)])
+    def on_peer_message(self, name, number, data):
+        self.handle(name, [PeerMessage(number, data)])
 
 
 def settings(kind):
@@ -385,9 +388,9 @@
     return parse({"self": me, "network": network | {"postboxes": boxes}})
 
 
-def shown():
-    """What an operator's link is answered by a core machine and by a gatekeeper: one message each."""
-    state = Core().replicated.state
+def inspection_replies():
+    """What a control node and a gatekeeper answer to an operator's link: one message each."""
+    state = ControlNodeSource().replicated.state
     rows = [worker("w1"), worker("w2", state=WorkerState.DRAINING)], [gateway_record("g2")]
 
     async def ask():
@@ -398,20 +401,20 @@
         program = GatewayNode(settings("counter"), None)
         program.distribution.replicated.update_state(1, state)
         program.distribution.replicated.update_records(*rows)
-        ears = Ear("operator"), Ear("operator")
-        for ear, does in zip(
-            ears,
+        links = RecordingLink("operator"), RecordingLink("operator")
+        for operator_link, received in zip(
+            links,
             (hub.received, DownlinkHandler(program.distribution, program.distribution.publisher).received),
             strict=True,
         ):
-            does(ear, {"k": "show"})
+            received(operator_link, {"k": "show"})
         hub.close()
-        return [one for ear in ears for one in ear.take()]
+        return [reply for operator_link in links for reply in operator_link.take()]
 
     return asyncio.run(ask())
 
 
-def disk(folder):
+def recorded_disk(folder):
     """A core machine that has taken more than it knows as chosen; the bytes of its disk, as text."""
     disk = DiskStore(str(folder), 1)
     memory = disk.load_or_create("s1", CORES[0], CORES)
@@ -423,12 +426,12 @@
     return base64.b64encode(zlib.compress((Path(folder) / "data.mdb").read_bytes(), 9)).decode()
 
 
-def undisk(text, folder):
+def restore_disk(text, folder):
     """Writes such a disk."""
     (Path(folder) / "data.mdb").write_bytes(zlib.decompress(base64.b64decode(text)))
 
 
-class Wire:
+class FakeTransport:
     """A transport that keeps what is written."""
 
     def __init__(self):
@@ -450,8 +453,8 @@
         self.up = False
 
 
-class Told:
-    """The user of a link, for looking on."""
+class LinkUser:
+    """The handler of a link; keeps what it is called with."""
 
     def __init__(self):
         self.hellos, self.messages = [], []
@@ -469,6 +472,6 @@
 def link(user):
     """A link that is up, without a network."""
     one = Link(user, lambda: {"station": "s1", "ip": CORES[0], "zone": "a", "class": "sorting", "life": 1})
-    one.transport = Wire()
+    one.transport = FakeTransport()
     one.send({"k": "hello", "v": 1} | one.hello())
     return one
--- a/features/record.py
+++ b/features/record.py
@@ -26,22 +26,22 @@
 
 def recorded():
     """All protocols."""
-    trio = playing.Trio()
-    trio.propose(playing.CORES[0], playing.read_replace(playing.body(playing.configuration()), 0))
-    trio.run(3000)
-    trio.replicas[playing.CORES[0]].request_stop(trio.now)
-    trio.run(500)
-    link = playing.link(playing.Told())
+    cluster = playing.ConsensusCluster()
+    cluster.propose(playing.CORES[0], playing.read_replace(playing.body(playing.configuration()), 0))
+    cluster.run(3000)
+    cluster.replicas[playing.CORES[0]].request_stop(cluster.now)
+    cluster.run(500)
+    link = playing.link(playing.LinkUser())
     with tempfile.TemporaryDirectory() as folder:
-        disk = playing.disk(folder)
+        disk = playing.recorded_disk(folder)
     return {
         "hello": link.transport.written.decode(),
-        "news": playing.News().log,
-        "cells": samples([message for _, message in playing.cells_talk()[1]], "k"),
-        "queen": samples(trio.log, "t"),
-        "scouts": playing.probes_talk()[1],
+        "news": playing.FollowerExchange().log,
+        "cells": samples([message for _, message in playing.registry_exchange()[1]], "k"),
+        "queen": samples(cluster.log, "t"),
+        "scouts": playing.probe_exchange()[1],
         "hum": playing.PeerMessagesPair().log,
-        "shown": playing.shown(),
+        "shown": playing.inspection_replies(),
         "wax": disk,
     }
 
--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -17,25 +17,25 @@
 class Machine:
     """`NodeInterface` for the control calls of one machine."""
 
-    def __init__(self, trio, ip):
-        self.trio, self.ip, self.is_stopping = trio, ip, False
+    def __init__(self, cluster, ip):
+        self.cluster, self.ip, self.is_stopping = cluster, ip, False
         me = {"station": "s", "role": "control_node", "ip": ip, "zone": "a", "region": "r1"}
         network = {"sidings": [7600, 7615], "first_contacts": [], "zones": playing.ZONES}
         self.settings: Settings = parse({"self": me, "network": network})
-        self.registry = EndpointRegistry(ip, 1500, trio.now)
+        self.registry = EndpointRegistry(ip, 1500, cluster.now)
         self.tree = ControlApi(self).control_tree()
         self.waiting = []
 
     def now(self):
-        return self.trio.now
+        return self.cluster.now
 
     @property
     def lacks_quorum(self):
-        return self.trio.replicas[self.ip].lacks_quorum
+        return self.cluster.replicas[self.ip].lacks_quorum
 
     def order(self, op, patience):
         future = asyncio.get_running_loop().create_future()
-        self.waiting.append((future, self.trio.propose(self.ip, op)))
+        self.waiting.append((future, self.cluster.propose(self.ip, op)))
         return future
 
     def confirmed(self):
@@ -45,12 +45,12 @@
 
     @property
     def state(self):
-        return self.trio.replicas[self.ip].body
+        return self.cluster.replicas[self.ip].body
 
     def settle(self):
         for future, token in self.waiting:
-            if token in self.trio.told and not future.done():
-                future.set_result(self.trio.told[token])
+            if token in self.cluster.verdicts and not future.done():
+                future.set_result(self.cluster.verdicts[token])
 
 
 def played(context, *calls):
@@ -68,10 +68,10 @@
                 await asyncio.sleep(0)
             if all(task.done() for task in tasks):
                 break
-            context.trio.run(10)
+            context.cluster.run(10)
             for machine in context.machines:
                 machine.settle()
-        context.trio.run(1000)  # all learn of it
+        context.cluster.run(1000)  # all learn of it
         return [task.result() for task in tasks]
 
     return asyncio.run(all_of_them())
@@ -84,8 +84,8 @@
 
 @given("three core machines that hold edition 5")
 def machines(context):
-    context.trio = playing.Trio()
-    context.machines = [Machine(context.trio, ip) for ip in CORES]
+    context.cluster = playing.ConsensusCluster()
+    context.machines = [Machine(context.cluster, ip) for ip in CORES]
     answer = played(context, put(context, 0, playing.configuration(5), 0))[0]
     assert answer.status == 200, answer
 
--- a/features/steps/versions.py
+++ b/features/steps/versions.py
@@ -30,7 +30,7 @@
 
 @when("its hello comes on a link")
 def hello_comes(context):
-    context.user = playing.Told()
+    context.user = playing.LinkUser()
     context.links = [playing.link(context.user)]
     context.links[0].data_received(context.said["hello"].encode())
 
@@ -59,23 +59,32 @@
 
 @when("a kind that is not known comes to a gatekeeper, to a publisher, to cells and to the agreement")
 def unknown_kinds(context):
-    news, (cells, _), trio = playing.News(), playing.cells_talk(), playing.Trio()
+    exchange, (registries, _), cluster = (
+        playing.FollowerExchange(),
+        playing.registry_exchange(),
+        playing.ConsensusCluster(),
+    )
     odd = {"k": "smoke", "of": "pine"}
-    news.follower.received(news.up, odd, START)
-    news.core.publisher.received(news.down, odd, START)
-    held = cells[CORES[0]]
-    held.take_messages(START)
-    held.receive(CORES[1], odd, START)
-    replica = trio.replicas[CORES[0]]
+    exchange.follower.received(exchange.up, odd, START)
+    exchange.core.publisher.received(exchange.down, odd, START)
+    registry = registries[CORES[0]]
+    registry.take_messages(START)
+    registry.receive(CORES[1], odd, START)
+    replica = cluster.replicas[CORES[0]]
     replica.take_messages()
-    replica.receive(CORES[1], {"t": "smoke"}, trio.now)
-    context.ears = [news.up, news.down]
-    context.answers = [news.up.take(), news.down.take(), held.take_messages(START), replica.take_messages()]
+    replica.receive(CORES[1], {"t": "smoke"}, cluster.now)
+    context.recording_links = [exchange.up, exchange.down]
+    context.answers = [
+        exchange.up.take(),
+        exchange.down.take(),
+        registry.take_messages(START),
+        replica.take_messages(),
+    ]
 
 
 @then("nobody is told anything and no link ends")
 def nothing_told(context):
-    assert context.answers == [[], [], [], []] and not any(ear.closed for ear in context.ears)
+    assert context.answers == [[], [], [], []] and not any(link.closed for link in context.recording_links)
 
 
 # News.
@@ -83,19 +92,19 @@
 
 @when("its ticks, questions and rows come to a core machine")
 def old_follower(context):
-    core, ear = playing.Core(), playing.Ear("g1")
-    core.publisher.opened(ear, {"station": "g1", "class": "counter"}, START)
+    core, recording_link = playing.ControlNodeSource(), playing.RecordingLink("g1")
+    core.publisher.opened(recording_link, {"station": "g1", "class": "counter"}, START)
     context.answers = []
     for way, message in context.said["news"]:
         if way == "up":
-            assert core.publisher.received(ear, message, START)
-            context.answers += ear.take()
+            assert core.publisher.received(recording_link, message, START)
+            context.answers += recording_link.take()
         elif message["k"] == "change":
             core.amend()
-            context.answers += ear.take()
+            context.answers += recording_link.take()
         elif message["k"] == "cells" and "of" not in message:
             core.release()
-            context.answers += ear.take()
+            context.answers += recording_link.take()
 
 
 @then("each is answered, with every field that it was answered before")
@@ -114,16 +123,16 @@
 
 @when("it is told what the core machine of that version says")
 def old_core(context):
-    context.follower, ear = playing.follower(), playing.Ear("core")
+    context.follower, recording_link = playing.follower(), playing.RecordingLink("core")
     context.now = START + 30 * MS
     hello = {"k": "hello", "station": "s1", "ip": CORES[0], "zone": "a", "class": "sorting", "life": 1}
-    context.follower.opened((CORES[0], SIDING), ear, hello, START)
+    context.follower.opened((CORES[0], SIDING), recording_link, hello, START)
     for way, message in context.said["news"]:
         if way == "down":
             if message["k"] == "tock" and message["t"] > START:
                 context.follower.tick(message["t"])
-            context.follower.received(ear, message, context.now)
-    assert not ear.closed
+            context.follower.received(recording_link, message, context.now)
+    assert not recording_link.closed
 
 
 @then("it holds edition {edition:d} with {routes:d} route and {workers:d} workers")
@@ -159,7 +168,7 @@
     return message | {"op": {"do": "smoke"}} if message["k"] == "change" else message
 
 
-OVER = {
+TRANSFORMS = {
     "every message and row has more fields": _more,
     "what may be left out is left out": _less,
     "a change is of a kind that is not known": _strange,
@@ -168,9 +177,9 @@
 
 @when("a gatekeeper and a core machine talk while {what}")
 def talk(context, what):
-    news = playing.News(OVER[what])
-    context.follower = news.follower
-    assert not news.up.closed and not news.down.closed
+    exchange = playing.FollowerExchange(TRANSFORMS[what])
+    context.follower = exchange.follower
+    assert not exchange.up.closed and not exchange.down.closed
 
 
 # Cells.
@@ -178,22 +187,22 @@
 
 @when("its messages come to another core machine's cells")
 def old_cells(context):
-    context.cells = playing.EndpointRegistry(CORES[2], 1500, START)
-    context.cells.connected(CORES[0], "a", START)
+    context.registry = playing.EndpointRegistry(CORES[2], 1500, START)
+    context.registry.connected(CORES[0], "a", START)
     for message in context.said["cells"]:
-        assert context.cells.receive(CORES[0], message, START), message
+        assert context.registry.receive(CORES[0], message, START), message
 
 
 @then('worker "{worker}" is unloading and gatekeeper "{gateway}" is ready there')
 def records(context, worker, gateway):
-    assert context.cells.workers[worker].state == "unloading"
-    assert context.cells.gateways[gateway].state == "ready"
+    assert context.registry.workers[worker].state == "unloading"
+    assert context.registry.gateways[gateway].state == "ready"
 
 
 @then("the rows of this version begin with the columns of that one")
 def rows_begin(context):
     for name, now in (
-        ("w", context.cells.workers["w1"].to_row(START)),
+        ("w", context.registry.workers["w1"].to_row(START)),
         ("g", playing.gateway_record("g1").to_row()),
     ):
         old = next(one[name][0] for one in context.said["cells"] if name in one)
@@ -212,38 +221,39 @@
     def leaves_out(sender, message):
         return {name: value for name, value in message.items() if name != "q" or sender != CORES[1]}
 
-    context.trio = playing.Trio(adds if how.startswith("adds") else leaves_out)
+    context.cluster = playing.ConsensusCluster(adds if how.startswith("adds") else leaves_out)
     if how.startswith("adds"):
         for ip in (CORES[0], CORES[2]):
-            context.trio.replicas[ip].receive(CORES[1], {"t": "smoke", "s": 1}, context.trio.now)
+            context.cluster.replicas[ip].receive(CORES[1], {"t": "smoke", "s": 1}, context.cluster.now)
 
 
 @when("an operator puts edition 5 at each in turn")
 def puts(context):
     op = playing.read_replace(playing.body(playing.configuration()), 0)
     for ip in (CORES[1], CORES[0], CORES[2]):
-        token = context.trio.propose(ip, op)
-        context.trio.run(1000)
-        assert context.trio.told[token][0] == 200, context.trio.told
+        token = context.cluster.propose(ip, op)
+        context.cluster.run(1000)
+        assert context.cluster.verdicts[token][0] == 200, context.cluster.verdicts
 
 
 @then("all three hold edition 5")
 def all_hold(context):
-    assert [replica.body["edition"] for replica in context.trio.replicas.values()] == [5, 5, 5]
+    assert [replica.body["edition"] for replica in context.cluster.replicas.values()] == [5, 5, 5]
     assert all(
-        context.trio.now - replica.confirmed_at < 1000 * MS for replica in context.trio.replicas.values()
+        context.cluster.now - replica.confirmed_at < 1000 * MS
+        for replica in context.cluster.replicas.values()
     )
 
 
 @then("each of its messages of the agreement is read, and this version says the same kinds")
 def all_read(context):
-    trio = playing.Trio()
-    trio.propose(CORES[0], playing.read_replace(playing.body(playing.configuration()), 0))
-    trio.run(3000)
-    trio.replicas[CORES[0]].request_stop(trio.now)
-    trio.run(500)
+    cluster = playing.ConsensusCluster()
+    cluster.propose(CORES[0], playing.read_replace(playing.body(playing.configuration()), 0))
+    cluster.run(3000)
+    cluster.replicas[CORES[0]].request_stop(cluster.now)
+    cluster.run(500)
     said = {}
-    for one in trio.log:
+    for one in cluster.log:
         said.setdefault(one["t"], []).append(one)
     for old in context.said["queen"]:
         assert json.loads(json.dumps(codec.encode(codec.decode(old)))) == old
@@ -255,7 +265,7 @@
 
 @when("a prober hears the datagrams of the version before")
 def old_probes(context):
-    context.probes, _ = playing.probes_talk(context.said["scouts"])
+    context.probes, _ = playing.probe_exchange(context.said["scouts"])
 
 
 @then("it takes the other for a member that is there")
@@ -280,15 +290,15 @@
 
 @when("a gatekeeper hears the counts of the version before")
 def old_counts(context):
-    context.hears, context.deaf = (
+    context.with_messages, context.without_messages = (
         playing.PeerMessagesPair(context.said["hum"]),
-        playing.PeerMessagesPair(deaf=True),
+        playing.PeerMessagesPair(receives_nothing=True),
     )
 
 
 @then("it leaves less of the tenant's quota than one that hears nothing")
 def leaves_less(context):
-    assert context.hears.least <= context.deaf.least - 0.5
+    assert context.with_messages.least_available <= context.without_messages.least_available - 0.5
 
 
 @then("those counts are the same, byte by byte, when read and written again")
@@ -296,7 +306,7 @@
     told = 0
     for _, speaker, text in context.said["hum"]:
         data = bytes.fromhex(text)
-        peers = context.hears.hums["g2" if speaker == "g1" else "g1"].peers
+        peers = context.with_messages.peer_messages["g2" if speaker == "g1" else "g1"].peers
         tag, station, life = peer_messages.HEADER.unpack_from(data)
         message = gossip.unpack(data[peer_messages.HEADER.size :])
         assert tag == peer_messages.TAG and peers.find(station, life) is not None and message is not None
@@ -323,7 +333,7 @@
 
 @then("this version's processes show every field that those did")
 def shows_all(context):
-    for old, new in zip(context.said["shown"], playing.shown(), strict=True):
+    for old, new in zip(context.said["shown"], playing.inspection_replies(), strict=True):
         assert old.keys() <= new.keys() and all(
             type(old[name]) is type(new[name]) for name in old if None not in (old[name], new[name])
         ), (old, new)
@@ -334,7 +344,7 @@
 
 @when("a core machine starts on its disk")
 def old_disk(context):
-    playing.undisk(context.said["wax"], context.folder)
+    playing.restore_disk(context.said["wax"], context.folder)
     context.memory = store.DiskStore(str(context.folder), 1).load_or_create("s1", CORES[0], [])
 
 
