--- a/pepperrun/bench/rig.py
+++ b/pepperrun/bench/rig.py
@@ -17,10 +17,12 @@
 from typing import Any
 
 import pepperrun
+from pepperrun.bench.cpus import spare_cpus
 
 HOST = "127.0.0.1"
 ROOT = Path(pepperrun.__file__).resolve().parent.parent
 PAGE = os.sysconf("SC_PAGE_SIZE")
+MIN_SPARE_CPUS = 4
 
 SETTINGS: dict[str, Any] = {
     "Me": 0,
@@ -74,9 +76,12 @@
 
 
 def pin(cpus: set[int]) -> Callable[[], None] | None:
-    """For a child before its program starts: only those processors, where the machine has them to spare."""
-    have = sorted(os.sched_getaffinity(0))
-    if len(have) < 4:
+    """For a child before its program starts: only those processors, where the machine has them to spare.
+
+    The numbers count the idle processors. With fewer than four of these nothing is pinned.
+    """
+    have = spare_cpus()
+    if len(have) < MIN_SPARE_CPUS:
         return None
     chosen = {have[number % len(have)] for number in cpus}
     return lambda: os.sched_setaffinity(0, chosen)
--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from pepperrun.bench.cpus import idle_cpus, idle_ticks
 from pepperrun.bench.replay import listening_port
 from pepperrun.bench.rig import RigError
 
@@ -73,3 +74,16 @@
         listening_port(log, process, timeout_s=0.0)
     assert str(error.value) == f"a gatekeeper did not start: {sentence}"
     process.communicate(b"\n")
+
+
+def test_processes_are_pinned_to_idle_processors_only() -> None:
+    # Guards against a process that waits for minutes for its turn on a busy processor.
+    def stat(*idle: int) -> str:
+        lines = [f"cpu{cpu} 90 0 50 {ticks} 3 0 0 0 0 0" for cpu, ticks in enumerate(idle)]
+        return "\n".join(["cpu  360 0 200 400 12 0 0 0 0 0", *lines, "intr 7 0", "ctxt 9"])
+
+    before = idle_ticks(stat(100, 200, 300, 400))
+    assert before == {0: 100, 1: 200, 2: 300, 3: 400}
+    assert idle_cpus({0, 1, 2, 3}, before, idle_ticks(stat(120, 219, 320, 420))) == [0, 1, 2, 3]
+    assert idle_cpus({0, 1, 2, 3}, before, idle_ticks(stat(100, 219, 302, 415))) == [1, 3]
+    assert idle_cpus({1, 2}, before, idle_ticks(stat(120, 200, 320, 420))) == [2]
